--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# `make demo` and `make test` work on a fresh machine: each makes its own venv.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint fuzz capacity bench clean
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/coltsfoottray demo
+
+test: $(VENV)/.installed
+	$(BIN)/python -m tests
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/mypy
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements, apart from the tests."""
+
+from __future__ import annotations
--- /dev/null
+++ b/coltsfoottray/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: one module for each group of commands."""
--- /dev/null
+++ b/coltsfoottray/cli/queries.py
@@ -0,0 +1,61 @@
+"""Commands that read: `explain` and `status`."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+import typer
+
+from coltsfoottray.cli.common import EntryOption, ask, fail
+from coltsfoottray.entry.operators import EntryStatus
+from coltsfoottray.explain import Decision
+
+__all__ = ["explain", "status"]
+
+
+def explain(
+    subject: Annotated[str, typer.Argument(help="A request's or task's id.")],
+    entry: EntryOption = "127.0.0.1:8080",
+) -> None:
+    """Show why a request or task was routed, placed, refused or evicted."""
+    found: list[Decision] = []
+    for address in _entries(entry):
+        response = ask(address, "GET", f"/explain/{subject}")
+        found += msgspec.json.decode(response.body, type=list[Decision])
+    if not found:
+        fail(f"{subject!r}: no entry has a decision about it any more")
+    for decision in sorted(found, key=lambda each: each.at):
+        typer.echo(f"{decision.at}  {decision.verb.value}: {decision.choice}")
+        typer.echo(f"    because {decision.reason}")
+        typer.echo(f"    against {decision.line}")
+        for runner_up in decision.runners_up:
+            typer.echo(f"    not {runner_up.name}: {runner_up.why_not}")
+
+
+def status(entry: EntryOption = "127.0.0.1:8080") -> None:
+    """Show what an entry knows of the daemons and of latency."""
+    answer = read_status(entry)
+    typer.echo(f"{answer.entry}: lists at version {answer.lists_version}")
+    for daemon in answer.daemons:
+        draining = ", draining" if daemon.is_draining else ""
+        typer.echo(
+            f"  {daemon.role.value:9}{daemon.daemon} in {daemon.data_centre}, "
+            f"lists at version {daemon.lists_version}{draining}"
+        )
+    for kind, line in sorted(answer.latency_ms.items()):
+        typer.echo(
+            f"  {kind}: {line.count} answered, "
+            f"p50 {line.p50:.1f} ms, p99 {line.p99:.1f} ms"
+        )
+
+
+def read_status(entry: str) -> EntryStatus:
+    """Return an entry's account."""
+    return msgspec.json.decode(ask(entry, "GET", "/status").body, type=EntryStatus)
+
+
+def _entries(entry: str) -> list[str]:
+    """Return the addresses of all entries that `entry` knows, itself first."""
+    others = [str(address) for address in read_status(entry).entry_addresses]
+    return [entry, *(address for address in others if address != entry)]
--- /dev/null
+++ b/coltsfoottray/clock.py
@@ -0,0 +1,43 @@
+"""The clock as an interface, so that tests run on virtual time."""
+
+from __future__ import annotations
+
+import abc
+from datetime import UTC, datetime, timedelta
+
+import trio
+
+__all__ = ["Clock", "TrioClock"]
+
+
+class Clock(abc.ABC):
+    """What time it is, and how to wait.
+
+    Two readings are kept apart: `now` is the calendar and may jump, `elapsed`
+    never does. Leases and deadlines use `elapsed` alone.
+    """
+
+    @abc.abstractmethod
+    def now(self) -> datetime:
+        """Return the calendar time in UTC."""
+
+    @abc.abstractmethod
+    def elapsed(self) -> timedelta:
+        """Return a monotonic reading; only differences mean anything."""
+
+    @abc.abstractmethod
+    async def sleep(self, duration: timedelta) -> None:
+        """Wait for `duration`."""
+
+
+class TrioClock(Clock):
+    """The clock of the running trio loop, real or virtual."""
+
+    def now(self) -> datetime:  # noqa: D102
+        return datetime.now(UTC)
+
+    def elapsed(self) -> timedelta:  # noqa: D102
+        return timedelta(seconds=trio.current_time())
+
+    async def sleep(self, duration: timedelta) -> None:  # noqa: D102
+        await trio.sleep(max(duration.total_seconds(), 0.0))
--- /dev/null
+++ b/coltsfoottray/daemons/entry.py
@@ -0,0 +1,236 @@
+"""The entry daemon."""
+
+from __future__ import annotations
+
+import secrets
+from datetime import timedelta
+from random import Random
+
+import trio
+
+from coltsfoottray.daemons.common import HTTP_SERVER, Daemon
+from coltsfoottray.entry import BatchApi, CallerApi, EntryApi, OperatorApi
+from coltsfoottray.entry.metrics import LatencyMetrics
+from coltsfoottray.explain import Journal
+from coltsfoottray.kernel import Kernel, Listener, ServiceName
+from coltsfoottray.leases import EntryLease, Ownership
+from coltsfoottray.leases.lost import LostWorkers
+from coltsfoottray.lists import ListEditor, ListFollower
+from coltsfoottray.membership import (
+    WATCH,
+    Announcer,
+    EntryDirectory,
+    EntryRecord,
+    Registry,
+)
+from coltsfoottray.placement import make_policy
+from coltsfoottray.requests import AttendantClient
+from coltsfoottray.requests.dispatcher import Dispatcher
+from coltsfoottray.routing import make_router
+from coltsfoottray.routing.table import RoutingTable
+from coltsfoottray.settings import EntrySettings
+from coltsfoottray.tasks import TaskStore
+from coltsfoottray.tasks.follower import AttemptFollower
+from coltsfoottray.tasks.owner import QueueOwner
+from coltsfoottray.tasks.placer import Placer
+from coltsfoottray.tasks.workers import WorkerViews
+from coltsfoottray.types import DataCentre, EntryId, Role
+
+__all__ = ["EntryDaemon"]
+
+REGISTRY = ServiceName("registry")
+DIRECTORY = ServiceName("entry-directory")
+JOURNAL = ServiceName("journal")
+METRICS = ServiceName("metrics")
+STORE = ServiceName("task-store")
+OWNERSHIP = ServiceName("ownership")
+QUEUE_OWNER = ServiceName("queue-owner")
+LOST_WORKERS = ServiceName("lost-workers")
+LIST_FOLLOWER = ServiceName("list-follower")
+ENTRY_LEASE = ServiceName("entry-lease")
+ANNOUNCER = ServiceName("announcer")
+
+
+class EntryDaemon(Daemon):
+    """Admits, routes and places; every entry is alike and none is special."""
+
+    role = Role.ENTRY
+
+    def __init__(
+        self, *, settings: EntrySettings, kernel: Kernel | None = None
+    ) -> None:
+        super().__init__(settings=settings, kernel=kernel)
+        self.entry_settings = settings
+        self.entry_id = EntryId(self.daemon_id)
+        self._register_parts()
+        self.operators = self._make_operators()
+        api = EntryApi(
+            callers=self._make_callers(),
+            batch=self._make_batch(),
+            operators=self.operators,
+        )
+        self.register_servers(api.handle)
+        self._register_leases()
+
+    async def shut_down(self) -> None:
+        """Turn bad for the balancer, finish what is in flight, and leave."""
+        self.is_draining = self.operators.is_draining = True
+        with trio.move_on_after(self.settings.timing.drain_s):
+            await self.kernel.find(HTTP_SERVER, Listener).stop()
+        await self.kernel.stop()
+
+    def record(self) -> EntryRecord:
+        """Return the entry's row."""
+        announcement = self.describe()
+        return EntryRecord(
+            entry=self.entry_id,
+            incarnation=self.incarnation,
+            http=announcement.http,
+            peers=announcement.peers,
+        )
+
+    def _register_parts(self) -> None:
+        timing = self.settings.timing
+        self.journal = Journal(clock=self.clock, daemon=self.settings.name)
+        self.kernel.register(JOURNAL, self.journal)
+        self.metrics = LatencyMetrics()
+        self.kernel.register(METRICS, self.metrics)
+        self.registry = Registry(
+            clock=self.clock,
+            holder=self.holder,
+            incarnation=self.incarnation,
+            silence=timedelta(seconds=timing.silence_s),
+        )
+        self.kernel.register(REGISTRY, self.registry)
+        self.handlers.add(WATCH, self.registry.watch)
+        # Fed by the entry lease, which reads the rows anyway; not started.
+        self.directory = EntryDirectory(
+            table=self.table, clock=self.clock, interval=timing.lease
+        )
+        self.store = TaskStore(table=self.table, clock=self.clock)
+        self.kernel.register(STORE, self.store)
+
+    def _register_leases(self) -> None:
+        timing = self.settings.timing
+        self.kernel.register(
+            LIST_FOLLOWER,
+            ListFollower(
+                table=self.table,
+                clock=self.clock,
+                holder=self.holder,
+                interval=timedelta(seconds=timing.lists_poll_s),
+            ),
+        )
+        self.kernel.register(
+            ENTRY_LEASE,
+            EntryLease(
+                table=self.table,
+                directory=self.directory,
+                clock=self.clock,
+                describe=self.record,
+                lease=timing.lease,
+            ),
+        )
+        self.kernel.register(
+            ANNOUNCER,
+            Announcer(
+                peers=self.peers,
+                directory=self.directory,
+                clock=self.clock,
+                holder=self.holder,
+                describe=self.describe,
+                hold=timing.hold,
+                skip=self.entry_id,
+            ),
+        )
+        for name, part in (
+            (LOST_WORKERS, self.lost),
+            (OWNERSHIP, self.ownership),
+            (QUEUE_OWNER, self.queue_owner),
+        ):
+            self.kernel.register(name, part)
+
+    def _make_callers(self) -> CallerApi:
+        data_centre = DataCentre(self.settings.data_centre)
+        dispatcher = Dispatcher(
+            table=RoutingTable(registry=self.registry),
+            router=make_router(
+                self.entry_settings.routing,
+                data_centre=data_centre,
+                random=Random(secrets.randbits(64)),
+            ),
+            attendants=AttendantClient(transport=self.transport),
+            holder=self.holder,
+            journal=self.journal,
+            clock=self.clock,
+        )
+        return CallerApi(
+            dispatcher=dispatcher,
+            holder=self.holder,
+            journal=self.journal,
+            metrics=self.metrics,
+            clock=self.clock,
+            default_deadline=timedelta(seconds=self.entry_settings.deadline_s),
+        )
+
+    def _make_batch(self) -> BatchApi:
+        timing = self.settings.timing
+        policy = make_policy(self.entry_settings.placement)
+        views = WorkerViews(registry=self.registry, policy=policy)
+        self.lost = LostWorkers(table=self.table, clock=self.clock, lease=timing.lease)
+        self.ownership = Ownership(
+            table=self.table,
+            directory=self.directory,
+            clock=self.clock,
+            entry=self.entry_id,
+            incarnation=self.incarnation,
+            interval=timing.lease / 3,
+        )
+        placer = Placer(
+            store=self.store,
+            views=views,
+            policy=policy,
+            peers=self.peers,
+            holder=self.holder,
+            journal=self.journal,
+            clock=self.clock,
+        )
+        follower = AttemptFollower(
+            store=self.store,
+            views=views,
+            placer=placer,
+            lost=self.lost,
+            peers=self.peers,
+            holder=self.holder,
+            journal=self.journal,
+            clock=self.clock,
+        )
+        self.queue_owner = QueueOwner(
+            ownership=self.ownership,
+            directory=self.directory,
+            registry=self.registry,
+            store=self.store,
+            views=views,
+            placer=placer,
+            follower=follower,
+            peers=self.peers,
+            clock=self.clock,
+        )
+        self.queue_owner.add_handlers(self.handlers)
+        return BatchApi(
+            store=self.store,
+            owner=self.queue_owner,
+            holder=self.holder,
+            journal=self.journal,
+        )
+
+    def _make_operators(self) -> OperatorApi:
+        return OperatorApi(
+            entry=self.daemon_id,
+            editor=ListEditor(table=self.table, clock=self.clock, holder=self.holder),
+            holder=self.holder,
+            registry=self.registry,
+            directory=self.directory,
+            journal=self.journal,
+            metrics=self.metrics,
+        )
--- /dev/null
+++ b/coltsfoottray/daemons/listeners.py
@@ -0,0 +1,35 @@
+"""Where a daemon is reached: sockets, or whatever a test puts in their place."""
+
+from __future__ import annotations
+
+import abc
+
+from coltsfoottray.http import Handler, HttpServer
+from coltsfoottray.kernel import Listener
+from coltsfoottray.peers import CallHandlers
+from coltsfoottray.peers.grpc import GrpcPeerServer
+from coltsfoottray.types import Address
+
+__all__ = ["ListenerFactory", "SocketListeners"]
+
+
+class ListenerFactory(abc.ABC):
+    """Makes the two servers of a daemon."""
+
+    @abc.abstractmethod
+    def http(self, address: Address, handler: Handler) -> Listener:
+        """Return a server of callers' and entries' HTTP."""
+
+    @abc.abstractmethod
+    def peers(self, address: Address, handlers: CallHandlers) -> Listener:
+        """Return a server of peer calls."""
+
+
+class SocketListeners(ListenerFactory):
+    """TCP sockets."""
+
+    def http(self, address: Address, handler: Handler) -> Listener:  # noqa: D102
+        return HttpServer(address=address, handler=handler)
+
+    def peers(self, address: Address, handlers: CallHandlers) -> Listener:  # noqa: D102
+        return GrpcPeerServer(address=address, handlers=handlers)
--- /dev/null
+++ b/coltsfoottray/daemons/upstream.py
@@ -0,0 +1,58 @@
+"""The attendant daemon beside an upstream."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import trio
+from msgspec.structs import replace
+
+from coltsfoottray.daemons.attendant import AttendantDaemon
+from coltsfoottray.kernel import Kernel
+from coltsfoottray.membership import Announcement
+from coltsfoottray.settings import UpstreamSettings
+from coltsfoottray.types import Role
+from coltsfoottray.upstream import ExecutionLedger, SlotGate, UpstreamAttendant
+
+__all__ = ["UpstreamDaemon"]
+
+_MB = 1_000_000
+
+
+class UpstreamDaemon(AttendantDaemon):
+    """Announces one upstream instance and judges what starts there."""
+
+    role = Role.UPSTREAM
+
+    def __init__(
+        self, *, settings: UpstreamSettings, kernel: Kernel | None = None
+    ) -> None:
+        super().__init__(settings=settings, kernel=kernel)
+        self.attendant = UpstreamAttendant(
+            upstream=settings.upstream,
+            incarnation=self.incarnation,
+            ledger=ExecutionLedger(
+                clock=self.clock,
+                retention=timedelta(seconds=settings.retention_s),
+                answer_bytes=int(settings.answer_mb * _MB),
+            ),
+            gate=SlotGate(slots=settings.slots, connections=settings.connections),
+            holder=self.holder,
+            transport=self.transport,
+            clock=self.clock,
+        )
+        self.register_servers(self.attendant.handle)
+        self.register_membership()
+
+    async def shut_down(self) -> None:
+        """Refuse and announce at once, finish what is in flight, and leave."""
+        self.is_draining = self.attendant.is_draining = True
+        await self.announcer.announce_now()
+        with trio.move_on_after(self.settings.timing.drain_s):
+            await self.attendant.drain()
+        self.is_leaving = True
+        await self.announcer.announce_now()
+        await self.kernel.stop()
+
+    def describe(self) -> Announcement:  # noqa: D102
+        return replace(super().describe(), load=self.attendant.load())
--- /dev/null
+++ b/coltsfoottray/entry/batch.py
@@ -0,0 +1,190 @@
+"""Batch tasks as customers submit, ask about and cancel them."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+from returns.result import Failure
+
+from coltsfoottray.entry.callers import read_customer
+from coltsfoottray.errors import InputError
+from coltsfoottray.explain import Decision, Journal, Verb
+from coltsfoottray.http import HttpRequest, HttpResponse, Outcome, Problem
+from coltsfoottray.lists import ListHolder
+from coltsfoottray.platform import TableUnavailable
+from coltsfoottray.tasks import TaskRow, TaskSpec, TaskStore
+from coltsfoottray.tasks.owner import QueueOwner
+from coltsfoottray.types import CustomerId, Kind, Resources, TaskId
+
+__all__ = ["BatchApi", "TaskAnswer", "TaskSubmission"]
+
+_RETRY_AFTER = timedelta(seconds=2)
+_ACCEPTED = 202
+
+
+class TaskSubmission(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """The body of `POST /tasks`."""
+
+    id: str
+    kind: Kind
+    processors: float
+    memory_gb: float
+    runtime_s: float
+    accelerators: int = 0
+    worth: float = 1.0
+    is_urgent: bool = False
+    payload: dict[str, object] = msgspec.field(default_factory=dict)
+
+
+class TaskAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """What a customer is told of a task."""
+
+    id: str
+    state: str
+    attempt: int
+    evictions: int
+    reason: str
+
+
+class BatchApi:
+    """Accepts tasks into the table, and answers about them from it."""
+
+    def __init__(
+        self,
+        *,
+        store: TaskStore,
+        owner: QueueOwner,
+        holder: ListHolder,
+        journal: Journal,
+    ) -> None:
+        self._store = store
+        self._owner = owner
+        self._holder = holder
+        self._journal = journal
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer `POST /tasks`, `GET /tasks/ID` and `DELETE /tasks/ID`."""
+        customer = read_customer(request)
+        parts = request.path.strip("/").split("/")
+        try:
+            if request.method == "POST" and len(parts) == 1:
+                return await self._submit(customer, request)
+            if request.method == "GET" and len(parts) == 2:
+                return await self._answer(customer, parts[1])
+            if request.method == "DELETE" and len(parts) == 2:
+                return await self._cancel(customer, parts[1])
+        except TableUnavailable as error:
+            return _as_problem(error)
+        raise InputError(
+            field="request",
+            value=f"{request.method} {request.path}",
+            expected="POST /tasks, GET /tasks/ID or DELETE /tasks/ID",
+        )
+
+    async def _submit(self, customer: CustomerId, request: HttpRequest) -> HttpResponse:
+        spec = _as_spec(customer, request.decode(TaskSubmission))
+        reason = self._refusal(spec)
+        if reason is not None:
+            self._note(spec, Verb.REFUSE, "not accepted", reason)
+            line = self._holder.current.line_of(customer)
+            return Problem(
+                outcome=Outcome.FORBIDDEN, detail=f"not accepted: {reason}; {line}"
+            ).as_response()
+        outcome = await self._store.accept(spec)
+        if isinstance(outcome, Failure):
+            return Problem(
+                outcome=Outcome.CONFLICT,
+                detail=f"id {spec.task!r} was accepted before for another task",
+            ).as_response()
+        self._note(spec, Verb.ACCEPT, "queued", "within the plan")
+        await self._owner.announce(spec.customer, spec.task)
+        return HttpResponse.of_json(_as_answer(outcome.unwrap()), status=_ACCEPTED)
+
+    def _refusal(self, spec: TaskSpec) -> str | None:
+        """Return why `spec` could never run under the customer's plan."""
+        allowance = self._holder.current.allowance_of(spec.customer)
+        if allowance is None:
+            return "the customer has no plan"
+        if not spec.demand.fits_in(allowance.resources):
+            return f"{spec.demand} is more than the plan allows at all"
+        return None
+
+    async def _answer(self, customer: CustomerId, task: str) -> HttpResponse:
+        stored = await self._store.find(customer, TaskId(f"{customer}/{task}"))
+        if stored is None:
+            return _not_found(task)
+        return HttpResponse.of_json(_as_answer(stored.row))
+
+    async def _cancel(self, customer: CustomerId, task: str) -> HttpResponse:
+        task_id = TaskId(f"{customer}/{task}")
+        while True:
+            stored = await self._store.find(customer, task_id)
+            if stored is None:
+                return _not_found(task)
+            if stored.row.state.is_final or await self._store.cancel(stored):
+                break
+        await self._owner.announce(customer, task_id)
+        return await self._answer(customer, task)
+
+    def _note(self, spec: TaskSpec, verb: Verb, choice: str, reason: str) -> None:
+        lists = self._holder.current
+        self._journal.note(
+            Decision(
+                subject=spec.task,
+                verb=verb,
+                choice=choice,
+                reason=reason,
+                lists_version=lists.version,
+                line=lists.line_of(spec.customer),
+            )
+        )
+
+
+def _as_spec(customer: CustomerId, submission: TaskSubmission) -> TaskSpec:
+    if not submission.id or "/" in submission.id:
+        raise InputError(field="id", value=submission.id, expected="a name without /")
+    for name in ("processors", "memory_gb", "runtime_s", "accelerators"):
+        value = getattr(submission, name)
+        if value < 0:
+            raise InputError(field=name, value=value, expected="0 or more")
+    return TaskSpec(
+        task=TaskId(f"{customer}/{submission.id}"),
+        customer=customer,
+        kind=submission.kind,
+        demand=Resources(
+            processors=submission.processors,
+            memory_gb=submission.memory_gb,
+            accelerators=submission.accelerators,
+        ),
+        runtime_s=submission.runtime_s,
+        worth=submission.worth,
+        is_urgent=submission.is_urgent,
+        payload=submission.payload,
+    )
+
+
+def _as_answer(row: TaskRow) -> TaskAnswer:
+    return TaskAnswer(
+        id=row.spec.task.partition("/")[2],
+        state=row.state.value,
+        attempt=row.attempt,
+        evictions=row.evictions,
+        reason=row.reason,
+    )
+
+
+def _as_problem(error: TableUnavailable) -> HttpResponse:
+    """Say truthfully whether anything was done; the same id may be sent again."""
+    outcome = Outcome.NOT_RUN if error.is_unwritten else Outcome.UNKNOWN
+    return Problem(
+        outcome=outcome, detail=str(error), retry_after=_RETRY_AFTER
+    ).as_response()
+
+
+def _not_found(task: str) -> HttpResponse:
+    return Problem(
+        outcome=Outcome.NOT_FOUND, detail=f"no task {task!r} of this customer"
+    ).as_response()
--- /dev/null
+++ b/coltsfoottray/entry/metrics.py
@@ -0,0 +1,50 @@
+"""Latency histograms by kind."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from coltsfoottray.types import Kind
+
+__all__ = ["LatencyMetrics", "LatencySummary"]
+
+_LOWEST_US = 1
+_HIGHEST_US = 3_600_000_000
+_DIGITS = 2
+
+
+class LatencySummary(msgspec.Struct, frozen=True, kw_only=True):
+    """Latencies of one kind, in milliseconds."""
+
+    count: int
+    p50: float
+    p99: float
+
+
+class LatencyMetrics:
+    """Records the time from a request's arrival to its final answer."""
+
+    def __init__(self) -> None:
+        self._histogram_by_kind: dict[Kind, HdrHistogram] = {}
+
+    def record(self, kind: Kind, duration: timedelta) -> None:
+        """Add one latency."""
+        histogram = self._histogram_by_kind.get(kind)
+        if histogram is None:
+            histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+            self._histogram_by_kind[kind] = histogram
+        histogram.record_value(max(1, int(duration.total_seconds() * 1_000_000)))
+
+    def summary(self) -> dict[Kind, LatencySummary]:
+        """Return the latencies by kind."""
+        return {
+            kind: LatencySummary(
+                count=histogram.get_total_count(),
+                p50=histogram.get_value_at_percentile(50) / 1000,
+                p99=histogram.get_value_at_percentile(99) / 1000,
+            )
+            for kind, histogram in self._histogram_by_kind.items()
+        }
--- /dev/null
+++ b/coltsfoottray/entry/operators.py
@@ -0,0 +1,132 @@
+"""What operators read, and the edits of the two lists."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+from returns.result import Failure
+
+from coltsfoottray.entry.metrics import LatencyMetrics, LatencySummary
+from coltsfoottray.errors import InputError
+from coltsfoottray.explain import Journal
+from coltsfoottray.http import HttpRequest, HttpResponse, Outcome, Problem
+from coltsfoottray.lists import Edit, ListEditor, ListHolder
+from coltsfoottray.membership import EntryDirectory, Member, Registry
+from coltsfoottray.platform import TableUnavailable
+from coltsfoottray.types import Address, DaemonId, Kind, ListVersion, Role
+
+__all__ = ["DaemonStatus", "EntryStatus", "OperatorApi"]
+
+_RETRY_AFTER = timedelta(seconds=2)
+
+
+class DaemonStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """One daemon as this entry knows it."""
+
+    daemon: DaemonId
+    role: Role
+    data_centre: str
+    lists_version: ListVersion
+    is_draining: bool
+
+
+class EntryStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry's account of itself and of what it hears."""
+
+    entry: DaemonId
+    lists_version: ListVersion
+    entry_addresses: list[Address]
+    daemons: list[DaemonStatus]
+    latency_ms: dict[Kind, LatencySummary]
+
+
+class OperatorApi:
+    """Answers the command line and the outside monitor."""
+
+    def __init__(
+        self,
+        *,
+        entry: DaemonId,
+        editor: ListEditor,
+        holder: ListHolder,
+        registry: Registry,
+        directory: EntryDirectory,
+        journal: Journal,
+        metrics: LatencyMetrics,
+    ) -> None:
+        self._entry = entry
+        self._editor = editor
+        self._holder = holder
+        self._registry = registry
+        self._directory = directory
+        self._journal = journal
+        self._metrics = metrics
+        self.is_draining = False
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one operator's request."""
+        path = request.path.strip("/")
+        if path == "health":
+            return HttpResponse(status=503 if self.is_draining else 200)
+        if path == "status":
+            return HttpResponse.of_json(self._status())
+        if path.startswith("explain/"):
+            subject = path.removeprefix("explain/")
+            return HttpResponse.of_json(self._journal.explain(subject))
+        try:
+            return await self._lists(path, request)
+        except TableUnavailable as error:
+            return _as_problem(error)
+
+    async def _lists(self, path: str, request: HttpRequest) -> HttpResponse:
+        if path == "lists/history":
+            return HttpResponse.of_json(await self._editor.history())
+        if path == "lists" and request.method == "GET":
+            return HttpResponse.of_json(self._holder.current)
+        if path == "lists" and request.method == "POST":
+            return await self._edit(request.decode(Edit))
+        raise InputError(
+            field="request",
+            value=f"{request.method} {request.path}",
+            expected="GET or POST /lists, or GET /lists/history",
+        )
+
+    async def _edit(self, edit: Edit) -> HttpResponse:
+        outcome = await self._editor.commit(edit)
+        if isinstance(outcome, Failure):
+            return Problem(
+                outcome=Outcome.CONFLICT, detail=str(outcome.failure())
+            ).as_response()
+        return HttpResponse.of_json(outcome.unwrap())
+
+    def _status(self) -> EntryStatus:
+        members = [member for role in Role for member in self._registry.members(role)]
+        return EntryStatus(
+            entry=self._entry,
+            lists_version=self._holder.current.version,
+            entry_addresses=sorted(
+                record.http for record in self._directory.record_by_id.values()
+            ),
+            daemons=[_as_status(member) for member in members],
+            latency_ms=self._metrics.summary(),
+        )
+
+
+def _as_status(member: Member) -> DaemonStatus:
+    announcement = member.announcement
+    return DaemonStatus(
+        daemon=announcement.daemon,
+        role=announcement.role,
+        data_centre=announcement.data_centre,
+        lists_version=member.lists_version,
+        is_draining=announcement.is_draining,
+    )
+
+
+def _as_problem(error: TableUnavailable) -> HttpResponse:
+    """Say truthfully whether an edit was accepted; the same token may come again."""
+    outcome = Outcome.NOT_RUN if error.is_unwritten else Outcome.UNKNOWN
+    return Problem(
+        outcome=outcome, detail=str(error), retry_after=_RETRY_AFTER
+    ).as_response()
--- /dev/null
+++ b/coltsfoottray/errors.py
@@ -0,0 +1,71 @@
+"""Errors that carry the step and the peer at which they arose."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+__all__ = ["ColtsfoottrayError", "CommunicationError", "InputError", "Step"]
+
+
+class Step(enum.Enum):
+    """How far an exchange with a peer had come when it failed."""
+
+    CONNECT = "connect"
+    SEND = "send"
+    RECEIVE = "receive"
+    DECODE = "decode"
+
+
+class ColtsfoottrayError(Exception):
+    """Base of every error this package raises."""
+
+
+@dataclass(kw_only=True)
+class CommunicationError(ColtsfoottrayError):
+    """An exchange with a peer that did not complete.
+
+    Parameters
+    ----------
+    step : Step
+        The step that failed. Only `Step.CONNECT` proves that the peer has
+        seen nothing of the exchange.
+    peer : str
+        The peer's address or name.
+    detail : str
+        What the library underneath said.
+    """
+
+    step: Step
+    peer: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.step.value} to {self.peer} failed: {self.detail}"
+
+    @property
+    def is_unseen(self) -> bool:
+        """Whether the peer certainly saw nothing of the exchange."""
+        return self.step is Step.CONNECT
+
+
+@dataclass(kw_only=True)
+class InputError(ColtsfoottrayError):
+    """Input that was refused.
+
+    Parameters
+    ----------
+    field : str
+        The field at fault, as a dotted path.
+    value : object
+        What was given.
+    expected : str
+        What would be accepted.
+    """
+
+    field: str
+    value: object
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.field}: got {self.value!r}, expected {self.expected}"
--- /dev/null
+++ b/coltsfoottray/explain/journal.py
@@ -0,0 +1,90 @@
+"""The journal of decisions of one process."""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+
+import msgspec
+
+from coltsfoottray.clock import Clock
+from coltsfoottray.logs import log_event
+from coltsfoottray.types import ListVersion
+
+__all__ = ["Decision", "Journal", "RunnerUp", "Verb"]
+
+# At 400 bytes a decision this bounds the journal to some 8 MB of the 128 MB.
+MAX_DECISIONS = 20_000
+
+
+class Verb(enum.Enum):
+    """What was decided."""
+
+    ROUTE = "route"
+    REFUSE = "refuse"
+    ACCEPT = "accept"
+    PLACE = "place"
+    WAIT = "wait"
+    EVICT = "evict"
+    FINISH = "finish"
+    CANCEL = "cancel"
+
+
+class RunnerUp(msgspec.Struct, frozen=True, kw_only=True):
+    """A choice that was not taken, and why."""
+
+    name: str
+    why_not: str
+
+
+class Decision(msgspec.Struct, frozen=True, kw_only=True):
+    """One decision against the lists.
+
+    Parameters
+    ----------
+    subject : str
+        The request's or task's id, beginning with the customer's.
+    lists_version : ListVersion
+        The version that was in force for the decision.
+    line : str
+        The lists' lines it was checked against.
+    """
+
+    subject: str
+    verb: Verb
+    choice: str
+    reason: str
+    lists_version: ListVersion
+    line: str = ""
+    runners_up: list[RunnerUp] = msgspec.field(default_factory=list)
+    at: str = ""
+
+
+class Journal:
+    """Logs each decision as one structured line and keeps the newest."""
+
+    def __init__(self, *, clock: Clock, daemon: str) -> None:
+        self._clock = clock
+        self._daemon = daemon
+        self._decisions: deque[Decision] = deque(maxlen=MAX_DECISIONS)
+
+    def note(self, decision: Decision) -> None:
+        """Log and keep `decision`."""
+        stamped = msgspec.structs.replace(decision, at=self._clock.now().isoformat())
+        self._decisions.append(stamped)
+        log_event(
+            f"decision:{decision.verb.value}",
+            daemon=self._daemon,
+            **msgspec.to_builtins(stamped),
+        )
+
+    def explain(self, subject: str) -> list[Decision]:
+        """Return what was decided about `subject`, oldest first.
+
+        `subject` is a whole id, or only the part behind the customer's name.
+        """
+        return [
+            decision
+            for decision in self._decisions
+            if decision.subject == subject or decision.subject.endswith(f"/{subject}")
+        ]
--- /dev/null
+++ b/coltsfoottray/http/__init__.py
@@ -0,0 +1,26 @@
+"""HTTP/1.1 over trio by h11: a small server, a pooled client, problem bodies."""
+
+from __future__ import annotations
+
+from coltsfoottray.http.client import HttpClient
+from coltsfoottray.http.common import (
+    Handler,
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    HttpTransport,
+)
+from coltsfoottray.http.problem import Outcome, Problem
+from coltsfoottray.http.server import HttpServer
+
+__all__ = [
+    "Handler",
+    "Headers",
+    "HttpClient",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "HttpTransport",
+    "Outcome",
+    "Problem",
+]
--- /dev/null
+++ b/coltsfoottray/http/client.py
@@ -0,0 +1,147 @@
+"""A pooled HTTP/1.1 client."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from datetime import timedelta
+
+import h11
+import trio
+
+from coltsfoottray.errors import CommunicationError, Step
+from coltsfoottray.http.common import (
+    DEFAULT_TIMEOUT,
+    HttpRequest,
+    HttpResponse,
+    HttpTransport,
+    as_header_by_name,
+    as_header_pairs,
+    read_body,
+    read_event,
+    send_all,
+)
+from coltsfoottray.types import Address
+
+__all__ = ["HttpClient"]
+
+CONNECT_TIMEOUT = timedelta(seconds=1)
+# Peers close idle connections; a pool beyond this is never reused in time.
+MAX_IDLE_PER_PEER = 32
+
+
+class _Link:
+    """One open connection and its h11 state."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream = stream
+        self.connection = h11.Connection(h11.CLIENT)
+
+    def is_closed_by_peer(self) -> bool:
+        """Whether an idle link has become readable, which means end of file."""
+        try:
+            self.stream.socket._sock.recv(1)  # type: ignore[attr-defined]
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+
+class HttpClient(HttpTransport):
+    """Sends requests over kept-alive connections, one request on each at a time."""
+
+    def __init__(self) -> None:
+        self._idle_by_address: dict[Address, list[_Link]] = defaultdict(list)
+
+    async def send(  # noqa: D102
+        self,
+        address: Address,
+        request: HttpRequest,
+        *,
+        timeout: timedelta = DEFAULT_TIMEOUT,
+    ) -> HttpResponse:
+        link = await self._open(address)
+        step = Step.SEND
+        try:
+            with trio.fail_after(timeout.total_seconds()):
+                await _send_request(link, address, request)
+                step = Step.RECEIVE
+                response = await _read_response(link)
+        except (
+            trio.TooSlowError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            h11.ProtocolError,
+        ) as error:
+            detail = str(error) or type(error).__name__
+            raise CommunicationError(
+                step=step, peer=str(address), detail=detail
+            ) from error
+        finally:
+            self._give_back(address, link)
+        return response
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for links in self._idle_by_address.values():
+            for link in links:
+                link.stream.socket.close()
+        self._idle_by_address.clear()
+
+    async def _open(self, address: Address) -> _Link:
+        idle = self._idle_by_address[address]
+        while idle:
+            link = idle.pop()
+            if not link.is_closed_by_peer():
+                return link
+            link.stream.socket.close()
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT.total_seconds()):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+        except (OSError, trio.TooSlowError) as error:
+            raise CommunicationError(
+                step=Step.CONNECT, peer=str(address), detail=str(error) or "timeout"
+            ) from error
+        assert isinstance(stream, trio.SocketStream)
+        return _Link(stream)
+
+    def _give_back(self, address: Address, link: _Link) -> None:
+        """Keep a link whose exchange is complete, close any other."""
+        complete = (
+            link.connection.our_state is h11.DONE
+            and link.connection.their_state is h11.DONE
+        )
+        idle = self._idle_by_address[address]
+        if complete and len(idle) < MAX_IDLE_PER_PEER:
+            link.connection.start_next_cycle()
+            idle.append(link)
+        else:
+            link.stream.socket.close()
+
+
+async def _send_request(link: _Link, address: Address, request: HttpRequest) -> None:
+    header_by_name = {"host": str(address), **request.header_by_name}
+    head = h11.Request(
+        method=request.method,
+        target=request.target,
+        headers=as_header_pairs(header_by_name, request.body),
+    )
+    await send_all(
+        link.stream,
+        link.connection,
+        [head, h11.Data(data=request.body), h11.EndOfMessage()],
+    )
+
+
+async def _read_response(link: _Link) -> HttpResponse:
+    event = await read_event(link.stream, link.connection)
+    while isinstance(event, h11.InformationalResponse):
+        event = await read_event(link.stream, link.connection)
+    if not isinstance(event, h11.Response):
+        raise h11.RemoteProtocolError(f"connection ended before a response: {event!r}")
+    body = await read_body(link.stream, link.connection)
+    return HttpResponse(
+        status=event.status_code,
+        header_by_name=as_header_by_name(event.headers),
+        body=body,
+    )
--- /dev/null
+++ b/coltsfoottray/http/server.py
@@ -0,0 +1,132 @@
+"""An HTTP/1.1 server: one task for each connection."""
+
+from __future__ import annotations
+
+import eliot
+import h11
+import trio
+
+from coltsfoottray.errors import InputError
+from coltsfoottray.http.common import (
+    Handler,
+    HttpRequest,
+    HttpResponse,
+    as_header_by_name,
+    as_header_pairs,
+    read_body,
+    read_event,
+    send_all,
+)
+from coltsfoottray.http.problem import Outcome, Problem
+from coltsfoottray.kernel import Listener
+from coltsfoottray.types import Address
+
+__all__ = ["HttpServer"]
+
+_DRAIN_POLL_S = 0.05
+
+
+class HttpServer(Listener):
+    """Serves `handler` on `address`.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen; port 0 takes a free one, see `bound`.
+    handler : Handler
+        Called once for each whole request. An `InputError` it raises is
+        answered with status 400, any other error with 500.
+    """
+
+    def __init__(self, *, address: Address, handler: Handler) -> None:
+        self._address = address
+        self._handler = handler
+        self._in_flight = 0
+        self.bound = address
+
+    async def run(  # noqa: D102
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        listeners = await trio.open_tcp_listeners(
+            self._address.port, host=self._address.host
+        )
+        port = listeners[0].socket.getsockname()[1]
+        self.bound = Address(host=self._address.host, port=port)
+        task_status.started()
+        await trio.serve_listeners(self._serve_connection, listeners)
+
+    async def stop(self) -> None:
+        """Wait until every request in flight has its whole answer."""
+        while self._in_flight:
+            await trio.sleep(_DRAIN_POLL_S)
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        connection = h11.Connection(h11.SERVER)
+        async with stream:
+            try:
+                while await self._serve_request(stream, connection):
+                    connection.start_next_cycle()
+            except (trio.BrokenResourceError, h11.LocalProtocolError):
+                return
+            except h11.RemoteProtocolError as error:
+                await _send_bad_request(stream, connection, error)
+
+    async def _serve_request(
+        self, stream: trio.SocketStream, connection: h11.Connection
+    ) -> bool:
+        """Serve one request; return whether the connection can serve another."""
+        event = await read_event(stream, connection)
+        if not isinstance(event, h11.Request):
+            return False
+        body = await read_body(stream, connection)
+        request = HttpRequest(
+            method=event.method.decode("ascii"),
+            target=event.target.decode("ascii"),
+            header_by_name=as_header_by_name(event.headers),
+            body=body,
+        )
+        self._in_flight += 1
+        try:
+            response = await self._answer(request)
+            await _send_response(stream, connection, response)
+        finally:
+            self._in_flight -= 1
+        return connection.our_state is h11.DONE
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        try:
+            return await self._handler(request)
+        except InputError as error:
+            return Problem(outcome=Outcome.INVALID, detail=str(error)).as_response()
+        except Exception:
+            # A fault in one handler must not take the other connections down.
+            eliot.write_traceback()
+            return Problem(
+                outcome=Outcome.UNKNOWN, detail="internal error; see the log"
+            ).as_response()
+
+
+async def _send_response(
+    stream: trio.SocketStream, connection: h11.Connection, response: HttpResponse
+) -> None:
+    head = h11.Response(
+        status_code=response.status,
+        headers=as_header_pairs(response.header_by_name, response.body),
+    )
+    await send_all(
+        stream, connection, [head, h11.Data(data=response.body), h11.EndOfMessage()]
+    )
+
+
+async def _send_bad_request(
+    stream: trio.SocketStream,
+    connection: h11.Connection,
+    error: h11.RemoteProtocolError,
+) -> None:
+    if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return
+    problem = Problem(outcome=Outcome.INVALID, detail=str(error))
+    try:
+        await _send_response(stream, connection, problem.as_response())
+    except (trio.BrokenResourceError, h11.LocalProtocolError):
+        return
--- /dev/null
+++ b/coltsfoottray/kernel/__init__.py
@@ -0,0 +1,8 @@
+"""The micro-kernel: services register and find each other by name."""
+
+from __future__ import annotations
+
+from coltsfoottray.kernel.kernel import Kernel
+from coltsfoottray.kernel.service import Listener, Service, ServiceName
+
+__all__ = ["Kernel", "Listener", "Service", "ServiceName"]
--- /dev/null
+++ b/coltsfoottray/leases/__init__.py
@@ -0,0 +1,25 @@
+"""Leases in the platform's table: entries, partitions of the queue, workers."""
+
+from __future__ import annotations
+
+from coltsfoottray.leases.entry import EntryLease
+from coltsfoottray.leases.observer import LeaseObserver
+from coltsfoottray.leases.partitions import (
+    PARTITION_COUNT,
+    Ownership,
+    as_partition,
+    partition_key,
+)
+from coltsfoottray.leases.worker import WorkerLease, WorkerLeaseRow, worker_key
+
+__all__ = [
+    "PARTITION_COUNT",
+    "EntryLease",
+    "LeaseObserver",
+    "Ownership",
+    "WorkerLease",
+    "WorkerLeaseRow",
+    "as_partition",
+    "partition_key",
+    "worker_key",
+]
--- /dev/null
+++ b/coltsfoottray/leases/entry.py
@@ -0,0 +1,105 @@
+"""An entry's own lease: its row among the entries."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+import msgspec
+import trio
+from returns.result import Success
+
+from coltsfoottray.clock import Clock
+from coltsfoottray.kernel import Service
+from coltsfoottray.leases.observer import LeaseObserver
+from coltsfoottray.logs import log_event
+from coltsfoottray.membership import EntryDirectory, EntryRecord
+from coltsfoottray.membership.entries import ENTRY_PREFIX
+from coltsfoottray.platform import Put, Row, TableService, TableUnavailable, Transaction
+from coltsfoottray.platform.common import ABSENT
+
+__all__ = ["EntryLease"]
+
+
+class EntryLease(Service):
+    """Registers the entry, renews its row, and removes lapsed entries' rows.
+
+    Nothing that must always hold rests on this lease's timing: it only finds
+    entries and spreads the queue's partitions. What an entry writes about tasks
+    is fenced by the partition's row.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: TableService,
+        directory: EntryDirectory,
+        clock: Clock,
+        describe: Callable[[], EntryRecord],
+        lease: timedelta,
+    ) -> None:
+        self._table = table
+        self._directory = directory
+        self._clock = clock
+        self._describe = describe
+        self._renewals = 0
+        self._interval = lease / 3
+        self._observer = LeaseObserver(
+            clock=clock, lease=lease, max_gap=self._interval * 2
+        )
+        self._version: int | None = None
+
+    async def run(  # noqa: D102
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        await self._try_tick()
+        task_status.started()
+        while True:
+            await self._clock.sleep(self._interval)
+            await self._try_tick()
+
+    async def stop(self) -> None:
+        """Remove the row, so that others need not wait for the lapse."""
+        if self._version is None:
+            return
+        key = ENTRY_PREFIX + self._describe().entry
+        put = Put(key=key, version=self._version)
+        try:
+            await self._table.commit(Transaction(puts=[put]))
+        except TableUnavailable as error:
+            log_event("lease:entry-left-to-lapse", error=str(error))
+
+    async def _try_tick(self) -> None:
+        try:
+            await self._renew()
+            rows = await self._table.scan(ENTRY_PREFIX)
+            await self._remove_lapsed(rows)
+        except TableUnavailable as error:
+            log_event("lease:entry-not-renewed", error=str(error))
+
+    async def _renew(self) -> None:
+        self._renewals += 1
+        record = msgspec.structs.replace(self._describe(), renewals=self._renewals)
+        key = ENTRY_PREFIX + record.entry
+        if self._version is None:
+            row = await self._table.get(key)
+            self._version = ABSENT if row is None else row.version
+        put = Put.of(key, self._version, record)
+        version, self._version = self._version, None
+        outcome = await self._table.commit(Transaction(puts=[put]))
+        if isinstance(outcome, Success):
+            self._version = outcome.unwrap()[key]
+        else:
+            log_event("lease:entry-row-moved", expected_version=version)
+
+    async def _remove_lapsed(self, rows: Sequence[Row]) -> None:
+        lapsed = self._observer.observe(rows)
+        own = ENTRY_PREFIX + self._describe().entry
+        for row in lapsed:
+            if row.key != own:
+                put = Put(key=row.key, version=row.version)
+                await self._table.commit(Transaction(puts=[put]))
+                log_event("lease:entry-lapsed", row=row.key)
+        gone = {row.key for row in lapsed}
+        live = [row for row in rows if row.key not in gone]
+        self._directory.put([row.decode(EntryRecord) for row in live])
--- /dev/null
+++ b/coltsfoottray/leases/lost.py
@@ -0,0 +1,78 @@
+"""Declaring workers lost whose lease has lapsed."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+import trio
+from returns.result import Success
+
+from coltsfoottray.clock import Clock
+from coltsfoottray.kernel import Service
+from coltsfoottray.leases.observer import LeaseObserver
+from coltsfoottray.leases.worker import WORKER_PREFIX, LeaseState, WorkerLeaseRow
+from coltsfoottray.logs import log_event
+from coltsfoottray.platform import Put, Row, TableService, TableUnavailable, Transaction
+from coltsfoottray.types import AttendantId
+
+__all__ = ["LostWorkers"]
+
+
+class LostWorkers(Service):
+    """Reads the workers' rows, and marks those lost that are not renewed.
+
+    Marking is a write conditional on the version last seen: a holder that
+    renews at the same moment either comes first, and nothing is lost, or meets
+    the mark and knows that its tasks are no longer its own.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: TableService,
+        clock: Clock,
+        lease: timedelta,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._interval = lease / 3
+        self._observer = LeaseObserver(
+            clock=clock, lease=lease, max_gap=self._interval * 2
+        )
+        self._dead_term_by_worker: dict[AttendantId, int] = {}
+
+    async def run(  # noqa: D102
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        task_status.started()
+        while True:
+            try:
+                await self._tick()
+            except TableUnavailable as error:
+                log_event("lease:workers-unread", error=str(error))
+            await self._clock.sleep(self._interval)
+
+    def is_dead(self, worker: AttendantId, term: int) -> bool:
+        """Whether tasks bound to `term` of `worker` certainly run no more."""
+        return term <= self._dead_term_by_worker.get(worker, 0)
+
+    async def _tick(self) -> None:
+        rows = await self._table.scan(WORKER_PREFIX)
+        lapsed = {row.key for row in self._observer.observe(rows)}
+        for row in rows:
+            lease = row.decode(WorkerLeaseRow)
+            if lease.state is LeaseState.HELD and row.key in lapsed:
+                if await self._mark_lost(row, lease):
+                    self._dead_term_by_worker[lease.worker] = lease.term
+            else:
+                is_lost = lease.state is LeaseState.LOST
+                dead = lease.term if is_lost else lease.term - 1
+                self._dead_term_by_worker[lease.worker] = dead
+
+    async def _mark_lost(self, row: Row, lease: WorkerLeaseRow) -> bool:
+        lost = msgspec.structs.replace(lease, state=LeaseState.LOST)
+        put = Put.of(row.key, row.version, lost)
+        outcome = await self._table.commit(Transaction(puts=[put]))
+        log_event("lease:worker-lost", worker=lease.worker, term=lease.term)
+        return isinstance(outcome, Success)
--- /dev/null
+++ b/coltsfoottray/lists/holder.py
@@ -0,0 +1,38 @@
+"""The lists in force in one process."""
+
+from __future__ import annotations
+
+import trio
+
+from coltsfoottray.lists.models import Lists
+from coltsfoottray.types import ListVersion
+
+__all__ = ["ListHolder"]
+
+
+class ListHolder:
+    """Holds the newest lists this process has seen, and moves only forward."""
+
+    def __init__(self) -> None:
+        self.current = Lists()
+        self._changed = trio.Event()
+
+    def adopt(self, lists: Lists) -> bool:
+        """Put `lists` in force if they are newer; return whether they were.
+
+        Late and repeated pushes arrive in any order. An older version is
+        dropped here, the one place that writes `current`, so that no accepted
+        edit ever reverts.
+        """
+        if lists.version <= self.current.version:
+            return False
+        self.current = lists
+        self._changed.set()
+        self._changed = trio.Event()
+        return True
+
+    async def wait_newer(self, version: ListVersion) -> Lists:
+        """Return the lists in force once they are newer than `version`."""
+        while self.current.version <= version:
+            await self._changed.wait()
+        return self.current
--- /dev/null
+++ b/coltsfoottray/membership/entries.py
@@ -0,0 +1,73 @@
+"""The entries, as the table lists them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+import msgspec
+import trio
+
+from coltsfoottray.clock import Clock
+from coltsfoottray.kernel import Service
+from coltsfoottray.logs import log_event
+from coltsfoottray.platform import TableService, TableUnavailable
+from coltsfoottray.types import Address, EntryId, Incarnation
+
+__all__ = ["ENTRY_PREFIX", "EntryDirectory", "EntryRecord"]
+
+ENTRY_PREFIX = "entry/"
+# Between readings until the first entry is known.
+FIRST_INTERVAL = timedelta(milliseconds=250)
+
+
+class EntryRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry's row; it is written again at each renewal."""
+
+    entry: EntryId
+    incarnation: Incarnation
+    http: Address
+    peers: Address
+    renewals: int = 0
+
+
+class EntryDirectory(Service):
+    """Remembers the entries, through outages of the table too."""
+
+    def __init__(
+        self, *, table: TableService, clock: Clock, interval: timedelta
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._interval = interval
+        self.record_by_id: dict[EntryId, EntryRecord] = {}
+        self._changed = trio.Event()
+
+    async def run(  # noqa: D102
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        await self.refresh()
+        task_status.started()
+        while True:
+            is_known = bool(self.record_by_id)
+            await self._clock.sleep(self._interval if is_known else FIRST_INTERVAL)
+            await self.refresh()
+
+    async def refresh(self) -> None:
+        """Read the rows once; an outage leaves the known entries in place."""
+        try:
+            rows = await self._table.scan(ENTRY_PREFIX)
+        except TableUnavailable as error:
+            log_event("membership:entries-unread", error=str(error))
+            return
+        self.put([row.decode(EntryRecord) for row in rows])
+
+    def put(self, records: Sequence[EntryRecord]) -> None:
+        """Take `records` as all the entries there are."""
+        self.record_by_id = {record.entry: record for record in records}
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def wait_changed(self) -> None:
+        """Return after the next refresh."""
+        await self._changed.wait()
--- /dev/null
+++ b/coltsfoottray/membership/registry.py
@@ -0,0 +1,114 @@
+"""The daemons an entry has heard of."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+import trio
+
+from coltsfoottray.clock import Clock
+from coltsfoottray.lists import ListHolder
+from coltsfoottray.logs import log_event
+from coltsfoottray.membership.messages import Announcement, WatchReply, WatchRequest
+from coltsfoottray.types import NO_LISTS, DaemonId, Incarnation, ListVersion, Role
+
+__all__ = ["Member", "Registry"]
+
+
+@dataclass(kw_only=True)
+class Member:
+    """One daemon: what it last said, and when (monotonic)."""
+
+    announcement: Announcement
+    heard_at: timedelta
+    lists_version: ListVersion = NO_LISTS
+
+
+class Registry:
+    """Holds the newest announcement of every daemon that still speaks.
+
+    Parameters
+    ----------
+    silence : timedelta
+        A daemon not heard for this long is left out. A daemon whose connection
+        has gone silent shows in the same way, since its next announcement has
+        to arrive over a new one.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        holder: ListHolder,
+        incarnation: Incarnation,
+        silence: timedelta,
+    ) -> None:
+        self._clock = clock
+        self._holder = holder
+        self._incarnation = incarnation
+        self._silence = silence
+        self._member_by_id: dict[DaemonId, Member] = {}
+        self._changed = trio.Event()
+
+    async def watch(self, request: WatchRequest) -> WatchReply:
+        """Answer `WATCH`: take the announcement in, then hold for news."""
+        self.hear(request.announcement, request.lists_version)
+        lists = None
+        with trio.move_on_after(request.hold_s):
+            lists = await self._holder.wait_newer(request.lists_version)
+        return WatchReply(incarnation=self._incarnation, lists=lists)
+
+    def hear(
+        self, announcement: Announcement, lists_version: ListVersion = NO_LISTS
+    ) -> None:
+        """Take `announcement` in, unless it is of an earlier incarnation.
+
+        A message of a process's former self can arrive after those of the
+        restarted one; the order of incarnations keeps it out.
+        """
+        known = self._member_by_id.get(announcement.daemon)
+        if known is not None:
+            if announcement.incarnation < known.announcement.incarnation:
+                return
+            if (
+                announcement.incarnation == known.announcement.incarnation
+                and known.announcement.is_draining
+                and not announcement.is_draining
+            ):
+                # Draining is never taken back within one life of a process: an
+                # announcement overtaken on another connection must not undo it.
+                return
+        if known is None or known.announcement.incarnation != announcement.incarnation:
+            log_event(
+                "membership:joined",
+                daemon=announcement.daemon,
+                incarnation=announcement.incarnation,
+            )
+        if announcement.is_leaving:
+            self._member_by_id.pop(announcement.daemon, None)
+        else:
+            self._member_by_id[announcement.daemon] = Member(
+                announcement=announcement,
+                heard_at=self._clock.elapsed(),
+                lists_version=lists_version,
+            )
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def members(self, role: Role) -> list[Member]:
+        """Return those of `role` heard within the silence bound, by id."""
+        oldest = self._clock.elapsed() - self._silence
+        return [
+            member
+            for _, member in sorted(self._member_by_id.items())
+            if member.announcement.role is role and member.heard_at >= oldest
+        ]
+
+    def find(self, daemon: DaemonId) -> Member | None:
+        """Return `daemon` if it is present, heard or silent."""
+        return self._member_by_id.get(daemon)
+
+    async def wait_changed(self) -> None:
+        """Return after the next announcement."""
+        await self._changed.wait()
--- /dev/null
+++ b/coltsfoottray/peers/common.py
@@ -0,0 +1,69 @@
+"""A call between daemons, typed by its request and its reply."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any, Generic, TypeVar
+
+import msgspec
+
+from coltsfoottray.types import Address
+
+__all__ = ["Call", "CallHandlers", "PeerClient"]
+
+Request = TypeVar("Request", bound=msgspec.Struct)
+Reply = TypeVar("Reply", bound=msgspec.Struct)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Call(Generic[Request, Reply]):
+    """One kind of call: its name and the two message types."""
+
+    name: str
+    request_type: type[Request]
+    reply_type: type[Reply]
+
+    @property
+    def path(self) -> str:
+        """The path by which the call is known on the wire."""
+        return f"/coltsfoottray.Peers/{self.name}"
+
+
+class CallHandlers:
+    """The calls a daemon answers, each with its handler."""
+
+    def __init__(self) -> None:
+        self.handler_by_call: dict[Call[Any, Any], Callable[[Any], Awaitable[Any]]] = {}
+
+    def add(
+        self,
+        call: Call[Request, Reply],
+        handler: Callable[[Request], Awaitable[Reply]],
+    ) -> None:
+        """Answer `call` with `handler`."""
+        self.handler_by_call[call] = handler
+
+
+class PeerClient(abc.ABC):
+    """Makes calls to other daemons."""
+
+    @abc.abstractmethod
+    async def call(
+        self,
+        address: Address,
+        call: Call[Request, Reply],
+        request: Request,
+        *,
+        timeout: timedelta,
+    ) -> Reply:
+        """Make one call.
+
+        Raises
+        ------
+        CommunicationError
+            If no reply came within `timeout`; with any step but `CONNECT` the
+            peer may have handled the call.
+        """
--- /dev/null
+++ b/coltsfoottray/peers/grpc.py
@@ -0,0 +1,162 @@
+"""Peer calls over grpclib, msgpack-encoded, on trio through trio-asyncio."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any, TypeVar
+
+import msgspec
+import trio
+import trio_asyncio
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler
+from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from coltsfoottray.errors import CommunicationError, Step
+from coltsfoottray.kernel import Listener, Service
+from coltsfoottray.peers.common import Call, CallHandlers, PeerClient, Reply, Request
+from coltsfoottray.types import Address
+
+__all__ = ["GrpcPeerClient", "GrpcPeerServer"]
+
+T = TypeVar("T")
+
+
+class _MsgpackCodec(CodecBase):
+    """Messages are msgspec structs, so nothing has to be generated."""
+
+    __content_subtype__ = "msgpack"
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        return msgspec.msgpack.encode(message)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        return msgspec.msgpack.decode(data, type=message_type)
+
+
+class _Mapping:
+    """The shape in which grpclib wants the handlers."""
+
+    def __init__(self, handlers: CallHandlers) -> None:
+        self._handlers = handlers
+
+    def __mapping__(self) -> dict[str, Handler]:
+        return {
+            call.path: Handler(
+                _as_stream_handler(handler),
+                Cardinality.UNARY_UNARY,
+                call.request_type,
+                call.reply_type,
+            )
+            for call, handler in self._handlers.handler_by_call.items()
+        }
+
+
+def _as_stream_handler(
+    handler: Callable[[Any], Awaitable[Any]],
+) -> Callable[[Stream[Any, Any]], Awaitable[None]]:
+    """Return a grpclib handler that runs `handler` under trio."""
+    under_trio = trio_asyncio.trio_as_aio(handler)
+
+    async def serve(stream: Stream[Any, Any]) -> None:
+        request = await stream.recv_message()
+        await stream.send_message(await under_trio(request))
+
+    return serve
+
+
+class GrpcPeerServer(Listener):
+    """Answers peer calls on `address`; port 0 takes a free one, see `bound`."""
+
+    def __init__(self, *, address: Address, handlers: CallHandlers) -> None:
+        self._address = address
+        self._handlers = handlers
+        self.bound = address
+
+    async def run(  # noqa: D102
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        async with trio_asyncio.open_loop():
+            server = Server([_Mapping(self._handlers)], codec=_MsgpackCodec())
+            start = trio_asyncio.aio_as_trio(server.start)
+            await start(self._address.host, self._address.port)
+            sockets = server._server.sockets  # type: ignore[union-attr]
+            port = sockets[0].getsockname()[1]
+            self.bound = Address(host=self._address.host, port=port)
+            task_status.started()
+            try:
+                await trio.sleep_forever()
+            finally:
+                server.close()
+
+
+class GrpcPeerClient(PeerClient, Service):
+    """Keeps one channel for each peer."""
+
+    def __init__(self) -> None:
+        self._channel_by_address: dict[Address, Channel] = {}
+        self._loop: Any = None
+
+    async def run(  # noqa: D102
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        async with trio_asyncio.open_loop() as loop:
+            self._loop = loop
+            task_status.started()
+            try:
+                await trio.sleep_forever()
+            finally:
+                for channel in self._channel_by_address.values():
+                    channel.close()
+
+    async def call(  # noqa: D102
+        self,
+        address: Address,
+        call: Call[Request, Reply],
+        request: Request,
+        *,
+        timeout: timedelta,
+    ) -> Reply:
+        token = trio_asyncio.current_loop.set(self._loop)
+        channel = self._channel(address)
+        method = UnaryUnaryMethod(
+            channel, call.path, call.request_type, call.reply_type
+        )
+        step = Step.RECEIVE
+        try:
+            with trio.fail_after(timeout.total_seconds()):
+                try:
+                    await trio_asyncio.aio_as_trio(channel.__connect__)()
+                except OSError:
+                    step = Step.CONNECT
+                    raise
+                return await trio_asyncio.aio_as_trio(method)(request)  # type: ignore
+        except (OSError, GRPCError, StreamTerminatedError, trio.TooSlowError) as error:
+            self._drop(address, channel)
+            raise CommunicationError(
+                step=step, peer=str(address), detail=str(error) or type(error).__name__
+            ) from error
+        finally:
+            trio_asyncio.current_loop.reset(token)
+
+    def _channel(self, address: Address) -> Channel:
+        channel = self._channel_by_address.get(address)
+        if channel is None:
+            channel = Channel(
+                address.host, address.port, codec=_MsgpackCodec(), loop=self._loop
+            )
+            self._channel_by_address[address] = channel
+        return channel
+
+    def _drop(self, address: Address, channel: Channel) -> None:
+        """Replace a channel after an error.
+
+        A connection can go silent for good while new ones work; a channel that
+        failed once is therefore never used again.
+        """
+        if self._channel_by_address.get(address) is channel:
+            del self._channel_by_address[address]
+            channel.close()
--- /dev/null
+++ b/coltsfoottray/requests/remote.py
@@ -0,0 +1,64 @@
+"""An entry's calls to the attendants of upstreams."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from coltsfoottray.http import HttpRequest, HttpTransport
+from coltsfoottray.requests.messages import Place, RunReply, RunRequest
+from coltsfoottray.types import RequestId
+
+__all__ = ["AttendantClient"]
+
+# A call that answers at once; what is longer than this is a lost message.
+CONTROL_TIMEOUT = timedelta(seconds=1)
+
+
+class AttendantClient:
+    """Runs, fetches and cancels requests at an attendant.
+
+    Each method raises `CommunicationError` where no whole reply came.
+    """
+
+    def __init__(self, *, transport: HttpTransport) -> None:
+        self._transport = transport
+
+    async def run(
+        self, place: Place, request: RunRequest, *, timeout: timedelta
+    ) -> RunReply:
+        """Start `request` at `place` and return its outcome."""
+        message = request.as_http(place.incarnation)
+        response = await self._transport.send(place.address, message, timeout=timeout)
+        return RunReply.of_http(response)
+
+    async def fetch(
+        self, place: Place, request: RequestId, *, wait: timedelta
+    ) -> RunReply:
+        """Return the outcome of `request`, waiting for it for up to `wait`."""
+        target = f"/run?wait_ms={int(wait.total_seconds() * 1000)}"
+        return await self._ask(place, request, "GET", target, wait)
+
+    async def cancel(self, place: Place, request: RequestId) -> RunReply:
+        """Cancel `request` unless it has started; `NOT_RUN` if cancelled."""
+        return await self._ask(place, request, "DELETE", "/run", timedelta(0))
+
+    async def _ask(
+        self,
+        place: Place,
+        request: RequestId,
+        method: str,
+        target: str,
+        wait: timedelta,
+    ) -> RunReply:
+        message = HttpRequest(
+            method=method,
+            target=target,
+            header_by_name={
+                "x-request": request,
+                "x-incarnation": place.incarnation,
+            },
+        )
+        response = await self._transport.send(
+            place.address, message, timeout=wait + CONTROL_TIMEOUT
+        )
+        return RunReply.of_http(response)
--- /dev/null
+++ b/coltsfoottray/settings/__init__.py
@@ -0,0 +1,27 @@
+"""Settings: YAML files, checked before anything starts."""
+
+from __future__ import annotations
+
+from coltsfoottray.settings.loader import SettingsError, load_deployment, load_settings
+from coltsfoottray.settings.models import (
+    DaemonSettings,
+    Deployment,
+    EntrySettings,
+    LogSettings,
+    TimingSettings,
+    UpstreamSettings,
+    WorkerSettings,
+)
+
+__all__ = [
+    "DaemonSettings",
+    "Deployment",
+    "EntrySettings",
+    "LogSettings",
+    "SettingsError",
+    "TimingSettings",
+    "UpstreamSettings",
+    "WorkerSettings",
+    "load_deployment",
+    "load_settings",
+]
--- /dev/null
+++ b/coltsfoottray/settings/models.py
@@ -0,0 +1,179 @@
+"""What a settings file may hold."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
+
+from coltsfoottray.types import Address
+
+__all__ = [
+    "DaemonSettings",
+    "Deployment",
+    "EntrySettings",
+    "LogSettings",
+    "TimingSettings",
+    "UpstreamSettings",
+    "WorkerSettings",
+]
+
+_MAX_PORT = 65535
+
+
+def as_address(value: Any) -> Address:
+    """Return `value`, "IP:port", as an address."""
+    if isinstance(value, Address):
+        return value
+    host, _, port = str(value).rpartition(":")
+    if not host or not port.isdigit() or int(port) > _MAX_PORT:
+        raise ValueError(f"got {value!r}, expected IP:port, as in 10.0.0.7:8080")
+    return Address(host=host, port=int(port))
+
+
+AddressField = Annotated[Any, BeforeValidator(as_address)]
+Seconds = Annotated[float, Field(gt=0)]
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class TimingSettings(_Model):
+    """Durations in seconds.
+
+    Parameters
+    ----------
+    lease_s : float
+        Length of the leases in the table; a lost VM's work is free after it.
+    hold_s : float
+        How long an entry holds an announcement when there is no news.
+    silence_s : float
+        A daemon not heard for this long gets no new work; above `hold_s`.
+    lists_poll_s : float
+        How often an entry looks for newer lists, besides being told.
+    report_s : float
+        How often a worker's attendant reads the worker's reports.
+    drain_s : float
+        How long a graceful shutdown waits for work in flight.
+    """
+
+    lease_s: Seconds = 15.0
+    hold_s: Seconds = 2.0
+    silence_s: Seconds = 5.0
+    lists_poll_s: Seconds = 1.0
+    report_s: Seconds = 1.0
+    drain_s: Seconds = 60.0
+
+    @property
+    def lease(self) -> timedelta:
+        """`lease_s` as a duration."""
+        return timedelta(seconds=self.lease_s)
+
+    @property
+    def hold(self) -> timedelta:
+        """`hold_s` as a duration."""
+        return timedelta(seconds=self.hold_s)
+
+
+class LogSettings(_Model):
+    """Where log lines go; without a file, to standard error."""
+
+    level: Literal["debug", "info", "decisions"] = "info"
+    file: str | None = None
+
+
+class DaemonSettings(_Model):
+    """What every daemon is told."""
+
+    name: str = Field(min_length=1)
+    data_centre: str
+    rack: str = ""
+    http: AddressField
+    peers: AddressField
+    table: AddressField
+    timing: TimingSettings = TimingSettings()
+    log: LogSettings = LogSettings()
+
+
+class EntrySettings(DaemonSettings):
+    """An entry daemon."""
+
+    role: Literal["entry"]
+    routing: str = "two-choices"
+    placement: str = "tightest-fit"
+    deadline_s: Seconds = 30.0
+
+
+class UpstreamSettings(DaemonSettings):
+    """An attendant beside an upstream.
+
+    Parameters
+    ----------
+    retention_s : float
+        How long request ids and answers are remembered.
+    answer_mb : float
+        Bound on the answers remembered.
+    """
+
+    role: Literal["upstream"]
+    upstream: AddressField
+    slots: int = Field(gt=0)
+    connections: int = Field(gt=0)
+    retention_s: Seconds = 600.0
+    answer_mb: float = Field(default=16.0, gt=0)
+
+
+class WorkerSettings(DaemonSettings):
+    """An attendant beside a worker."""
+
+    role: Literal["worker"]
+    control: AddressField
+
+
+class ServiceShape(_Model):
+    """The instances of a deployment's service."""
+
+    instances: int = Field(gt=0)
+    slots: int = Field(gt=0)
+    connections: int = Field(gt=0)
+
+
+class WorkerShape(_Model):
+    """The workers of a deployment."""
+
+    count: int = Field(gt=0)
+    processors: float = Field(gt=0)
+    memory_gb: float = Field(gt=0)
+    accelerators: int = Field(default=0, ge=0)
+    per_rack: int = Field(gt=0)
+
+
+class AllowanceLine(_Model):
+    """One line of the allowances as a deployment begins."""
+
+    processors: float = Field(ge=0)
+    memory_gb: float = Field(ge=0)
+    accelerators: int = Field(default=0, ge=0)
+    vm_share: float = Field(default=1.0, gt=0, le=1)
+
+
+class Deployment(_Model):
+    """A whole user's deployment, for the demo and the load tool.
+
+    Parameters
+    ----------
+    default_plan : str
+        The plan of customers that a trace names and the lists do not.
+    """
+
+    name: str
+    data_centres: list[str] = Field(min_length=1)
+    entries: int = Field(gt=0)
+    service: ServiceShape
+    workers: WorkerShape
+    plans: dict[str, str]
+    allowances: dict[str, AllowanceLine]
+    default_plan: str
+    timing: TimingSettings = TimingSettings()
--- /dev/null
+++ b/coltsfoottray/tasks/__init__.py
@@ -0,0 +1,16 @@
+"""Batch tasks: their rows in the table and the one owner that moves them on."""
+
+from __future__ import annotations
+
+from coltsfoottray.tasks.rows import StoredTask, TaskRow, TaskSpec, task_key
+from coltsfoottray.tasks.store import AcceptConflict, Fenced, TaskStore
+
+__all__ = [
+    "AcceptConflict",
+    "Fenced",
+    "StoredTask",
+    "TaskRow",
+    "TaskSpec",
+    "TaskStore",
+    "task_key",
+]
--- /dev/null
+++ b/coltsfoottray/tasks/follower.py
@@ -0,0 +1,209 @@
+"""Following running attempts to their end."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from msgspec.structs import replace
+from returns.result import Success
+
+from coltsfoottray.clock import Clock
+from coltsfoottray.errors import CommunicationError
+from coltsfoottray.explain import Decision, Journal, Verb
+from coltsfoottray.leases.lost import LostWorkers
+from coltsfoottray.lists import ListHolder
+from coltsfoottray.logs import log_event
+from coltsfoottray.membership import AttemptReport, Member
+from coltsfoottray.peers import PeerClient
+from coltsfoottray.tasks.partition import OwnedPartition
+from coltsfoottray.tasks.placer import CALL_TIMEOUT, Placer
+from coltsfoottray.tasks.rows import StoredTask, TaskRow
+from coltsfoottray.tasks.store import TaskStore
+from coltsfoottray.tasks.workers import WorkerViews
+from coltsfoottray.types import TaskState
+from coltsfoottray.worker.messages import (
+    FORGET,
+    STOP,
+    ForgetRequest,
+    StopRequest,
+    Verdict,
+)
+
+__all__ = ["AttemptFollower"]
+
+# A start not confirmed by a report for this long is asked for again.
+START_AGAIN_AFTER = timedelta(seconds=3)
+MAX_FAILURES = 3
+# Verdicts after which this attempt will never start on that worker.
+_HOPELESS = frozenset({Verdict.NO_ROOM, Verdict.STOPPED, Verdict.WORKER_FAILED})
+
+
+class AttemptFollower:
+    """Decides, for one running attempt, what its newest report means."""
+
+    def __init__(
+        self,
+        *,
+        store: TaskStore,
+        views: WorkerViews,
+        placer: Placer,
+        lost: LostWorkers,
+        peers: PeerClient,
+        holder: ListHolder,
+        journal: Journal,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._views = views
+        self._placer = placer
+        self._lost = lost
+        self._peers = peers
+        self._holder = holder
+        self._journal = journal
+        self._clock = clock
+
+    def needs_action(self, partition: OwnedPartition, stored: StoredTask) -> bool:
+        """Whether `follow` has something to do now."""
+        row = stored.row
+        self._views.note_spec(row.spec)
+        if row.wants_cancel or self._lost.is_dead(row.worker, row.term):
+            return True
+        member = self._views.find(row.worker)
+        if member is None:
+            return False
+        report = self._report(member, row)
+        if report is not None:
+            return report.exit_code is not None
+        return self._is_start_overdue(partition, row)
+
+    async def follow(self, partition: OwnedPartition, stored: StoredTask) -> None:
+        """Do the next step for a running attempt."""
+        row = stored.row
+        if self._lost.is_dead(row.worker, row.term):
+            await self._requeue(partition, stored, f"worker {row.worker} was lost")
+            return
+        member = self._views.find(row.worker)
+        if member is None:
+            return
+        report = self._report(member, row)
+        if report is not None and report.exit_code is not None:
+            await self._end(partition, stored, member, report.exit_code)
+        elif row.wants_cancel:
+            await self._cancel(partition, stored, member)
+        elif report is None and self._is_start_overdue(partition, row):
+            await self._start_again(partition, stored, member)
+
+    def _report(self, member: Member, row: TaskRow) -> AttemptReport | None:
+        for report in self._views.report_of(member).attempts:
+            if report.task == row.spec.task and report.attempt == row.attempt:
+                return report
+        return None
+
+    def _is_start_overdue(self, partition: OwnedPartition, row: TaskRow) -> bool:
+        now = self._clock.elapsed()
+        asked = partition.started_at_by_task.setdefault(row.spec.task, now)
+        return now - asked > START_AGAIN_AFTER
+
+    async def _start_again(
+        self, partition: OwnedPartition, stored: StoredTask, member: Member
+    ) -> None:
+        partition.started_at_by_task[stored.row.spec.task] = self._clock.elapsed()
+        verdict = await self._placer.start(member, stored.row)
+        if verdict in _HOPELESS and await self._stop(member, stored.row) is not None:
+            assert verdict is not None
+            await self._requeue(partition, stored, f"not started: {verdict.value}")
+
+    async def _end(
+        self,
+        partition: OwnedPartition,
+        stored: StoredTask,
+        member: Member,
+        exit_code: int,
+    ) -> None:
+        row = stored.row
+        failures = row.failures + (exit_code != 0)
+        if exit_code == 0:
+            state, reason = TaskState.FINISHED, "exit code 0"
+        elif failures < MAX_FAILURES:
+            state, reason = TaskState.QUEUED, f"exit code {exit_code}, tried again"
+        else:
+            state, reason = TaskState.FAILED, f"exit code {exit_code} {failures} times"
+        ended = replace(row, state=state, failures=failures, reason=reason)
+        if await self._move(partition, stored, ended, Verb.FINISH):
+            await self._forget(member, row)
+
+    async def _cancel(
+        self, partition: OwnedPartition, stored: StoredTask, member: Member
+    ) -> None:
+        if await self._stop(member, stored.row) is None:
+            return
+        row = replace(stored.row, state=TaskState.CANCELLED, reason="cancelled")
+        await self._move(partition, stored, row, Verb.CANCEL)
+
+    async def _requeue(
+        self, partition: OwnedPartition, stored: StoredTask, reason: str
+    ) -> None:
+        """Put an attempt that certainly runs no more back into the queue."""
+        state = TaskState.CANCELLED if stored.row.wants_cancel else TaskState.QUEUED
+        row = replace(
+            stored.row,
+            state=state,
+            evictions=stored.row.evictions + 1,
+            reason=reason,
+        )
+        await self._move(partition, stored, row, Verb.EVICT)
+
+    async def _stop(self, member: Member, row: TaskRow) -> str | None:
+        """Stop the attempt; return its checkpoint, None without certainty."""
+        request = StopRequest(
+            task=row.spec.task,
+            attempt=row.attempt,
+            wants_checkpoint=False,
+            incarnation=member.announcement.incarnation,
+        )
+        try:
+            reply = await self._peers.call(
+                member.announcement.peers, STOP, request, timeout=CALL_TIMEOUT
+            )
+        except CommunicationError as error:
+            log_event("tasks:no-stop", task=row.spec.task, error=str(error))
+            return None
+        return reply.checkpoint if reply.is_stopped else None
+
+    async def _forget(self, member: Member, row: TaskRow) -> None:
+        request = ForgetRequest(
+            task=row.spec.task,
+            attempt=row.attempt,
+            incarnation=member.announcement.incarnation,
+        )
+        try:
+            await self._peers.call(
+                member.announcement.peers, FORGET, request, timeout=CALL_TIMEOUT
+            )
+        except CommunicationError as error:
+            # The attendant drops it when it next rebuilds its ledger.
+            log_event("tasks:no-forget", task=row.spec.task, error=str(error))
+
+    async def _move(
+        self, partition: OwnedPartition, stored: StoredTask, row: TaskRow, verb: Verb
+    ) -> bool:
+        outcome = await self._store.move(stored, row, epoch=partition.epoch)
+        if not isinstance(outcome, Success):
+            found = await self._store.find(row.spec.customer, row.spec.task)
+            if found is not None:
+                partition.put(found)
+            return False
+        partition.put(outcome.unwrap())
+        partition.started_at_by_task.pop(row.spec.task, None)
+        lists = self._holder.current
+        self._journal.note(
+            Decision(
+                subject=row.spec.task,
+                verb=verb,
+                choice=row.state.value,
+                reason=row.reason,
+                lists_version=lists.version,
+                line=lists.line_of(row.spec.customer),
+            )
+        )
+        return True
--- /dev/null
+++ b/coltsfoottray/tasks/owner.py
@@ -0,0 +1,186 @@
+"""Owning partitions of the queue: one task for each."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+import trio
+
+from coltsfoottray.clock import Clock
+from coltsfoottray.errors import CommunicationError
+from coltsfoottray.kernel import Service
+from coltsfoottray.leases import Ownership, as_partition
+from coltsfoottray.logs import log_event
+from coltsfoottray.membership import EntryDirectory, Registry
+from coltsfoottray.peers import Call, CallHandlers, PeerClient
+from coltsfoottray.platform import TableUnavailable
+from coltsfoottray.tasks.follower import AttemptFollower
+from coltsfoottray.tasks.partition import OwnedPartition
+from coltsfoottray.tasks.placer import CALL_TIMEOUT, Placer
+from coltsfoottray.tasks.rows import StoredTask
+from coltsfoottray.tasks.store import TaskStore
+from coltsfoottray.tasks.workers import WorkerViews
+from coltsfoottray.types import CustomerId, TaskId
+from coltsfoottray.types import TaskState as State
+
+__all__ = ["TASK_CHANGED", "QueueOwner", "TaskChanged", "TaskChangedReply"]
+
+# Pushes make changes known at once; this bounds the delay if one is lost.
+RELOAD_INTERVAL = timedelta(seconds=10)
+_TICK = timedelta(milliseconds=250)
+MAX_CONCURRENT = 64
+
+
+class TaskChanged(msgspec.Struct, frozen=True, kw_only=True):
+    """A row was written by an entry that does not own its partition."""
+
+    customer: CustomerId
+    task: TaskId
+
+
+class TaskChangedReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Nothing to tell."""
+
+
+TASK_CHANGED = Call(
+    name="TaskChanged", request_type=TaskChanged, reply_type=TaskChangedReply
+)
+
+
+class QueueOwner(Service):
+    """Moves on the tasks of the partitions this entry owns."""
+
+    def __init__(
+        self,
+        *,
+        ownership: Ownership,
+        directory: EntryDirectory,
+        registry: Registry,
+        store: TaskStore,
+        views: WorkerViews,
+        placer: Placer,
+        follower: AttemptFollower,
+        peers: PeerClient,
+        clock: Clock,
+    ) -> None:
+        self._ownership = ownership
+        self._directory = directory
+        self._registry = registry
+        self._store = store
+        self._views = views
+        self._placer = placer
+        self._follower = follower
+        self._peers = peers
+        self._clock = clock
+        self._owned_by_index: dict[int, OwnedPartition] = {}
+        self._scope_by_index: dict[int, trio.CancelScope] = {}
+        self._wake = trio.Event()
+
+    def add_handlers(self, handlers: CallHandlers) -> None:
+        """Answer other entries' calls."""
+        handlers.add(TASK_CHANGED, self.task_changed)
+
+    async def run(  # noqa: D102
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._wake_on_announcements)
+            task_status.started()
+            while True:
+                self._follow_ownership(nursery)
+                await self._ownership.wait_changed()
+
+    async def announce(self, customer: CustomerId, task: TaskId) -> None:
+        """Tell the owner of a task that its row has changed."""
+        owner = self._ownership.owner_by_partition.get(as_partition(customer))
+        record = None if owner is None else self._directory.record_by_id.get(owner)
+        change = TaskChanged(customer=customer, task=task)
+        if as_partition(customer) in self._owned_by_index or record is None:
+            await self.task_changed(change)
+            return
+        try:
+            await self._peers.call(
+                record.peers, TASK_CHANGED, change, timeout=CALL_TIMEOUT
+            )
+        except CommunicationError as error:
+            log_event("tasks:owner-not-told", task=task, error=str(error))
+
+    async def task_changed(self, change: TaskChanged) -> TaskChangedReply:
+        """Answer `TASK_CHANGED`: read the row again."""
+        owned = self._owned_by_index.get(as_partition(change.customer))
+        if owned is not None:
+            found = await self._store.find(change.customer, change.task)
+            if found is not None:
+                owned.put(found)
+                self._signal()
+        return TaskChangedReply()
+
+    def _follow_ownership(self, nursery: trio.Nursery) -> None:
+        epochs = self._ownership.epoch_by_partition
+        for index, owned in list(self._owned_by_index.items()):
+            if epochs.get(index) != owned.epoch:
+                self._scope_by_index.pop(index).cancel()
+                del self._owned_by_index[index]
+        for index, epoch in epochs.items():
+            if index not in self._owned_by_index:
+                owned = OwnedPartition(index=index, epoch=epoch)
+                scope = trio.CancelScope()
+                self._owned_by_index[index] = owned
+                self._scope_by_index[index] = scope
+                nursery.start_soon(self._run_partition, owned, scope)
+
+    async def _run_partition(
+        self, owned: OwnedPartition, scope: trio.CancelScope
+    ) -> None:
+        loaded_at: timedelta | None = None
+        with scope:
+            while True:
+                now = self._clock.elapsed()
+                try:
+                    if loaded_at is None or now - loaded_at > RELOAD_INTERVAL:
+                        owned.load(await self._store.load(owned.index))
+                        loaded_at = now
+                    await self._move_on(owned)
+                except TableUnavailable as error:
+                    log_event("tasks:table-down", error=str(error))
+                await self._wait_for_news()
+
+    async def _move_on(self, owned: OwnedPartition) -> None:
+        limit = trio.CapacityLimiter(MAX_CONCURRENT)
+        async with trio.open_nursery() as nursery:
+            for stored in owned.running():
+                if self._follower.needs_action(owned, stored):
+                    nursery.start_soon(self._step, owned, stored, limit)
+            for stored in owned.queued():
+                nursery.start_soon(self._step, owned, stored, limit)
+
+    async def _step(
+        self, owned: OwnedPartition, stored: StoredTask, limit: trio.CapacityLimiter
+    ) -> None:
+        task = stored.row.spec.task
+        async with limit:
+            owned.busy.add(task)
+            try:
+                if stored.row.state is State.QUEUED:
+                    await self._placer.place(owned, stored)
+                else:
+                    await self._follower.follow(owned, stored)
+            except TableUnavailable as error:
+                log_event("tasks:not-moved", task=task, error=str(error))
+            finally:
+                owned.busy.discard(task)
+
+    async def _wait_for_news(self) -> None:
+        with trio.move_on_after(_TICK.total_seconds()):
+            await self._wake.wait()
+
+    async def _wake_on_announcements(self) -> None:
+        while True:
+            await self._registry.wait_changed()
+            self._views.learn_slowdowns()
+            self._signal()
+
+    def _signal(self) -> None:
+        self._wake.set()
+        self._wake = trio.Event()
--- /dev/null
+++ b/coltsfoottray/types.py
@@ -0,0 +1,123 @@
+"""Shared ids, states and small value types."""
+
+from __future__ import annotations
+
+import enum
+from typing import NewType
+
+import msgspec
+
+__all__ = [
+    "NO_LISTS",
+    "Address",
+    "AttendantId",
+    "CustomerId",
+    "DaemonId",
+    "DataCentre",
+    "EntryId",
+    "Incarnation",
+    "Kind",
+    "ListVersion",
+    "PlanId",
+    "RequestId",
+    "Resources",
+    "Role",
+    "TaskId",
+    "TaskState",
+]
+
+CustomerId = NewType("CustomerId", str)
+PlanId = NewType("PlanId", str)
+Kind = NewType("Kind", str)
+RequestId = NewType("RequestId", str)
+TaskId = NewType("TaskId", str)
+DaemonId = NewType("DaemonId", str)
+EntryId = NewType("EntryId", DaemonId)
+AttendantId = NewType("AttendantId", DaemonId)
+DataCentre = NewType("DataCentre", str)
+Incarnation = NewType("Incarnation", str)
+ListVersion = NewType("ListVersion", int)
+
+NO_LISTS = ListVersion(0)
+"""The version before any edit was accepted."""
+
+
+class Role(enum.Enum):
+    """What a daemon stands beside."""
+
+    ENTRY = "entry"
+    UPSTREAM = "upstream"
+    WORKER = "worker"
+
+
+class TaskState(enum.Enum):
+    """Where a batch task stands; the table row is the only authority."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    FINISHED = "finished"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether no later state can follow."""
+        return self not in (TaskState.QUEUED, TaskState.RUNNING)
+
+
+class Address(msgspec.Struct, frozen=True, order=True):
+    """An IP number and a port.
+
+    Examples
+    --------
+    >>> str(Address(host="127.0.0.1", port=80))
+    '127.0.0.1:80'
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class Resources(msgspec.Struct, frozen=True, kw_only=True):
+    """Processors (cores), memory (GB) and accelerators (whole devices)."""
+
+    processors: float = 0.0
+    memory_gb: float = 0.0
+    accelerators: int = 0
+
+    def __add__(self, other: Resources) -> Resources:
+        return Resources(
+            processors=self.processors + other.processors,
+            memory_gb=self.memory_gb + other.memory_gb,
+            accelerators=self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: Resources) -> Resources:
+        return Resources(
+            processors=self.processors - other.processors,
+            memory_gb=self.memory_gb - other.memory_gb,
+            accelerators=self.accelerators - other.accelerators,
+        )
+
+    def fits_in(self, room: Resources) -> bool:
+        """Whether every dimension is at most that of `room`."""
+        return (
+            self.processors <= room.processors + _ROUNDING
+            and self.memory_gb <= room.memory_gb + _ROUNDING
+            and self.accelerators <= room.accelerators
+        )
+
+    @staticmethod
+    def total(parts: list[Resources]) -> Resources:
+        """Return the sum of `parts`, nothing for an empty list."""
+        total = Resources()
+        for part in parts:
+            total = total + part
+        return total
+
+
+# Sums of fractions of a core drift in the last bits; a whole VM must still fit.
+_ROUNDING = 1e-9
--- /dev/null
+++ b/coltsfoottray/upstream/__init__.py
@@ -0,0 +1,15 @@
+"""The attendant beside an upstream: last judge of what starts there."""
+
+from __future__ import annotations
+
+from coltsfoottray.upstream.attendant import UpstreamAttendant
+from coltsfoottray.upstream.ledger import Execution, ExecutionLedger, ExecutionState
+from coltsfoottray.upstream.slots import SlotGate
+
+__all__ = [
+    "Execution",
+    "ExecutionLedger",
+    "ExecutionState",
+    "SlotGate",
+    "UpstreamAttendant",
+]
--- /dev/null
+++ b/coltsfoottray/upstream/slots.py
@@ -0,0 +1,76 @@
+"""Slots, connections and each customer's share of them."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+
+import trio
+
+from coltsfoottray.types import CustomerId
+
+__all__ = ["SlotGate"]
+
+
+class SlotGate:
+    """Bounds what an instance holds at once, in all and for each customer.
+
+    Parameters
+    ----------
+    slots : int
+        Requests the upstream works on at once.
+    connections : int
+        Requests that may be here at once, working or waiting for a slot.
+    """
+
+    def __init__(self, *, slots: int, connections: int) -> None:
+        self.slots = slots
+        self.connections = connections
+        self.in_flight = 0
+        self._in_flight_by_customer: Counter[CustomerId] = Counter()
+        self._running_by_customer: Counter[CustomerId] = Counter()
+        self._running = 0
+        self._freed = trio.Condition()
+
+    def enter(self, customer: CustomerId, share: float) -> str | None:
+        """Take a connection; return why not, or None when taken."""
+        if self.in_flight >= self.connections:
+            return f"all {self.connections} connections are taken"
+        allowed = math.ceil(share * self.connections)
+        if self._in_flight_by_customer[customer] >= allowed:
+            return f"{customer} holds its share of {allowed} connections here"
+        self.in_flight += 1
+        self._in_flight_by_customer[customer] += 1
+        return None
+
+    def leave(self, customer: CustomerId) -> None:
+        """Give the connection back."""
+        self.in_flight -= 1
+        self._in_flight_by_customer[customer] -= 1
+        if not self._in_flight_by_customer[customer]:
+            del self._in_flight_by_customer[customer]
+
+    async def acquire(self, customer: CustomerId, share: float) -> None:
+        """Wait for a slot, in order of arrival among those who may have one."""
+        allowed = math.ceil(share * self.slots)
+        async with self._freed:
+            while (
+                self._running >= self.slots
+                or self._running_by_customer[customer] >= allowed
+            ):
+                await self._freed.wait()
+            self._running += 1
+            self._running_by_customer[customer] += 1
+
+    def release(self, customer: CustomerId) -> None:
+        """Give the slot back."""
+        self._running -= 1
+        self._running_by_customer[customer] -= 1
+        if not self._running_by_customer[customer]:
+            del self._running_by_customer[customer]
+
+    async def wake_waiting(self) -> None:
+        """Let those who wait look again, after a release."""
+        with trio.CancelScope(shield=True):
+            async with self._freed:
+                self._freed.notify_all()
--- /dev/null
+++ b/coltsfoottray/worker/attendant.py
@@ -0,0 +1,271 @@
+"""Judging and starting attempts on one worker."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import trio
+
+from coltsfoottray.clock import Clock
+from coltsfoottray.errors import CommunicationError
+from coltsfoottray.kernel import Service
+from coltsfoottray.leases import PARTITION_COUNT, WorkerLease
+from coltsfoottray.logs import log_event
+from coltsfoottray.membership import AttemptReport, WorkerReport
+from coltsfoottray.peers import CallHandlers
+from coltsfoottray.platform import TableUnavailable, TaskStart, WorkerControl
+from coltsfoottray.tasks import TaskRow, TaskStore
+from coltsfoottray.types import AttendantId, Incarnation, Resources, TaskId, TaskState
+from coltsfoottray.worker.ledger import CapacityLedger, Reservation
+from coltsfoottray.worker.messages import (
+    FORGET,
+    RESERVE,
+    START,
+    STOP,
+    ForgetReply,
+    ForgetRequest,
+    ReserveRequest,
+    StartReply,
+    StartRequest,
+    StopReply,
+    StopRequest,
+    Verdict,
+)
+
+__all__ = ["WorkerAttendant"]
+
+# An uncommitted reservation is dropped after this: its owner has died, and the
+# start that may still come is judged anew.
+RESERVATION_TIMEOUT = timedelta(seconds=10)
+
+
+class WorkerAttendant(Service):
+    """Answers owners' calls and reports what runs and what has ended.
+
+    Parameters
+    ----------
+    on_change : callable
+        Called after a task has ended, to announce it without delay.
+    """
+
+    def __init__(
+        self,
+        *,
+        worker: AttendantId,
+        incarnation: Incarnation,
+        control: WorkerControl,
+        lease: WorkerLease,
+        store: TaskStore,
+        clock: Clock,
+        interval: timedelta,
+        on_change: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._worker = worker
+        self._incarnation = incarnation
+        self._control = control
+        self._lease = lease
+        self._store = store
+        self._clock = clock
+        self._interval = interval
+        self._on_change = on_change
+        self._ledger = CapacityLedger(capacity=Resources())
+        self._report_by_task: dict[TaskId, AttemptReport] = {}
+        self._ledger_term = 0
+        self._is_ready = False
+
+    def add_handlers(self, handlers: CallHandlers) -> None:
+        """Answer the owners' calls."""
+        handlers.add(RESERVE, self.reserve)
+        handlers.add(START, self.start)
+        handlers.add(STOP, self.stop_attempt)
+        handlers.add(FORGET, self.forget)
+
+    def report(self) -> WorkerReport:
+        """Return what entries are told of this worker."""
+        return WorkerReport(
+            capacity=self._ledger.capacity,
+            reserved=self._ledger.committed,
+            term=self._lease.term if self._is_ready else 0,
+            attempts=list(self._report_by_task.values()),
+        )
+
+    async def run(  # noqa: D102
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        task_status.started()
+        while True:
+            try:
+                await self._tend()
+            except (CommunicationError, TableUnavailable) as error:
+                log_event("worker:untended", error=str(error))
+            await self._clock.sleep(self._interval)
+
+    async def wait_idle(self) -> None:
+        """Return once nothing is committed here."""
+        while self._ledger.committed != Resources():
+            await self._clock.sleep(self._interval)
+
+    async def reserve(self, request: ReserveRequest) -> StartReply:
+        """Answer `RESERVE`."""
+        return self._reply(
+            self._judge(request.incarnation, request.spec.task, request.attempt)
+            or self._hold(request.spec.task, request.attempt, request.spec.demand)
+        )
+
+    async def start(self, request: StartRequest) -> StartReply:
+        """Answer `START`; the same attempt starts once however often asked."""
+        spec = request.spec
+        refusal = self._judge(request.incarnation, spec.task, request.attempt)
+        if refusal is None and request.term != self._lease.term:
+            refusal = Verdict.WRONG_LIFE
+        verdict = refusal or self._hold(spec.task, request.attempt, spec.demand)
+        if verdict is Verdict.GRANTED:
+            verdict = await self._start_held(request)
+        return self._reply(verdict)
+
+    async def stop_attempt(self, request: StopRequest) -> StopReply:
+        """Answer `STOP`: afterwards the attempt never runs here again."""
+        if request.incarnation != self._incarnation or not self._is_ready:
+            return StopReply(is_stopped=False)
+        held = self._ledger.reservation_by_task.get(request.task)
+        checkpoint = ""
+        try:
+            is_here = held is not None and held.attempt == request.attempt
+            if is_here and request.wants_checkpoint:
+                checkpoint = await self._control.checkpoint(
+                    task=request.task, attempt=request.attempt
+                )
+            await self._control.stop(task=request.task, attempt=request.attempt)
+        except CommunicationError as error:
+            log_event("worker:not-stopped", task=request.task, error=str(error))
+            return StopReply(is_stopped=False)
+        self._ledger.stop(request.task, request.attempt)
+        self._report_by_task.pop(request.task, None)
+        return StopReply(is_stopped=True, checkpoint=checkpoint)
+
+    async def forget(self, request: ForgetRequest) -> ForgetReply:
+        """Answer `FORGET`."""
+        if request.incarnation == self._incarnation:
+            self._ledger.drop(request.task, request.attempt)
+            self._report_by_task.pop(request.task, None)
+            await self._control.forget(task=request.task, attempt=request.attempt)
+        return ForgetReply()
+
+    def _judge(
+        self, incarnation: Incarnation, task: TaskId, attempt: int
+    ) -> Verdict | None:
+        """Return why nothing may start, None if nothing stands against it."""
+        if incarnation != self._incarnation:
+            return Verdict.WRONG_LIFE
+        if not self._is_ready or not self._lease.is_valid:
+            return Verdict.NO_LEASE
+        if self._ledger.is_stopped(task, attempt):
+            return Verdict.STOPPED
+        return None
+
+    def _hold(self, task: TaskId, attempt: int, demand: Resources) -> Verdict:
+        reservation = Reservation(
+            task=task, attempt=attempt, demand=demand, made_at=self._clock.elapsed()
+        )
+        is_held = self._ledger.reserve(reservation)
+        return Verdict.GRANTED if is_held else Verdict.NO_ROOM
+
+    async def _start_held(self, request: StartRequest) -> Verdict:
+        spec = request.spec
+        start = TaskStart(
+            task=spec.task,
+            attempt=request.attempt,
+            demand=spec.demand,
+            runtime_s=spec.runtime_s,
+            checkpoint=request.checkpoint,
+            holder=self._incarnation,
+            payload=spec.payload,
+        )
+        held = self._ledger.reservation_by_task[spec.task]
+        held.is_started = True
+        try:
+            await self._control.start(start)
+        except CommunicationError as error:
+            # It may have started all the same: the room stays held until the
+            # owner stops the attempt or the worker reports on it.
+            log_event("worker:not-started", task=spec.task, error=str(error))
+            return Verdict.WORKER_FAILED
+        return Verdict.GRANTED
+
+    def _reply(self, verdict: Verdict) -> StartReply:
+        return StartReply(verdict=verdict, term=self._lease.term, report=self.report())
+
+    async def _tend(self) -> None:
+        if self._lease.term != self._ledger_term or not self._is_ready:
+            await self._rebuild()
+        self._drop_stale_reservations()
+        if await self._take_reports():
+            await self._on_change()
+
+    async def _rebuild(self) -> None:
+        """Make the ledger anew from the worker and the table.
+
+        After a restart the memory of what was granted is gone; until it is
+        rebuilt nothing is admitted, or the same room would be given twice.
+        """
+        self._is_ready = False
+        term = self._lease.term
+        if term == 0:
+            return
+        description = await self._control.describe()
+        ledger = CapacityLedger(capacity=description.capacity)
+        for row in await self._bound_rows(term):
+            ledger.reserve(self._as_reservation(row))
+        for running in await self._control.tasks():
+            held = ledger.reservation_by_task.get(running.task)
+            if held is None or held.attempt != running.attempt:
+                await self._control.stop(task=running.task, attempt=running.attempt)
+        self._ledger = ledger
+        self._ledger_term = term
+        self._report_by_task.clear()
+        self._is_ready = True
+        log_event("worker:ready", worker=self._worker, term=term)
+
+    async def _bound_rows(self, term: int) -> list[TaskRow]:
+        rows: list[TaskRow] = []
+        for partition in range(PARTITION_COUNT):
+            for stored in await self._store.load(partition):
+                row = stored.row
+                is_here = row.worker == self._worker and row.term == term
+                if is_here and row.state is TaskState.RUNNING:
+                    rows.append(row)
+        return rows
+
+    def _as_reservation(self, row: TaskRow) -> Reservation:
+        return Reservation(
+            task=row.spec.task,
+            attempt=row.attempt,
+            demand=row.spec.demand,
+            made_at=self._clock.elapsed(),
+            is_started=True,
+        )
+
+    def _drop_stale_reservations(self) -> None:
+        oldest = self._clock.elapsed() - RESERVATION_TIMEOUT
+        for held in list(self._ledger.reservation_by_task.values()):
+            if not held.is_started and held.made_at < oldest:
+                self._ledger.drop(held.task, held.attempt)
+
+    async def _take_reports(self) -> bool:
+        """Read the worker's reports; return whether a task has newly ended."""
+        has_ended = False
+        for running in await self._control.tasks():
+            held = self._ledger.reservation_by_task.get(running.task)
+            if held is None or held.attempt != running.attempt:
+                continue
+            has_ended |= running.exit_code is not None and held.exit_code is None
+            held.exit_code = running.exit_code
+            self._report_by_task[running.task] = AttemptReport(
+                task=running.task,
+                attempt=running.attempt,
+                used=running.used,
+                slowdown=running.slowdown,
+                exit_code=running.exit_code,
+            )
+        return has_ended
--- /dev/null
+++ b/standins/cell.py
@@ -0,0 +1,242 @@
+"""A whole deployment in one process: stand-ins and real daemons on loopback."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import trio
+
+from coltsfoottray.clock import TrioClock
+from coltsfoottray.daemons import EntryDaemon, UpstreamDaemon, WorkerDaemon
+from coltsfoottray.daemons.common import Daemon
+from coltsfoottray.http import Handler
+from coltsfoottray.kernel import Listener
+from coltsfoottray.lists import (
+    Edit,
+    ListEditor,
+    ListHolder,
+    ListName,
+)
+from coltsfoottray.platform.http import HttpTable
+from coltsfoottray.settings import (
+    Deployment,
+    EntrySettings,
+    UpstreamSettings,
+    WorkerSettings,
+)
+from coltsfoottray.types import Address, ListVersion, Resources
+from standins.fabric import Fabric
+from standins.observer import Observer
+from standins.table import TableStandIn
+from standins.upstream import UpstreamStandIn
+from standins.worker import WorkerStandIn
+
+__all__ = ["Cell", "Running"]
+
+_FREE_PORT = Address(host="127.0.0.1", port=0)
+
+
+@dataclass(kw_only=True)
+class Running:
+    """Something that runs in the cell and can be killed."""
+
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    def kill(self) -> None:
+        """End it at once, as a crash would: nothing more is said or finished."""
+        self.scope.cancel()
+
+
+class Cell:
+    """Starts a deployment's stand-ins and daemons inside `nursery`."""
+
+    def __init__(
+        self, *, deployment: Deployment, nursery: trio.Nursery, fabric: Fabric
+    ) -> None:
+        self.deployment = deployment
+        self.fabric = fabric
+        self.observer = Observer()
+        self.table = TableStandIn()
+        self.entry_by_name: dict[str, EntryDaemon] = {}
+        self.upstream_by_name: dict[str, UpstreamDaemon] = {}
+        self.worker_by_name: dict[str, WorkerDaemon] = {}
+        self.worker_stand_in_by_name: dict[str, WorkerStandIn] = {}
+        self.running_by_name: dict[str, Running] = {}
+        self._nursery = nursery
+        self._table_address = _FREE_PORT
+
+    async def start(self, extra_customers: Iterable[str] = ()) -> None:
+        """Start everything, and return once all attendants are in place."""
+        self._table_address = await self._serve(self.table.handle, "table")
+        await self._write_lists(extra_customers)
+        for number in range(1, self.deployment.entries + 1):
+            await self.start_entry(f"entry-{number}")
+        for number in range(1, self.deployment.service.instances + 1):
+            await self._start_upstream(number)
+        for number in range(1, self.deployment.workers.count + 1):
+            await self._start_worker(number)
+        await self._wait_until_known()
+
+    def live_entries(self) -> list[EntryDaemon]:
+        """Return the entries a balancer would still use."""
+        return [e for e in self.entry_by_name.values() if not e.is_draining]
+
+    def kill(self, name: str) -> None:
+        """Kill what runs as `name`."""
+        self.running_by_name[name].kill()
+        self.entry_by_name.pop(name, None)
+
+    def lose_worker(self, name: str) -> None:
+        """Lose a worker's VM: its tasks and its attendant."""
+        self.kill(name)
+        self.kill(f"{name}/vm")
+
+    async def start_entry(self, name: str) -> None:
+        """Start one entry."""
+        index = len(self.entry_by_name)
+        daemon = EntryDaemon(
+            settings=EntrySettings(
+                role="entry",
+                name=name,
+                data_centre=self._data_centre(index),
+                http=_FREE_PORT,
+                peers=_FREE_PORT,
+                table=self._table_address,
+                timing=self.deployment.timing,
+            ),
+            kernel=self.fabric.kernel(name),
+        )
+        await self._run_daemon(daemon)
+        self.entry_by_name[name] = daemon
+
+    async def _start_upstream(self, number: int) -> None:
+        name = f"instance-{number:02d}"
+        stand_in = UpstreamStandIn(observer=self.observer)
+        address = await self._serve(stand_in.handle, f"{name}/vm")
+        service = self.deployment.service
+        daemon = UpstreamDaemon(
+            settings=UpstreamSettings(
+                role="upstream",
+                name=name,
+                data_centre=self._data_centre(number),
+                http=_FREE_PORT,
+                peers=_FREE_PORT,
+                table=self._table_address,
+                timing=self.deployment.timing,
+                upstream=address,
+                slots=service.slots,
+                connections=service.connections,
+            ),
+            kernel=self.fabric.kernel(name),
+        )
+        await self._run_daemon(daemon)
+        self.upstream_by_name[name] = daemon
+
+    async def _start_worker(self, number: int) -> None:
+        name = f"worker-{number:02d}"
+        shape = self.deployment.workers
+        stand_in = WorkerStandIn(
+            capacity=Resources(
+                processors=shape.processors,
+                memory_gb=shape.memory_gb,
+                accelerators=shape.accelerators,
+            ),
+            boot=f"boot-of-{name}",
+            observer=self.observer,
+            objects=self.table.object_by_name,
+        )
+        address = await self._serve(stand_in.handle, f"{name}/vm")
+        scope = self.running_by_name[f"{name}/vm"].scope
+        self._nursery.start_soon(_run_in_scope, stand_in, scope)
+        self.worker_stand_in_by_name[name] = stand_in
+        daemon = WorkerDaemon(
+            settings=WorkerSettings(
+                role="worker",
+                name=name,
+                data_centre=self._data_centre(number),
+                rack=f"rack-{(number - 1) // shape.per_rack + 1}",
+                http=_FREE_PORT,
+                peers=_FREE_PORT,
+                table=self._table_address,
+                timing=self.deployment.timing,
+                control=address,
+            ),
+            kernel=self.fabric.kernel(name),
+        )
+        await self._run_daemon(daemon)
+        self.worker_by_name[name] = daemon
+
+    def _data_centre(self, number: int) -> str:
+        names = self.deployment.data_centres
+        return names[number % len(names)]
+
+    async def _run_daemon(self, daemon: Daemon) -> None:
+        running = Running()
+        self.running_by_name[daemon.settings.name] = running
+        await self._nursery.start(_run_daemon, daemon, running.scope)
+
+    async def _serve(self, handler: Handler, name: str) -> Address:
+        server = self.fabric.listeners(name).http(_FREE_PORT, handler)
+        running = Running()
+        self.running_by_name[name] = running
+        await self._nursery.start(_run_daemon, server, running.scope)
+        return server.bound
+
+    async def _write_lists(self, extra_customers: Iterable[str]) -> None:
+        table = HttpTable(
+            address=self._table_address, client=self.fabric.transport("operator")
+        )
+        editor = ListEditor(table=table, clock=TrioClock(), holder=ListHolder())
+        deployment = self.deployment
+        plans = {name: deployment.default_plan for name in extra_customers}
+        plans.update(deployment.plans)
+        allowances = {
+            name: line.model_dump() for name, line in deployment.allowances.items()
+        }
+        for version, name, change in (
+            (0, ListName.ALLOWANCES, allowances),
+            (1, ListName.PLANS, plans),
+        ):
+            edit = Edit(
+                list=name,
+                change=dict(change),
+                based_on=ListVersion(version),
+                author="deployment",
+                token=f"first-{name.value}",
+            )
+            (await editor.commit(edit)).unwrap()
+
+    async def _wait_until_known(self) -> None:
+        expected = len(self.upstream_by_name) + len(self.worker_by_name)
+        while not all(self._knows(entry, expected) for entry in self.live_entries()):
+            await trio.sleep(0.05)
+
+    def _knows(self, entry: EntryDaemon, expected: int) -> bool:
+        ready = [
+            member
+            for role in (UpstreamDaemon.role, WorkerDaemon.role)
+            for member in entry.registry.members(role)
+            if member.announcement.worker is None or member.announcement.worker.term
+        ]
+        return len(ready) >= expected and len(entry.directory.record_by_id) >= 1
+
+
+async def _run_daemon(
+    daemon: Daemon | Listener,
+    scope: trio.CancelScope,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    with scope:
+        await daemon.run(task_status=task_status)
+
+
+async def _run_in_scope(stand_in: WorkerStandIn, scope: trio.CancelScope) -> None:
+    # A scope is entered once, and that one is the server's.
+    with trio.CancelScope() as own:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stand_in.run)
+            while not scope.cancel_called:
+                await trio.sleep(0.02)
+            own.cancel()
--- /dev/null
+++ b/standins/fabric.py
@@ -0,0 +1,280 @@
+"""How the processes of a cell reach each other: loopback, or memory."""
+
+from __future__ import annotations
+
+import abc
+import itertools
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from typing import Any
+
+import trio
+
+from coltsfoottray.clock import Clock, TrioClock
+from coltsfoottray.daemons.common import CLOCK, LISTENERS, PEERS, TRANSPORT
+from coltsfoottray.daemons.listeners import ListenerFactory, SocketListeners
+from coltsfoottray.errors import CommunicationError, Step
+from coltsfoottray.http import (
+    Handler,
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    HttpTransport,
+)
+from coltsfoottray.http.common import DEFAULT_TIMEOUT
+from coltsfoottray.kernel import Kernel, Listener
+from coltsfoottray.peers import Call, CallHandlers, PeerClient
+from coltsfoottray.types import Address
+
+__all__ = ["Fabric", "LoopbackFabric", "MemoryFabric"]
+
+_LATENCY_S = 0.0005
+
+
+class Fabric(abc.ABC):
+    """Gives each process its servers and clients."""
+
+    @abc.abstractmethod
+    def kernel(self, process: str) -> Kernel:
+        """Return a kernel in which the process's ends are registered."""
+
+    @abc.abstractmethod
+    def listeners(self, process: str) -> ListenerFactory:
+        """Return the servers of `process`."""
+
+    @abc.abstractmethod
+    def transport(self, process: str) -> HttpTransport:
+        """Return the HTTP client of `process`."""
+
+
+class LoopbackFabric(Fabric):
+    """TCP sockets on the loopback address."""
+
+    def kernel(self, process: str) -> Kernel:  # noqa: D102
+        return Kernel()
+
+    def listeners(self, process: str) -> ListenerFactory:  # noqa: D102
+        return SocketListeners()
+
+    def transport(self, process: str) -> HttpTransport:  # noqa: D102
+        return HttpClient()
+
+
+@dataclass(kw_only=True)
+class ProcessFaults:
+    """What is wrong with one process, or with the network around it.
+
+    Parameters
+    ----------
+    lost_replies : int
+        For so many exchanges with this process as the server: it does what is
+        asked, and the reply is lost.
+    lost_requests : int
+        For so many exchanges: the request never arrives, and nobody is told.
+    """
+
+    lost_replies: int = 0
+    lost_requests: int = 0
+    running: trio.Event = field(default_factory=trio.Event)
+
+    def __post_init__(self) -> None:
+        self.running.set()
+
+    def pause(self) -> None:
+        """Freeze the process: it hears, says and does nothing."""
+        self.running = trio.Event()
+
+    def resume(self) -> None:
+        """Let it go on where it stood."""
+        self.running.set()
+
+
+class _PausableClock(Clock):
+    """A process's clock: time goes on while it is paused, its sleeps do not end."""
+
+    def __init__(self, faults: ProcessFaults) -> None:
+        self._faults = faults
+        self._clock = TrioClock()
+
+    def now(self) -> datetime:
+        return self._clock.now()
+
+    def elapsed(self) -> timedelta:
+        return self._clock.elapsed()
+
+    async def sleep(self, duration: timedelta) -> None:
+        await self._clock.sleep(duration)
+        await self._faults.running.wait()
+
+
+class MemoryFabric(Fabric):
+    """Messages by function call, in virtual time, with faults between processes."""
+
+    def __init__(self) -> None:
+        self.faults_by_process: dict[str, ProcessFaults] = {}
+        self.cut: set[frozenset[str]] = set()
+        self.listener_by_address: dict[Address, _MemoryListener] = {}
+        self._ports = itertools.count(20_000)
+
+    def kernel(self, process: str) -> Kernel:  # noqa: D102
+        kernel = Kernel()
+        kernel.register(CLOCK, _PausableClock(self.faults(process)))
+        kernel.register(TRANSPORT, self.transport(process))
+        kernel.register(PEERS, _MemoryPeers(self, process))
+        kernel.register(LISTENERS, self.listeners(process))
+        return kernel
+
+    def listeners(self, process: str) -> ListenerFactory:  # noqa: D102
+        return _MemoryListeners(self, process)
+
+    def transport(self, process: str) -> HttpTransport:  # noqa: D102
+        return _MemoryTransport(self, process)
+
+    def faults(self, process: str) -> ProcessFaults:
+        """Return the switches of `process`."""
+        return self.faults_by_process.setdefault(process, ProcessFaults())
+
+    def free_address(self) -> Address:
+        """Return an address that was never used."""
+        return Address(host="127.0.0.1", port=next(self._ports))
+
+    async def exchange(
+        self, sender: str, address: Address, message: Any, timeout: timedelta
+    ) -> Any:
+        """Carry `message` to `address` and its reply back."""
+        await self.faults(sender).running.wait()
+        await trio.sleep(_LATENCY_S)
+        listener = self.listener_by_address.get(address)
+        if listener is None:
+            raise _error(Step.CONNECT, address, "refused")
+        pending = _Pending()
+        with trio.move_on_after(timeout.total_seconds()):
+            if frozenset((sender, listener.process)) in self.cut:
+                await trio.sleep_forever()
+            listener.take(message, pending)
+            await pending.done.wait()
+            await self.faults(sender).running.wait()
+        if pending.error is not None:
+            raise _error(Step.RECEIVE, address, pending.error)
+        if not pending.done.is_set():
+            raise _error(Step.RECEIVE, address, "timeout")
+        return pending.reply
+
+
+@dataclass(kw_only=True)
+class _Pending:
+    """An exchange whose reply has not come yet."""
+
+    done: trio.Event = field(default_factory=trio.Event)
+    reply: Any = None
+    error: str | None = None
+
+
+def _error(step: Step, address: Address, detail: str) -> CommunicationError:
+    return CommunicationError(step=step, peer=str(address), detail=detail)
+
+
+class _MemoryListener(Listener):
+    """Serves in its own nursery, so that a killed process answers nobody."""
+
+    def __init__(
+        self, fabric: MemoryFabric, process: str, address: Address, serve: Any
+    ) -> None:
+        self.process = process
+        self.bound = fabric.free_address() if address.port == 0 else address
+        self._fabric = fabric
+        self._serve = serve
+        self._nursery: trio.Nursery | None = None
+        self._open: list[_Pending] = []
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        self._fabric.listener_by_address[self.bound] = self
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                task_status.started()
+                await trio.sleep_forever()
+        finally:
+            del self._fabric.listener_by_address[self.bound]
+            for pending in self._open:
+                pending.error = "closed"
+                pending.done.set()
+
+    async def stop(self) -> None:
+        while self._open:
+            await trio.sleep(_LATENCY_S)
+
+    def take(self, message: Any, pending: _Pending) -> None:
+        """Begin to serve `message`."""
+        assert self._nursery is not None
+        self._nursery.start_soon(self._answer, message, pending)
+
+    async def _answer(self, message: Any, pending: _Pending) -> None:
+        faults = self._fabric.faults(self.process)
+        if faults.lost_requests > 0:
+            faults.lost_requests -= 1
+            return
+        await faults.running.wait()
+        self._open.append(pending)
+        try:
+            reply = await self._serve(message)
+            await trio.sleep(_LATENCY_S)
+            await faults.running.wait()
+        except CommunicationError as error:
+            self._open.remove(pending)
+            pending.error = str(error)
+            pending.done.set()
+            return
+        self._open.remove(pending)
+        if faults.lost_replies > 0:
+            faults.lost_replies -= 1
+            return
+        pending.reply = reply
+        pending.done.set()
+
+
+class _MemoryListeners(ListenerFactory):
+    def __init__(self, fabric: MemoryFabric, process: str) -> None:
+        self._fabric = fabric
+        self._process = process
+
+    def http(self, address: Address, handler: Handler) -> Listener:
+        return _MemoryListener(self._fabric, self._process, address, handler)
+
+    def peers(self, address: Address, handlers: CallHandlers) -> Listener:
+        async def serve(message: tuple[Call[Any, Any], Any]) -> Any:
+            call, request = message
+            return await handlers.handler_by_call[call](request)
+
+        return _MemoryListener(self._fabric, self._process, address, serve)
+
+
+class _MemoryTransport(HttpTransport):
+    def __init__(self, fabric: MemoryFabric, process: str) -> None:
+        self._fabric = fabric
+        self._process = process
+
+    async def send(
+        self,
+        address: Address,
+        request: HttpRequest,
+        *,
+        timeout: timedelta = DEFAULT_TIMEOUT,
+    ) -> HttpResponse:
+        reply = await self._fabric.exchange(self._process, address, request, timeout)
+        assert isinstance(reply, HttpResponse)
+        return reply
+
+
+class _MemoryPeers(PeerClient):
+    def __init__(self, fabric: MemoryFabric, process: str) -> None:
+        self._fabric = fabric
+        self._process = process
+
+    async def call(
+        self, address: Address, call: Any, request: Any, *, timeout: timedelta
+    ) -> Any:
+        message = (call, request)
+        return await self._fabric.exchange(self._process, address, message, timeout)
--- /dev/null
+++ b/standins/serve.py
@@ -0,0 +1,47 @@
+"""Stand-ins as processes of their own: `python -m standins.serve KIND PORT`."""
+
+from __future__ import annotations
+
+import sys
+
+import trio
+
+from coltsfoottray.http import HttpServer
+from coltsfoottray.types import Address, Resources
+from standins.observer import Observer
+from standins.table import TableStandIn
+from standins.upstream import UpstreamStandIn
+from standins.worker import WorkerStandIn
+
+__all__ = ["main"]
+
+_CAPACITY = Resources(processors=64, memory_gb=250, accelerators=2)
+
+
+async def _serve(kind: str, port: int) -> None:
+    observer = Observer()
+    address = Address(host="127.0.0.1", port=port)
+    async with trio.open_nursery() as nursery:
+        if kind == "table":
+            handler = TableStandIn().handle
+        elif kind == "upstream":
+            handler = UpstreamStandIn(observer=observer).handle
+        else:
+            worker = WorkerStandIn(
+                capacity=_CAPACITY, boot="boot-1", observer=observer, objects={}
+            )
+            nursery.start_soon(worker.run)
+            handler = worker.handle
+        await HttpServer(address=address, handler=handler).run()
+
+
+def main(arguments: list[str]) -> None:
+    """Serve until killed."""
+    kind, port = arguments
+    if kind not in ("table", "upstream", "worker"):
+        raise SystemExit(f"kind: got {kind!r}, expected table, upstream or worker")
+    trio.run(_serve, kind, int(port))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/standins/trace.py
@@ -0,0 +1,155 @@
+"""Recorded traces: one JSON object a line, checked before anything starts."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from coltsfoottray.lists import ListName
+
+__all__ = [
+    "CancelEvent",
+    "EditEvent",
+    "Event",
+    "FaultEvent",
+    "FaultKind",
+    "RequestEvent",
+    "TaskEvent",
+    "TraceError",
+    "load_trace",
+]
+
+
+class FaultKind(enum.Enum):
+    """Faults that a trace may order."""
+
+    STORE_DOWN = "store-down"
+    STORE_SLOW = "store-slow"
+    STORE_ANSWER_LOST = "store-answer-lost"
+    UPSTREAM_DRAIN = "upstream-drain"
+    WORKER_LOST = "worker-lost"
+    ENTRY_KILLED = "entry-killed"
+    ATTENDANT_KILLED = "attendant-killed"
+
+
+class _Event(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What every event has: its time in seconds from the start."""
+
+    at: float
+
+    def __post_init__(self) -> None:
+        if self.at < 0:
+            raise ValueError(f"at: got {self.at}, expected 0 or more")
+
+
+class RequestEvent(_Event, frozen=True, kw_only=True, tag="request", tag_field="event"):
+    """A caller's request.
+
+    Parameters
+    ----------
+    retry_of : str, optional
+        The id of the request that this one repeats, key and all.
+    """
+
+    customer: str
+    kind: str
+    id: str
+    idempotent: bool = True
+    worth: float = 1.0
+    service_ms: float = 20.0
+    retry_of: str | None = None
+
+
+class TaskEvent(_Event, frozen=True, kw_only=True, tag="task", tag_field="event"):
+    """A batch task. `outcome` may be "fails"."""
+
+    customer: str
+    kind: str
+    id: str
+    processors: float
+    memory_gb: float
+    runtime_s: float
+    accelerators: int = 0
+    real_memory_gb: float | None = None
+    real_runtime_s: float | None = None
+    outcome: str = "finishes"
+    worth: float = 1.0
+
+
+class CancelEvent(_Event, frozen=True, kw_only=True, tag="cancel", tag_field="event"):
+    """The cancellation of a task."""
+
+    id: str
+
+
+class EditEvent(_Event, frozen=True, kw_only=True, tag="edit", tag_field="event"):
+    """An operator's edit of one list."""
+
+    list: ListName
+    change: dict[str, Any]
+
+
+class FaultEvent(_Event, frozen=True, kw_only=True, tag="fault", tag_field="event"):
+    """A fault; `target` is a daemon's or worker's name, `for_s` how long."""
+
+    what: FaultKind
+    target: str = ""
+    for_s: float = 0.0
+
+
+Event = RequestEvent | TaskEvent | CancelEvent | EditEvent | FaultEvent
+
+
+@dataclass(frozen=True, kw_only=True)
+class TraceError:
+    """A line that was refused."""
+
+    line: int
+    message: str
+
+    def __str__(self) -> str:
+        return f"line {self.line}: {self.message}"
+
+
+def load_trace(path: Path) -> Result[Sequence[Event], list[TraceError]]:
+    """Return the events of `path` by time, or every bad line."""
+    try:
+        lines = path.read_bytes().splitlines()
+    except OSError as error:
+        return Failure([TraceError(line=0, message=str(error))])
+    decoder = msgspec.json.Decoder(Event)
+    events: list[Event] = []
+    errors: list[TraceError] = []
+    for number, line in enumerate(lines, start=1):
+        if not line.strip():
+            continue
+        try:
+            events.append(decoder.decode(line))
+        except msgspec.DecodeError as error:
+            errors.append(TraceError(line=number, message=str(error)))
+    errors += _find_bad_references(events)
+    if errors:
+        return Failure(errors)
+    return Success(sorted(events, key=lambda event: event.at))
+
+
+def _find_bad_references(events: Sequence[Event]) -> list[TraceError]:
+    """Return events that name a request or task that no line defines."""
+    requests = {event.id for event in events if isinstance(event, RequestEvent)}
+    tasks = {event.id for event in events if isinstance(event, TaskEvent)}
+    errors = []
+    for number, event in enumerate(events, start=1):
+        if isinstance(event, RequestEvent) and event.retry_of is not None:
+            if event.retry_of not in requests:
+                message = f"retry_of: got {event.retry_of!r}, expected a request's id"
+                errors.append(TraceError(line=number, message=message))
+        elif isinstance(event, CancelEvent) and event.id not in tasks:
+            message = f"id: got {event.id!r}, expected a task's id"
+            errors.append(TraceError(line=number, message=message))
+    return errors
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,167 @@
+"""A worker and the platform's hold on it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+import msgspec
+import trio
+
+from coltsfoottray.http import HttpRequest, HttpResponse
+from coltsfoottray.platform import RunningTask, TaskStart, WorkerDescription
+from coltsfoottray.types import Resources, TaskId
+from standins.observer import Observer
+
+__all__ = ["WorkerStandIn"]
+
+_STEP_S = 0.05
+FAILED_EXIT = 1
+
+
+@dataclass(kw_only=True)
+class _Attempt:
+    start: TaskStart
+    done_s: float = 0.0
+    exit_code: int | None = None
+    is_running: bool = False
+    has_begun: bool = False
+
+
+class WorkerStandIn:
+    """Runs attempts while its lease is renewed.
+
+    A task's payload may hold `real_runtime_s` and `outcome` ("fails").
+    """
+
+    def __init__(
+        self,
+        *,
+        capacity: Resources,
+        boot: str,
+        observer: Observer,
+        objects: dict[str, bytes],
+    ) -> None:
+        self.capacity = capacity
+        self.boot = boot
+        self.fails_everything = False
+        self._observer = observer
+        self._objects = objects
+        self._attempt_by_task: dict[TaskId, _Attempt] = {}
+        self._stopped: set[str] = set()
+        self._lease_until = trio.current_time()
+        self._holder = ""
+
+    async def run(self) -> None:
+        """Let tasks advance; cancel this to lose the worker with all it runs."""
+        try:
+            while True:
+                await trio.sleep(_STEP_S)
+                for attempt in self._attempt_by_task.values():
+                    self._advance(attempt)
+        finally:
+            for attempt in self._attempt_by_task.values():
+                self._suspend(attempt)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Serve the worker's HTTP interface."""
+        if request.path == "/description":
+            return HttpResponse.of_json(
+                WorkerDescription(capacity=self.capacity, boot=self.boot)
+            )
+        if request.path == "/renew":
+            return self._renew(request.query)
+        if request.path == "/tasks":
+            return HttpResponse.of_json([self._as_report(a) for a in self._attempts()])
+        _, _, task, attempt, verb = request.path.split("/")
+        return self._act(verb, TaskId(unquote(task)), int(attempt), request)
+
+    def _act(
+        self, verb: str, task: TaskId, attempt: int, request: HttpRequest
+    ) -> HttpResponse:
+        held = self._attempt_by_task.get(task)
+        is_held = held is not None and held.start.attempt == attempt
+        if verb == "start":
+            return self._start(request.decode(TaskStart))
+        if verb == "stop":
+            self._stopped.add(f"{task}#{attempt}")
+        if held is not None and is_held and verb in ("stop", "forget"):
+            self._suspend(held)
+            del self._attempt_by_task[task]
+        if held is not None and is_held and verb == "checkpoint":
+            name = f"checkpoint/{task}/{attempt}"
+            self._objects[name] = msgspec.json.encode(held.done_s)
+            return HttpResponse.of_json(name)
+        return HttpResponse.of_json(True)
+
+    def _start(self, start: TaskStart) -> HttpResponse:
+        if start.holder != self._holder:
+            return HttpResponse(status=409, body=b"not the holder of the lease")
+        is_new = (
+            start.task not in self._attempt_by_task
+            and f"{start.task}#{start.attempt}" not in self._stopped
+        )
+        if is_new:
+            done = self._objects.get(start.checkpoint, b"0")
+            self._attempt_by_task[start.task] = _Attempt(
+                start=start, done_s=msgspec.json.decode(done, type=float)
+            )
+            total = Resources.total([a.start.demand for a in self._unfinished()])
+            self._observer.note_commitment(is_over=not total.fits_in(self.capacity))
+            self._advance(self._attempt_by_task[start.task], step_s=0.0)
+        return HttpResponse.of_json(True)
+
+    def _renew(self, query: dict[str, str]) -> HttpResponse:
+        self._holder = query["holder"]
+        self._lease_until = trio.current_time() + float(query["seconds"])
+        return HttpResponse.of_json(True)
+
+    def _advance(self, attempt: _Attempt, step_s: float = _STEP_S) -> None:
+        if attempt.exit_code is not None:
+            return
+        if trio.current_time() >= self._lease_until:
+            self._suspend(attempt)
+            return
+        if not attempt.is_running:
+            attempt.is_running = True
+            self._observer.begin_task(
+                attempt.start.task,
+                attempt.start.attempt,
+                is_resumed=attempt.has_begun,
+            )
+            attempt.has_begun = True
+        attempt.done_s += step_s
+        payload = attempt.start.payload
+        runtime = payload.get("real_runtime_s", attempt.start.runtime_s)
+        assert isinstance(runtime, int | float)
+        if attempt.done_s >= runtime:
+            self._end(attempt, fails=payload.get("outcome") == "fails")
+
+    def _end(self, attempt: _Attempt, *, fails: bool) -> None:
+        self._suspend(attempt)
+        attempt.exit_code = FAILED_EXIT if fails or self.fails_everything else 0
+        if attempt.exit_code == 0:
+            self._observer.finish_task(attempt.start.task)
+
+    def _suspend(self, attempt: _Attempt) -> None:
+        if attempt.is_running:
+            attempt.is_running = False
+            self._observer.end_task(attempt.start.task)
+
+    def _attempts(self) -> list[_Attempt]:
+        return list(self._attempt_by_task.values())
+
+    def _unfinished(self) -> list[_Attempt]:
+        return [a for a in self._attempts() if a.exit_code is None]
+
+    def _as_report(self, attempt: _Attempt) -> RunningTask:
+        return RunningTask(
+            task=attempt.start.task,
+            attempt=attempt.start.attempt,
+            demand=attempt.start.demand,
+            used=attempt.start.demand,
+            done_s=attempt.done_s,
+            slowdown=1.0,
+            exit_code=attempt.exit_code,
+            is_suspended=not attempt.is_running,
+        )
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in folders that mirror the packages."""
--- /dev/null
+++ b/tests/environment.py
@@ -0,0 +1,27 @@
+"""Hooks around each scenario."""
+
+from __future__ import annotations
+
+import trio
+from hypothesis import settings
+
+from tests.support.tally import TALLY
+
+settings.register_profile("ci", derandomize=True, deadline=None, database=None)
+settings.load_profile("ci")
+
+
+def before_scenario(context, scenario):
+    """Make the order in which trio runs tasks the same in every run."""
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(0)
+    context.closers = []
+
+
+def after_scenario(context, scenario):
+    """End what the scenario started and note its result."""
+    for close in reversed(context.closers):
+        close()
+    result = TALLY.passed if scenario.status.name == "passed" else TALLY.failed
+    if scenario.status.name not in ("skipped", "untested"):
+        result.append(scenario.name)
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the steps."""
