Claims travel over h11 instead of gRPC

Cause: a keyed request cost twice an unkeyed one; all of the difference was one gRPC call through trio-asyncio (1.64 ms both sides, docs/design/data-path.md).

Ruled out: batching alone, which helps under load but not a single caller.

Change: peer calls by POST and msgpack over the pooled HTTP client, at an address of the entry that only entries use.

--- a/coltsfoottray/claims/members.py
+++ b/coltsfoottray/claims/members.py
@@ -45,6 +45,17 @@
 class ClaimMembers(Service):
     """Joins the members, keeps their set, and leaves.
 
+    Parameters
+    ----------
+    describe : callable
+        Returns the entry's own row.
+    retention : timedelta
+        How long claims are remembered.
+    interval : timedelta
+        Between readings of the members' rows.
+
+    Notes
+    -----
     A row `member/NAME` in the table says whose memory counts. An entry serves
     keyed requests only as a member: after every other member has given it all
     its claims and asks it from then on. A member whose row is gone, or is of a
@@ -63,7 +74,7 @@
         peers: PeerClient,
         clock: Clock,
         memory: ClaimMemory,
-        describe: Callable[[], EntryRecord],
+        describe: Callable[[], MemberRow],
         retention: timedelta,
         interval: timedelta,
     ) -> None:
@@ -113,7 +124,7 @@
     def address_of(self, entry: EntryId) -> Address | None:
         """Return where a member is reached, None if it is one no more."""
         member = self._member_by_entry.get(entry)
-        return None if member is None else member.peers
+        return None if member is None else member.claims
 
     def is_member(self, incarnation: Incarnation) -> bool:
         """Whether that life of an entry is one whose claims count."""
@@ -179,13 +190,13 @@
         found = await self._table.get(key)
         self.row_version = ABSENT
         if found is not None:
-            if found.decode(MemberRow) == self._own_row():
+            if found.decode(MemberRow) == self._describe():
                 self.row_version = found.version
                 return
             # An earlier life of this entry left without giving its claims on.
             self._has_gap = True
         version = ABSENT if found is None else found.version
-        value = self._own_row()
+        value = self._describe()
         outcome = await self._table.commit(
             Transaction(puts=[Put.of(key, version, value)])
         )
@@ -194,10 +205,10 @@
 
     async def _ask_sync(self, row: MemberRow) -> SyncReply | None:
         """Return a member's claims, None if it does not answer."""
-        request = SyncRequest(member=self._own_row())
+        request = SyncRequest(member=self._describe())
         try:
             reply = await self._peers.call(
-                row.peers, SYNC, request, timeout=_SYNC_TIMEOUT
+                row.claims, SYNC, request, timeout=_SYNC_TIMEOUT
             )
         except CommunicationError as error:
             log_event("claims:no-sync", entry=row.entry, error=str(error))
@@ -243,7 +254,7 @@
         present = []
         for row in rows:
             member = row.decode(MemberRow)
-            if member == self._own_row():
+            if member == self._describe():
                 continue
             if member.incarnation in live:
                 present.append(member)
@@ -256,10 +267,6 @@
                 present.append(member)
         return present
 
-    def _own_row(self) -> MemberRow:
-        own = self._describe()
-        return MemberRow(entry=own.entry, incarnation=own.incarnation, peers=own.peers)
-
     async def _table_claims(self) -> list[Claim]:
         """Return the claims in the table; from now on this entry sweeps them too."""
         rows = await self._table.scan(CLAIM_PREFIX)
--- a/coltsfoottray/claims/messages.py
+++ b/coltsfoottray/claims/messages.py
@@ -62,7 +62,7 @@
 
     entry: EntryId
     incarnation: Incarnation
-    peers: Address
+    claims: Address
 
 
 class Verdict(enum.Enum):
--- a/coltsfoottray/daemons/entry.py
+++ b/coltsfoottray/daemons/entry.py
@@ -6,8 +6,9 @@
 
 import trio
 
-from coltsfoottray.claims import ClaimMembers, ClaimMemory, Claims
-from coltsfoottray.daemons.common import HTTP_SERVER, Daemon
+from coltsfoottray.claims import ClaimMembers, ClaimMemory, Claims, MemberRow
+from coltsfoottray.daemons.common import HTTP_SERVER, LISTENERS, Daemon
+from coltsfoottray.daemons.listeners import ListenerFactory
 from coltsfoottray.entry import BatchApi, CallerApi, EntryApi, OperatorApi
 from coltsfoottray.entry.metrics import LatencyMetrics
 from coltsfoottray.explain import Journal
@@ -22,6 +23,8 @@
     EntryRecord,
     Registry,
 )
+from coltsfoottray.peers import CallHandlers
+from coltsfoottray.peers.http import HttpPeerClient, HttpPeerHandler
 from coltsfoottray.placement import make_policy
 from coltsfoottray.requests import AttendantClient
 from coltsfoottray.requests.dispatcher import Dispatcher
@@ -48,6 +51,7 @@
 LIST_FOLLOWER = ServiceName("list-follower")
 ENTRY_LEASE = ServiceName("entry-lease")
 CLAIM_MEMBERS = ServiceName("claim-members")
+CLAIM_SERVER = ServiceName("claim-server")
 CLAIMS = ServiceName("claims")
 ANNOUNCER = ServiceName("announcer")
 
@@ -156,6 +160,7 @@
 
     def _make_claims(self) -> None:
         retention = timedelta(seconds=self.entry_settings.retention_s)
+        peers = HttpPeerClient(transport=self.transport)
         memory = ClaimMemory(
             clock=self.clock,
             incarnation=self.incarnation,
@@ -164,10 +169,10 @@
         )
         self.claim_members = ClaimMembers(
             table=self.table,
-            peers=self.peers,
+            peers=peers,
             clock=self.clock,
             memory=memory,
-            describe=self.record,
+            describe=self._member_row,
             retention=retention,
             interval=self.settings.timing.lease / 3,
         )
@@ -176,12 +181,24 @@
             incarnation=self.incarnation,
             members=self.claim_members,
             memory=memory,
-            peers=self.peers,
+            peers=peers,
             table=self.table,
             clock=self.clock,
         )
-        self.claim_members.add_handlers(self.handlers)
-        self.claims.add_handlers(self.handlers)
+        handlers = CallHandlers()
+        self.claim_members.add_handlers(handlers)
+        self.claims.add_handlers(handlers)
+        factory = self.kernel.find(LISTENERS, ListenerFactory)
+        handler = HttpPeerHandler(handlers=handlers)
+        server = factory.http(self.entry_settings.claims, handler.handle)
+        self.kernel.register(CLAIM_SERVER, server)
+
+    def _member_row(self) -> MemberRow:
+        return MemberRow(
+            entry=self.entry_id,
+            incarnation=self.incarnation,
+            claims=self.kernel.find(CLAIM_SERVER, Listener).bound,
+        )
 
     def _make_callers(self) -> CallerApi:
         data_centre = DataCentre(self.settings.data_centre)
--- /dev/null
+++ b/coltsfoottray/peers/http.py
@@ -0,0 +1,64 @@
+"""Peer calls over h11, msgpack-encoded, for the calls that each request makes.
+
+A call costs about a quarter of what one over grpclib does (docs/design/
+data-path.md), and has no trio-asyncio loop to cross.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+
+from coltsfoottray.errors import CommunicationError, Step
+from coltsfoottray.http import HttpRequest, HttpResponse, HttpTransport
+from coltsfoottray.peers.common import Call, CallHandlers, PeerClient, Reply, Request
+from coltsfoottray.types import Address
+
+__all__ = ["HttpPeerClient", "HttpPeerHandler"]
+
+
+class HttpPeerClient(PeerClient):
+    """Makes calls by `POST`."""
+
+    def __init__(self, *, transport: HttpTransport) -> None:
+        self._transport = transport
+
+    async def call(  # noqa: D102
+        self,
+        address: Address,
+        call: Call[Request, Reply],
+        request: Request,
+        *,
+        timeout: timedelta,
+    ) -> Reply:
+        message = HttpRequest(
+            method="POST", target=call.path, body=msgspec.msgpack.encode(request)
+        )
+        response = await self._transport.send(address, message, timeout=timeout)
+        if response.status != 200:
+            raise _decode_error(address, f"status {response.status}")
+        try:
+            return msgspec.msgpack.decode(response.body, type=call.reply_type)
+        except msgspec.DecodeError as error:
+            raise _decode_error(address, str(error)) from error
+
+
+class HttpPeerHandler:
+    """Answers calls made by `HttpPeerClient`."""
+
+    def __init__(self, *, handlers: CallHandlers) -> None:
+        self._handlers = handlers
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one call."""
+        for call, handler in self._handlers.handler_by_call.items():
+            if call.path == request.path:
+                message = msgspec.msgpack.decode(request.body, type=call.request_type)
+                reply = await handler(message)
+                return HttpResponse(status=200, body=msgspec.msgpack.encode(reply))
+        return HttpResponse(status=404)
+
+
+def _decode_error(address: Address, detail: str) -> CommunicationError:
+    return CommunicationError(step=Step.DECODE, peer=str(address), detail=detail)
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -102,6 +102,8 @@
 
     Parameters
     ----------
+    claims : Address
+        Where the other entries propose claims; no caller's business.
     deadline_s : float
         The deadline of requests that name none.
     retention_s : float
@@ -111,6 +113,7 @@
     """
 
     role: Literal["entry"]
+    claims: AddressField
     routing: str = "two-choices"
     placement: str = "tightest-fit"
     deadline_s: Seconds = 30.0
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -103,6 +103,7 @@
                 data_centre=self._data_centre(index),
                 http=_FREE_PORT,
                 peers=_FREE_PORT,
+                claims=_FREE_PORT,
                 table=self._table_address,
                 timing=self.deployment.timing,
             ),
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -54,6 +54,9 @@
             "timing": {"lease_s": 3, "hold_s": 1, "silence_s": 3, "report_s": 0.25},
             **settings,
         }
+        if settings["role"] == "entry":
+            port = self._take_port(name + "/claims")
+            complete["claims"] = f"127.0.0.1:{port}"
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(complete))
         command = "entry" if settings["role"] == "entry" else "attendant"
