Entries without the table stop serving keys before others may start

Cause: two entries cut off from the table go on granting each other claims for as long as they like; an entry started on the other side finds their leases lapsed, joins alone, and after its quarantine runs the same key.

Ruled out: letting the pledge of the cut-off side extend it (the other side cannot tell a partition from a crash and has to go on some time); fencing by the attendants (one that only the cut-off side reaches cannot be told).

Change: an entry serves keys for outage_grace_s (3600 s) after the table last showed its row; a joiner that finds no member to ask waits that long, with a margin for clock rates, and the retention time. A refusal of a key is said only under a claim, if need be to nowhere.

--- a/coltsfoottray/claims/members.py
+++ b/coltsfoottray/claims/members.py
@@ -32,6 +32,8 @@
 
 __all__ = ["ClaimMembers"]
 
+# Two clocks may run apart by this part of a duration, at the most.
+CLOCK_RATE_MARGIN = 0.1
 _SYNC_TIMEOUT = timedelta(seconds=2)
 _JOIN_PAUSE = timedelta(milliseconds=100)
 
@@ -51,6 +53,8 @@
         Returns the entry's own row.
     retention : timedelta
         How long claims are remembered.
+    outage_grace : timedelta
+        How long the entry serves without having seen its row.
     interval : timedelta
         Between readings of the members' rows.
 
@@ -62,7 +66,8 @@
     later life, is asked no more; its row goes after its lease has lapsed.
 
     If all members vanish at once, so do claims that nobody else holds. Who
-    joins then finds a row that nobody answers for, and is in quarantine for the
+    joins then finds a row that nobody answers for, and is in quarantine for as
+    long as those members, if they are only cut off, may go on, and then for the
     retention time: a key it does not know gets the answer that its outcome is
     unknown, because it may have run.
     """
@@ -76,6 +81,7 @@
         memory: ClaimMemory,
         describe: Callable[[], MemberRow],
         retention: timedelta,
+        outage_grace: timedelta,
         interval: timedelta,
     ) -> None:
         self._table = table
@@ -84,9 +90,11 @@
         self._memory = memory
         self._describe = describe
         self._retention = retention
+        self._outage_grace = outage_grace
         self._interval = interval
         self._member_by_entry: dict[EntryId, MemberRow] = {}
         self._quarantine_until: timedelta | None = None
+        self._confirmed_at = clock.elapsed()
         self._has_gap = False
         self._expiry_by_key: dict[str, _Expiry] = {}
         self.is_joined = False
@@ -111,6 +119,16 @@
             pause = self._interval if self.is_joined else _JOIN_PAUSE
             await self._clock.sleep(pause)
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the table has shown the entry's own row recently enough.
+
+        Cut off from the table, an entry cannot know whether it was removed and
+        others serve the same keys. It goes on for `outage_grace`; who finds no
+        member left to ask waits for longer than that.
+        """
+        return self._clock.elapsed() - self._confirmed_at < self._outage_grace
+
     @property
     def is_in_quarantine(self) -> bool:
         """Whether a key that is not in memory may nevertheless have run."""
@@ -164,6 +182,7 @@
 
         The row comes first: of two that join at once each finds the other.
         """
+        asked_at = self._clock.elapsed()
         await self._write_row()
         if self.row_version == ABSENT:
             return
@@ -179,8 +198,10 @@
             await self._clock.sleep(self._interval)
         self._memory.merge(await self._table_claims())
         if self._has_gap and not has_memory:
-            self._start_quarantine(self._retention)
+            grace = self._outage_grace * (1 + CLOCK_RATE_MARGIN)
+            self._start_quarantine(grace + self._retention)
         self._has_gap = False
+        self._confirmed_at = asked_at
         self.is_joined = True
         log_event("claims:joined", members=self.others(), has_memory=has_memory)
 
@@ -221,11 +242,13 @@
 
     async def _tick(self) -> None:
         """Drop members whose rows are gone, and remove rows of gone entries."""
+        asked_at = self._clock.elapsed()
         rows = await self._table.scan(MEMBER_PREFIX)
         own = [r for r in rows if r.key == MEMBER_PREFIX + self._describe().entry]
         if not own or own[0].version != self.row_version:
             self.leave()
             return
+        self._confirmed_at = asked_at
         present = await self._remove_gone(rows)
         incarnations = {row.incarnation for row in present}
         left = [
--- a/coltsfoottray/claims/service.py
+++ b/coltsfoottray/claims/service.py
@@ -220,6 +220,8 @@
     def _refusal(self, request: RequestId) -> Taking | None:
         if not self._members.is_joined:
             return _unknown("this entry has not joined yet")
+        if not self._members.is_confirmed:
+            return _unknown("this entry has been without the table for too long")
         held = self._memory.find(request)
         is_own = held is not None and held.incarnation == self._incarnation
         if self._members.is_in_quarantine and not is_own:
--- a/coltsfoottray/daemons/entry.py
+++ b/coltsfoottray/daemons/entry.py
@@ -159,7 +159,7 @@
             self.kernel.register(name, part)
 
     def _make_claims(self) -> None:
-        retention = timedelta(seconds=self.entry_settings.retention_s)
+        retention = self.settings.timing.retention
         peers = HttpPeerClient(transport=self.transport)
         memory = ClaimMemory(
             clock=self.clock,
@@ -174,6 +174,7 @@
             memory=memory,
             describe=self._member_row,
             retention=retention,
+            outage_grace=timedelta(seconds=self.settings.timing.outage_grace_s),
             interval=self.settings.timing.lease / 3,
         )
         self.claims = Claims(
--- a/coltsfoottray/daemons/upstream.py
+++ b/coltsfoottray/daemons/upstream.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from datetime import timedelta
-
 import trio
 from msgspec.structs import replace
 
@@ -33,7 +31,7 @@
             incarnation=self.incarnation,
             ledger=ExecutionLedger(
                 clock=self.clock,
-                retention=timedelta(seconds=settings.retention_s),
+                retention=settings.timing.retention,
                 answer_bytes=int(settings.answer_mb * _MB),
             ),
             gate=SlotGate(slots=settings.slots, connections=settings.connections),
--- a/coltsfoottray/requests/claimed.py
+++ b/coltsfoottray/requests/claimed.py
@@ -78,6 +78,8 @@
         the id is cancelled there first: a message that is still on its way must
         not start it after it was sent elsewhere.
         """
+        if not claim.place.attendant:
+            return RunReply(outcome=RunOutcome.NOT_RUN, reason="sent nowhere")
         if self._claims.is_gone(claim) or self._claims.is_own(claim):
             reply = await self._attendants.cancel(claim.place, request, claim.attempt)
             if reply.outcome is not RunOutcome.RUNNING:
--- a/coltsfoottray/requests/dispatcher.py
+++ b/coltsfoottray/requests/dispatcher.py
@@ -18,12 +18,25 @@
 from coltsfoottray.requests.remote import AttendantClient
 from coltsfoottray.routing import Router
 from coltsfoottray.routing.table import RoutingTable
-from coltsfoottray.types import CustomerId, Kind, RequestId
+from coltsfoottray.types import (
+    Address,
+    AttendantId,
+    CustomerId,
+    DaemonId,
+    Incarnation,
+    Kind,
+    RequestId,
+)
 
 __all__ = ["CallerRequest", "Dispatcher"]
 
 # Refusals beyond this many places mean that the service is full.
 MAX_PLACES = 4
+NOWHERE = Place(
+    attendant=AttendantId(DaemonId("")),
+    incarnation=Incarnation(""),
+    address=Address(host="", port=0),
+)
 RETRY_AFTER = timedelta(seconds=1)
 _GIVE_WAY_PAUSE = timedelta(milliseconds=20)
 _SETTLE_PAUSE = timedelta(milliseconds=100)
@@ -276,11 +289,21 @@
 
     async def _refuse(
         self, request: CallerRequest, reason: str, after: Claim | None
-    ) -> HttpResponse:
-        """Refuse as not run, which every place tried has proved."""
+    ) -> HttpResponse | Claim:
+        """Refuse as not run, on the proof of every place tried.
+
+        For a key that takes a claim too, if only to nowhere: without one,
+        another entry may have run it.
+        """
         if request.is_keyed:
-            if after is not None and not self._claims.is_gone(after):
-                return self._unknown(request, reason)
+            held = self._claims.find(request.request)
+            if held is None or not self._claims.is_own(held) or not held.is_complete:
+                taking = await self._claims.take(request.request, NOWHERE, after=after)
+                if taking.outcome is TakingOutcome.UNKNOWN:
+                    return self._unknown(request, taking.reason)
+                if taking.outcome is TakingOutcome.FOLLOW:
+                    assert taking.claim is not None
+                    return taking.claim
             await self._claims.release(request.request)
         self._note(request, Verb.REFUSE, choice="not run", reason=reason)
         return Problem(
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -57,6 +57,13 @@
         How often a worker's attendant reads the worker's reports.
     drain_s : float
         How long a graceful shutdown waits for work in flight.
+    retention_s : float
+        How long request ids, claims and answers are remembered; the same for
+        all daemons.
+    outage_grace_s : float
+        How long entries go on serving keyed requests without the table. Who
+        joins after the loss of all entries waits for as long, see
+        docs/design/keyed-requests.md.
     """
 
     lease_s: Seconds = 15.0
@@ -65,12 +72,19 @@
     lists_poll_s: Seconds = 1.0
     report_s: Seconds = 1.0
     drain_s: Seconds = 60.0
+    retention_s: Seconds = 600.0
+    outage_grace_s: Seconds = 3600.0
 
     @property
     def lease(self) -> timedelta:
         """`lease_s` as a duration."""
         return timedelta(seconds=self.lease_s)
 
+    @property
+    def retention(self) -> timedelta:
+        """`retention_s` as a duration."""
+        return timedelta(seconds=self.retention_s)
+
     @property
     def hold(self) -> timedelta:
         """`hold_s` as a duration."""
@@ -106,8 +120,6 @@
         Where the other entries propose claims; no caller's business.
     deadline_s : float
         The deadline of requests that name none.
-    retention_s : float
-        How long a caller's key is remembered; as long as the attendants'.
     max_claims : int
         How many keys are remembered at the most.
     """
@@ -117,7 +129,6 @@
     routing: str = "two-choices"
     placement: str = "tightest-fit"
     deadline_s: Seconds = 30.0
-    retention_s: Seconds = 600.0
     max_claims: int = Field(default=100_000, gt=0)
 
 
@@ -126,8 +137,6 @@
 
     Parameters
     ----------
-    retention_s : float
-        How long request ids and answers are remembered.
     answer_mb : float
         Bound on the answers remembered.
     """
@@ -136,7 +145,6 @@
     upstream: AddressField
     slots: int = Field(gt=0)
     connections: int = Field(gt=0)
-    retention_s: Seconds = 600.0
     answer_mb: float = Field(default=16.0, gt=0)
 
 
--- a/properties/keyed_requests.py
+++ b/properties/keyed_requests.py
@@ -16,6 +16,8 @@
 KEYS = st.sampled_from(["k1", "k2", "k3"])
 ENTRIES = st.sampled_from(["entry-1", "entry-2", "entry-3"])
 INSTANCES = st.sampled_from(["instance-01", "instance-02"])
+# Callers repeat a key for no longer; with the deadline, less than the retention.
+REPEAT_WITHIN_S = 45.0
 PROCESSES = st.one_of(ENTRIES, INSTANCES)
 
 
@@ -28,6 +30,8 @@
         self._labels = itertools.count()
         self._key_by_label: dict[str, str] = {}
         self._judged: set[str] = set()
+        self._generation_by_key: dict[str, int] = {}
+        self._first_sent_by_key: dict[str, float] = {}
 
     def teardown(self) -> None:
         """Heal everything, let it settle, and judge what is left."""
@@ -43,11 +47,12 @@
         """A caller sends a key, for the first time or again."""
         if entry not in self.world.cell.entry_by_name:
             return
+        key = self._current(key)
         label = f"{key}#{next(self._labels)}"
         self._key_by_label[label] = key
         self.world.send(label, entry, key, service_ms=service_ms, deadline_ms=8000)
 
-    @rule(ms=st.sampled_from([1, 3, 30, 400, 2000, 7000]))
+    @rule(ms=st.sampled_from([1, 3, 30, 400, 2000, 7000, 25_000]))
     def advance(self, ms: int) -> None:
         """Let time pass."""
         self.world.advance(ms / 1000)
@@ -67,6 +72,11 @@
         """The next replies of a process are lost."""
         self.world.fabric.faults(process).lost_replies = count
 
+    @rule(entry=ENTRIES)
+    def cut_from_table(self, entry: str) -> None:
+        """Cut one entry off from the table, which works for the others."""
+        self.world.fabric.cut.add(frozenset((entry, "table")))
+
     @rule(one=ENTRIES, other=PROCESSES)
     def cut(self, one: str, other: str) -> None:
         """Two processes cannot reach each other."""
@@ -128,6 +138,16 @@
                 self._judged.add(label)
                 self._judge_answer(self._key_by_label[label], answer)
 
+    def _current(self, key: str) -> str:
+        """Return a key that no caller has kept for longer than is allowed."""
+        generation = self._generation_by_key.setdefault(key, 0)
+        now = self.world.now()
+        name = f"{key}.{generation}"
+        if now - self._first_sent_by_key.setdefault(name, now) > REPEAT_WITHIN_S:
+            self._generation_by_key[key] += 1
+            return self._current(key)
+        return name
+
     def _judge_answer(self, key: str, answer: Any) -> None:
         if answer.status == 200:
             assert answer.body == f"answer to arolwg/{key}: {key}".encode(), answer
--- a/tests/requests/at_most_once.feature
+++ b/tests/requests/at_most_once.feature
@@ -137,6 +137,21 @@
     Then "again" hears that the outcome is unknown, with a time to come back
     And "q1" has run 1 time
 
+  Scenario: Entries cut off from the table, and a new one that has it
+    # The region with both entries and an instance loses the table for long; an
+    # entry started elsewhere finds their leases lapsed and joins alone. Callers
+    # can reach both sides. Each side on its own would run the same quote.
+    Given two entries and three instances in memory
+    And entry-1, entry-2 and instance-01 are cut off from all else
+    When 5000 ms pass
+    And entry-3 is started and has joined
+    And 90000 ms pass
+    And "first" sends key "q1" to entry-1, which takes 50 ms to run
+    And "again" sends key "q1" to entry-3, which takes 50 ms to run
+    Then "first" hears that the outcome is unknown, with a time to come back
+    And "again" gets the whole answer of "q1"
+    And "q1" has run 1 time
+
   Scenario: A refusal is true, and the caller may then ask anywhere
     # Every instance drains. The refusal says "not run"; the claim is given up,
     # so that the same key runs once the caller asks again elsewhere.
--- a/tests/steps/request_steps.py
+++ b/tests/steps/request_steps.py
@@ -38,6 +38,15 @@
     context.world.fabric.cut.add(frozenset((f"{one}-{a}", f"{two}-{b}")))
 
 
+@given("entry-1, entry-2 and instance-01 are cut off from all else")
+def part(context):
+    one_side = ("entry-1", "entry-2", "instance-01")
+    other_side = ("table", "entry-3", "instance-02", "instance-03")
+    for one in one_side:
+        for other in other_side:
+            context.world.fabric.cut.add(frozenset((one, other)))
+
+
 @given("the table is down")
 @when("the table goes down")
 def table_down(context):
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -66,6 +66,10 @@
         """Let virtual time pass."""
         self.run(trio.sleep, seconds)
 
+    def now(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._clock.current_time()
+
     def kill(self, name: str) -> None:
         """Kill a process."""
 
@@ -198,6 +202,8 @@
                 "silence_s": 3,
                 "lists_poll_s": 1,
                 "report_s": 0.25,
+                "retention_s": 60,
+                "outage_grace_s": 20,
             },
         }
     )
