Lists: proofs that an accepted edit is kept everywhere and never reverts

Change: seeds in the settings; /health good only between joining and draining; scenarios for racing operators, lost answers, an entry or the table lost right after, late pushes; a state machine with a planted fault.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,4 @@
 fuzz: $(VENV)/.installed
 	$(BIN)/python -m properties keyed $(RUNS) $(STEPS)
 	$(BIN)/python -m properties tasks $(RUNS) $(STEPS)
+	$(BIN)/python -m properties lists $(RUNS) $(STEPS)
--- a/coltsfoottray/daemons/attendant.py
+++ b/coltsfoottray/daemons/attendant.py
@@ -19,7 +19,10 @@
         """Register what is started after the servers."""
         timing = self.settings.timing
         self.directory = EntryDirectory(
-            table=self.table, clock=self.clock, interval=timing.lease / 3
+            table=self.table,
+            clock=self.clock,
+            interval=timing.lease / 3,
+            seeds=self.settings.seeds,
         )
         self.kernel.register(DIRECTORY, self.directory)
         self.announcer = Announcer(
--- a/coltsfoottray/daemons/entry.py
+++ b/coltsfoottray/daemons/entry.py
@@ -111,7 +111,10 @@
         self.handlers.add(WATCH, self.registry.watch)
         # Fed by the entry lease, which reads the rows anyway; not started.
         self.directory = EntryDirectory(
-            table=self.table, clock=self.clock, interval=timing.lease
+            table=self.table,
+            clock=self.clock,
+            interval=timing.lease,
+            seeds=self.settings.seeds,
         )
         self.store = TaskStore(table=self.table, clock=self.clock)
         self.kernel.register(STORE, self.store)
@@ -287,4 +290,5 @@
             directory=self.directory,
             journal=self.journal,
             metrics=self.metrics,
+            members=self.claim_members,
         )
--- a/coltsfoottray/entry/operators.py
+++ b/coltsfoottray/entry/operators.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure
 
+from coltsfoottray.claims import ClaimMembers
 from coltsfoottray.entry.metrics import LatencyMetrics, LatencySummary
 from coltsfoottray.errors import InputError
 from coltsfoottray.explain import Journal
@@ -42,7 +43,11 @@
 
 
 class OperatorApi:
-    """Answers the command line and the outside monitor."""
+    """Answers the command line, the outside monitor and the balancer.
+
+    `/health` is good only while the entry may serve keyed requests: from its
+    joining the members until it drains.
+    """
 
     def __init__(
         self,
@@ -54,6 +59,7 @@
         directory: EntryDirectory,
         journal: Journal,
         metrics: LatencyMetrics,
+        members: ClaimMembers,
     ) -> None:
         self._entry = entry
         self._editor = editor
@@ -62,13 +68,15 @@
         self._directory = directory
         self._journal = journal
         self._metrics = metrics
+        self._members = members
         self.is_draining = False
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one operator's request."""
         path = request.path.strip("/")
         if path == "health":
-            return HttpResponse(status=503 if self.is_draining else 200)
+            is_good = self._members.is_joined and not self.is_draining
+            return HttpResponse(status=200 if is_good else 503)
         if path == "status":
             return HttpResponse.of_json(self._status())
         if path.startswith("explain/"):
--- a/coltsfoottray/http/problem.py
+++ b/coltsfoottray/http/problem.py
@@ -9,9 +9,10 @@
 
 import msgspec
 
-from coltsfoottray.http.common import HttpResponse
+from coltsfoottray.errors import InputError
+from coltsfoottray.http.common import Handler, HttpRequest, HttpResponse
 
-__all__ = ["Outcome", "Problem"]
+__all__ = ["Outcome", "Problem", "answer_or_refuse"]
 
 
 class Outcome(enum.Enum):
@@ -71,3 +72,11 @@
             }
         )
         return HttpResponse(status=status, header_by_name=header_by_name, body=body)
+
+
+async def answer_or_refuse(handler: Handler, request: HttpRequest) -> HttpResponse:
+    """Return the handler's answer, or status 400 with what was wrong."""
+    try:
+        return await handler(request)
+    except InputError as error:
+        return Problem(outcome=Outcome.INVALID, detail=str(error)).as_response()
--- a/coltsfoottray/http/server.py
+++ b/coltsfoottray/http/server.py
@@ -6,7 +6,6 @@
 import h11
 import trio
 
-from coltsfoottray.errors import InputError
 from coltsfoottray.http.common import (
     Handler,
     HttpRequest,
@@ -17,7 +16,7 @@
     read_event,
     send_all,
 )
-from coltsfoottray.http.problem import Outcome, Problem
+from coltsfoottray.http.problem import Outcome, Problem, answer_or_refuse
 from coltsfoottray.kernel import Listener
 from coltsfoottray.types import Address
 
@@ -95,9 +94,7 @@
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         try:
-            return await self._handler(request)
-        except InputError as error:
-            return Problem(outcome=Outcome.INVALID, detail=str(error)).as_response()
+            return await answer_or_refuse(self._handler, request)
         except Exception:
             # A fault in one handler must not take the other connections down.
             eliot.write_traceback()
--- a/coltsfoottray/membership/entries.py
+++ b/coltsfoottray/membership/entries.py
@@ -12,7 +12,7 @@
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
 from coltsfoottray.platform import TableService, TableUnavailable
-from coltsfoottray.types import Address, EntryId, Incarnation
+from coltsfoottray.types import Address, DaemonId, EntryId, Incarnation
 
 __all__ = ["ENTRY_PREFIX", "EntryDirectory", "EntryRecord"]
 
@@ -32,15 +32,29 @@
 
 
 class EntryDirectory(Service):
-    """Remembers the entries, through outages of the table too."""
+    """Remembers the entries, through outages of the table too.
+
+    Parameters
+    ----------
+    interval : timedelta
+        Between readings of the rows.
+    seeds : sequence of Address
+        Stand for the entries until the rows have been read once.
+    """
 
     def __init__(
-        self, *, table: TableService, clock: Clock, interval: timedelta
+        self,
+        *,
+        table: TableService,
+        clock: Clock,
+        interval: timedelta,
+        seeds: Sequence[Address] = (),
     ) -> None:
         self._table = table
         self._clock = clock
         self._interval = interval
-        self.record_by_id: dict[EntryId, EntryRecord] = {}
+        self.record_by_id = {record.entry: record for record in map(_as_record, seeds)}
+        self._is_read = False
         self._changed = trio.Event()
 
     async def run(  # noqa: D102
@@ -49,7 +63,7 @@
         await self.refresh()
         task_status.started()
         while True:
-            is_known = bool(self.record_by_id)
+            is_known = self._is_read and bool(self.record_by_id)
             await self._clock.sleep(self._interval if is_known else FIRST_INTERVAL)
             await self.refresh()
 
@@ -64,6 +78,7 @@
 
     def put(self, records: Sequence[EntryRecord]) -> None:
         """Take `records` as all the entries there are."""
+        self._is_read = True
         self.record_by_id = {record.entry: record for record in records}
         self._changed.set()
         self._changed = trio.Event()
@@ -71,3 +86,13 @@
     async def wait_changed(self) -> None:
         """Return after the next refresh."""
         await self._changed.wait()
+
+
+def _as_record(seed: Address) -> EntryRecord:
+    """Return a record under which the entry at `seed` can be announced to."""
+    return EntryRecord(
+        entry=EntryId(DaemonId(f"seed {seed}")),
+        incarnation=Incarnation(""),
+        http=seed,
+        peers=seed,
+    )
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -102,7 +102,14 @@
 
 
 class DaemonSettings(_Model):
-    """What every daemon is told."""
+    """What every daemon is told.
+
+    Parameters
+    ----------
+    seeds : list of Address
+        Peer addresses of entries to turn to until the table has been read; a
+        daemon that starts in an outage of the table finds the others by them.
+    """
 
     name: str = Field(min_length=1)
     data_centre: str
@@ -111,6 +118,7 @@
     peers: AddressField
     table: AddressField
     objects: AddressField
+    seeds: list[AddressField] = []
     timing: TimingSettings = TimingSettings()
     log: LogSettings = LogSettings()
 
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -11,14 +11,17 @@
 
 from coltsfoottray.claims import Claim, Claims, Taking, TakingOutcome
 from coltsfoottray.leases import LeaseObserver
+from coltsfoottray.lists import Edit, ListEditor, apply_change
+from coltsfoottray.lists.editor import read_head
 from coltsfoottray.tasks import StoredTask, TaskStore
-from coltsfoottray.types import TaskState
+from coltsfoottray.types import ListVersion, TaskState
 from coltsfoottray.upstream import ExecutionLedger
 from coltsfoottray.worker import CapacityLedger, Reservation
 
 __all__ = [
     "cancel_without_tombstone",
     "claims_without_asking",
+    "edits_without_versions",
     "lapse_without_waiting",
     "ledger_without_bounds",
     "moves_without_attempts",
@@ -99,3 +102,16 @@
 
     with mock.patch.object(TaskStore, "load", load):
         yield
+
+
+@contextmanager
+def edits_without_versions() -> Iterator[None]:
+    """Let an editor write over whatever the head has become."""
+
+    async def commit(self: ListEditor, edit: Edit) -> Any:
+        head = await read_head(self._table)
+        version = ListVersion(head.version + 1)
+        return await self._write(edit, apply_change(head, edit, version=version))
+
+    with mock.patch.object(ListEditor, "commit", commit):
+        yield
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 import trio
@@ -95,8 +95,8 @@
         self.kill(name)
         self.kill(f"{name}/vm")
 
-    async def start_entry(self, name: str) -> None:
-        """Start one entry."""
+    async def start_entry(self, name: str, seeds: Sequence[Address] = ()) -> None:
+        """Start one entry, telling it of the entries at `seeds`."""
         index = len(self.entry_by_name)
         daemon = EntryDaemon(
             settings=EntrySettings(
@@ -106,6 +106,7 @@
                 http=_FREE_PORT,
                 peers=_FREE_PORT,
                 claims=_FREE_PORT,
+                seeds=list(seeds),
                 table=self._table_address,
                 objects=self._table_address,
                 timing=self.deployment.timing,
@@ -243,7 +244,7 @@
             for member in entry.registry.members(role)
             if member.announcement.worker is None or member.announcement.worker.term
         ]
-        return len(ready) >= expected and len(entry.directory.record_by_id) >= 1
+        return len(ready) >= expected and entry.claim_members.is_joined
 
 
 async def _run_daemon(
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -23,6 +23,7 @@
     HttpTransport,
 )
 from coltsfoottray.http.common import DEFAULT_TIMEOUT
+from coltsfoottray.http.problem import answer_or_refuse
 from coltsfoottray.kernel import Kernel, Listener
 from coltsfoottray.peers import Call, CallHandlers, PeerClient
 from coltsfoottray.types import Address
@@ -253,7 +254,10 @@
         self._process = process
 
     def http(self, address: Address, handler: Handler) -> Listener:
-        return _MemoryListener(self._fabric, self._process, address, handler)
+        async def serve(request: HttpRequest) -> HttpResponse:
+            return await answer_or_refuse(handler, request)
+
+        return _MemoryListener(self._fabric, self._process, address, serve)
 
     def peers(self, address: Address, handlers: CallHandlers) -> Listener:
         async def serve(message: tuple[Call[Any, Any], Any]) -> Any:
--- /dev/null
+++ b/tests/lists/edits.feature
@@ -0,0 +1,85 @@
+Feature: An accepted edit is in force everywhere within seconds and never reverts
+
+  Scenario: Two operators race
+    # Both read version 2 and edit. Only one may be accepted, and the other must
+    # hear who won, so that nothing is overwritten unseen.
+    Given two entries and 1 workers in memory
+    When "ann" sets the processors of "surveys" to 128, having read version 2
+    And "ben" sets the processors of "surveys" to 256, having read version 2
+    Then "ann" is told version 3
+    And "ben" hears that "ann" won
+    And within 3 s every daemon has version 3 with 128 processors
+
+  Scenario: The answer to the write is lost
+    # The table took the edit and its answer never came. The entry reads back by
+    # the edit's token: applied once, and the operator hears that it was.
+    Given two entries and 1 workers in memory
+    And the answer to each of the next 1 writes is lost
+    When "ann" sets the processors of "surveys" to 128, having read version 2
+    Then "ann" is told version 3
+    And the history holds 1 edit by "ann"
+
+  Scenario: The operator sends the same edit again
+    # The entry died before it answered, so the operator's tool sends the edit
+    # again, with its token, to the other entry.
+    Given two entries and 1 workers in memory
+    When "ann" sets the processors of "surveys" to 128, having read version 2
+    And "ann" sends the same edit again to entry-2
+    Then "ann" is told version 3
+    And the history holds 1 edit by "ann"
+
+  Scenario: The table goes down right after the edit was accepted
+    # No daemon can poll it. The entry that accepted it pushes it to all.
+    Given two entries and 1 workers in memory
+    When "ann" sets the processors of "surveys" to 128, having read version 2
+    And the table goes down
+    Then within 3 s every daemon has version 3 with 128 processors
+
+  Scenario: The entry that accepted the edit dies at once
+    # It pushed nothing. The others poll the table.
+    Given two entries and 1 workers in memory
+    When "ann" sets the processors of "surveys" to 128, having read version 2
+    And entry-1 is killed
+    Then within 3 s every daemon has version 3 with 128 processors
+
+  Scenario: An old push arrives late
+    # A reply with version 3 is held back by the network until version 4 is in
+    # force. It must not bring version 3 back.
+    Given two entries and 1 workers in memory
+    When "ann" sets the processors of "surveys" to 128, having read version 2
+    And "ann" sets the processors of "surveys" to 256, having read version 3
+    And within 3 s every daemon has version 4 with 256 processors
+    And every daemon is pushed version 3 once more
+    Then within 3 s every daemon has version 4 with 256 processors
+
+  Scenario: A fresh entry while the table is down
+    # It cannot read the lists. It takes them from the entries it was told of in
+    # its settings, and until then it is not healthy.
+    Given two entries and 1 workers in memory
+    And the table is down
+    When entry-3 is started and told of entry-1
+    Then entry-3 has version 2 in force, and is not healthy
+
+  Scenario: An edit changes the next decision
+    # The plan shrinks below what the customer asks for next.
+    Given two entries and 1 workers in memory
+    When "ann" sets the processors of "surveys" to 2, having read version 2
+    And within 3 s every daemon has version 3 with 2 processors
+    And "arolwg" submits the task "b1" of 4 processors
+    Then it is refused with status 403
+
+  Scenario: A malformed edit
+    # The field and the value are named, and nothing changes.
+    Given two entries and 1 workers in memory
+    When "ann" sets the processors of "surveys" to -1, having read version 2
+    Then "ann" hears that "processors: got -1" is wrong
+    And within 3 s every daemon has version 2 with 64 processors
+
+  Scenario: No order of faults loses, doubles or reverts an edit
+    # Operators race, answers are lost, the table goes down, tools send again.
+    # The oracle is the list of accepted edits and one integer.
+    Then the machine "list edits" finds nothing in 100 runs of 40 steps
+
+  Scenario: The oracle sees an edit that overwrites another
+    # Planted: the editor writes without the condition on the version.
+    Then with the planted fault "edits without versions" the machine "list edits" fails
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -6,15 +6,17 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from properties import batch_tasks, keyed_requests, planted
+from properties import batch_tasks, keyed_requests, list_edits, planted
 
 MACHINE_BY_NAME = {
     "keyed requests": keyed_requests.KeyedRequests,
     "batch tasks": batch_tasks.BatchTasks,
+    "list edits": list_edits.ListEdits,
 }
 PLANTED_BY_NAME = {
     "claims without asking": planted.claims_without_asking,
     "cancel without tombstone": planted.cancel_without_tombstone,
+    "edits without versions": planted.edits_without_versions,
     "ledger without bounds": planted.ledger_without_bounds,
     "moves without attempts": planted.moves_without_attempts,
 }
--- a/tests/steps/process_steps.py
+++ b/tests/steps/process_steps.py
@@ -32,6 +32,10 @@
             f"entry-{number} knows all daemons",
             lambda number=number: len(_daemons(launcher, f"entry-{number}")) >= 4,
         )
+        launcher.wait_until(
+            f"entry-{number} is healthy",
+            lambda number=number: _is_healthy(launcher, f"entry-{number}"),
+        )
 
 
 @when('the operator gives customer "{customer}" the plan "{plan}"')
@@ -125,6 +129,11 @@
     return [] if answer is None else json.loads(answer.body)["daemons"]
 
 
+def _is_healthy(launcher, entry):
+    answer = launcher.ask(entry, "GET", "/health", {}, b"")
+    return answer is not None and answer.status == 200
+
+
 def _edit(context, name, change):
     port = context.launcher.port_by_name["entry-1"]
     result = context.launcher.run_cli(
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -209,8 +209,6 @@
             deployment=self._deployment, nursery=self._nursery, fabric=self.fabric
         )
         await self.cell.start()
-        while not all(e.claim_members.is_joined for e in self.cell.live_entries()):
-            await trio.sleep(0.05)
 
     def _run_trio(self) -> None:
         try:
