--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,11 @@
 	$(BIN)/python -m properties keyed $(RUNS) $(STEPS)
 	$(BIN)/python -m properties tasks $(RUNS) $(STEPS)
 	$(BIN)/python -m properties lists $(RUNS) $(STEPS)
+
+capacity: $(VENV)/.installed
+	$(BIN)/python -m benchmarks.capacity
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m benchmarks.keyed_requests
+	$(BIN)/python -m benchmarks.propagation
+	$(BIN)/python -m benchmarks.policies
--- a/coltsfoottray/claims/members.py
+++ b/coltsfoottray/claims/members.py
@@ -146,7 +146,7 @@
 
     def is_member(self, incarnation: Incarnation) -> bool:
         """Whether that life of an entry is one whose claims count."""
-        return incarnation == self._describe().incarnation or any(
+        return incarnation == self.own_row().incarnation or any(
             member.incarnation == incarnation
             for member in self._member_by_entry.values()
         )
@@ -154,11 +154,15 @@
     def leave(self) -> None:
         """Stop serving keyed requests until joined anew."""
         if self.is_joined:
-            log_event("claims:must-rejoin", entry=self._describe().entry)
+            log_event("claims:must-rejoin", entry=self.own_row().entry)
             # Others may claim without this entry until it has joined again.
             self._has_gap = True
             self.is_joined = False
 
+    def own_row(self) -> MemberRow:
+        """Return the entry's own row, as it is or is to be written."""
+        return self._describe()
+
     def note_written(self, key: str, version: int) -> None:
         """Remember to delete a claim's row after the retention time."""
         at = self._clock.elapsed() + self._retention
@@ -207,17 +211,17 @@
 
     async def _write_row(self) -> None:
         """Write the member row, or find that it is there."""
-        key = MEMBER_PREFIX + self._describe().entry
+        key = MEMBER_PREFIX + self.own_row().entry
         found = await self._table.get(key)
         self.row_version = ABSENT
         if found is not None:
-            if found.decode(MemberRow) == self._describe():
+            if found.decode(MemberRow) == self.own_row():
                 self.row_version = found.version
                 return
             # An earlier life of this entry left without giving its claims on.
             self._has_gap = True
         version = ABSENT if found is None else found.version
-        value = self._describe()
+        value = self.own_row()
         outcome = await self._table.commit(
             Transaction(puts=[Put.of(key, version, value)])
         )
@@ -226,7 +230,7 @@
 
     async def _ask_sync(self, row: MemberRow) -> SyncReply | None:
         """Return a member's claims, None if it does not answer."""
-        request = SyncRequest(member=self._describe())
+        request = SyncRequest(member=self.own_row())
         try:
             reply = await self._peers.call(
                 row.claims, SYNC, request, timeout=_SYNC_TIMEOUT
@@ -244,7 +248,7 @@
         """Drop members whose rows are gone, and remove rows of gone entries."""
         asked_at = self._clock.elapsed()
         rows = await self._table.scan(MEMBER_PREFIX)
-        own = [r for r in rows if r.key == MEMBER_PREFIX + self._describe().entry]
+        own = [r for r in rows if r.key == MEMBER_PREFIX + self.own_row().entry]
         if not own or own[0].version != self.row_version:
             self.leave()
             return
@@ -277,7 +281,7 @@
         present = []
         for row in rows:
             member = row.decode(MemberRow)
-            if member == self._describe():
+            if member == self.own_row():
                 continue
             if member.incarnation in live:
                 present.append(member)
--- a/coltsfoottray/tasks/owner.py
+++ b/coltsfoottray/tasks/owner.py
@@ -29,6 +29,9 @@
 # Pushes make changes known at once; this bounds the delay if one is lost.
 RELOAD_INTERVAL = timedelta(seconds=10)
 _TICK = timedelta(milliseconds=250)
+_WAKE_PAUSE = timedelta(milliseconds=100)
+# Reports lag anyway, and are the same until the next announcement.
+_LEARN_INTERVAL = timedelta(seconds=2)
 MAX_CONCURRENT = 64
 
 
@@ -88,6 +91,7 @@
     ) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._wake_on_announcements)
+            nursery.start_soon(self._learn_slowdowns)
             task_status.started()
             while True:
                 self._follow_ownership(nursery)
@@ -201,10 +205,20 @@
             owned.changed = trio.Event()
 
     async def _wake_on_announcements(self) -> None:
+        """Look again after announcements, but not after each single one.
+
+        Looking takes time in proportion to the tasks that run; with hundreds
+        of workers announcements come many times within one pause.
+        """
         while True:
             await self._registry.wait_changed()
-            self._views.learn_slowdowns()
             self._signal()
+            await self._clock.sleep(_WAKE_PAUSE)
+
+    async def _learn_slowdowns(self) -> None:
+        while True:
+            await self._clock.sleep(_LEARN_INTERVAL)
+            self._views.learn_slowdowns()
 
     def _signal(self) -> None:
         self._wake.set()
