A start that is long over is checked against the table; quicker renewals

Two gaps: an attendant forgets an ended attempt, so a start repeated by an owner that was replaced without knowing it ran the task again; and a renewal that hung as the table came back cost a worker its lease (time-out 2 s and pause 1 s of 3 s).

Ruled out: remembering every ended attempt (lost at a restart).

Change: a start without a reservation is granted only if the table's row names this attempt, worker and term; renewals are bounded by a third of the lease and repeated after a tenth.

--- a/coltsfoottray/leases/worker.py
+++ b/coltsfoottray/leases/worker.py
@@ -118,12 +118,16 @@
         await self._try_renew()
         task_status.started()
         while True:
-            await self._clock.sleep(self._lease / 3)
+            # After a failure sooner: a renewal that comes back from an outage
+            # late by one interval and one time-out could be too late.
+            is_renewed = self._version is not None
+            await self._clock.sleep(self._lease / (3 if is_renewed else 10))
             await self._try_renew()
 
     async def _try_renew(self) -> None:
         try:
-            await self._renew()
+            with trio.move_on_after((self._lease / 3).total_seconds()):
+                await self._renew()
         except TableUnavailable as error:
             log_event("lease:worker-not-renewed", error=str(error))
         except CommunicationError as error:
--- a/coltsfoottray/worker/attendant.py
+++ b/coltsfoottray/worker/attendant.py
@@ -131,11 +131,40 @@
         refusal = self._judge(request.incarnation, spec.task, request.attempt)
         if refusal is None and request.term != self._lease.term:
             refusal = Verdict.WRONG_LIFE
+        if refusal is None:
+            refusal = await self._judge_start(request)
         verdict = refusal or self._hold(spec.task, request.attempt, spec.demand)
         if verdict is Verdict.GRANTED:
             verdict = await self._start_held(request)
         return self._reply(verdict)
 
+    async def _judge_start(self, request: StartRequest) -> Verdict | None:
+        """Return why the attempt may not start, None if the table has it here.
+
+        Where its room is held the owner has just reserved it. Otherwise the
+        start may come from an owner that has lost the table, for a task that
+        has long ended under another owner and was forgotten here.
+        """
+        task = request.spec.task
+        held = self._ledger.reservation_by_task.get(task)
+        if held is not None and held.attempt == request.attempt:
+            return None
+        try:
+            stored = await self._store.find(request.spec.customer, task)
+        except TableUnavailable as error:
+            log_event("worker:start-unchecked", task=task, error=str(error))
+            return Verdict.NO_LEASE
+        is_here = (
+            stored is not None
+            and stored.row.state is TaskState.RUNNING
+            and stored.row.attempt == request.attempt
+            and stored.row.worker == self._worker
+            and stored.row.term == request.term
+        )
+        if not is_here:
+            return Verdict.STOPPED
+        return self._judge(request.incarnation, task, request.attempt)
+
     async def stop_attempt(self, request: StopRequest) -> StopReply:
         """Answer `STOP`: afterwards the attempt never runs here again."""
         if request.incarnation != self._incarnation or not self._is_ready:
--- a/tests/steps/task_steps.py
+++ b/tests/steps/task_steps.py
@@ -6,6 +6,7 @@
 
 from coltsfoottray.leases import as_partition
 from coltsfoottray.types import TaskState
+from coltsfoottray.worker import StartRequest
 from tests.support.world import CUSTOMERS, World
 
 
@@ -55,7 +56,9 @@
 )
 def submit_elsewhere(context, customer, task, seconds):
     others = [n for n in context.world.cell.entry_by_name if n != context.paused]
-    status = context.world.submit(others[0], task, customer, runtime_s=seconds)
+    status = context.world.submit(
+        others[0], task, customer, runtime_s=seconds, worth=9.0
+    )
     assert status == 202, status
 
 
@@ -235,3 +238,27 @@
     context.world.advance(1)
     for name, entry in context.world.cell.entry_by_name.items():
         assert entry.views.known_tasks == 0, (name, entry.views.known_tasks)
+
+
+@when("the table is down for {ms:d} ms, and {more:d} ms more for the workers")
+def table_down_longer_for_workers(context, ms, more):
+    world = context.world
+    table_down_for(context, ms - 1)
+    cuts = {frozenset((worker, "table")) for worker in world.cell.worker_by_name}
+    world.fabric.cut.update(cuts)
+    world.advance(more / 1000)
+    world.fabric.cut.clear()
+
+
+@when('the worker of "{task}" is asked again to start it')
+def start_again(context, task):
+    row = context.world.rows()[task]
+    daemon = context.world.cell.worker_by_name[row.worker]
+    request = StartRequest(
+        spec=row.spec,
+        attempt=row.attempt,
+        checkpoint=row.checkpoint,
+        term=row.term,
+        incarnation=daemon.incarnation,
+    )
+    context.world.run(daemon.attendant.start, request)
--- a/tests/tasks/one_place.feature
+++ b/tests/tasks/one_place.feature
@@ -145,3 +145,27 @@
     When 4 customers each submit 3 tasks of 1 processors
     Then every task is finished
     And no entry remembers any task
+
+  Scenario: A start arrives for an attempt that is long over
+    # An owner that was replaced without knowing it finds its task in no report
+    # and asks for the start again. The task has ended under the next owner, and
+    # the attendant has forgotten it; only the table knows.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 1 s
+    Then the task "b1" is finished
+    When 2000 ms pass
+    And the worker of "b1" is asked again to start it
+    And 5000 ms pass
+    Then "b1" was started 1 times
+    And no worker was ever overcommitted, and nothing ran twice
+
+  Scenario: The table comes back to the entries before it does to the workers
+    # After an outage the entries read rows that nobody could renew. The workers
+    # need a moment more; they must not be declared lost meanwhile.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 10 s
+    And the task "b1" runs for 2000 ms
+    And the table is down for 20000 ms, and 1500 ms more for the workers
+    Then every task is finished
+    And "b1" was started 1 times
+    And no worker was ever overcommitted, and nothing ran twice
