One margin for clock rates; a service name nobody used is gone

Cause: read the whole change once more. The margin of a tenth between two clocks stood twice (claims and worker leases), and daemons/entry named a service that it never registered.

Change: the margin is in clock.py. Behaviour as before.

--- a/coltsfoottray/claims/members.py
+++ b/coltsfoottray/claims/members.py
@@ -19,7 +19,7 @@
     SyncReply,
     SyncRequest,
 )
-from coltsfoottray.clock import Clock
+from coltsfoottray.clock import CLOCK_RATE_MARGIN, Clock
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
@@ -32,8 +32,6 @@
 
 __all__ = ["ClaimMembers"]
 
-# Two clocks may run apart by this part of a duration, at the most.
-CLOCK_RATE_MARGIN = 0.1
 _SYNC_TIMEOUT = timedelta(seconds=2)
 _JOIN_PAUSE = timedelta(milliseconds=100)
 
--- a/coltsfoottray/clock.py
+++ b/coltsfoottray/clock.py
@@ -7,9 +7,11 @@
 
 import trio
 
-__all__ = ["Clock", "TrioClock", "as_microseconds"]
+__all__ = ["CLOCK_RATE_MARGIN", "Clock", "TrioClock", "as_microseconds"]
 
 
+# The clocks of two VMs may run apart by this part of a duration, at the most.
+CLOCK_RATE_MARGIN = 0.1
 _EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 _MICROSECOND = timedelta(microseconds=1)
 
--- a/coltsfoottray/daemons/entry.py
+++ b/coltsfoottray/daemons/entry.py
@@ -41,7 +41,6 @@
 __all__ = ["EntryDaemon"]
 
 REGISTRY = ServiceName("registry")
-DIRECTORY = ServiceName("entry-directory")
 JOURNAL = ServiceName("journal")
 METRICS = ServiceName("metrics")
 STORE = ServiceName("task-store")
--- a/coltsfoottray/leases/worker.py
+++ b/coltsfoottray/leases/worker.py
@@ -9,7 +9,7 @@
 import trio
 from returns.result import Success
 
-from coltsfoottray.clock import Clock
+from coltsfoottray.clock import CLOCK_RATE_MARGIN, Clock
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
@@ -32,8 +32,6 @@
 ]
 
 WORKER_PREFIX = "worker/"
-# Clocks of two VMs may run apart by this part of the lease, at the most.
-_CLOCK_RATE_MARGIN = 0.1
 
 
 class LeaseState(enum.Enum):
@@ -91,7 +89,7 @@
         self._clock = clock
         self._incarnation = incarnation
         self._lease = lease
-        self._usable = lease * (1 - _CLOCK_RATE_MARGIN)
+        self._usable = lease * (1 - CLOCK_RATE_MARGIN)
         self._row = WorkerLeaseRow(
             worker=worker,
             term=0,
