--- /dev/null
+++ b/coltsfoottray/agent/attendant.py
@@ -0,0 +1,389 @@
+"""Keeps one worker's lease, carries orders out and tells what has become of them."""
+
+from __future__ import annotations
+
+import math
+from datetime import timedelta
+
+import msgspec
+import trio
+
+from coltsfoottray.agent.pacing import FULL, Pace, ServiceFigure
+from coltsfoottray.agent.runs import Runs
+from coltsfoottray.agent.worker import (
+    Heartbeat,
+    Refusal,
+    StartRefused,
+    WorkerClock,
+    WorkerLink,
+    WorkerReplaced,
+)
+from coltsfoottray.clock import Clock
+from coltsfoottray.errors import CommunicationError
+from coltsfoottray.jobs.model import RunRef
+from coltsfoottray.kernel import Service
+from coltsfoottray.logs import log_event
+from coltsfoottray.scheduler.messages import (
+    Acknowledged,
+    Orders,
+    Report,
+    ReportReply,
+    StartOrder,
+)
+from coltsfoottray.types import Address
+
+__all__ = ["TaskAttendant"]
+
+# A look waits so long for an end: the figures of tasks are of the last half
+# second, and the lease is renewed as often.
+_LOOK_WAIT = timedelta(milliseconds=500)
+_RETRY = timedelta(milliseconds=100)
+
+# How far ahead the worker's lease reaches: an attendant that is killed has this
+# long to return (3.5 s for a VM without power, and its start), and a worker that
+# falls silent is given up after it.
+_WORKER_HORIZON = timedelta(seconds=6)
+
+# A worker's clock may be 2% slow: of a lease it is told a little less.
+_CLOCK_MARGIN = 0.975
+
+# A start that the worker would get with less lease than this is held back.
+_MIN_LEASE = timedelta(milliseconds=300)
+_MAX_LATE = 5
+
+
+class TaskAttendant(Service):
+    """Stands beside one worker.
+
+    Parameters
+    ----------
+    name : str
+        Stands for the VM in the scheduler's records.
+    address : Address
+        Where the scheduler sends orders.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        incarnation: str,
+        address: Address,
+        data_centre: str,
+        link: WorkerLink,
+        clock: Clock,
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._address = address
+        self._data_centre = data_centre
+        self._link = link
+        self._clock = clock
+        self._beat: Heartbeat | None = None
+        self._runs = Runs()
+        self._epoch = 0
+        self._session = 0
+        self._acknowledged = 0
+        self._lapsed_life = ""
+        self._is_reachable = False
+        self._reading: WorkerClock | None = None
+        # Until when the worker may run, and until when it has been told it may.
+        self._lease_end = timedelta(0)
+        self._told_end = timedelta(0)
+        self._pace = Pace()
+        self._percent_by_ref: dict[RunRef, int] = {}
+        self._nursery: trio.Nursery | None = None
+        self.news = trio.Event()
+
+    async def run(  # noqa: D102
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            while True:
+                if self._beat is None or not self._session:
+                    await self._clock.sleep(_RETRY)
+                else:
+                    await self._look(self._beat)
+                self._notice_lapse()
+
+    # What the worker says.
+
+    def take_heartbeat(self, beat: Heartbeat) -> None:
+        """Take in the worker's report about itself."""
+        known = self._beat
+        if known is not None and beat.life == known.life:
+            if beat.sequence <= known.sequence:
+                return
+            if beat.is_draining and not known.is_draining:
+                log_event(
+                    "worker:draining",
+                    life=beat.life,
+                    remaining_s=beat.remaining.total_seconds(),
+                )
+                self._tell()
+            self._beat = beat
+            return
+        if known is not None and beat.born_ms <= known.born_ms:
+            log_event("worker:old-heartbeat", life=beat.life, current=known.life)
+            return
+        log_event("worker:new-life", life=beat.life, before=known and known.life)
+        self._begin_life(beat)
+
+    def take_leave(self, life_id: str) -> None:
+        """Hear that the worker is about to end."""
+        if self._beat is not None and self._beat.life.startswith(f"{life_id}/"):
+            log_event("worker:leaves", life=self._beat.life)
+            self._is_reachable = False
+            self._tell()
+
+    def _begin_life(self, beat: Heartbeat) -> None:
+        self._beat = beat
+        self._runs = Runs()
+        self._acknowledged = 0
+        self._reading = None
+        self._told_end = timedelta(0)
+        self._percent_by_ref = {}
+        self._is_reachable = True
+        self._tell()
+
+    async def _look(self, beat: Heartbeat) -> None:
+        asked = self._clock.elapsed()
+        try:
+            look = await self._link.look(
+                beat=beat,
+                fence=self._session,
+                lease_end_ms=self._lease_ms(asked),
+                acknowledged=self._acknowledged,
+                wait=_LOOK_WAIT if self._reading is not None else timedelta(0),
+            )
+        except (CommunicationError, WorkerReplaced) as error:
+            if self._is_reachable:
+                log_event("worker:lost", life=beat.life, reason=str(error))
+            self._is_reachable = False
+            await self._clock.sleep(_RETRY)
+            return
+        if self._beat is None or beat.life != self._beat.life:
+            return
+        if not self._is_reachable:
+            log_event("worker:reached", life=beat.life)
+        self._is_reachable = True
+        self._reading = look.clock
+        if self._runs.take(look, asked=asked):
+            self._tell()
+        await self._adjust_pace(beat)
+
+    def _lease_ms(self, now: timedelta) -> int:
+        """Return the end of the lease on the worker's clock, 0 for no change.
+
+        The reading was made before it arrived here, so that the clock is at least
+        as far by then; less the margin, the lease ends in time on a slow clock.
+        """
+        end = min(self._lease_end, now + _WORKER_HORIZON)
+        if self._reading is None or end <= now:
+            return 0
+        ahead = (end - self._reading.received) * _CLOCK_MARGIN
+        self._told_end = max(self._told_end, end)
+        return self._reading.reading_ms + math.floor(ahead.total_seconds() * 1000)
+
+    def _notice_lapse(self) -> None:
+        """Give up the runs of a worker that is silent past its lease.
+
+        Without this the tasks of a worker that has vanished would wait for the
+        scheduler to miss this attendant too, which goes on reporting.
+        """
+        if self._beat is None or self._is_reachable or not self._told_end:
+            return
+        if self._clock.elapsed() <= self._told_end:
+            return
+        log_event("worker:lease-lapsed", life=self._beat.life)
+        self._lapsed_life = self._beat.life
+        self._told_end = timedelta(0)
+        self._session = 0
+        self._runs = Runs()
+        self._tell()
+
+    async def _adjust_pace(self, beat: Heartbeat) -> None:
+        runs = self._runs
+        figures = []
+        fillers = []
+        for status in runs.running:
+            order = runs.order_by_ref.get(status.ref)
+            if order is None:
+                continue
+            if order.is_filler:
+                fillers.append(status.ref)
+            if order.target_latency_ms and status.figure > 0:
+                figures.append(
+                    ServiceFigure(
+                        latency_ms=status.figure, target_ms=order.target_latency_ms
+                    )
+                )
+        percent = self._pace.adjust(figures)
+        self._percent_by_ref = {
+            ref: set_before
+            for ref, set_before in self._percent_by_ref.items()
+            if ref in fillers
+        }
+        for ref in fillers:
+            if self._percent_by_ref.get(ref, FULL) != percent:
+                await self._set_pace(beat, ref, percent)
+
+    async def _set_pace(self, beat: Heartbeat, ref: RunRef, percent: int) -> None:
+        try:
+            await self._link.pace(
+                beat=beat, ref=ref, percent=percent, fence=self._session
+            )
+        except (CommunicationError, WorkerReplaced) as error:
+            # Not noted as set, so the next look's adjustment sets it again.
+            self._percent_by_ref.pop(ref, None)
+            log_event("worker:pace-failed", run=str(ref), reason=str(error))
+            return
+        self._percent_by_ref[ref] = percent
+        log_event("decision:pace", run=str(ref), percent=percent)
+
+    # What the scheduler says.
+
+    def report(self) -> Report:
+        """Return what is known now."""
+        runs = self._runs
+        beat = self._beat
+        report = Report(
+            worker=self._name,
+            incarnation=self._incarnation,
+            address=self._address,
+            data_centre=self._data_centre,
+            session=self._session,
+            lapsed_life=self._lapsed_life,
+            running=runs.running,
+            starting=[*runs.starting, *runs.started_by_ref],
+            ends=runs.ends,
+            rejected=list(runs.rejected_by_ref.values()),
+        )
+        if beat is None:
+            return report
+        return msgspec.structs.replace(
+            report,
+            life=beat.life,
+            service=beat.service,
+            capacity=beat.capacity,
+            labels=beat.labels,
+            rack=beat.rack,
+            is_draining=beat.is_draining,
+            remaining_ms=beat.remaining.total_seconds() * 1000,
+            is_reachable=self._is_reachable,
+        )
+
+    def take_reply(self, report: Report, reply: ReportReply, sent: timedelta) -> None:
+        """Take in the answer to a report that was sent at `sent`."""
+        if reply.epoch < self._epoch:
+            log_event("scheduler:outdated", epoch=reply.epoch, known=self._epoch)
+            return
+        self._epoch = reply.epoch
+        lease_end = sent + timedelta(milliseconds=reply.lease_ms)
+        self._lease_end = max(self._lease_end, lease_end)
+        if report.lapsed_life == self._lapsed_life:
+            self._lapsed_life = ""
+        for rejected in report.rejected:
+            self._runs.rejected_by_ref.pop(rejected.ref, None)
+        if reply.orders.session != self._session:
+            self._begin_session(reply.orders.session)
+        self._carry_out(reply.orders)
+
+    async def answer_orders(self, orders: Orders) -> Acknowledged:
+        """Take orders that the scheduler sends between reports."""
+        self._carry_out(orders)
+        return Acknowledged()
+
+    def _begin_session(self, session: int) -> None:
+        """Drop the starts under way: the reply names all that still hold."""
+        log_event("scheduler:session", session=session, before=self._session)
+        self._session = session
+        self._runs.starting.clear()
+        self._runs.stopped_by_ref.clear()
+
+    def _carry_out(self, orders: Orders) -> None:
+        beat = self._beat
+        if orders.session != self._session or beat is None or beat.life != orders.life:
+            return
+        self._acknowledged = max(self._acknowledged, orders.acknowledged)
+        assert self._nursery is not None
+        for order in orders.starts:
+            if order.ref in self._runs.stopped_by_ref:
+                continue
+            is_repeat = self._runs.is_there(order.ref)
+            self._runs.order_by_ref[order.ref] = order
+            if not is_repeat:
+                self._runs.starting.add(order.ref)
+                self._nursery.start_soon(self._start, order, beat, orders.session)
+        for ref in orders.stops:
+            if ref not in self._runs.stopped_by_ref:
+                self._runs.stopped_by_ref[ref] = None
+                self._nursery.start_soon(self._stop, ref, beat, orders.session)
+
+    async def _start(self, order: StartOrder, beat: Heartbeat, session: int) -> None:
+        runs = self._runs
+        late = 0
+        while self._is_current(session, runs) and order.ref in runs.starting:
+            if self._beat is None or self._beat.is_draining:
+                self._reject(order, Refusal.DRAINING)
+                return
+            now = self._clock.elapsed()
+            lease_end_ms = self._lease_ms(now)
+            if not lease_end_ms or self._lease_end - now < _MIN_LEASE:
+                await self._clock.sleep(_RETRY)
+                continue
+            try:
+                await self._link.start(
+                    beat=beat,
+                    ref=order.ref,
+                    payload=order.payload,
+                    checkpoint=order.checkpoint,
+                    fence=session,
+                    lease_end_ms=lease_end_ms,
+                )
+            except StartRefused as error:
+                late += error.reason is Refusal.LATE
+                if error.reason is not Refusal.LATE or late > _MAX_LATE:
+                    self._reject(order, error.reason)
+                    return
+            except (CommunicationError, WorkerReplaced) as error:
+                # It may have begun, or begin later; the same start asked for
+                # again finds out, and begins no second one.
+                log_event(
+                    "worker:start-unanswered", run=str(order.ref), reason=str(error)
+                )
+            else:
+                runs.starting.discard(order.ref)
+                runs.started_by_ref[order.ref] = self._clock.elapsed()
+                log_event("worker:started", run=str(order.ref), session=session)
+                return
+            await self._clock.sleep(_RETRY)
+
+    def _reject(self, order: StartOrder, reason: Refusal) -> None:
+        log_event("worker:refused", run=str(order.ref), reason=reason.value)
+        self._runs.reject(order.ref, reason)
+        self._tell()
+
+    async def _stop(self, ref: RunRef, beat: Heartbeat, session: int) -> None:
+        runs = self._runs
+        runs.starting.discard(ref)
+        runs.stopped_by_ref[ref] = None
+        while self._is_current(session, runs) and ref in runs.stopped_by_ref:
+            try:
+                await self._link.stop(beat=beat, ref=ref, fence=session)
+            except (CommunicationError, WorkerReplaced) as error:
+                log_event("worker:stop-unanswered", run=str(ref), reason=str(error))
+                await self._clock.sleep(_RETRY)
+                continue
+            runs.stopped_by_ref[ref] = self._clock.elapsed()
+            log_event("worker:stopped", run=str(ref), session=session)
+            return
+
+    def _is_current(self, session: int, runs: Runs) -> bool:
+        """Whether neither the session nor the worker's life has changed."""
+        return session == self._session and runs is self._runs
+
+    def _tell(self) -> None:
+        self.news.set()
--- a/coltsfoottray/cli/daemons.py
+++ b/coltsfoottray/cli/daemons.py
@@ -17,6 +17,7 @@
 from coltsfoottray.logs import start_logging
 from coltsfoottray.settings import (
     EntrySettings,
+    JobDaemonSettings,
     UpstreamSettings,
     WorkerSettings,
     load_settings,
@@ -61,7 +62,10 @@
 
 def check(settings: SettingsArgument) -> None:
     """Check a settings file without starting anything."""
-    loaded = _load(settings)
+    result = load_settings(settings)
+    if isinstance(result, Failure):
+        fail("\n".join(str(error) for error in result.failure()), code=2)
+    loaded = result.unwrap()
     typer.echo(f"{settings}: good settings of {loaded.role} {loaded.name!r}")
 
 
@@ -69,7 +73,10 @@
     loaded = load_settings(path)
     if isinstance(loaded, Failure):
         fail("\n".join(str(error) for error in loaded.failure()), code=2)
-    return loaded.unwrap()
+    settings = loaded.unwrap()
+    if isinstance(settings, JobDaemonSettings):
+        fail(f"{path}: role: {settings.role!r} is run by `coltsfoottray run`", code=2)
+    return settings
 
 
 def _make_attendant(settings: UpstreamSettings | WorkerSettings) -> Daemon:
--- a/coltsfoottray/cli/main.py
+++ b/coltsfoottray/cli/main.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from coltsfoottray.cli import daemons, demo, lists, queries
+from coltsfoottray.cli import daemons, demo, lists, queries, run
 
 __all__ = ["app"]
 
@@ -15,6 +15,7 @@
 )
 app.command("entry")(daemons.run_entry)
 app.command("attendant")(daemons.run_attendant)
+app.command("run")(run.run)
 app.command("check")(daemons.check)
 app.command("demo")(demo.demo)
 app.command("explain")(queries.explain)
--- a/coltsfoottray/clock.py
+++ b/coltsfoottray/clock.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import abc
+import time
 from datetime import UTC, datetime, timedelta
 
 import trio
 
-__all__ = ["CLOCK_RATE_MARGIN", "Clock", "TrioClock", "as_microseconds"]
+__all__ = [
+    "CLOCK_RATE_MARGIN",
+    "Clock",
+    "SuspendAwareClock",
+    "TrioClock",
+    "as_microseconds",
+    "as_milliseconds",
+]
 
 
 # The clocks of two VMs may run apart by this part of a duration, at the most.
@@ -21,6 +29,11 @@
     return (moment - _EPOCH) // _MICROSECOND
 
 
+def as_milliseconds(moment: datetime) -> int:
+    """Return `moment` as whole milliseconds since 1970."""
+    return as_microseconds(moment) // 1000
+
+
 class Clock(abc.ABC):
     """What time it is, and how to wait.
 
@@ -52,3 +65,14 @@
 
     async def sleep(self, duration: timedelta) -> None:  # noqa: D102
         await trio.sleep(max(duration.total_seconds(), 0.0))
+
+
+class SuspendAwareClock(TrioClock):
+    """A clock whose `elapsed` also counts the time in which the VM is suspended.
+
+    The usual monotonic clock stands still meanwhile: a lease measured by it would
+    seem to have seconds left that are long over for everybody else.
+    """
+
+    def elapsed(self) -> timedelta:  # noqa: D102
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
--- /dev/null
+++ b/coltsfoottray/daemons/job_attendant.py
@@ -0,0 +1,85 @@
+"""An attendant beside a worker that runs jobs' tasks."""
+
+from __future__ import annotations
+
+import trio
+
+from coltsfoottray.agent.attendant import TaskAttendant
+from coltsfoottray.agent.reporter import Reporter
+from coltsfoottray.daemons.job_common import JobDaemon, read_members
+from coltsfoottray.jobs.keys import LEASE_KEY
+from coltsfoottray.kernel import Kernel, ServiceName
+from coltsfoottray.logs import log_event
+from coltsfoottray.platform import TableUnavailable
+from coltsfoottray.platform.heartbeats import HeartbeatHandler
+from coltsfoottray.platform.instance import InstanceLink
+from coltsfoottray.scheduler.lease import LeaseRow
+from coltsfoottray.scheduler.messages import ORDERS
+from coltsfoottray.settings import JobAttendantSettings
+from coltsfoottray.types import Address, Role
+
+__all__ = ["JobAttendantDaemon"]
+
+_ATTENDANT = ServiceName("attendant")
+_REPORTER = ServiceName("reporter")
+_HEARTBEATS = ServiceName("heartbeats")
+_LAST_REPORT_S = 0.5
+
+
+class JobAttendantDaemon(JobDaemon):
+    """Owns the parts of one attendant."""
+
+    role = Role.WORKER
+
+    def __init__(
+        self, *, settings: JobAttendantSettings, kernel: Kernel | None = None
+    ) -> None:
+        super().__init__(settings=settings, kernel=kernel)
+        self.settings = settings
+        self._entries: list[Address] = []
+        self.attendant = TaskAttendant(
+            name=settings.name,
+            incarnation=self.incarnation,
+            address=settings.peers,
+            data_centre=settings.data_centre,
+            link=InstanceLink(transport=self.transport, clock=self.clock),
+            clock=self.clock,
+        )
+        self.handlers.add(ORDERS, self.attendant.answer_orders)
+        self.register_peer_server()
+        handler = HeartbeatHandler(attendant=self.attendant)
+        server = self.listeners.http(settings.heartbeats, handler.handle)
+        self.kernel.register(_HEARTBEATS, server)
+        self.kernel.register(_ATTENDANT, self.attendant)
+        reporter = Reporter(
+            attendant=self.attendant,
+            peers=self.peers,
+            clock=self.clock,
+            candidates=self._find_entries,
+        )
+        self.kernel.register(_REPORTER, reporter)
+
+    async def shut_down(self) -> None:
+        """End soon: the worker's lease outlasts a restart."""
+        log_event("daemon:shutdown", name=self.name)
+        with trio.move_on_after(_LAST_REPORT_S):
+            await self.kernel.stop()
+        self.kernel.cancel()
+
+    async def _find_entries(self) -> list[Address]:
+        """Return who may be the scheduler, the likeliest first."""
+        named: list[Address] = []
+        try:
+            row = await self.table.get(LEASE_KEY)
+            if row is not None:
+                named.append(row.decode(LeaseRow).address)
+            if not self._entries:
+                members = await read_members(self.table)
+                self._entries = [
+                    member.address for member in members if member.role is Role.ENTRY
+                ]
+        except TableUnavailable as error:
+            log_event("table:unavailable", reason=str(error))
+        others = [*self._entries, *self.seeds]
+        self.random.shuffle(others)
+        return list(dict.fromkeys([*named, *others]))
--- /dev/null
+++ b/coltsfoottray/jobs/mirror.py
@@ -0,0 +1,135 @@
+"""A copy of one group of rows in memory, kept up by the table's changes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+import msgspec
+import trio
+
+from coltsfoottray.clock import Clock
+from coltsfoottray.kernel import Service
+from coltsfoottray.logs import log_event
+from coltsfoottray.platform import HistoryLost, Row, TableUnavailable, WatchedTable
+
+__all__ = ["Mirror"]
+
+# How long the table holds a request for changes when there are none. A process
+# learns within it, and its timeout, that its way to the table is gone.
+_WAIT = timedelta(seconds=1)
+_RETRY = timedelta(milliseconds=200)
+_NULL = msgspec.Raw(b"null")
+
+
+class Mirror(Service):
+    """Calls `on_row` for each row and each change, in the order of versions.
+
+    Parameters
+    ----------
+    prefixes : list of str
+        The shards of the group, for the first read.
+    pause : timedelta
+        Between two requests for changes: each is a priced call, and what comes
+        in between travels together.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: WatchedTable,
+        group: str,
+        prefixes: Sequence[str],
+        on_row: Callable[[Row], None],
+        clock: Clock,
+        pause: timedelta,
+    ) -> None:
+        self._table = table
+        self._group = group
+        self._prefixes = prefixes
+        self._on_row = on_row
+        self._clock = clock
+        self._pause = pause
+        self._version_by_key: dict[str, int] = {}
+        self._version = 0
+        self.loaded = trio.Event()
+        self.fresh: timedelta | None = None
+        self._is_failing = False
+
+    def age(self) -> timedelta:
+        """Return how old the copy may be."""
+        if self.fresh is None:
+            return timedelta(days=1)
+        return self._clock.elapsed() - self.fresh
+
+    def age_s(self) -> float:
+        """Return `age` in seconds, for logs."""
+        return round(self.age().total_seconds(), 3)
+
+    async def run(  # noqa: D102
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        task_status.started()
+        while True:
+            try:
+                await self._load()
+                while True:
+                    await self._follow()
+                    await self._clock.sleep(self._pause)
+            except HistoryLost as error:
+                log_event("mirror:history-lost", group=self._group, reason=str(error))
+            except TableUnavailable as error:
+                self._note_failure(error)
+                await self._clock.sleep(_RETRY)
+
+    async def _load(self) -> None:
+        """Read every row, unless the changes since the last one are there."""
+        if self.loaded.is_set() and await self._can_resume():
+            return
+        asked = self._clock.elapsed()
+        snapshots = [await self._table.snapshot(each) for each in self._prefixes]
+        found = {row.key: row for each in snapshots for row in each.rows}
+        for key in [key for key in self._version_by_key if key not in found]:
+            # Deleted while nobody told: the version is only known to be newer.
+            version = self._version_by_key[key] + 1
+            self._take(Row(key=key, value=_NULL, version=version, is_deleted=True))
+        for row in sorted(found.values(), key=lambda row: row.version):
+            self._take(row)
+        self._version = min(each.version for each in snapshots)
+        self._note_success(asked)
+        self.loaded.set()
+
+    async def _can_resume(self) -> bool:
+        try:
+            await self._follow(wait=timedelta(0))
+        except HistoryLost:
+            return False
+        return True
+
+    async def _follow(self, wait: timedelta = _WAIT) -> None:
+        asked = self._clock.elapsed()
+        changes = await self._table.changes(self._group, after=self._version, wait=wait)
+        for row in changes.rows:
+            self._take(row)
+        self._version = changes.version
+        self._note_success(asked)
+
+    def _take(self, row: Row) -> None:
+        if self._version_by_key.get(row.key, 0) >= row.version:
+            return
+        if row.is_deleted:
+            self._version_by_key.pop(row.key, None)
+        else:
+            self._version_by_key[row.key] = row.version
+        self._on_row(row)
+
+    def _note_success(self, asked: timedelta) -> None:
+        self.fresh = asked
+        if self._is_failing:
+            self._is_failing = False
+            log_event("table:regained", group=self._group, version=self._version)
+
+    def _note_failure(self, error: TableUnavailable) -> None:
+        if not self._is_failing:
+            self._is_failing = True
+            log_event("table:lost", group=self._group, reason=str(error))
--- /dev/null
+++ b/coltsfoottray/jobs/view.py
@@ -0,0 +1,74 @@
+"""What an entry knows of all jobs, from the rows as it has seen them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from coltsfoottray.jobs.keys import LEASE_KEY, job_of
+from coltsfoottray.jobs.model import AcceptedJob, JobId
+from coltsfoottray.jobs.records import JobState
+from coltsfoottray.logs import log_event
+from coltsfoottray.platform import Row
+
+__all__ = ["JobsView", "StoredState"]
+
+
+class StoredState(msgspec.Struct, frozen=True, kw_only=True):
+    """The part of a job's progress that callers ask for."""
+
+    state: JobState = JobState.QUEUED
+    has_started: bool = False
+
+
+_NOT_BEGUN = StoredState()
+
+
+class JobsView:
+    """Accepted jobs, their states and cancellations; states may be a little old."""
+
+    def __init__(self) -> None:
+        self.job_by_id: dict[JobId, AcceptedJob] = {}
+        self.cancelled: set[JobId] = set()
+        self._state_by_id: dict[JobId, StoredState] = {}
+
+    def take(self, row: Row) -> None:
+        """Take in a row or its deletion."""
+        if row.key == LEASE_KEY or "." not in row.key.rsplit("/", 1)[1]:
+            return
+        job_id = job_of(row.key)
+        try:
+            self._take(row, job_id)
+        except msgspec.DecodeError as error:
+            log_event("jobs:row-unreadable", key=row.key, reason=str(error))
+
+    def _take(self, row: Row, job_id: JobId) -> None:
+        if "/scheduler/" in row.key:
+            if row.is_deleted:
+                self._state_by_id.pop(job_id, None)
+            else:
+                self._state_by_id[job_id] = row.decode(StoredState)
+        elif "/cancel." in row.key:
+            if row.is_deleted:
+                self.cancelled.discard(job_id)
+            else:
+                self.cancelled.add(job_id)
+        elif row.is_deleted:
+            self.job_by_id.pop(job_id, None)
+        else:
+            self.job_by_id[job_id] = row.decode(AcceptedJob)
+
+    def state_of(self, job_id: JobId) -> JobState:
+        """Return the state of a job that was accepted."""
+        state = self._state_by_id.get(job_id, _NOT_BEGUN).state
+        if job_id in self.cancelled and not state.is_final:
+            return JobState.CANCELLED
+        return state
+
+    def pending(self, queue: str) -> int:
+        """Count the jobs of a queue of which no task has been started."""
+        return sum(
+            job.queue == queue
+            and job.id not in self.cancelled
+            and not self._state_by_id.get(job.id, _NOT_BEGUN).has_started
+            for job in self.job_by_id.values()
+        )
--- a/coltsfoottray/kernel/kernel.py
+++ b/coltsfoottray/kernel/kernel.py
@@ -69,6 +69,10 @@
         """Let each service finish, last started first, then end `run`."""
         for service in reversed(self._services()):
             await service.stop()
+        self.cancel()
+
+    def cancel(self) -> None:
+        """End `run` without waiting for anything."""
         if self._cancel_scope is not None:
             self._cancel_scope.cancel()
 
--- a/coltsfoottray/logs.py
+++ b/coltsfoottray/logs.py
@@ -23,16 +23,25 @@
 
 
 def start_logging(
-    settings: LogSettings, *, level: str | None = None, file: str | None = None
+    settings: LogSettings,
+    *,
+    level: str | None = None,
+    file: str | None = None,
+    default: IO[Any] | None = None,
 ) -> None:
-    """Send log lines where `settings`, or the two options, say."""
+    """Send log lines where `settings`, or the two options, say.
+
+    Without a file they go to `default`, which is standard error if not given.
+    """
     chosen = level or settings.level
     if chosen not in _LEVELS:
         raise InputError(
             field="--log-level", value=chosen, expected=f"one of {_LEVELS}"
         )
     name = file or settings.file
-    stream: IO[Any] = sys.stderr if name is None else open(name, "a")  # noqa: SIM115
+    stream = default or sys.stderr
+    if name is not None:
+        stream = open(name, "a")  # noqa: SIM115
     eliot.add_destinations(_as_destination(stream, chosen))
 
 
--- a/coltsfoottray/platform/__init__.py
+++ b/coltsfoottray/platform/__init__.py
@@ -3,31 +3,39 @@
 from __future__ import annotations
 
 from coltsfoottray.platform.common import (
+    Changes,
     Check,
+    HistoryLost,
     ObjectStore,
     Put,
     Row,
     RunningTask,
+    Snapshot,
     TableConflict,
     TableService,
     TableUnavailable,
     TaskStart,
     Transaction,
+    WatchedTable,
     WorkerControl,
     WorkerDescription,
 )
 
 __all__ = [
+    "Changes",
     "Check",
+    "HistoryLost",
     "ObjectStore",
     "Put",
     "Row",
     "RunningTask",
+    "Snapshot",
     "TableConflict",
     "TableService",
     "TableUnavailable",
     "TaskStart",
     "Transaction",
+    "WatchedTable",
     "WorkerControl",
     "WorkerDescription",
 ]
--- a/coltsfoottray/platform/common.py
+++ b/coltsfoottray/platform/common.py
@@ -16,16 +16,20 @@
 
 __all__ = [
     "ABSENT",
+    "Changes",
     "Check",
+    "HistoryLost",
     "ObjectStore",
     "Put",
     "Row",
     "RunningTask",
+    "Snapshot",
     "TableConflict",
     "TableService",
     "TableUnavailable",
     "TaskStart",
     "Transaction",
+    "WatchedTable",
     "WorkerControl",
     "WorkerDescription",
 ]
@@ -37,11 +41,12 @@
 
 
 class Row(msgspec.Struct, frozen=True, kw_only=True):
-    """A row; `version` counts its writes from 1 and is never reused."""
+    """A row; `version` rises with each of its writes and is never reused."""
 
     key: str
     value: msgspec.Raw
     version: int
+    is_deleted: bool = False
 
     def decode(self, kind: type[T]) -> T:
         """Return the value as a `kind`."""
@@ -132,6 +137,48 @@
         """Return the rows whose key begins with `prefix`, in key order."""
 
 
+class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """Rows as of one moment; changes after it follow from `version` on."""
+
+    rows: list[Row]
+    version: int
+
+
+class Changes(msgspec.Struct, frozen=True, kw_only=True):
+    """What changed, in order; the next changes follow from `version` on."""
+
+    rows: list[Row]
+    version: int
+
+
+class HistoryLost(ColtsfoottrayError):
+    """The changes asked for are no longer kept; read the rows again."""
+
+
+class WatchedTable(TableService):
+    """A table service that tells what changes.
+
+    Keys are `group/shard/name`. A transaction keeps to one shard of any groups;
+    a group is what can be watched as a whole.
+    """
+
+    @abc.abstractmethod
+    async def snapshot(self, prefix: str) -> Snapshot:
+        """Return the rows under `group/shard/`, raising `TableUnavailable`."""
+
+    @abc.abstractmethod
+    async def changes(self, group: str, *, after: int, wait: timedelta) -> Changes:
+        """Return the changes of `group` since `after`, none after `wait`.
+
+        Raises
+        ------
+        TableUnavailable
+            If no answer came.
+        HistoryLost
+            If `after` is too long ago.
+        """
+
+
 class ObjectStore(abc.ABC):
     """The platform's object store: whole objects by name, last write wins.
 
--- /dev/null
+++ b/coltsfoottray/platform/heartbeats.py
@@ -0,0 +1,43 @@
+"""Workers' reports about themselves, as the platform sends them."""
+
+from __future__ import annotations
+
+import re
+
+from returns.result import Failure
+
+from coltsfoottray.agent.attendant import TaskAttendant
+from coltsfoottray.http import HttpRequest, HttpResponse
+from coltsfoottray.logs import log_event
+from coltsfoottray.platform.instance import read_heartbeat
+
+__all__ = ["HeartbeatHandler"]
+
+_PATH = re.compile(r"/v1/instances/([^/]+)/(heartbeat|deregister)")
+
+
+class HeartbeatHandler:
+    """Passes reports on to the attendant."""
+
+    def __init__(self, *, attendant: TaskAttendant) -> None:
+        self._attendant = attendant
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one report."""
+        match = _PATH.fullmatch(request.path)
+        if request.method != "POST" or match is None:
+            return HttpResponse(status=404)
+        instance, verb = match.groups()
+        if verb == "deregister":
+            self._attendant.take_leave(instance)
+            return HttpResponse.of_json({})
+        beat = read_heartbeat(instance, request.body)
+        if isinstance(beat, Failure):
+            log_event(
+                "worker:heartbeat-unreadable",
+                instance=instance,
+                reason=beat.failure(),
+            )
+            return HttpResponse(status=400)
+        self._attendant.take_heartbeat(beat.unwrap())
+        return HttpResponse.of_json({})
--- /dev/null
+++ b/coltsfoottray/platform/ingress.py
@@ -0,0 +1,189 @@
+"""Callers' requests about jobs, as the platform's consumers send them."""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import msgspec
+
+from coltsfoottray.errors import InputError
+from coltsfoottray.http import HttpRequest, HttpResponse
+from coltsfoottray.jobs.config import ConfigHolder, Queue
+from coltsfoottray.jobs.intake import Intake, JobAnswer, Verdict
+from coltsfoottray.jobs.model import JobId, JobSpec, Repetition, StepSpec
+from coltsfoottray.types import Resources
+
+__all__ = ["JobIngress"]
+
+_JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+_MILLI = 1000.0
+_MB_PER_GB = 1000.0
+_DEFAULT_DEADLINE = timedelta(seconds=3)
+_STATUS_BY_VERDICT = {
+    Verdict.DONE: 200,
+    Verdict.NOT_DONE: 503,
+    Verdict.UNKNOWN: 504,
+    Verdict.NO_JOB: 410,
+}
+
+
+class _Step(msgspec.Struct):
+    count: int = 1
+    cpu: float = 0.0  # thousandths of a core
+    memoryLimitMb: float = 0.0  # noqa: N815  what a task is given
+    gpu: int = 0
+    estimateMs: float = 0.0  # noqa: N815
+    after: list[int] = msgspec.field(default_factory=list)
+    checkpointing: bool = False
+    gang: bool = False
+    sameRack: bool = False  # noqa: N815  a wish: slower otherwise
+    requirements: str = ""  # one label of a worker
+    affinity: str = ""  # the rack of its data
+    # Despite its name no list of what to avoid: the most tasks on one worker.
+    antiAffinity: int = 0  # noqa: N815
+    speculative: bool = False
+    longRunning: bool = False  # noqa: N815
+    image: str = ""
+    targetMs: float = 0.0  # noqa: N815
+    fills: bool = False
+    mayMiss: int = 0  # noqa: N815
+
+
+class _Job(msgspec.Struct):
+    # What the tasks are passed, not the job's description.
+    spec: str
+    steps: list[_Step]
+    repetitions: int = 0
+    firstRunMs: int = 0  # noqa: N815
+    intervalMs: int = 0  # noqa: N815
+
+
+class JobIngress:
+    """Routes callers' requests to the intake.
+
+    Parameters
+    ----------
+    spawn : callable
+        Runs an async function in the background.
+    """
+
+    def __init__(
+        self,
+        *,
+        holder: ConfigHolder,
+        intake: Intake,
+        spawn: Callable[[Callable[[], Awaitable[None]]], None],
+    ) -> None:
+        self._holder = holder
+        self._intake = intake
+        self._spawn = spawn
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        if not self._holder.current.version:
+            return _refused(timedelta(seconds=1))
+        host = request.header_by_name.get("host", "").partition(":")[0]
+        queue = self._holder.current.find_queue(host, request.path)
+        if queue is None:
+            return HttpResponse(status=404)
+        name = request.path[len(queue.path_prefix) :]
+        if not name and request.method == "GET":
+            return HttpResponse.of_json({"pending": self._intake.pending(queue)})
+        if not _JOB_ID.fullmatch(name):
+            return _as_response(JobAnswer(verdict=Verdict.NO_JOB))
+        return await self._handle_job(request, queue, JobId(name))
+
+    async def _handle_job(
+        self, request: HttpRequest, queue: Queue, job_id: JobId
+    ) -> HttpResponse:
+        deadline = _deadline(request, queue)
+        if request.method == "POST":
+            spec = _read_job(request)
+            answer = await self._intake.submit(queue, job_id, spec, deadline=deadline)
+            if answer.verdict is Verdict.DONE:
+                self._spawn(lambda: self._intake.tell(job_id))
+            return _as_response(answer)
+        if request.method == "DELETE":
+            return _as_response(await self._intake.cancel(job_id, deadline=deadline))
+        if request.method == "GET":
+            return _as_response(await self._intake.state(job_id))
+        return HttpResponse(status=405)
+
+
+def _deadline(request: HttpRequest, queue: Queue) -> timedelta:
+    """Return how long the caller waits, at most the queue's timeout."""
+    timeout = timedelta(milliseconds=queue.timeout_ms)
+    text = request.header_by_name.get("deadline-ms", "")
+    if not text.isdigit():
+        return min(timeout, _DEFAULT_DEADLINE)
+    return min(timeout, timedelta(milliseconds=int(text)))
+
+
+def _read_job(request: HttpRequest) -> JobSpec:
+    wire = request.decode(_Job)
+    for number, step in enumerate(wire.steps):
+        if step.count < 1:
+            raise InputError(
+                field=f"steps[{number}].count", value=step.count, expected="1 or more"
+            )
+        for before in step.after:
+            if not 0 <= before < number:
+                raise InputError(
+                    field=f"steps[{number}].after",
+                    value=before,
+                    expected=f"an earlier step, 0 to {number - 1}",
+                )
+    repetition = None
+    if wire.repetitions > 0:
+        repetition = Repetition(
+            times=wire.repetitions,
+            first_ms=wire.firstRunMs,
+            interval_ms=wire.intervalMs,
+        )
+    return JobSpec(
+        payload=wire.spec,
+        steps=[_as_step(step) for step in wire.steps],
+        repetition=repetition,
+    )
+
+
+def _as_step(step: _Step) -> StepSpec:
+    return StepSpec(
+        count=step.count,
+        demand=Resources(
+            processors=step.cpu / _MILLI,
+            memory_gb=step.memoryLimitMb / _MB_PER_GB,
+            accelerators=step.gpu,
+        ),
+        estimate_ms=step.estimateMs,
+        after=step.after,
+        has_checkpoints=step.checkpointing,
+        is_gang=step.gang,
+        is_one_rack=step.sameRack,
+        label=step.requirements,
+        data_rack=step.affinity,
+        max_per_worker=step.antiAffinity,
+        is_speculative=step.speculative,
+        is_service=step.longRunning,
+        image=step.image,
+        target_latency_ms=step.targetMs,
+        is_filler=step.fills,
+        max_unavailable=step.mayMiss,
+    )
+
+
+def _as_response(answer: JobAnswer) -> HttpResponse:
+    if answer.verdict is Verdict.NOT_DONE and answer.come_back is not None:
+        return _refused(answer.come_back)
+    status = _STATUS_BY_VERDICT[answer.verdict]
+    if answer.state is not None:
+        return HttpResponse.of_json({"state": answer.state.value}, status=status)
+    return HttpResponse(status=status)
+
+
+def _refused(come_back: timedelta) -> HttpResponse:
+    seconds = max(1, math.ceil(come_back.total_seconds()))
+    return HttpResponse(status=503, header_by_name={"retry-after": str(seconds)})
--- /dev/null
+++ b/coltsfoottray/platform/instance.py
@@ -0,0 +1,297 @@
+"""The platform's calls to a worker, and the worker's heartbeats."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from coltsfoottray.agent.worker import (
+    EndKind,
+    Heartbeat,
+    Look,
+    Refusal,
+    RunEnd,
+    RunStatus,
+    StartRefused,
+    WorkerClock,
+    WorkerLink,
+    WorkerReplaced,
+)
+from coltsfoottray.clock import Clock
+from coltsfoottray.errors import CommunicationError, Step
+from coltsfoottray.http import HttpRequest, HttpResponse, HttpTransport
+from coltsfoottray.jobs.model import JobId, RunRef, TaskRef
+from coltsfoottray.types import Address, Resources
+
+__all__ = ["InstanceLink", "read_heartbeat"]
+
+# A worker answers an order in a few milliseconds; one that has not by then may
+# carry it out late, and asking again is harmless.
+ORDER_TIMEOUT = timedelta(milliseconds=700)
+_MB_PER_GB = 1000.0
+_MILLI = 1000.0
+_REPLACED = 421
+_UNHEALTHY = (429, 503)
+_REFUSAL_BY_REASON = {
+    "fence": Refusal.FENCED,
+    "old": Refusal.OLD,
+    "late": Refusal.LATE,
+    "room": Refusal.NO_ROOM,
+    "ticket": Refusal.NO_TICKET,
+}
+T = TypeVar("T")
+_END_BY_WORD = {kind.value: kind for kind in EndKind}
+
+
+class _Capacity(msgspec.Struct):
+    cpu: float = 0.0  # thousandths of a core
+    memoryLimitMb: float = 0.0  # noqa: N815  all that it has, not a limit on one
+    gpu: int = 0
+
+
+class _Beat(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    sequence: int
+    born: int
+    labels: list[str] = msgspec.field(default_factory=list)
+    remainingMs: float = 0.0  # noqa: N815
+
+
+class _Lists(msgspec.Struct):
+    clockMs: int  # noqa: N815
+    running: list[list[object]] = msgspec.field(default_factory=list)
+    finished: list[list[object]] = msgspec.field(default_factory=list)
+
+
+class _Refused(msgspec.Struct):
+    reason: str = ""
+
+
+class InstanceLink(WorkerLink):
+    """Calls a worker over HTTP."""
+
+    def __init__(self, *, transport: HttpTransport, clock: Clock) -> None:
+        self._transport = transport
+        self._clock = clock
+
+    async def look(  # noqa: D102
+        self,
+        *,
+        beat: Heartbeat,
+        fence: int,
+        lease_end_ms: int,
+        acknowledged: int,
+        wait: timedelta,
+    ) -> Look:
+        body: dict[str, object] = {
+            "fencingToken": fence,
+            "ackCursor": acknowledged,
+            "waitMs": int(wait.total_seconds() * 1000),
+        }
+        if lease_end_ms:
+            body["untilMs"] = lease_end_ms
+        response = await self._post(beat, "/v1/hold", body, ORDER_TIMEOUT + wait)
+        if response.status != 200:
+            raise _failed(beat, f"status {response.status}")
+        lists = _decode(beat, response, _Lists)
+        return Look(
+            clock=WorkerClock(reading_ms=lists.clockMs, received=self._clock.elapsed()),
+            running=[_as_status(beat, row) for row in lists.running],
+            ends=[_as_end(beat, row) for row in lists.finished],
+        )
+
+    async def start(  # noqa: D102
+        self,
+        *,
+        beat: Heartbeat,
+        ref: RunRef,
+        payload: str,
+        checkpoint: str,
+        fence: int,
+        lease_end_ms: int,
+    ) -> None:
+        body: dict[str, object] = {
+            "task": str(ref.task),
+            "run": ref.run,
+            "spec": payload,
+            "untilMs": lease_end_ms,
+            "fencingToken": fence,
+        }
+        if checkpoint:
+            body["checkpoint"] = checkpoint
+        response = await self._post(beat, "/v1/run-start", body, ORDER_TIMEOUT)
+        if response.status == 200:
+            return
+        if response.status in _UNHEALTHY:
+            raise StartRefused(reason=Refusal.UNHEALTHY)
+        if response.status == 400:
+            raise StartRefused(reason=Refusal.INVALID)
+        if response.status == 409:
+            reason = _decode(beat, response, _Refused).reason
+            if reason in _REFUSAL_BY_REASON:
+                raise StartRefused(reason=_REFUSAL_BY_REASON[reason])
+        raise _failed(beat, f"status {response.status}: {response.body[:200]!r}")
+
+    async def stop(  # noqa: D102
+        self, *, beat: Heartbeat, ref: RunRef, fence: int
+    ) -> None:
+        body: dict[str, object] = {
+            "task": str(ref.task),
+            "run": ref.run,
+            "fencingToken": fence,
+        }
+        response = await self._post(beat, "/v1/run-stop", body, ORDER_TIMEOUT)
+        if response.status != 200:
+            raise _failed(beat, f"status {response.status}: {response.body[:200]!r}")
+
+    async def pace(  # noqa: D102
+        self, *, beat: Heartbeat, ref: RunRef, percent: int, fence: int
+    ) -> None:
+        body: dict[str, object] = {
+            "task": str(ref.task),
+            "run": ref.run,
+            "percent": percent,
+            "fencingToken": fence,
+        }
+        response = await self._post(beat, "/v1/pace", body, ORDER_TIMEOUT)
+        if response.status != 200:
+            raise _failed(beat, f"status {response.status}: {response.body[:200]!r}")
+
+    async def _post(
+        self, beat: Heartbeat, path: str, body: object, timeout: timedelta
+    ) -> HttpResponse:
+        request = HttpRequest(
+            method="POST",
+            target=path,
+            header_by_name={
+                "content-type": "application/json",
+                "expect-instance": beat.life.split("/")[0],
+            },
+            body=msgspec.json.encode(body),
+        )
+        response = await self._transport.send(beat.address, request, timeout=timeout)
+        if response.status == _REPLACED:
+            raise WorkerReplaced(f"{beat.life} is no longer at {beat.address}")
+        _check_life(beat, response)
+        return response
+
+
+def read_heartbeat(instance: str, body: bytes) -> Result[Heartbeat, str]:
+    """Return a worker's report about itself, or why it cannot be used.
+
+    A worker may start again under the id it had, so its life is named by the id
+    and the moment of its start.
+    """
+    try:
+        beat = msgspec.json.decode(body, type=_Beat)
+    except msgspec.DecodeError as error:
+        return Failure(str(error))
+    host, _, port = beat.address.rpartition(":")
+    if not host or not port.isdigit():
+        return Failure(f"address: got {beat.address!r}, expected IP:port")
+    if beat.state not in ("ready", "draining"):
+        return Failure(f"state: got {beat.state!r}, expected ready or draining")
+    return Success(
+        Heartbeat(
+            life=f"{instance}/{beat.born}",
+            born_ms=beat.born,
+            service=beat.service,
+            address=Address(host=host, port=int(port)),
+            data_centre=beat.zone,
+            capacity=_as_resources(beat.capacity),
+            labels=beat.labels,
+            # The labels are the worker's kind, then its rack.
+            rack=beat.labels[1] if len(beat.labels) > 1 else "",
+            is_draining=beat.state == "draining",
+            remaining=timedelta(milliseconds=beat.remainingMs),
+            sequence=beat.sequence,
+        )
+    )
+
+
+class _Born(msgspec.Struct):
+    born: int = 0
+
+
+def _check_life(beat: Heartbeat, response: HttpResponse) -> None:
+    """Guard against a new life under the same id.
+
+    Its lists would be read as those of the life before: ends numbered anew, and
+    runs missing that are taken for runs not yet started. The moment of its
+    start, where the answer gives it, tells the two apart.
+    """
+    try:
+        born = msgspec.json.decode(response.body or b"{}", type=_Born).born
+    except msgspec.DecodeError as error:
+        raise _failed(beat, str(error)) from error
+    if born and f"/{born}" != beat.life[beat.life.rfind("/") :]:
+        raise WorkerReplaced(f"{beat.life} has started again at {born}")
+
+
+def _as_resources(capacity: _Capacity) -> Resources:
+    return Resources(
+        processors=capacity.cpu / _MILLI,
+        memory_gb=capacity.memoryLimitMb / _MB_PER_GB,
+        accelerators=capacity.gpu,
+    )
+
+
+def _as_status(beat: Heartbeat, row: Sequence[object]) -> RunStatus:
+    try:
+        task, run, saved, percent, *rest = row
+        return RunStatus(
+            ref=_as_ref(str(task), run),
+            checkpoint=str(saved),
+            percent=_as_float(percent),
+            figure=_as_float(rest[0]) if rest else 0.0,
+        )
+    except (ValueError, TypeError) as error:
+        raise _failed(beat, f"row {row!r}: {error}") from error
+
+
+def _as_end(beat: Heartbeat, row: Sequence[object]) -> RunEnd:
+    try:
+        number, task, run, how, saved, *_ = row
+        return RunEnd(
+            number=int(_as_float(number)),
+            ref=_as_ref(str(task), run),
+            kind=_END_BY_WORD[str(how)],
+            checkpoint=str(saved),
+        )
+    except (ValueError, TypeError, KeyError) as error:
+        raise _failed(beat, f"row {row!r}: {error}") from error
+
+
+def _as_ref(task: str, run: object) -> RunRef:
+    job, occurrence, step, index = task.split(".")
+    ref = TaskRef(
+        job=JobId(job), occurrence=int(occurrence), step=int(step), index=int(index)
+    )
+    return RunRef(task=ref, run=int(_as_float(run)))
+
+
+def _as_float(value: object) -> float:
+    if isinstance(value, int | float):
+        return float(value)
+    raise TypeError(f"got {value!r}, expected a number")
+
+
+def _decode(beat: Heartbeat, response: HttpResponse, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except msgspec.DecodeError as error:
+        raise _failed(beat, str(error)) from error
+
+
+def _failed(beat: Heartbeat, detail: str) -> CommunicationError:
+    return CommunicationError(
+        step=Step.DECODE, peer=f"worker {beat.life} at {beat.address}", detail=detail
+    )
--- /dev/null
+++ b/coltsfoottray/platform/operator.py
@@ -0,0 +1,73 @@
+"""What the platform's operator writes: the config."""
+
+from __future__ import annotations
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from coltsfoottray.jobs.config import Queue, ServiceTerms, SiteConfig
+from coltsfoottray.jobs.model import QueueTerms
+
+__all__ = ["read_config"]
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    pathPrefix: str  # noqa: N815
+    service: str = ""
+    timeoutMs: float = 30_000.0  # noqa: N815
+    targetLatencyMs: float = 0.0  # noqa: N815
+    priority: int = 0
+    # Counts the runs that ended by a failure; lost or stopped ones are free.
+    maxAttempts: int = 1  # noqa: N815
+    slowdownFactor: float = 1.0  # noqa: N815
+
+
+class _Service(msgspec.Struct):
+    name: str
+    rejectsOverload: bool = False  # noqa: N815
+    standby: bool = False
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = msgspec.field(default_factory=list)
+    services: list[_Service] = msgspec.field(default_factory=list)
+
+
+def read_config(value: msgspec.Raw) -> Result[SiteConfig, str]:
+    """Return the config in a row, or what is wrong with it."""
+    try:
+        wire = msgspec.json.decode(value, type=_Config)
+    except msgspec.DecodeError as error:
+        return Failure(str(error))
+    config = SiteConfig(
+        version=wire.version,
+        queues=[_as_queue(route) for route in wire.routes],
+        services=[
+            ServiceTerms(
+                name=service.name,
+                rejects_overload=service.rejectsOverload,
+                is_standby=service.standby,
+            )
+            for service in wire.services
+        ],
+    )
+    return Success(config)
+
+
+def _as_queue(route: _Route) -> Queue:
+    return Queue(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.pathPrefix,
+        timeout_ms=route.timeoutMs,
+        terms=QueueTerms(
+            service=route.service,
+            priority=route.priority,
+            max_attempts=route.maxAttempts,
+            slowdown_factor=route.slowdownFactor,
+            target_latency_ms=route.targetLatencyMs,
+        ),
+    )
--- /dev/null
+++ b/coltsfoottray/platform/rows.py
@@ -0,0 +1,203 @@
+"""The platform's metadata store as a watched table."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Sequence
+from datetime import timedelta
+from urllib.parse import urlencode
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from coltsfoottray.errors import CommunicationError
+from coltsfoottray.http import HttpRequest, HttpResponse, HttpTransport
+from coltsfoottray.platform.common import (
+    Changes,
+    Check,
+    HistoryLost,
+    Put,
+    Row,
+    Snapshot,
+    TableConflict,
+    TableUnavailable,
+    Transaction,
+    WatchedTable,
+)
+from coltsfoottray.types import Address
+
+__all__ = ["MAX_ENTRIES", "RowsTable"]
+
+# An answer of the store when it is 70 times slower than usual (4 ms, and 8 ms for
+# the transaction) takes 0.84 s; what takes longer is taken for lost.
+ANSWER_TIMEOUT = timedelta(seconds=1.5)
+# The store's own limit on the conditions and writes of one transaction.
+MAX_ENTRIES = 100
+# The store's own limit on the rows of one answer.
+_PAGE_ROWS = 500
+_CONFLICT = 412
+_HISTORY_LOST = 410
+
+
+class _Ref(msgspec.Struct, omit_defaults=True):
+    table: str
+    part: str
+    key: str
+    schemaVersion: int | None = None  # noqa: N815
+    value: str | None = None
+
+
+class _Tx(msgspec.Struct):
+    # The name suggests one number; it holds the rows with the version that each
+    # must have, 0 for a row that must not exist.
+    expectedRevision: list[_Ref]  # noqa: N815
+    upserts: list[_Ref]
+    remove: list[_Ref]
+
+
+class _WireRow(msgspec.Struct):
+    table: str
+    part: str
+    key: str
+    value: str = ""
+    # The version of this row, not of a schema: a counter of the whole store.
+    schemaVersion: int = 0  # noqa: N815
+    deleted: bool = False
+
+
+class _Answer(msgspec.Struct):
+    schemaVersion: int = 0  # noqa: N815
+    rows: list[_WireRow] = msgspec.field(default_factory=list)
+    hasMore: bool = False  # noqa: N815
+
+
+class RowsTable(WatchedTable):
+    """Translates `group/shard/name` into the store's table, part and key."""
+
+    def __init__(self, *, address: Address, transport: HttpTransport) -> None:
+        self._address = address
+        self._transport = transport
+
+    async def commit(  # noqa: D102
+        self, transaction: Transaction
+    ) -> Result[dict[str, int], TableConflict]:
+        conditions: list[Check | Put] = [*transaction.checks, *transaction.puts]
+        body = _Tx(
+            expectedRevision=[_as_ref(c.key, version=c.version) for c in conditions],
+            upserts=[
+                _as_ref(put.key, value=put.value)
+                for put in transaction.puts
+                if not put.is_deletion
+            ],
+            remove=[_as_ref(put.key) for put in transaction.puts if put.is_deletion],
+        )
+        response = await self._send(
+            HttpRequest(
+                method="POST",
+                target="/v1/rows-tx",
+                header_by_name={"content-type": "application/json"},
+                body=msgspec.json.encode(body),
+            ),
+            ANSWER_TIMEOUT,
+        )
+        answer = _decode(response)
+        if response.status == _CONFLICT:
+            return Failure(TableConflict(rows=[_as_row(row) for row in answer.rows]))
+        return Success({put.key: answer.schemaVersion for put in transaction.puts})
+
+    async def get(self, key: str) -> Row | None:  # noqa: D102
+        table, part, name = _split(key)
+        query = {"table": table, "part": part, "from": name, "limit": "1"}
+        answer = await self._read(query)
+        rows = [_as_row(row) for row in answer.rows if row.key == name]
+        return rows[0] if rows else None
+
+    async def scan(self, prefix: str) -> Sequence[Row]:  # noqa: D102
+        return (await self.snapshot(prefix)).rows
+
+    async def snapshot(self, prefix: str) -> Snapshot:  # noqa: D102
+        table, part, first = _split(prefix)
+        rows: list[Row] = []
+        version: int | None = None
+        while True:
+            query = {"table": table, "part": part, "limit": str(_PAGE_ROWS)}
+            if first:
+                query["from"] = first
+            answer = await self._read(query)
+            # Later pages may show later writes; following from the first page's
+            # version brings those again, which does no harm.
+            version = answer.schemaVersion if version is None else version
+            rows.extend(_as_row(row) for row in answer.rows)
+            if not answer.hasMore or not answer.rows:
+                return Snapshot(rows=rows, version=version)
+            first = answer.rows[-1].key + "\0"
+
+    async def changes(  # noqa: D102
+        self, group: str, *, after: int, wait: timedelta
+    ) -> Changes:
+        query = {
+            "table": group,
+            "after": str(after),
+            "waitMs": str(int(wait.total_seconds() * 1000)),
+        }
+        target = f"/v1/rows-feed?{urlencode(query)}"
+        response = await self._send(
+            HttpRequest(method="GET", target=target), ANSWER_TIMEOUT + wait
+        )
+        if response.status == _HISTORY_LOST:
+            raise HistoryLost(f"{group}: changes after {after} are gone")
+        answer = _decode(response)
+        rows = [_as_row(row) for row in answer.rows]
+        return Changes(rows=rows, version=max(after, answer.schemaVersion))
+
+    async def _read(self, query: dict[str, str]) -> _Answer:
+        target = f"/v1/rows-get?{urlencode(query)}"
+        request = HttpRequest(method="GET", target=target)
+        return _decode(await self._send(request, ANSWER_TIMEOUT))
+
+    async def _send(self, request: HttpRequest, timeout: timedelta) -> HttpResponse:
+        try:
+            response = await self._transport.send(
+                self._address, request, timeout=timeout
+            )
+        except CommunicationError as error:
+            raise TableUnavailable(
+                detail=str(error), is_unwritten=error.is_unseen
+            ) from error
+        if response.status not in (200, _CONFLICT, _HISTORY_LOST):
+            # The store refuses before it writes anything.
+            raise TableUnavailable(
+                detail=f"status {response.status}", is_unwritten=True
+            )
+        return response
+
+
+def _split(key: str) -> tuple[str, str, str]:
+    table, part, name = key.split("/", 2)
+    return table, part, name
+
+
+def _as_ref(
+    key: str, *, version: int | None = None, value: msgspec.Raw | None = None
+) -> _Ref:
+    table, part, name = _split(key)
+    text = None if value is None else base64.b64encode(bytes(value)).decode()
+    return _Ref(table=table, part=part, key=name, schemaVersion=version, value=text)
+
+
+def _as_row(row: _WireRow) -> Row:
+    return Row(
+        key=f"{row.table}/{row.part}/{row.key}",
+        value=msgspec.Raw(base64.b64decode(row.value)),
+        version=row.schemaVersion,
+        is_deleted=row.deleted,
+    )
+
+
+def _decode(response: HttpResponse) -> _Answer:
+    try:
+        return msgspec.json.decode(response.body or b"{}", type=_Answer)
+    except msgspec.DecodeError as error:
+        raise TableUnavailable(
+            detail=f"answer cannot be read: {error}", is_unwritten=False
+        ) from error
--- /dev/null
+++ b/coltsfoottray/scheduler/board.py
@@ -0,0 +1,340 @@
+"""All that the scheduler decides from: jobs, workers, and who runs what."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from coltsfoottray.agent.worker import EndKind, Refusal
+from coltsfoottray.jobs.config import ConfigHolder
+from coltsfoottray.jobs.model import AcceptedJob, JobId, QueueTerms, RunRef
+from coltsfoottray.jobs.records import JobRecord, JobState, TaskPhase
+from coltsfoottray.logs import log_event
+from coltsfoottray.scheduler.fit import choose_gang, choose_worker
+from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
+from coltsfoottray.scheduler.live import LiveJob, LiveStep
+from coltsfoottray.scheduler.messages import RejectedStart, Report
+from coltsfoottray.scheduler.order import urgency
+
+__all__ = ["Board"]
+
+# A worker that refused a start as unhealthy or full is left alone for a while:
+# two of its attendant's reports.
+_BLOCK = timedelta(seconds=2)
+
+# After so many tasks in urgency order have found no room the rest wait for the next
+# round; it bounds a round's length when thousands wait.
+_MAX_MISSES = 60
+
+
+class Board:
+    """Jobs, workers and runs; changed by one task only, the scheduler's rounds."""
+
+    def __init__(self, *, holder: ConfigHolder, fleet: Fleet) -> None:
+        self.job_by_id: dict[JobId, LiveJob] = {}
+        self.active_by_id: dict[JobId, LiveJob] = {}
+        self.fleet = fleet
+        self._holder = holder
+
+    # What was stored.
+
+    def restore(
+        self,
+        accepted: AcceptedJob,
+        record: JobRecord | None,
+        version: int,
+        *,
+        lease_end: timedelta,
+        now: timedelta,
+    ) -> None:
+        """Take in a stored job; its runs may exist until `lease_end`."""
+        job = LiveJob(accepted=accepted, record=record, version=version)
+        self._add(job)
+        for step in job.steps():
+            for index, task in enumerate(step.records):
+                if task.phase is not TaskPhase.ASSIGNED:
+                    continue
+                placed = PlacedRun(
+                    ref=RunRef(task=step.ref(index), run=task.run),
+                    step=step,
+                    worker=task.worker,
+                    life=task.life,
+                    placed=now,
+                    is_released=True,
+                    is_stopping=job.record.state.is_final,
+                )
+                self._worker(task.worker, lease_end).hold(placed)
+
+    def accept(self, accepted: AcceptedJob) -> None:
+        """Take in a job that has just been accepted."""
+        if accepted.id not in self.job_by_id:
+            self._add(LiveJob(accepted=accepted))
+
+    def cancel(self, job_id: JobId, now_ms: int) -> None:
+        """End a job at its caller's wish."""
+        job = self.job_by_id.get(job_id)
+        if job is None or job.record.state.is_final:
+            return
+        log_event("decision:cancel", job=job_id, state=job.record.state.value)
+        self._finish(job, JobState.CANCELLED, now_ms)
+
+    def forget(self, job_id: JobId) -> None:
+        """Drop a job that ended long ago."""
+        self.job_by_id.pop(job_id, None)
+        self.active_by_id.pop(job_id, None)
+
+    # What attendants say.
+
+    def take_report(self, report: Report, now: timedelta, now_ms: int) -> int:
+        """Take in a report; return the last end that need not be told again."""
+        worker = self.fleet.worker_by_id[report.worker]
+        self._take_life(worker, report, now_ms)
+        self._describe(worker, report)
+        for end in report.ends:
+            self._take_end(worker, end.ref, end.kind, end.checkpoint, now_ms)
+        for rejected in report.rejected:
+            self._take_rejection(worker, rejected, now, now_ms)
+        worker.strays.clear()
+        for status in report.running:
+            placed = worker.held_by_ref.get(status.ref)
+            if placed is None:
+                worker.strays.add(status.ref)
+                continue
+            placed.percent = status.percent
+            placed.figure = status.figure
+            record = placed.step.records[status.ref.task.index]
+            if status.checkpoint and record.run == status.ref.run:
+                record.checkpoint = status.checkpoint
+        return max((end.number for end in report.ends), default=0)
+
+    def expire(self, now: timedelta, now_ms: int) -> None:
+        """Give up the runs of workers whose lease has surely run out."""
+        for worker in self.fleet.worker_by_id.values():
+            if worker.held_by_ref and worker.lease_end < now:
+                log_event(
+                    "decision:give-up-worker",
+                    worker=worker.id,
+                    life=worker.life,
+                    silent_s=(now - worker.heard).total_seconds(),
+                    runs=len(worker.held_by_ref),
+                )
+                self._lose(worker, list(worker.held_by_ref.values()), now_ms)
+                worker.is_reachable = False
+
+    def _take_life(self, worker: Worker, report: Report, now_ms: int) -> None:
+        gone: list[PlacedRun] = []
+        if report.life and report.life != worker.life:
+            held = worker.held_by_ref.values()
+            gone += [placed for placed in held if placed.life != report.life]
+            worker.acknowledged = 0
+            worker.life = report.life
+        if report.lapsed_life:
+            held = worker.held_by_ref.values()
+            gone += [p for p in held if p.life == report.lapsed_life and p not in gone]
+        if gone:
+            log_event(
+                "decision:runs-lost",
+                worker=worker.id,
+                life=worker.life,
+                lapsed_life=report.lapsed_life,
+                runs=[str(placed.ref) for placed in gone],
+            )
+            self._lose(worker, gone, now_ms)
+
+    def _lose(self, worker: Worker, gone: Iterable[PlacedRun], now_ms: int) -> None:
+        """Give runs up; orders for them that are still under way become void."""
+        worker.session = 0
+        for placed in gone:
+            self._take_end(worker, placed.ref, EndKind.LAPSED, "", now_ms)
+
+    @staticmethod
+    def _describe(worker: Worker, report: Report) -> None:
+        worker.service = report.service
+        worker.data_centre = report.data_centre
+        worker.capacity = report.capacity
+        worker.labels = report.labels
+        worker.rack = report.rack
+        worker.is_draining = report.is_draining
+        worker.is_reachable = report.is_reachable and bool(report.life)
+
+    def _take_rejection(
+        self, worker: Worker, rejected: RejectedStart, now: timedelta, now_ms: int
+    ) -> None:
+        if rejected.ref not in worker.held_by_ref:
+            return
+        log_event(
+            "decision:start-rejected",
+            worker=worker.id,
+            run=str(rejected.ref),
+            reason=rejected.reason.value,
+        )
+        if rejected.reason in (Refusal.UNHEALTHY, Refusal.NO_ROOM):
+            worker.blocked_until = now + _BLOCK
+        kind = EndKind.STOPPED
+        if rejected.reason is Refusal.INVALID:
+            # The worker will never take it; counted like a failure, or the job
+            # would be tried for ever.
+            kind = EndKind.FAILED
+        self._take_end(worker, rejected.ref, kind, "", now_ms)
+
+    def _take_end(
+        self,
+        worker: Worker,
+        ref: RunRef,
+        kind: EndKind,
+        checkpoint: str,
+        now_ms: int,
+    ) -> None:
+        worker.let_go(ref)
+        job = self.job_by_id.get(ref.task.job)
+        step = None if job is None else job.find(ref.task)
+        if job is None or step is None:
+            return
+        record = step.records[ref.task.index]
+        if record.run != ref.run or record.phase is TaskPhase.DONE:
+            return
+        if record.phase is TaskPhase.WAITING and kind is not EndKind.DONE:
+            return
+        job.is_dirty = True
+        if checkpoint:
+            record.checkpoint = checkpoint
+        if kind is EndKind.DONE and not step.spec.is_service:
+            self._note_done(step, ref, now_ms)
+            return
+        record.phase = TaskPhase.WAITING
+        step.recount()
+        if kind is EndKind.FAILED and not step.spec.is_service:
+            self._note_failure(step, ref, now_ms)
+        if step.spec.is_gang:
+            self._stop_gang(step, ref.run)
+
+    def _note_done(self, step: LiveStep, ref: RunRef, now_ms: int) -> None:
+        ended = [step.records[ref.task.index]]
+        if step.spec.is_gang:
+            # A gang ends as a whole, so one such end stands for all of them.
+            ended = step.records
+        for record in ended:
+            record.phase = TaskPhase.DONE
+            record.checkpoint = ""
+        step.recount()
+        job = step.job
+        job.close_occurrence(step.occurrence)
+        if job.is_complete and not job.record.state.is_final:
+            log_event("decision:completed", job=job.id)
+            self._finish(job, JobState.COMPLETED, now_ms)
+
+    def _note_failure(self, step: LiveStep, ref: RunRef, now_ms: int) -> None:
+        record = step.records[0 if step.spec.is_gang else ref.task.index]
+        if step.spec.is_gang and ref.run in step.failed_runs:
+            return
+        step.failed_runs.add(ref.run)
+        record.failures += 1
+        job = step.job
+        allowed = self._terms(job).max_attempts
+        if record.failures >= allowed and not job.record.state.is_final:
+            log_event(
+                "decision:failed",
+                job=job.id,
+                task=str(ref.task),
+                failures=record.failures,
+                allowed=allowed,
+            )
+            self._finish(job, JobState.FAILED, now_ms)
+
+    def _stop_gang(self, step: LiveStep, run: int) -> None:
+        """Stop the rest of a gang, which would wait for the one that ended."""
+        for worker in self.fleet.worker_by_id.values():
+            for placed in worker.held_by_ref.values():
+                if placed.step is step and placed.ref.run == run:
+                    placed.is_stopping = True
+
+    def _finish(self, job: LiveJob, state: JobState, now_ms: int) -> None:
+        job.finish(state, now_ms)
+        self.active_by_id.pop(job.id, None)
+        for worker in self.fleet.worker_by_id.values():
+            for placed in worker.held_by_ref.values():
+                if placed.ref.task.job == job.id:
+                    placed.is_stopping = True
+
+    # What to start.
+
+    def plan(self, now: timedelta, now_ms: int) -> list[PlacedRun]:
+        """Assign waiting tasks to workers; return the new runs."""
+        ready: list[LiveStep] = []
+        for job in self.active_by_id.values():
+            job.open_occurrences(now_ms)
+            ready += [step for step in job.steps() if step.can_start]
+        ready.sort(key=lambda step: urgency(step, self._holder, now_ms))
+        placed: list[PlacedRun] = []
+        misses = 0
+        for step in ready:
+            new = self._place_step(step, now)
+            placed += new
+            misses += not new
+            if misses > _MAX_MISSES:
+                break
+        return placed
+
+    def _place_step(self, step: LiveStep, now: timedelta) -> list[PlacedRun]:
+        service = self._terms(step.job).service
+        placed: list[PlacedRun] = []
+        if step.spec.is_gang:
+            workers = choose_gang(step, self.fleet, service=service, now=now) or []
+            refs = [step.next_run(index) for index in step.waiting]
+            for ref, member in zip(refs, workers, strict=False):
+                placed.append(self._assign(step, ref, member, now))
+        else:
+            for index in step.waiting:
+                worker = choose_worker(step, self.fleet, service=service, now=now)
+                if worker is None:
+                    break
+                placed.append(self._assign(step, step.next_run(index), worker, now))
+        if placed:
+            step.recount()
+            log_event(
+                "decision:place",
+                step=f"{step.job.id}.{step.occurrence}.{step.number}",
+                workers=[f"{each.ref.task.index}@{each.worker}" for each in placed],
+                waiting=len(step.waiting),
+                config=self._holder.current.version,
+            )
+        return placed
+
+    def _assign(
+        self, step: LiveStep, ref: RunRef, worker: Worker, now: timedelta
+    ) -> PlacedRun:
+        record = step.records[ref.task.index]
+        record.phase = TaskPhase.ASSIGNED
+        record.run = ref.run
+        record.worker = worker.id
+        record.life = worker.life
+        job = step.job
+        job.is_dirty = True
+        job.record.has_started = True
+        if job.record.state is JobState.QUEUED:
+            job.record.state = JobState.RUNNING
+        placed = PlacedRun(
+            ref=ref, step=step, worker=worker.id, life=worker.life, placed=now
+        )
+        worker.hold(placed)
+        return placed
+
+    def next_due_ms(self) -> int | None:
+        """When the next occurrence of any job is due."""
+        dues = [job.next_due_ms for job in self.active_by_id.values()]
+        return min((due for due in dues if due is not None), default=None)
+
+    def _add(self, job: LiveJob) -> None:
+        self.job_by_id[job.id] = job
+        if not job.record.state.is_final:
+            self.active_by_id[job.id] = job
+
+    def _terms(self, job: LiveJob) -> QueueTerms:
+        return self._holder.terms_of(job.accepted.queue, otherwise=job.accepted.terms)
+
+    def _worker(self, worker: str, lease_end: timedelta) -> Worker:
+        known = self.fleet.worker_by_id.get(worker)
+        if known is not None:
+            known.lease_end = max(known.lease_end, lease_end)
+            return known
+        return self.fleet.get_or_add(worker, None, lease_end)
--- /dev/null
+++ b/coltsfoottray/scheduler/fleet.py
@@ -0,0 +1,143 @@
+"""The workers as the scheduler knows them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from coltsfoottray.jobs.model import RunRef
+from coltsfoottray.scheduler.live import LiveStep
+from coltsfoottray.types import Address, Resources
+
+__all__ = ["Fleet", "PlacedRun", "Worker"]
+
+_NEVER = timedelta(days=-1)
+_NOTHING = Resources()
+
+
+@dataclass(kw_only=True, eq=False)
+class PlacedRun:
+    """A run that may exist on a worker.
+
+    Parameters
+    ----------
+    is_released : bool
+        Its assignment is stored, so the worker may be told.
+    is_stopping : bool
+        It is to end; until its end is known it takes room.
+    placed : timedelta
+        When it was assigned, by the scheduler's clock.
+    """
+
+    ref: RunRef
+    step: LiveStep
+    worker: str
+    life: str
+    placed: timedelta
+    is_released: bool = False
+    is_stopping: bool = False
+    is_stop_sent: bool = False
+    percent: float = 0.0
+    figure: float = 0.0
+
+    @property
+    def reserved(self) -> Resources:
+        """What it takes from the worker's capacity."""
+        return self.step.spec.reserved
+
+
+@dataclass(kw_only=True, eq=False)
+class Worker:
+    """One VM that runs tasks, by its attendant's reports.
+
+    Parameters
+    ----------
+    session : int
+        The fencing token of its attendant's orders; a new one is granted when
+        the attendant starts anew and when runs have been given up here.
+    lease_end : timedelta
+        Nothing runs here after it unless a lease is granted once more.
+    acknowledged : int
+        Ends of this life up to this number are stored.
+    strays : set of RunRef
+        Runs found here that should not be.
+    blocked_until : timedelta
+        Takes nothing new until then.
+    """
+
+    id: str
+    address: Address | None
+    lease_end: timedelta
+    incarnation: str = ""
+    session: int = 0
+    life: str = ""
+    service: str = ""
+    data_centre: str = ""
+    capacity: Resources = _NOTHING
+    labels: list[str] = field(default_factory=list)
+    rack: str = ""
+    is_draining: bool = False
+    is_reachable: bool = False
+    heard: timedelta = _NEVER
+    acknowledged: int = 0
+    held_by_ref: dict[RunRef, PlacedRun] = field(default_factory=dict)
+    strays: set[RunRef] = field(default_factory=set)
+    blocked_until: timedelta = _NEVER
+
+    def __post_init__(self) -> None:
+        self.taken = Resources()
+        self.filling = 0.0
+
+    @property
+    def room(self) -> Resources:
+        """What is not yet taken of its capacity."""
+        return self.capacity - self.taken
+
+    @property
+    def processors_left(self) -> float:
+        """Processors that neither reserved nor filling tasks ask for."""
+        return self.capacity.processors - self.taken.processors - self.filling
+
+    def hold(self, placed: PlacedRun) -> None:
+        """Take room for a run."""
+        self.held_by_ref[placed.ref] = placed
+        self._sum_up()
+
+    def let_go(self, ref: RunRef) -> PlacedRun | None:
+        """Give back the room of a run that cannot exist any more."""
+        placed = self.held_by_ref.pop(ref, None)
+        self._sum_up()
+        return placed
+
+    def _sum_up(self) -> None:
+        """Add up anew: sums kept by adding and taking away would drift."""
+        held = self.held_by_ref.values()
+        self.taken = Resources.total([placed.reserved for placed in held])
+        self.filling = sum(
+            placed.step.spec.demand.processors
+            for placed in held
+            if placed.step.spec.is_filler
+        )
+
+
+class Fleet:
+    """All workers, by their attendant's name."""
+
+    def __init__(self) -> None:
+        self.worker_by_id: dict[str, Worker] = {}
+
+    def get_or_add(
+        self, worker: str, address: Address | None, lease_end: timedelta
+    ) -> Worker:
+        """Return a worker, new if it was not known."""
+        known = self.worker_by_id.get(worker)
+        if known is None:
+            known = Worker(id=worker, address=address, lease_end=lease_end)
+            self.worker_by_id[worker] = known
+        known.address = address or known.address
+        return known
+
+    def find_run(self, worker: str, ref: RunRef) -> PlacedRun | None:
+        """Return a run held at a worker."""
+        known = self.worker_by_id.get(worker)
+        return None if known is None else known.held_by_ref.get(ref)
--- /dev/null
+++ b/coltsfoottray/scheduler/live.py
@@ -0,0 +1,198 @@
+"""A job in the scheduler's memory: its record, and what follows from it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from coltsfoottray.jobs.model import AcceptedJob, JobId, RunRef, StepSpec, TaskRef
+from coltsfoottray.jobs.records import JobRecord, JobState, TaskPhase, TaskRecord
+
+__all__ = ["LiveJob", "LiveStep"]
+
+
+@dataclass(kw_only=True, eq=False)
+class LiveStep:
+    """One step of one occurrence.
+
+    Parameters
+    ----------
+    waiting : list of int
+        Tasks without a run, by index.
+    failed_runs : set of int
+        For a gang: the runs whose failure was counted.
+    """
+
+    job: LiveJob
+    occurrence: int
+    number: int
+    spec: StepSpec
+    records: list[TaskRecord]
+    waiting: list[int] = field(default_factory=list)
+    done: int = 0
+    failed_runs: set[int] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.recount()
+
+    def recount(self) -> None:
+        """Derive the counts from the records."""
+        self.waiting = [
+            index
+            for index, record in enumerate(self.records)
+            if record.phase is TaskPhase.WAITING
+        ]
+        self.done = sum(record.phase is TaskPhase.DONE for record in self.records)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task has ended well."""
+        return self.done == len(self.records)
+
+    @property
+    def can_start(self) -> bool:
+        """Whether it has tasks to start and its turn has come.
+
+        A gang starts as a whole: while one of its members may still run, none
+        of the others is started.
+        """
+        if not self.waiting or self.job.record.state.is_final:
+            return False
+        if self.spec.is_gang and len(self.waiting) < len(self.records):
+            return False
+        steps = self.job.steps_by_occurrence[self.occurrence]
+        return all(steps[number].is_done for number in self.spec.after)
+
+    def ref(self, index: int) -> TaskRef:
+        """Return the name of one of its tasks."""
+        return TaskRef(
+            job=self.job.id,
+            occurrence=self.occurrence,
+            step=self.number,
+            index=index,
+        )
+
+    def next_run(self, index: int) -> RunRef:
+        """Return the name of a task's next run; a gang's members share theirs."""
+        if self.spec.is_gang:
+            run = max(record.run for record in self.records) + 1
+        else:
+            run = self.records[index].run + 1
+        return RunRef(task=self.ref(index), run=run)
+
+
+class LiveJob:
+    """One accepted job.
+
+    Parameters
+    ----------
+    accepted : AcceptedJob
+        As stored.
+    record : JobRecord, optional
+        Its progress as stored, none for a job that has not begun.
+    version : int
+        The version of that row, 0 where there is none.
+    """
+
+    def __init__(
+        self,
+        *,
+        accepted: AcceptedJob,
+        record: JobRecord | None = None,
+        version: int = 0,
+    ) -> None:
+        self.accepted = accepted
+        self.record = record or JobRecord()
+        self.version = version
+        self.stored_state = self.record.state
+        self.is_dirty = False
+        self.chain_ms = _longest_chain(accepted.spec.steps)
+        self.steps_by_occurrence: list[list[LiveStep]] = [
+            self._make_steps(number, tasks)
+            for number, tasks in enumerate(self.record.occurrences)
+        ]
+
+    @property
+    def id(self) -> JobId:
+        """The id its caller chose."""
+        return self.accepted.id
+
+    @property
+    def times(self) -> int:
+        """How often its steps run."""
+        repetition = self.accepted.spec.repetition
+        return 1 if repetition is None else repetition.times
+
+    @property
+    def next_due_ms(self) -> int | None:
+        """When the next occurrence is due, none if all have been."""
+        number = len(self.record.occurrences)
+        if number >= self.times or self.record.state.is_final:
+            return None
+        repetition = self.accepted.spec.repetition
+        return 0 if repetition is None else repetition.due_ms(number)
+
+    def open_occurrences(self, now_ms: int) -> None:
+        """Add the occurrences whose time has come."""
+        while (due := self.next_due_ms) is not None and due <= now_ms:
+            tasks = [
+                [TaskRecord() for _ in range(step.count)]
+                for step in self.accepted.spec.steps
+            ]
+            number = len(self.record.occurrences)
+            self.record.occurrences.append(tasks)
+            self.steps_by_occurrence.append(self._make_steps(number, tasks))
+
+    def steps(self) -> list[LiveStep]:
+        """Return the steps of every occurrence that is not done."""
+        return [step for steps in self.steps_by_occurrence for step in steps]
+
+    def find(self, task: TaskRef) -> LiveStep | None:
+        """Return the step that holds `task`, if its occurrence is not done."""
+        if task.occurrence >= len(self.steps_by_occurrence):
+            return None
+        steps = self.steps_by_occurrence[task.occurrence]
+        if task.step >= len(steps) or task.index >= len(steps[task.step].records):
+            return None
+        return steps[task.step]
+
+    def close_occurrence(self, number: int) -> None:
+        """Forget the tasks of an occurrence once all have ended well."""
+        if all(step.is_done for step in self.steps_by_occurrence[number]):
+            self.record.occurrences[number] = []
+            self.steps_by_occurrence[number] = []
+
+    def finish(self, state: JobState, now_ms: int) -> None:
+        """Enter a final state."""
+        self.record.state = state
+        self.record.ended_ms = now_ms
+        self.is_dirty = True
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every occurrence has been due and is done."""
+        return len(self.record.occurrences) >= self.times and not any(
+            self.steps_by_occurrence
+        )
+
+    def _make_steps(
+        self, occurrence: int, tasks: list[list[TaskRecord]]
+    ) -> list[LiveStep]:
+        return [
+            LiveStep(
+                job=self,
+                occurrence=occurrence,
+                number=number,
+                spec=self.accepted.spec.steps[number],
+                records=records,
+            )
+            for number, records in enumerate(tasks)
+        ]
+
+
+def _longest_chain(steps: list[StepSpec]) -> float:
+    """Return the estimated length of the longest chain of steps, in ms."""
+    ends: list[float] = []
+    for number, step in enumerate(steps):
+        before = [ends[each] for each in step.after if each < number]
+        ends.append(max(before, default=0.0) + step.estimate_ms)
+    return max(ends, default=0.0)
--- /dev/null
+++ b/coltsfoottray/scheduler/messages.py
@@ -0,0 +1,220 @@
+"""Calls between entries and attendants about jobs and their tasks."""
+
+from __future__ import annotations
+
+import msgspec
+
+from coltsfoottray.agent.worker import EndKind, Refusal, RunEnd, RunStatus
+from coltsfoottray.jobs.model import AcceptedJob, JobId, RunRef
+from coltsfoottray.jobs.records import JobState
+from coltsfoottray.peers import Call
+from coltsfoottray.types import Address, Resources
+
+__all__ = [
+    "ORDERS",
+    "PING",
+    "RELAY",
+    "REPORT",
+    "STATE",
+    "TELL",
+    "Acknowledged",
+    "EndKind",
+    "Orders",
+    "Ping",
+    "PingReply",
+    "Refusal",
+    "RejectedStart",
+    "RelayReply",
+    "RelayRequest",
+    "Report",
+    "ReportReply",
+    "RunEnd",
+    "RunStatus",
+    "StartOrder",
+    "StateQuery",
+    "StateReply",
+    "Tell",
+]
+
+
+class StartOrder(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """A run that a worker is to have.
+
+    Parameters
+    ----------
+    is_filler, target_latency_ms
+        See `StepSpec`; the attendant slows fillers down for the sake of those
+        with a target.
+    """
+
+    ref: RunRef
+    payload: str
+    checkpoint: str = ""
+    image: str = ""
+    is_filler: bool = False
+    target_latency_ms: float = 0.0
+
+
+class Orders(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """What a worker is to start and to stop.
+
+    Parameters
+    ----------
+    session : int
+        The orders are void for an attendant in another session: since then the
+        scheduler may have given the runs up and started them elsewhere.
+    life : str
+        The worker's life that they are meant for; in another one the runs have
+        been given up as well.
+    acknowledged : int
+        Ends up to this number are stored.
+    """
+
+    session: int
+    life: str = ""
+    starts: list[StartOrder] = msgspec.field(default_factory=list)
+    stops: list[RunRef] = msgspec.field(default_factory=list)
+    acknowledged: int = 0
+
+
+class RejectedStart(msgspec.Struct, frozen=True, kw_only=True):
+    """A start that certainly did not and will not happen."""
+
+    ref: RunRef
+    reason: Refusal
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """What an attendant knows of its worker.
+
+    Parameters
+    ----------
+    worker : str
+        The attendant's name, which stands for the VM.
+    incarnation : str
+        This life of the attendant.
+    session : int
+        The last one granted, 0 for none. A session is the fencing token of the
+        attendant's orders to the worker.
+    life : str
+        The worker's life, empty where none is known.
+    lapsed_life : str
+        A life whose lease ran out while the worker gave no answer: none of its
+        runs exists any more.
+    is_reachable : bool
+        Whether the worker answered its last look.
+    starting : list of RunRef
+        Starts without an answer so far.
+    """
+
+    worker: str
+    incarnation: str
+    address: Address
+    data_centre: str
+    session: int = 0
+    life: str = ""
+    lapsed_life: str = ""
+    service: str = ""
+    capacity: Resources = Resources()
+    labels: list[str] = msgspec.field(default_factory=list)
+    rack: str = ""
+    is_draining: bool = False
+    remaining_ms: float = 0.0
+    is_reachable: bool = True
+    running: list[RunStatus] = msgspec.field(default_factory=list)
+    starting: list[RunRef] = msgspec.field(default_factory=list)
+    ends: list[RunEnd] = msgspec.field(default_factory=list)
+    rejected: list[RejectedStart] = msgspec.field(default_factory=list)
+
+
+class ReportReply(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The scheduler's answer.
+
+    Parameters
+    ----------
+    scheduler : Address, optional
+        Whom to report to; absent where none is known.
+    is_scheduler : bool
+        Whether the answering entry is the scheduler; the rest holds only then.
+    epoch : int
+        Rises with each change of the scheduler. An attendant that has heard of
+        one takes nothing from a scheduler of a lower one.
+    lease_ms : int
+        How long the worker may run from the moment the report was sent.
+    """
+
+    scheduler: Address | None = None
+    is_scheduler: bool = False
+    epoch: int = 0
+    lease_ms: int = 0
+    orders: Orders = Orders(session=0)
+
+
+class Tell(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Stored acceptances and cancellations, told to save the wait for the feed."""
+
+    accepted: list[AcceptedJob] = msgspec.field(default_factory=list)
+    cancelled: list[JobId] = msgspec.field(default_factory=list)
+
+
+class Acknowledged(msgspec.Struct, frozen=True, kw_only=True):
+    """Done."""
+
+    is_scheduler: bool = True
+
+
+class StateQuery(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks for the stored state of a job."""
+
+    job: JobId
+
+
+class StateReply(msgspec.Struct, frozen=True, kw_only=True):
+    """A job's stored state, none where the scheduler does not know the job."""
+
+    state: JobState | None = None
+
+
+class Ping(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks who is there."""
+
+
+class PingReply(msgspec.Struct, frozen=True, kw_only=True):
+    """The life of the process that answers, and the epoch in which it leads."""
+
+    incarnation: str
+    epoch: int = 0
+
+
+class RelayRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that a peer is to pass on to the platform's store."""
+
+    method: str
+    target: str
+    header_by_name: dict[str, str]
+    body: bytes
+    timeout_ms: int
+
+
+class RelayReply(msgspec.Struct, frozen=True, kw_only=True):
+    """The store's answer.
+
+    Parameters
+    ----------
+    status : int
+        0 where the peer got no answer.
+    is_unseen : bool
+        Where there is no answer: the store has certainly not seen the request.
+    """
+
+    status: int
+    body: bytes = b""
+    is_unseen: bool = False
+
+
+REPORT = Call(name="Report", request_type=Report, reply_type=ReportReply)
+ORDERS = Call(name="Orders", request_type=Orders, reply_type=Acknowledged)
+TELL = Call(name="Tell", request_type=Tell, reply_type=Acknowledged)
+STATE = Call(name="State", request_type=StateQuery, reply_type=StateReply)
+PING = Call(name="Ping", request_type=Ping, reply_type=PingReply)
+RELAY = Call(name="Relay", request_type=RelayRequest, reply_type=RelayReply)
--- /dev/null
+++ b/coltsfoottray/scheduler/reign.py
@@ -0,0 +1,405 @@
+"""One entry's time as the scheduler: rounds of decisions, each stored, then told."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import msgspec
+import trio
+from returns.result import Failure
+
+from coltsfoottray.clock import Clock, as_milliseconds
+from coltsfoottray.errors import ColtsfoottrayError, CommunicationError
+from coltsfoottray.jobs.config import ConfigHolder
+from coltsfoottray.jobs.keys import LEASE_KEY, record_key
+from coltsfoottray.jobs.model import AcceptedJob, JobId
+from coltsfoottray.jobs.records import JobState
+from coltsfoottray.logs import log_event
+from coltsfoottray.peers import PeerClient
+from coltsfoottray.platform import (
+    Check,
+    Put,
+    TableUnavailable,
+    Transaction,
+    WatchedTable,
+)
+from coltsfoottray.platform.settle import commit_settled
+from coltsfoottray.scheduler.board import Board
+from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
+from coltsfoottray.scheduler.lease import AUTHORITY, RENEWAL, LeaseRow
+from coltsfoottray.scheduler.live import LiveJob
+from coltsfoottray.scheduler.messages import (
+    ORDERS,
+    Orders,
+    Report,
+    ReportReply,
+    StartOrder,
+)
+from coltsfoottray.scheduler.restore import StoredJob
+
+__all__ = ["Deposed", "Reign"]
+
+# How far ahead of a report a worker's lease may reach. A worker that is lost is
+# given up after it, and an attendant that restarts has this long to return
+# before its worker stops everything; 3.5 s are an ordinary outage of a VM.
+_HORIZON = timedelta(seconds=7)
+
+# Two steady clocks drift apart by at most 2% over a lease.
+_DRIFT = 1.02
+
+# What comes within it is decided together and stored in one transaction.
+_MIN_ROUND = timedelta(milliseconds=15)
+_ORDERS_TIMEOUT = timedelta(milliseconds=700)
+_RETRY = timedelta(milliseconds=100)
+
+# Far more sessions than one scheduler can grant; keeps tokens of a later epoch
+# above all of an earlier one.
+_SESSIONS_PER_EPOCH = 1_000_000
+
+# The store takes 100 conditions and writes in a transaction: a condition and a
+# write a job, and those of the lease row.
+_JOBS_PER_COMMIT = 48
+# Its limit is 1 MB; base64 adds a third.
+_BYTES_PER_COMMIT = 500_000
+
+
+class Deposed(ColtsfoottrayError):
+    """Another entry has taken over."""
+
+
+@dataclass(kw_only=True)
+class Inbox:
+    """What has come since the last round."""
+
+    reports: list[Report] = field(default_factory=list)
+    accepted: list[AcceptedJob] = field(default_factory=list)
+    cancelled: list[JobId] = field(default_factory=list)
+    forgotten: list[JobId] = field(default_factory=list)
+
+
+class Reign:
+    """Decides and stores for as long as the lease row is ours.
+
+    Parameters
+    ----------
+    lease : LeaseRow
+        As written when the row was taken over.
+    version : int
+        The row's version then.
+    won : timedelta
+        When that write was sent.
+    keep : timedelta
+        How long an ended job is remembered.
+    """
+
+    def __init__(
+        self,
+        *,
+        lease: LeaseRow,
+        version: int,
+        won: timedelta,
+        table: WatchedTable,
+        peers: PeerClient,
+        holder: ConfigHolder,
+        clock: Clock,
+        keep: timedelta,
+    ) -> None:
+        self.lease = lease
+        self.is_loaded = False
+        self._version = version
+        self._won = won
+        self._confirmed = won
+        self._table = table
+        self._peers = peers
+        self._clock = clock
+        self._keep = keep
+        self._fleet = Fleet()
+        self.board = Board(holder=holder, fleet=self._fleet)
+        self._inbox = Inbox()
+        self._wake = trio.Event()
+        self._sessions = 0
+        self._is_resigning = False
+
+    # What others ask and tell; none of it changes the board.
+
+    def answer_report(self, report: Report) -> ReportReply:
+        """Take a report in and grant its worker what it may have."""
+        now = self._clock.elapsed()
+        worker = self._fleet.get_or_add(
+            report.worker, report.address, self._first_lease_end()
+        )
+        worker.heard = now
+        is_known = (
+            worker.incarnation == report.incarnation
+            and worker.session == report.session
+            and worker.session > 0
+        )
+        if not is_known:
+            worker.incarnation = report.incarnation
+            worker.session = self._next_session()
+            log_event(
+                "scheduler:session",
+                worker=worker.id,
+                session=worker.session,
+                attendant=report.incarnation,
+            )
+        self._inbox.reports.append(report)
+        self._wake.set()
+        return ReportReply(
+            scheduler=self.lease.address,
+            is_scheduler=True,
+            epoch=self.lease.epoch,
+            lease_ms=self._grant(worker, now),
+            orders=self._orders_after(worker, report),
+        )
+
+    def tell_accepted(self, job: AcceptedJob) -> None:
+        """Hear of a stored job."""
+        self._inbox.accepted.append(job)
+        self._wake.set()
+
+    def tell_cancelled(self, job: JobId) -> None:
+        """Hear of a stored cancellation."""
+        self._inbox.cancelled.append(job)
+        self._wake.set()
+
+    def state_of(self, job_id: JobId) -> JobState | None:
+        """Return the stored state of a job."""
+        job = self.board.job_by_id.get(job_id)
+        return None if job is None else job.stored_state
+
+    def look_again(self) -> None:
+        """Plan anew, since the config has changed."""
+        self._wake.set()
+
+    # The rounds.
+
+    def load(self, stored: Iterable[StoredJob]) -> None:
+        """Take in everything that was stored before the row was taken over."""
+        now = self._clock.elapsed()
+        now_ms = as_milliseconds(self._clock.now())
+        for each in stored:
+            self.board.restore(
+                each.accepted,
+                each.record,
+                each.version,
+                lease_end=self._first_lease_end(),
+                now=now,
+            )
+            if each.is_cancelled:
+                self.board.cancel(each.accepted.id, now_ms)
+        self.is_loaded = True
+        log_event(
+            "scheduler:loaded",
+            epoch=self.lease.epoch,
+            jobs=len(self.board.job_by_id),
+            active=len(self.board.active_by_id),
+            workers=len(self._fleet.worker_by_id),
+        )
+
+    async def run(self) -> None:
+        """Decide until deposed or asked to resign.
+
+        Raises
+        ------
+        Deposed
+            If a write shows that the lease row is another's.
+        """
+        async with trio.open_nursery() as nursery:
+            while not self._is_resigning:
+                await self._wait_for_news()
+                placed, ends = self._decide()
+                await self._store()
+                self._release(placed, ends, nursery)
+        self.lease = msgspec.structs.replace(self.lease, is_resigned=True)
+        await self._commit([], renews=True)
+        log_event("scheduler:resigned", epoch=self.lease.epoch)
+
+    def resign(self) -> None:
+        """Let another entry take over at once, after the round under way."""
+        self._is_resigning = True
+        self._wake.set()
+
+    async def _wait_for_news(self) -> None:
+        due = self._confirmed + RENEWAL - self._clock.elapsed()
+        with trio.move_on_after(max(due.total_seconds(), 0.0)):
+            await self._wake.wait()
+            await self._clock.sleep(_MIN_ROUND)
+        self._wake = trio.Event()
+
+    def _decide(self) -> tuple[list[PlacedRun], dict[str, int]]:
+        """Change the board by all that has come, and plan."""
+        now = self._clock.elapsed()
+        now_ms = as_milliseconds(self._clock.now())
+        inbox, self._inbox = self._inbox, Inbox()
+        for job in inbox.accepted:
+            self.board.accept(job)
+        for job_id in inbox.cancelled:
+            self.board.cancel(job_id, now_ms)
+        for job_id in inbox.forgotten:
+            self.board.forget(job_id)
+        last_end_by_worker: dict[str, int] = {}
+        for report in inbox.reports:
+            last = self.board.take_report(report, now, now_ms)
+            last_end_by_worker[report.worker] = last
+        self.board.expire(now, now_ms)
+        return self.board.plan(now, now_ms), last_end_by_worker
+
+    async def _store(self) -> None:
+        """Store what the round has changed."""
+        dirty = [job for job in self.board.job_by_id.values() if job.is_dirty]
+        for batch in _batches(dirty):
+            await self._commit(batch, renews=self._is_renewal_due())
+        if not dirty and self._is_renewal_due():
+            await self._commit([], renews=True)
+
+    def _release(
+        self, placed: list[PlacedRun], ends: dict[str, int], nursery: trio.Nursery
+    ) -> None:
+        """Tell attendants what is now stored."""
+        starts_by_worker: dict[str, list[PlacedRun]] = {}
+        for each in placed:
+            each.is_released = True
+            starts_by_worker.setdefault(each.worker, []).append(each)
+        for worker in self._fleet.worker_by_id.values():
+            worker.acknowledged = max(worker.acknowledged, ends.get(worker.id, 0))
+            starts = starts_by_worker.get(worker.id, [])
+            stops = [
+                each
+                for each in worker.held_by_ref.values()
+                if each.is_stopping and not each.is_stop_sent
+            ]
+            if worker.address is None or not worker.session or not (starts or stops):
+                continue
+            for each in stops:
+                each.is_stop_sent = True
+            orders = Orders(
+                session=worker.session,
+                life=worker.life,
+                starts=[self._as_order(each) for each in starts],
+                stops=[each.ref for each in stops],
+                acknowledged=worker.acknowledged,
+            )
+            nursery.start_soon(self._push, worker, orders)
+
+    async def _push(self, worker: Worker, orders: Orders) -> None:
+        assert worker.address is not None
+        try:
+            await self._peers.call(
+                worker.address, ORDERS, orders, timeout=_ORDERS_TIMEOUT
+            )
+        except CommunicationError as error:
+            # The reply to the attendant's next report carries them again.
+            log_event("scheduler:push-failed", worker=worker.id, reason=str(error))
+
+    async def _commit(self, jobs: list[LiveJob], *, renews: bool) -> None:
+        sent = self._clock.elapsed()
+        puts = [Put.of(record_key(job.id), job.version, job.record) for job in jobs]
+        checks: list[Check] = []
+        if renews:
+            self.lease = msgspec.structs.replace(
+                self.lease, renewals=self.lease.renewals + 1
+            )
+            puts.append(Put.of(LEASE_KEY, self._version, self.lease))
+        else:
+            checks.append(Check(key=LEASE_KEY, version=self._version))
+        transaction = Transaction(puts=puts, checks=checks)
+        versions = await self._commit_surely(transaction)
+        self._confirmed = sent
+        self._version = versions.get(LEASE_KEY, self._version)
+        for job in jobs:
+            job.version = versions[record_key(job.id)]
+            job.stored_state = job.record.state
+            job.is_dirty = False
+
+    async def _commit_surely(self, transaction: Transaction) -> dict[str, int]:
+        while True:
+            try:
+                outcome = await commit_settled(
+                    self._table, transaction, clock=self._clock
+                )
+            except TableUnavailable as error:
+                log_event("scheduler:table-unavailable", reason=str(error))
+                await self._clock.sleep(_RETRY)
+                continue
+            if isinstance(outcome, Failure):
+                rows = [row.key for row in outcome.failure().rows]
+                raise Deposed(f"epoch {self.lease.epoch}: rows changed: {rows}")
+            return outcome.unwrap()
+
+    def _is_renewal_due(self) -> bool:
+        return self._clock.elapsed() - self._confirmed >= RENEWAL
+
+    # What a worker may have.
+
+    def _grant(self, worker: Worker, now: timedelta) -> int:
+        """Return the lease in milliseconds and remember when it surely ends."""
+        granted = min(now + _HORIZON, self._confirmed + AUTHORITY) - now
+        if granted <= timedelta(0):
+            return 0
+        worker.lease_end = max(worker.lease_end, now + granted * _DRIFT)
+        return math.floor(granted.total_seconds() * 1000)
+
+    def _first_lease_end(self) -> timedelta:
+        """Return when leases granted by earlier schedulers have surely ended."""
+        return self._won + AUTHORITY * _DRIFT
+
+    def _next_session(self) -> int:
+        """Return a fencing token above every earlier one, of any scheduler."""
+        self._sessions += 1
+        return self.lease.epoch * _SESSIONS_PER_EPOCH + self._sessions
+
+    def _orders_after(self, worker: Worker, report: Report) -> Orders:
+        """Return the orders that a report shows to be missing."""
+        if not self.is_loaded or report.life != worker.life:
+            return Orders(session=worker.session, life=report.life)
+        known = {status.ref for status in report.running}
+        known.update(report.starting)
+        known.update(end.ref for end in report.ends)
+        known.update(rejected.ref for rejected in report.rejected)
+        is_new = report.session != worker.session
+        held = [each for each in worker.held_by_ref.values() if each.is_released]
+        return Orders(
+            session=worker.session,
+            life=worker.life,
+            starts=[
+                self._as_order(each)
+                for each in held
+                if not each.is_stopping and (is_new or each.ref not in known)
+            ],
+            stops=[
+                *(each.ref for each in held if each.is_stopping),
+                *(ref for ref in worker.strays if ref not in worker.held_by_ref),
+            ],
+            acknowledged=worker.acknowledged,
+        )
+
+    def _as_order(self, placed: PlacedRun) -> StartOrder:
+        spec = placed.step.spec
+        record = placed.step.records[placed.ref.task.index]
+        return StartOrder(
+            ref=placed.ref,
+            payload=placed.step.job.accepted.spec.payload,
+            checkpoint=record.checkpoint if spec.has_checkpoints else "",
+            image=spec.image,
+            is_filler=spec.is_filler,
+            target_latency_ms=spec.target_latency_ms,
+        )
+
+
+def _batches(jobs: list[LiveJob]) -> list[list[LiveJob]]:
+    """Split jobs into what one transaction takes."""
+    batches: list[list[LiveJob]] = []
+    size = 0
+    for job in jobs:
+        job_size = len(msgspec.json.encode(job.record))
+        is_full = not batches or len(batches[-1]) >= _JOBS_PER_COMMIT
+        if is_full or size + job_size > _BYTES_PER_COMMIT:
+            batches.append([])
+            size = 0
+        batches[-1].append(job)
+        size += job_size
+    return batches
--- /dev/null
+++ b/coltsfoottray/scheduler/restore.py
@@ -0,0 +1,68 @@
+"""Reads all that is stored of jobs, when a scheduler begins."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+import trio
+
+from coltsfoottray.clock import Clock
+from coltsfoottray.jobs.keys import job_of, job_shards
+from coltsfoottray.jobs.model import AcceptedJob, JobId
+from coltsfoottray.jobs.records import JobRecord
+from coltsfoottray.logs import log_event
+from coltsfoottray.platform import Row, TableUnavailable, WatchedTable
+
+__all__ = ["StoredJob", "read_jobs"]
+
+_RETRY = timedelta(milliseconds=200)
+
+
+@dataclass(kw_only=True)
+class StoredJob:
+    """One job as its rows tell it."""
+
+    accepted: AcceptedJob
+    record: JobRecord | None = None
+    version: int = 0
+    is_cancelled: bool = False
+
+
+async def read_jobs(table: WatchedTable, *, clock: Clock) -> list[StoredJob]:
+    """Return every stored job, asking until the table answers."""
+    rows: list[Row] = []
+
+    async def read(prefix: str) -> None:
+        while True:
+            try:
+                rows.extend((await table.snapshot(prefix)).rows)
+                return
+            except TableUnavailable as error:
+                log_event("scheduler:load-retried", prefix=prefix, reason=str(error))
+                await clock.sleep(_RETRY)
+
+    async with trio.open_nursery() as nursery:
+        for prefix in job_shards():
+            nursery.start_soon(read, prefix)
+    return _assemble(rows)
+
+
+def _assemble(rows: list[Row]) -> list[StoredJob]:
+    stored_by_id: dict[JobId, StoredJob] = {}
+    for row in rows:
+        if "/job." in row.key and "/scheduler/" not in row.key:
+            accepted = row.decode(AcceptedJob)
+            stored_by_id[accepted.id] = StoredJob(accepted=accepted)
+    for row in rows:
+        if "." not in row.key.rsplit("/", 1)[1]:
+            continue
+        stored = stored_by_id.get(job_of(row.key))
+        if stored is None:
+            continue
+        if "/cancel." in row.key:
+            stored.is_cancelled = True
+        elif "/scheduler/" in row.key:
+            stored.record = row.decode(JobRecord)
+            stored.version = row.version
+    return list(stored_by_id.values())
--- /dev/null
+++ b/coltsfoottray/scheduler/service.py
@@ -0,0 +1,251 @@
+"""The scheduler's part of an entry: taking over, deciding, passing on."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from random import Random
+
+import trio
+from returns.result import Failure
+
+from coltsfoottray.clock import Clock
+from coltsfoottray.errors import CommunicationError
+from coltsfoottray.jobs.config import ConfigHolder
+from coltsfoottray.jobs.keys import LEASE_KEY
+from coltsfoottray.jobs.mirror import Mirror
+from coltsfoottray.jobs.model import AcceptedJob, JobId
+from coltsfoottray.jobs.records import JobState
+from coltsfoottray.kernel import Service
+from coltsfoottray.logs import log_event
+from coltsfoottray.peers import CallHandlers, PeerClient
+from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
+from coltsfoottray.scheduler.lease import LeaseRow, LeaseWatch
+from coltsfoottray.scheduler.messages import (
+    PING,
+    REPORT,
+    STATE,
+    TELL,
+    Acknowledged,
+    Ping,
+    PingReply,
+    Report,
+    ReportReply,
+    StateQuery,
+    StateReply,
+    Tell,
+)
+from coltsfoottray.scheduler.reign import Deposed, Reign
+from coltsfoottray.scheduler.restore import read_jobs
+from coltsfoottray.types import Address
+
+__all__ = ["Scheduler"]
+
+_POLL = timedelta(milliseconds=200)
+# Two entries that see the row free at the same moment should not both write.
+_MAX_STAGGER_S = 0.05
+_CALL_TIMEOUT = timedelta(milliseconds=400)
+_RESIGN_POLL = timedelta(milliseconds=20)
+_RESIGN_TIMEOUT = timedelta(seconds=1)
+
+
+class Scheduler(Service):
+    """Schedules while this entry holds the lease row, else points to who does."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        incarnation: str,
+        address: Address,
+        table: WatchedTable,
+        mirror: Mirror,
+        watch: LeaseWatch,
+        peers: PeerClient,
+        holder: ConfigHolder,
+        clock: Clock,
+        random: Random,
+        keep: timedelta,
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._address = address
+        self._table = table
+        self._mirror = mirror
+        self._watch = watch
+        self._peers = peers
+        self._holder = holder
+        self._clock = clock
+        self._random = random
+        self._keep = keep
+        self._reign: Reign | None = None
+        self._is_leaving = False
+
+    def add_handlers(self, handlers: CallHandlers) -> None:
+        """Answer the calls of attendants and other entries."""
+        handlers.add(PING, self._answer_ping)
+        handlers.add(REPORT, self._answer_report)
+        handlers.add(TELL, self._answer_tell)
+        handlers.add(STATE, self._answer_state)
+
+    async def run(  # noqa: D102
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        task_status.started()
+        await self._mirror.loaded.wait()
+        while True:
+            reign = await self._win()
+            try:
+                await self._lead(reign)
+            except* Deposed as group:
+                reasons = [str(error) for error in group.exceptions]
+                log_event("scheduler:deposed", name=self._name, reasons=reasons)
+            finally:
+                self._reign = None
+
+    async def stop(self) -> None:
+        """Hand over: with the row free another entry need not wait."""
+        self._is_leaving = True
+        if self._reign is None:
+            return
+        self._reign.resign()
+        with trio.move_on_after(_RESIGN_TIMEOUT.total_seconds()):
+            while self._reign is not None:
+                await self._clock.sleep(_RESIGN_POLL)
+
+    # For the entry's own callers.
+
+    async def tell_accepted(self, job: AcceptedJob) -> None:
+        """Let the scheduler know of a job that has just been stored."""
+        if self._reign is not None:
+            self._reign.tell_accepted(job)
+            return
+        await self._tell(Tell(accepted=[job]))
+
+    async def tell_cancelled(self, job: JobId) -> None:
+        """Let the scheduler know of a cancellation that has just been stored."""
+        if self._reign is not None:
+            self._reign.tell_cancelled(job)
+            return
+        await self._tell(Tell(cancelled=[job]))
+
+    async def ask_state(self, job: JobId) -> JobState | None:
+        """Return the scheduler's word on a job, none if it cannot be had."""
+        if self._reign is not None:
+            return self._reign.state_of(job)
+        row = self._watch.row
+        if row is None or row.is_resigned:
+            return None
+        try:
+            reply = await self._peers.call(
+                row.address, STATE, StateQuery(job=job), timeout=_CALL_TIMEOUT
+            )
+        except CommunicationError as error:
+            log_event("scheduler:state-unknown", job=job, reason=str(error))
+            return None
+        return reply.state
+
+    def look_again(self) -> None:
+        """Plan anew, since the config has changed."""
+        if self._reign is not None:
+            self._reign.look_again()
+
+    def see_cancelled(self, job: JobId) -> None:
+        """Take in a cancellation seen in the table."""
+        if self._reign is not None:
+            self._reign.tell_cancelled(job)
+
+    def see_accepted(self, job: AcceptedJob) -> None:
+        """Take in a job seen in the table."""
+        if self._reign is not None:
+            self._reign.tell_accepted(job)
+
+    # Taking over.
+
+    async def _win(self) -> Reign:
+        """Return once this entry has taken the lease row over."""
+        while True:
+            if not self._is_leaving and self._holder.current.version:
+                standing = await self._watch.judge()
+                if standing.is_free:
+                    reign = await self._claim(standing.value)
+                    if reign is not None:
+                        return reign
+            await self._clock.sleep(_POLL)
+
+    async def _claim(self, why: str) -> Reign | None:
+        await self._clock.sleep(
+            timedelta(seconds=self._random.uniform(0, _MAX_STAGGER_S))
+        )
+        seen = self._watch.row
+        lease = LeaseRow(
+            epoch=1 if seen is None else seen.epoch + 1,
+            holder=self._name,
+            incarnation=self._incarnation,
+            address=self._address,
+        )
+        put = Put.of(LEASE_KEY, self._watch.version, lease)
+        sent = self._clock.elapsed()
+        try:
+            outcome = await self._table.commit(Transaction(puts=[put]))
+        except TableUnavailable as error:
+            # If it was written after all, the row shows this process as holder
+            # and the next look at it goes on from there.
+            log_event("scheduler:claim-failed", reason=str(error))
+            return None
+        if isinstance(outcome, Failure):
+            for row in outcome.failure().rows:
+                self._watch.see(row.decode(LeaseRow), row.version)
+            return None
+        version = outcome.unwrap()[LEASE_KEY]
+        self._watch.see(lease, version)
+        log_event("scheduler:claimed", epoch=lease.epoch, name=self._name, why=why)
+        return Reign(
+            lease=lease,
+            version=version,
+            won=sent,
+            table=self._table,
+            peers=self._peers,
+            holder=self._holder,
+            clock=self._clock,
+            keep=self._keep,
+        )
+
+    async def _lead(self, reign: Reign) -> None:
+        self._reign = reign
+        reign.load(await read_jobs(self._table, clock=self._clock))
+        await reign.run()
+
+    # What others call.
+
+    async def _answer_ping(self, ping: Ping) -> PingReply:
+        epoch = 0 if self._reign is None else self._reign.lease.epoch
+        return PingReply(incarnation=self._incarnation, epoch=epoch)
+
+    async def _answer_report(self, report: Report) -> ReportReply:
+        if self._reign is not None:
+            return self._reign.answer_report(report)
+        row = self._watch.row
+        return ReportReply(scheduler=None if row is None else row.address)
+
+    async def _answer_tell(self, tell: Tell) -> Acknowledged:
+        if self._reign is None:
+            return Acknowledged(is_scheduler=False)
+        for job in tell.accepted:
+            self._reign.tell_accepted(job)
+        for job_id in tell.cancelled:
+            self._reign.tell_cancelled(job_id)
+        return Acknowledged()
+
+    async def _answer_state(self, query: StateQuery) -> StateReply:
+        state = None if self._reign is None else self._reign.state_of(query.job)
+        return StateReply(state=state)
+
+    async def _tell(self, tell: Tell) -> None:
+        row = self._watch.row
+        if row is None or row.is_resigned:
+            return
+        try:
+            await self._peers.call(row.address, TELL, tell, timeout=_CALL_TIMEOUT)
+        except CommunicationError as error:
+            # The scheduler finds it in the table's changes a little later.
+            log_event("scheduler:tell-failed", peer=str(row.address), reason=str(error))
--- a/coltsfoottray/settings/loader.py
+++ b/coltsfoottray/settings/loader.py
@@ -15,6 +15,8 @@
 from coltsfoottray.settings.models import (
     Deployment,
     EntrySettings,
+    JobAttendantSettings,
+    JobEntrySettings,
     UpstreamSettings,
     WorkerSettings,
 )
@@ -22,12 +24,20 @@
 __all__ = ["SettingsError", "load_deployment", "load_settings"]
 
 Model = TypeVar("Model", bound=BaseModel)
-AnySettings = EntrySettings | UpstreamSettings | WorkerSettings
+AnySettings = (
+    EntrySettings
+    | UpstreamSettings
+    | WorkerSettings
+    | JobEntrySettings
+    | JobAttendantSettings
+)
 
 _MODEL_BY_ROLE: dict[str, type[AnySettings]] = {
     "entry": EntrySettings,
     "upstream": UpstreamSettings,
     "worker": WorkerSettings,
+    "job-entry": JobEntrySettings,
+    "job-attendant": JobAttendantSettings,
 }
 
 
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -13,6 +13,9 @@
     "DaemonSettings",
     "Deployment",
     "EntrySettings",
+    "JobAttendantSettings",
+    "JobDaemonSettings",
+    "JobEntrySettings",
     "LogSettings",
     "TimingSettings",
     "UpstreamSettings",
@@ -167,6 +170,61 @@
     control: AddressField
 
 
+class JobDaemonSettings(_Model):
+    """What every daemon that schedules or runs jobs is told.
+
+    Parameters
+    ----------
+    peers : Address
+        Where other daemons call this one. They all use the same port.
+    table : Address
+        The platform's store.
+    seeds : list of Address
+        Any addresses of entries to turn to while the table has not been read;
+        only the host counts, since all daemons use the same peer port.
+    """
+
+    name: str = Field(min_length=1)
+    data_centre: str
+    peers: AddressField
+    table: AddressField
+    seeds: list[AddressField] = []
+    log: LogSettings = LogSettings()
+
+
+class JobEntrySettings(JobDaemonSettings):
+    """An entry that accepts jobs and may become the scheduler.
+
+    Parameters
+    ----------
+    callers, readiness : Address
+        Where callers hand jobs in, and where the balancer asks for readiness.
+    keep_s : float
+        How long an ended job is remembered.
+    grace_s : float
+        A shutdown ends within it; then the process is killed.
+    """
+
+    role: Literal["job-entry"]
+    callers: AddressField
+    readiness: AddressField
+    keep_s: Seconds = 120.0
+    grace_s: Seconds = 6.0
+
+
+class JobAttendantSettings(JobDaemonSettings):
+    """An attendant beside a worker that runs jobs' tasks.
+
+    Parameters
+    ----------
+    heartbeats : Address
+        Where the worker reports about itself.
+    """
+
+    role: Literal["job-attendant"]
+    heartbeats: AddressField
+
+
 class ServiceShape(_Model):
     """The instances of a deployment's service."""
 
--- /dev/null
+++ b/deploy/requirements.py
@@ -0,0 +1,9 @@
+"""Prints the dependencies that pyproject.toml declares, one a line."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+project = tomllib.loads(Path("pyproject.toml").read_text())["project"]
+print("\n".join(project["dependencies"]))
