Fillers are placed and paced by the pressure that their image shows

Change: each attendant learns for each pair of images how much of a service's margin a filler takes, the scheduler merges what they learn; fillers go where they can work fastest, and are slowed only beside services they press on. Services are packed by image.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -8,7 +8,8 @@
 import msgspec
 import trio
 
-from coltsfoottray.agent.pacing import FULL, Pace, ServiceFigure
+from coltsfoottray.agent.pacing import FULL, FillerRun, Pacer, is_worth_an_order
+from coltsfoottray.agent.pressure import Observation, PressureLearner
 from coltsfoottray.agent.runs import Runs
 from coltsfoottray.agent.worker import (
     Heartbeat,
@@ -50,6 +51,7 @@
 # A start that the worker would get with less lease than this is held back.
 _MIN_LEASE = timedelta(milliseconds=300)
 _MAX_LATE = 5
+_MILLI = 1000.0
 
 
 class TaskAttendant(Service):
@@ -90,8 +92,11 @@
         # Until when the worker may run, and until when it has been told it may.
         self._lease_end = timedelta(0)
         self._told_end = timedelta(0)
-        self._pace = Pace()
+        self._learner = PressureLearner()
+        self._pacer = Pacer(learner=self._learner)
         self._percent_by_ref: dict[RunRef, int] = {}
+        self._paced = timedelta(0)
+        self._spare_by_image: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
         self.news = trio.Event()
 
@@ -172,7 +177,12 @@
         self._reading = look.clock
         if self._runs.take(look, asked=asked):
             self._tell()
-        await self._adjust_pace(beat)
+        if asked - self._paced >= _LOOK_WAIT * 0.8:
+            self._paced = asked
+            await self._adjust_pace(beat)
+        if look.ends:
+            # With ends that are not acknowledged yet a look returns at once.
+            await self._clock.sleep(_RETRY)
 
     def _lease_ms(self, now: timedelta) -> int:
         """Return the end of the lease on the worker's clock, 0 for no change.
@@ -205,30 +215,51 @@
         self._tell()
 
     async def _adjust_pace(self, beat: Heartbeat) -> None:
-        runs = self._runs
-        figures = []
-        fillers = []
-        for status in runs.running:
-            order = runs.order_by_ref.get(status.ref)
+        observations, fillers = self._observe(beat)
+        percent_by_ref = self._pacer.adjust(
+            observations, fillers, self._clock.elapsed()
+        )
+        self._percent_by_ref = {
+            ref: percent
+            for ref, percent in self._percent_by_ref.items()
+            if ref in percent_by_ref
+        }
+        async with trio.open_nursery() as nursery:
+            for ref, percent in percent_by_ref.items():
+                if is_worth_an_order(self._percent_by_ref.get(ref, FULL), percent):
+                    nursery.start_soon(self._set_pace, beat, ref, percent)
+
+    def _observe(self, beat: Heartbeat) -> tuple[list[Observation], list[FillerRun]]:
+        """Learn from what the last look showed; return services and fillers."""
+        observations: list[Observation] = []
+        fillers: list[FillerRun] = []
+        share_by_image: dict[str, float] = {}
+        whole = max(beat.capacity.processors, 1e-9)
+        for status in self._runs.running:
+            order = self._runs.order_by_ref.get(status.ref)
             if order is None:
                 continue
             if order.is_filler:
-                fillers.append(status.ref)
-            if order.target_latency_ms and status.figure > 0:
-                figures.append(
-                    ServiceFigure(
-                        latency_ms=status.figure, target_ms=order.target_latency_ms
+                share = order.processors / whole
+                fillers.append(
+                    FillerRun(ref=status.ref, image=order.image, share=share)
+                )
+                used = status.figure / _MILLI / whole
+                share_by_image[order.image] = (
+                    share_by_image.get(order.image, 0.0) + used
+                )
+            elif order.target_latency_ms and status.figure > 0:
+                observations.append(
+                    Observation(
+                        service=str(status.ref),
+                        image=order.image,
+                        latency_ms=status.figure,
+                        target_ms=order.target_latency_ms,
                     )
                 )
-        percent = self._pace.adjust(figures)
-        self._percent_by_ref = {
-            ref: set_before
-            for ref, set_before in self._percent_by_ref.items()
-            if ref in fillers
-        }
-        for ref in fillers:
-            if self._percent_by_ref.get(ref, FULL) != percent:
-                await self._set_pace(beat, ref, percent)
+        self._learner.learn(observations, share_by_image, self._clock.elapsed())
+        self._spare_by_image = self._pacer.spare(observations)
+        return observations, fillers
 
     async def _set_pace(self, beat: Heartbeat, ref: RunRef, percent: int) -> None:
         try:
@@ -260,6 +291,8 @@
             starting=[*runs.starting, *runs.started_by_ref],
             ends=runs.ends,
             rejected=list(runs.rejected_by_ref.values()),
+            pressures=self._learner.own(),
+            spare_by_image=self._spare_by_image,
         )
         if beat is None:
             return report
@@ -283,6 +316,7 @@
         self._epoch = reply.epoch
         lease_end = sent + timedelta(milliseconds=reply.lease_ms)
         self._lease_end = max(self._lease_end, lease_end)
+        self._learner.share(reply.pressures)
         if report.lapsed_life == self._lapsed_life:
             self._lapsed_life = ""
         for rejected in report.rejected:
--- a/coltsfoottray/agent/pacing.py
+++ b/coltsfoottray/agent/pacing.py
@@ -2,53 +2,124 @@
 
 Answers the load at which fillers disturb a service: its tail latency is known only
 as a rough figure of the last half second, and both sides change within seconds.
-The share of all fillers on a worker falls by half whenever a service is near its
-target, to nothing when it is over, and rises again by small steps once there is
-room: over its target a service loses four times what a slowed filler does.
+Each filler is let work as far as what is known of its pressure leaves the services
+a margin; a service that is over its target all the same slows all that press on
+it by half at each look, and before it has been so for long, everything.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import dataclass
+from datetime import timedelta
 
-__all__ = ["Pace", "ServiceFigure"]
+from coltsfoottray.agent.pressure import Observation, PressureLearner
+from coltsfoottray.jobs.model import RunRef
+
+__all__ = ["FULL", "FillerRun", "Pacer", "is_worth_an_order"]
 
 FULL = 100
-# Near the target: the figure wavers by about a tenth from one look to the next.
-_NEAR = 0.85
-# Far enough below it to let fillers work more.
-_CALM = 0.65
-# From nothing to full in five seconds, at two looks a second.
-_STEP = 10
+
+# The margin that services keep: a figure wavers by about a tenth between looks, and
+# over its target a service loses four times what a slowed filler does.
+_KEPT_MARGIN = 1.25
+# A filler that takes less than this of a service's margin is not worth slowing.
+_NEGLIGIBLE = 0.08
+# Fillers are stopped altogether once a service has been over its target for so
+# long: the users allow 4 s, of which a look and an order take up to 0.7 s.
+_PATIENCE = timedelta(seconds=2)
+# Nobody learns anything of a filler that stands still, and it never ends.
+_CRAWL = 2
 
 
 @dataclass(frozen=True, kw_only=True)
-class ServiceFigure:
-    """A service's tail latency and what it must stay below, in milliseconds."""
-
-    latency_ms: float
-    target_ms: float
-
-    @property
-    def ratio(self) -> float:
-        """The latency as a part of the target."""
-        return self.latency_ms / self.target_ms
-
-
-class Pace:
-    """The share, in percent, at which the fillers of one worker work."""
-
-    def __init__(self) -> None:
-        self.percent = FULL
-
-    def adjust(self, figures: Iterable[ServiceFigure]) -> int:
-        """Take in the newest figures and return the share from now on."""
-        worst = max((figure.ratio for figure in figures), default=0.0)
-        if worst >= 1.0:
-            self.percent = 0
-        elif worst >= _NEAR:
-            self.percent //= 2
-        elif worst < _CALM:
-            self.percent = min(FULL, self.percent + _STEP)
-        return self.percent
+class FillerRun:
+    """A filling run and the part of the worker that it uses at full speed."""
+
+    ref: RunRef
+    image: str
+    share: float
+
+
+class Pacer:
+    """Sets the speed, in percent, of each filler on one worker."""
+
+    def __init__(self, *, learner: PressureLearner) -> None:
+        self._learner = learner
+        self._over_since_by_service: dict[str, timedelta] = {}
+        self._percent_by_image: dict[str, int] = {}
+
+    def adjust(
+        self,
+        observations: Sequence[Observation],
+        fillers: Sequence[FillerRun],
+        now: timedelta,
+    ) -> dict[RunRef, int]:
+        """Return the speed of each filler from now on."""
+        self._note_over(observations, now)
+        full_by_image: dict[str, float] = {}
+        for filler in fillers:
+            share = full_by_image.get(filler.image, 0.0)
+            full_by_image[filler.image] = share + filler.share
+        percent_by_image = dict.fromkeys(full_by_image, FULL)
+        for observation in observations:
+            allowed = self._allow(observation, full_by_image)
+            for image, percent in allowed.items():
+                percent_by_image[image] = min(percent_by_image[image], percent)
+        if any(
+            now - since > _PATIENCE for since in self._over_since_by_service.values()
+        ):
+            percent_by_image = dict.fromkeys(full_by_image, 0)
+        self._percent_by_image = percent_by_image
+        return {filler.ref: percent_by_image[filler.image] for filler in fillers}
+
+    def spare(self, observations: Sequence[Observation]) -> dict[str, float]:
+        """Return by service image what margin there is to spare for fillers."""
+        spare_by_image: dict[str, float] = {}
+        for each in observations:
+            spare = max(self._learner.undisturbed(each) - _KEPT_MARGIN, 0.0)
+            spare_by_image[each.image] = min(
+                spare, spare_by_image.get(each.image, spare)
+            )
+        return spare_by_image
+
+    def _note_over(self, observations: Sequence[Observation], now: timedelta) -> None:
+        over = {each.service for each in observations if each.margin <= 1.0}
+        self._over_since_by_service = {
+            service: self._over_since_by_service.get(service, now) for service in over
+        }
+
+    def _allow(
+        self, observation: Observation, full_by_image: dict[str, float]
+    ) -> dict[str, int]:
+        """Return how fast each filler image may work for one service's sake."""
+        spare = max(self._learner.undisturbed(observation) - _KEPT_MARGIN, 0.0)
+        pressed_by_image = {
+            image: self._learner.pressure(image, observation.image) * share
+            for image, share in full_by_image.items()
+        }
+        light = {
+            image: pressed
+            for image, pressed in pressed_by_image.items()
+            if pressed <= _NEGLIGIBLE
+        }
+        heavy = sum(pressed_by_image.values()) - sum(light.values())
+        spare = max(spare - sum(light.values()), 0.0)
+        share = 1.0 if heavy <= spare else spare / heavy
+        percent = max(int(share * FULL), _CRAWL)
+        allowed = {
+            image: FULL if image in light else percent for image in pressed_by_image
+        }
+        if observation.margin <= 1.0:
+            for image in allowed:
+                if image not in light:
+                    before = self._percent_by_image.get(image, FULL)
+                    allowed[image] = min(allowed[image], max(before // 2, _CRAWL))
+        return allowed
+
+
+def is_worth_an_order(before: int, percent: int) -> bool:
+    """Whether a change of speed matters: it stops, restores, or is by a tenth."""
+    if percent in (0, FULL) or before == 0:
+        return percent != before
+    return abs(percent - before) * 10 >= before
--- a/coltsfoottray/agent/worker.py
+++ b/coltsfoottray/agent/worker.py
@@ -74,7 +74,7 @@
         How much of the work is done; for a service, 100 when it is at work.
     figure : float
         For a service with users of its own their tail latency in milliseconds,
-        otherwise the processors in use; of the last half second.
+        otherwise the processors in use, in thousandths; of the last half second.
     """
 
     ref: RunRef
--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
+from coltsfoottray.agent.pressure import PressureTable
 from coltsfoottray.agent.worker import EndKind, Refusal
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.jobs.model import AcceptedJob, JobId, QueueTerms, RunRef
@@ -34,6 +35,7 @@
         self.job_by_id: dict[JobId, LiveJob] = {}
         self.active_by_id: dict[JobId, LiveJob] = {}
         self.fleet = fleet
+        self.pressures = PressureTable()
         self._holder = holder
 
     # What was stored.
@@ -94,6 +96,7 @@
             self._take_end(worker, end.ref, end.kind, end.checkpoint, now_ms)
         for rejected in report.rejected:
             self._take_rejection(worker, rejected, now, now_ms)
+        self.pressures.take(worker.id, report.pressures)
         worker.strays.clear()
         for status in report.running:
             placed = worker.held_by_ref.get(status.ref)
@@ -154,6 +157,7 @@
         worker.capacity = report.capacity
         worker.labels = report.labels
         worker.rack = report.rack
+        worker.spare_by_image = report.spare_by_image
         worker.is_draining = report.is_draining
         worker.is_reachable = report.is_reachable and bool(report.life)
 
@@ -279,13 +283,22 @@
         service = self._terms(step.job).service
         placed: list[PlacedRun] = []
         if step.spec.is_gang:
-            workers = choose_gang(step, self.fleet, service=service, now=now) or []
+            gang = choose_gang(
+                step, self.fleet, self.pressures, service=service, now=now
+            )
+            workers = gang or []
             refs = [step.next_run(index) for index in step.waiting]
             for ref, member in zip(refs, workers, strict=False):
                 placed.append(self._assign(step, ref, member, now))
         else:
             for index in step.waiting:
-                worker = choose_worker(step, self.fleet, service=service, now=now)
+                worker = choose_worker(
+                    step,
+                    self.fleet,
+                    self.pressures,
+                    service=service,
+                    now=now,
+                )
                 if worker is None:
                     break
                 placed.append(self._assign(step, step.next_run(index), worker, now))
--- a/coltsfoottray/scheduler/fit.py
+++ b/coltsfoottray/scheduler/fit.py
@@ -2,48 +2,76 @@
 
 A worker is fit if it is known to live, takes new work and has room for all that
 the task declares. Of those that are fit the task goes to the one where it is
-likely to end soonest and to disturb least.
+likely to end soonest and to disturb least:
+
+- services with a latency target are packed, those of one image together: fillers
+  then find workers without services, or with few images that they might disturb;
+- fillers go where they can work fastest, given the processors that are left and
+  how strongly their image presses on the services there; where they could only
+  crawl, they wait;
+- all others go where most is left.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable
 from datetime import timedelta
 
+from coltsfoottray.agent.pressure import PressureTable
 from coltsfoottray.jobs.model import StepSpec
-from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
+from coltsfoottray.scheduler.fleet import Fleet, Worker
 from coltsfoottray.scheduler.live import LiveStep
 from coltsfoottray.types import Resources
 
 __all__ = ["choose_gang", "choose_worker"]
 
-# A worker that has not reported for so long takes nothing new: three reports of
-# one second, less a little.
+# A worker that has not reported for so long takes nothing new: two reports of one
+# second each, and half of one.
 _SILENCE = timedelta(seconds=2.5)
 
-# Filling tasks share what is left. Up to this share of the processors they do not
-# slow one another down much, as serving tasks use less than they reserve.
-_FILL_LIMIT = 1.0
+# Taken for the margin that a service has to spare for fillers (see
+# `agent.pressure`) until its attendant has told it: a target of 4.5 times the unloaded
+# latency leaves 1.4 at a load of 0.42, and 0.4 at its peaks.
+_SPARE_MARGIN = 0.9
+
+# A filler that would work slower than this waits for a better place.
+_MIN_SPEED = 0.45
+
+_Cost = tuple[float, ...]
 
 
 def choose_worker(
-    step: LiveStep, fleet: Fleet, *, service: str, now: timedelta
+    step: LiveStep,
+    fleet: Fleet,
+    pressures: PressureTable,
+    *,
+    service: str,
+    now: timedelta,
 ) -> Worker | None:
     """Return the best worker for one task of `step`, none if none is fit."""
+    cost = _cost_of(step, pressures)
     fit = [
         worker
         for worker in fleet.worker_by_id.values()
         if _takes_work(worker, service, now)
-        and _suits(worker, step.spec, worker.room, worker.processors_left)
+        and _suits(worker, step.spec, worker.room)
         and _keeps_apart(worker, step, extra=0)
     ]
-    return min(fit, key=lambda worker: _cost(worker, step), default=None)
+    if step.spec.is_filler:
+        fit = [w for w in fit if _speed(w, step.spec, pressures) >= _MIN_SPEED]
+    return min(fit, key=lambda worker: (cost(worker), worker.id), default=None)
 
 
 def choose_gang(
-    step: LiveStep, fleet: Fleet, *, service: str, now: timedelta
+    step: LiveStep,
+    fleet: Fleet,
+    pressures: PressureTable,
+    *,
+    service: str,
+    now: timedelta,
 ) -> list[Worker] | None:
     """Return a worker for each task of a gang, none unless all have room."""
+    cost = _cost_of(step, pressures)
     workers = [
         worker
         for worker in fleet.worker_by_id.values()
@@ -51,33 +79,30 @@
     ]
     if step.spec.is_one_rack:
         for rack in sorted({worker.rack for worker in workers}):
-            chosen = _fill(step, [w for w in workers if w.rack == rack])
+            chosen = _spread(step, [w for w in workers if w.rack == rack], cost)
             if chosen is not None:
                 return chosen
-    return _fill(step, workers)
+    return _spread(step, workers, cost)
 
 
-def _fill(step: LiveStep, workers: list[Worker]) -> list[Worker] | None:
+def _spread(
+    step: LiveStep, workers: list[Worker], cost: Callable[[Worker], _Cost]
+) -> list[Worker] | None:
     """Spread the whole step over `workers`, as if each task were held."""
     room_by_id = {worker.id: worker.room for worker in workers}
-    left_by_id = {worker.id: worker.processors_left for worker in workers}
     count_by_id = dict.fromkeys(room_by_id, 0)
     chosen: list[Worker] = []
     for _ in step.records:
         fit = [
             worker
             for worker in workers
-            if _suits(worker, step.spec, room_by_id[worker.id], left_by_id[worker.id])
+            if _suits(worker, step.spec, room_by_id[worker.id])
             and _keeps_apart(worker, step, extra=count_by_id[worker.id])
         ]
         if not fit:
             return None
-        best = min(
-            fit,
-            key=lambda worker: (count_by_id[worker.id], _cost(worker, step)),
-        )
+        best = min(fit, key=lambda w: (count_by_id[w.id], cost(w), w.id))
         room_by_id[best.id] = room_by_id[best.id] - step.spec.reserved
-        left_by_id[best.id] -= step.spec.demand.processors
         count_by_id[best.id] += 1
         chosen.append(best)
     return chosen
@@ -95,49 +120,48 @@
     )
 
 
-def _suits(
-    worker: Worker, spec: StepSpec, room: Resources, processors_left: float
-) -> bool:
+def _suits(worker: Worker, spec: StepSpec, room: Resources) -> bool:
     if spec.label and spec.label not in worker.labels:
         return False
-    if not spec.reserved.fits_in(room):
-        return False
-    if not spec.is_filler:
-        return True
-    # A filler that is wider than the worker still has to run somewhere.
-    is_alone = processors_left >= worker.capacity.processors
-    limit = (1.0 - _FILL_LIMIT) * worker.capacity.processors
-    return is_alone or processors_left - spec.demand.processors >= limit
+    return spec.reserved.fits_in(room)
 
 
 def _keeps_apart(worker: Worker, step: LiveStep, *, extra: int) -> bool:
     if not step.spec.max_per_worker:
         return True
-    return _siblings(worker, step) + extra < step.spec.max_per_worker
-
-
-def _siblings(worker: Worker, step: LiveStep) -> int:
-    return sum(placed.step is step for placed in worker.held_by_ref.values())
-
-
-def _cost(worker: Worker, step: LiveStep) -> tuple[bool, int, float, str]:
-    """Order workers for a task: its data's rack, then quiet, then spare."""
-    is_far = bool(step.spec.data_rack) and step.spec.data_rack not in worker.labels
-    load = 1.0 - worker.processors_left / max(worker.capacity.processors, 1e-9)
-    return is_far, _conflicts(worker.held_by_ref.values(), step.spec), load, worker.id
-
-
-def _conflicts(held: Iterable[PlacedRun], spec: StepSpec) -> int:
-    """Count the tasks here that this one would disturb, or that would disturb it.
-
-    A filler beside a service with a latency target has to be slowed down for
-    its sake; apart from each other both do better.
-    """
-    count = 0
-    for placed in held:
-        other = placed.step.spec
-        if spec.is_filler and other.target_latency_ms:
-            count += 1
-        if spec.target_latency_ms and other.is_filler:
-            count += 1
-    return count
+    siblings = sum(placed.step is step for placed in worker.held_by_ref.values())
+    return siblings + extra < step.spec.max_per_worker
+
+
+def _cost_of(step: LiveStep, pressures: PressureTable) -> Callable[[Worker], _Cost]:
+    """Return the cost of a worker for a task of `step`; the least is best."""
+    spec = step.spec
+
+    def cost(worker: Worker) -> _Cost:
+        is_far = float(bool(spec.data_rack) and spec.data_rack not in worker.labels)
+        if spec.target_latency_ms:
+            others = [image for image in worker.service_images if image != spec.image]
+            left = worker.room.processors / max(worker.capacity.processors, 1e-9)
+            return is_far, float(len(others)), left
+        if spec.is_filler:
+            return is_far, -_speed(worker, spec, pressures), -worker.processors_left
+        return is_far, worker.busy / max(worker.capacity.processors, 1e-9)
+
+    return cost
+
+
+def _speed(worker: Worker, spec: StepSpec, pressures: PressureTable) -> float:
+    """Return how fast a filler could work on `worker`, 1 for full speed."""
+    wanted = max(spec.demand.processors, 1e-9)
+    speed = min(1.0, max(worker.processors_left, 0.0) / wanted)
+    whole = max(worker.capacity.processors, 1e-9)
+    for service in worker.service_images:
+        pressing = sum(
+            pressures.get(image, service) * count * wanted / whole
+            for image, count in worker.fillers_by_image.items()
+        )
+        own = pressures.get(spec.image, service) * wanted / whole
+        spare = worker.spare_by_image.get(service, _SPARE_MARGIN)
+        if own > 0:
+            speed = min(speed, max(spare - pressing, 0.0) / own)
+    return speed
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from coltsfoottray.jobs.model import RunRef
+from coltsfoottray.jobs.model import RunRef, StepSpec
 from coltsfoottray.scheduler.live import LiveStep
 from coltsfoottray.types import Address, Resources
 
 __all__ = ["Fleet", "PlacedRun", "Worker"]
 
+# A service reserves for its peaks; measured over a day it uses 0.42 of that, and half
+# as much again at its peaks.
+_SERVICE_USE = 0.5
 _NEVER = timedelta(days=-1)
 _NOTHING = Resources()
 
@@ -86,7 +90,10 @@
 
     def __post_init__(self) -> None:
         self.taken = Resources()
-        self.filling = 0.0
+        self.busy = 0.0
+        self.spare_by_image: dict[str, float] = {}
+        self.service_images: list[str] = []
+        self.fillers_by_image: Counter[str] = Counter()
 
     @property
     def room(self) -> Resources:
@@ -95,8 +102,8 @@
 
     @property
     def processors_left(self) -> float:
-        """Processors that neither reserved nor filling tasks ask for."""
-        return self.capacity.processors - self.taken.processors - self.filling
+        """Processors that none of its tasks is likely to use."""
+        return self.capacity.processors - self.busy
 
     def hold(self, placed: PlacedRun) -> None:
         """Take room for a run."""
@@ -113,11 +120,23 @@
         """Add up anew: sums kept by adding and taking away would drift."""
         held = self.held_by_ref.values()
         self.taken = Resources.total([placed.reserved for placed in held])
-        self.filling = sum(
-            placed.step.spec.demand.processors
-            for placed in held
-            if placed.step.spec.is_filler
+        self.service_images = sorted(
+            {
+                placed.step.spec.image
+                for placed in held
+                if placed.step.spec.target_latency_ms
+            }
         )
+        self.fillers_by_image = Counter(
+            placed.step.spec.image for placed in held if placed.step.spec.is_filler
+        )
+        self.busy = sum(_likely_use(placed.step.spec) for placed in held)
+
+
+def _likely_use(spec: StepSpec) -> float:
+    """Return the processors that a task is likely to keep busy."""
+    share = _SERVICE_USE if spec.target_latency_ms else 1.0
+    return spec.demand.processors * share
 
 
 class Fleet:
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from coltsfoottray.agent.pressure import Pressure
 from coltsfoottray.agent.worker import EndKind, Refusal, RunEnd, RunStatus
 from coltsfoottray.jobs.model import AcceptedJob, JobId, RunRef
 from coltsfoottray.jobs.records import JobState
@@ -51,6 +52,7 @@
     payload: str
     checkpoint: str = ""
     image: str = ""
+    processors: float = 0.0
     is_filler: bool = False
     target_latency_ms: float = 0.0
 
@@ -105,6 +107,10 @@
         Whether the worker answered its last look.
     starting : list of RunRef
         Starts without an answer so far.
+    pressures : list of Pressure
+        How images disturb one another, as seen here.
+    spare_by_image : dict
+        By image of a service, the margin that it can spare for fillers.
     """
 
     worker: str
@@ -125,6 +131,8 @@
     starting: list[RunRef] = msgspec.field(default_factory=list)
     ends: list[RunEnd] = msgspec.field(default_factory=list)
     rejected: list[RejectedStart] = msgspec.field(default_factory=list)
+    pressures: list[Pressure] = msgspec.field(default_factory=list)
+    spare_by_image: dict[str, float] = msgspec.field(default_factory=dict)
 
 
 class ReportReply(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -141,6 +149,8 @@
         one takes nothing from a scheduler of a lower one.
     lease_ms : int
         How long the worker may run from the moment the report was sent.
+    pressures : list of Pressure
+        How images disturb one another, as seen everywhere.
     """
 
     scheduler: Address | None = None
@@ -148,6 +158,7 @@
     epoch: int = 0
     lease_ms: int = 0
     orders: Orders = Orders(session=0)
+    pressures: list[Pressure] = msgspec.field(default_factory=list)
 
 
 class Tell(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -154,6 +154,7 @@
             epoch=self.lease.epoch,
             lease_ms=self._grant(worker, now),
             orders=self._orders_after(worker, report),
+            pressures=self.board.pressures.all(),
         )
 
     def tell_accepted(self, job: AcceptedJob) -> None:
@@ -385,6 +386,7 @@
             payload=placed.step.job.accepted.spec.payload,
             checkpoint=record.checkpoint if spec.has_checkpoints else "",
             image=spec.image,
+            processors=spec.demand.processors,
             is_filler=spec.is_filler,
             target_latency_ms=spec.target_latency_ms,
         )
