--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -159,7 +159,8 @@
             look = await self._link.look(
                 beat=beat,
                 fence=self._session,
-                lease_end_ms=self._lease_ms(asked),
+                # Of a worker that does not answer the lease has to run out.
+                lease_end_ms=self._lease_ms(asked) if self._is_reachable else 0,
                 acknowledged=self._acknowledged,
                 wait=_LOOK_WAIT if self._reading is not None else timedelta(0),
             )
@@ -308,11 +309,18 @@
             is_reachable=self._is_reachable,
         )
 
-    def take_reply(self, report: Report, reply: ReportReply, sent: timedelta) -> None:
-        """Take in the answer to a report that was sent at `sent`."""
+    def take_reply(self, report: Report, reply: ReportReply, sent: timedelta) -> bool:
+        """Take in the answer to a report that was sent at `sent`.
+
+        Returns
+        -------
+        bool
+            Whether it is from a scheduler worth reporting to: not from one that
+            has been replaced, nor from one that has nothing left to grant.
+        """
         if reply.epoch < self._epoch:
             log_event("scheduler:outdated", epoch=reply.epoch, known=self._epoch)
-            return
+            return False
         self._epoch = reply.epoch
         lease_end = sent + timedelta(milliseconds=reply.lease_ms)
         self._lease_end = max(self._lease_end, lease_end)
@@ -324,6 +332,7 @@
         if reply.orders.session != self._session:
             self._begin_session(reply.orders.session)
         self._carry_out(reply.orders)
+        return reply.lease_ms > 0
 
     async def answer_orders(self, orders: Orders) -> Acknowledged:
         """Take orders that the scheduler sends between reports."""
@@ -364,7 +373,7 @@
                 self._reject(order, Refusal.DRAINING)
                 return
             now = self._clock.elapsed()
-            lease_end_ms = self._lease_ms(now)
+            lease_end_ms = self._lease_ms(now) if self._is_reachable else 0
             if not lease_end_ms or self._lease_end - now < _MIN_LEASE:
                 await self._clock.sleep(_RETRY)
                 continue
--- a/coltsfoottray/agent/reporter.py
+++ b/coltsfoottray/agent/reporter.py
@@ -13,7 +13,7 @@
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
 from coltsfoottray.peers import PeerClient
-from coltsfoottray.scheduler.messages import REPORT, ReportReply
+from coltsfoottray.scheduler.messages import REPORT, Acknowledged, Hello, ReportReply
 from coltsfoottray.types import Address
 
 __all__ = ["Reporter"]
@@ -46,6 +46,15 @@
         self._clock = clock
         self._candidates = candidates
         self._scheduler: Address | None = None
+        self._epoch = 0
+
+    async def answer_hello(self, hello: Hello) -> Acknowledged:
+        """Report to a new scheduler at once."""
+        if hello.epoch > self._epoch:
+            self._epoch = hello.epoch
+            self._scheduler = hello.scheduler
+            self._attendant.news.set()
+        return Acknowledged()
 
     async def run(  # noqa: D102
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -61,11 +70,16 @@
 
     async def _report(self) -> bool:
         """Report once; return whether the scheduler has answered."""
-        if self._scheduler is not None:
-            self._scheduler = await self._report_to(self._scheduler)
-            if self._scheduler is not None:
+        named = self._scheduler
+        if named is not None:
+            found = await self._report_to(named)
+            if self._scheduler is not named:
+                # Meanwhile another one has introduced itself.
                 return True
-            log_event("scheduler:lost")
+            self._scheduler = found
+            if found is not None:
+                return True
+            log_event("scheduler:lost", address=str(named))
         for address in await self._candidates():
             self._scheduler = await self._report_to(address)
             if self._scheduler is not None:
@@ -93,6 +107,9 @@
         except CommunicationError as error:
             log_event("scheduler:no-answer", peer=str(address), reason=str(error))
             return None
-        if reply.is_scheduler:
-            self._attendant.take_reply(report, reply, sent)
+        if not reply.is_scheduler:
+            return reply
+        if not self._attendant.take_reply(report, reply, sent):
+            return None
+        self._epoch = reply.epoch
         return reply
--- a/coltsfoottray/daemons/job_attendant.py
+++ b/coltsfoottray/daemons/job_attendant.py
@@ -6,15 +6,16 @@
 
 from coltsfoottray.agent.attendant import TaskAttendant
 from coltsfoottray.agent.reporter import Reporter
-from coltsfoottray.daemons.job_common import JobDaemon, read_members
+from coltsfoottray.daemons.job_common import JobDaemon
 from coltsfoottray.jobs.keys import LEASE_KEY
+from coltsfoottray.jobs.members import read_members
 from coltsfoottray.kernel import Kernel, ServiceName
 from coltsfoottray.logs import log_event
 from coltsfoottray.platform import TableUnavailable
 from coltsfoottray.platform.heartbeats import HeartbeatHandler
 from coltsfoottray.platform.instance import InstanceLink
 from coltsfoottray.scheduler.lease import LeaseRow
-from coltsfoottray.scheduler.messages import ORDERS
+from coltsfoottray.scheduler.messages import HELLO, ORDERS
 from coltsfoottray.settings import JobAttendantSettings
 from coltsfoottray.types import Address, Role
 
@@ -45,19 +46,21 @@
             link=InstanceLink(transport=self.transport, clock=self.clock),
             clock=self.clock,
         )
-        self.handlers.add(ORDERS, self.attendant.answer_orders)
-        self.register_peer_server()
-        handler = HeartbeatHandler(attendant=self.attendant)
-        server = self.listeners.http(settings.heartbeats, handler.handle)
-        self.kernel.register(_HEARTBEATS, server)
-        self.kernel.register(_ATTENDANT, self.attendant)
         reporter = Reporter(
             attendant=self.attendant,
             peers=self.peers,
             clock=self.clock,
             candidates=self._find_entries,
         )
+        self.handlers.add(ORDERS, self.attendant.answer_orders)
+        self.handlers.add(HELLO, reporter.answer_hello)
+        self.register_peer_server()
+        handler = HeartbeatHandler(attendant=self.attendant)
+        server = self.listeners.http(settings.heartbeats, handler.handle)
+        self.kernel.register(_HEARTBEATS, server)
+        self.kernel.register(_ATTENDANT, self.attendant)
         self.kernel.register(_REPORTER, reporter)
+        self.register_member()
 
     async def shut_down(self) -> None:
         """End soon: the worker's lease outlasts a restart."""
--- a/coltsfoottray/daemons/job_common.py
+++ b/coltsfoottray/daemons/job_common.py
@@ -4,12 +4,9 @@
 
 import abc
 import secrets
-from datetime import timedelta
 from random import Random
 
-import msgspec
 import trio
-from returns.result import Failure
 
 from coltsfoottray.clock import Clock, SuspendAwareClock
 from coltsfoottray.daemons.common import (
@@ -23,29 +20,20 @@
 )
 from coltsfoottray.daemons.listeners import ListenerFactory, SocketListeners
 from coltsfoottray.http import HttpClient, HttpTransport
-from coltsfoottray.jobs.keys import MEMBERS_GROUP, member_key
-from coltsfoottray.kernel import Kernel, Service
+from coltsfoottray.jobs.members import MemberRow, Registration
+from coltsfoottray.kernel import Kernel, ServiceName
 from coltsfoottray.logs import log_event
 from coltsfoottray.membership import make_incarnation
 from coltsfoottray.peers import CallHandlers, PeerClient
 from coltsfoottray.peers.http import HttpPeerClient, HttpPeerHandler
-from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
+from coltsfoottray.platform import WatchedTable
 from coltsfoottray.platform.rows import RowsTable
 from coltsfoottray.settings import JobDaemonSettings
 from coltsfoottray.types import Address, Role
 
-__all__ = ["JobDaemon", "MemberRow", "Registration", "read_members"]
+__all__ = ["JobDaemon"]
 
-_RETRY = timedelta(milliseconds=500)
-
-
-class MemberRow(msgspec.Struct, frozen=True, kw_only=True):
-    """Where a daemon is reached by its peers."""
-
-    name: str
-    role: Role
-    address: Address
-    incarnation: str
+_REGISTRATION = ServiceName("registration")
 
 
 class JobDaemon(abc.ABC):
@@ -107,51 +95,13 @@
         server = self.listeners.http(self.address, handler.handle)
         self.kernel.register(PEER_SERVER, server)
 
-    def as_member(self) -> MemberRow:
-        """Return how this daemon is found."""
-        return MemberRow(
+    def register_member(self) -> None:
+        """Register the service that makes this daemon known to the others."""
+        member = MemberRow(
             name=self.name,
             role=self.role,
             address=self.address,
             incarnation=self.incarnation,
         )
-
-
-class Registration(Service):
-    """Writes the daemon's row among the members once it starts."""
-
-    def __init__(self, *, member: MemberRow, table: WatchedTable, clock: Clock) -> None:
-        self._member = member
-        self._table = table
-        self._clock = clock
-
-    async def run(  # noqa: D102
-        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-    ) -> None:
-        task_status.started()
-        while not await self._write():
-            await self._clock.sleep(_RETRY)
-        await trio.sleep_forever()
-
-    async def _write(self) -> bool:
-        key = member_key(self._member.name)
-        try:
-            row = await self._table.get(key)
-            version = 0 if row is None else row.version
-            put = Put.of(key, version, self._member)
-            outcome = await self._table.commit(Transaction(puts=[put]))
-        except TableUnavailable as error:
-            log_event("members:unwritten", reason=str(error))
-            return False
-        return not isinstance(outcome, Failure)
-
-
-async def read_members(table: WatchedTable) -> list[MemberRow]:
-    """Return the members that the table names, raising `TableUnavailable`."""
-    members = []
-    for row in await table.scan(f"{MEMBERS_GROUP}//"):
-        try:
-            members.append(row.decode(MemberRow))
-        except msgspec.DecodeError as error:
-            log_event("members:row-unreadable", key=row.key, reason=str(error))
-    return members
+        service = Registration(member=member, table=self.table, clock=self.clock)
+        self.kernel.register(_REGISTRATION, service)
--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 
 from coltsfoottray.daemons.common import HTTP_SERVER
-from coltsfoottray.daemons.job_common import JobDaemon, Registration
+from coltsfoottray.daemons.job_common import JobDaemon
 from coltsfoottray.http import HttpRequest, HttpResponse
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.jobs.intake import Intake
@@ -35,7 +35,6 @@
 
 __all__ = ["JobEntryDaemon"]
 
-_REGISTRATION = ServiceName("registration")
 _JOBS_MIRROR = ServiceName("jobs-mirror")
 _CONFIG_MIRROR = ServiceName("config-mirror")
 _SCHEDULER = ServiceName("scheduler")
@@ -130,10 +129,7 @@
         self.kernel.register(_CONFIG_MIRROR, self._config_mirror)
         self.kernel.register(_JOBS_MIRROR, self._jobs_mirror)
         self.kernel.register(_SCHEDULER, self.scheduler)
-        registration = Registration(
-            member=self.as_member(), table=self.table, clock=self.clock
-        )
-        self.kernel.register(_REGISTRATION, registration)
+        self.register_member()
 
     async def shut_down(self) -> None:
         """Hand scheduling over, let the balancer turn away, answer the last."""
--- a/coltsfoottray/scheduler/lease.py
+++ b/coltsfoottray/scheduler/lease.py
@@ -31,6 +31,10 @@
 
 # Three renewals missed, less the time a change takes to be seen.
 _STALE = timedelta(milliseconds=1300)
+# A holder that answers but has not renewed for so long cannot reach the table, which
+# others can. Six renewals, since a table that is 70 times slower than usual takes
+# almost two for one.
+_CUT_OFF = timedelta(seconds=3)
 _PING_TIMEOUT = timedelta(milliseconds=400)
 
 
@@ -68,6 +72,8 @@
     earlier attempt to take the row over was lost."""
     STALE = "stale"
     """It neither answers nor renews."""
+    CUT_OFF = "cut-off"
+    """It answers, but has not renewed for long."""
 
     @property
     def is_free(self) -> bool:
@@ -119,8 +125,11 @@
             )
         except CommunicationError:
             # The row may have changed while the call waited.
-            is_stale = self._clock.elapsed() - self._changed > _STALE
-            return Standing.STALE if is_stale else Standing.HELD
+            return Standing.STALE if self._age() > _STALE else Standing.HELD
         if reply.incarnation != row.incarnation:
             return Standing.REPLACED
-        return Standing.HELD
+        return Standing.CUT_OFF if self._age() > _CUT_OFF else Standing.HELD
+
+    def _age(self) -> timedelta:
+        """Return for how long the row has not changed."""
+        return self._clock.elapsed() - self._changed
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -12,6 +12,7 @@
 from coltsfoottray.types import Address, Resources
 
 __all__ = [
+    "HELLO",
     "ORDERS",
     "PING",
     "RELAY",
@@ -20,6 +21,7 @@
     "TELL",
     "Acknowledged",
     "EndKind",
+    "Hello",
     "Orders",
     "Ping",
     "PingReply",
@@ -161,6 +163,13 @@
     pressures: list[Pressure] = msgspec.field(default_factory=list)
 
 
+class Hello(msgspec.Struct, frozen=True, kw_only=True):
+    """Names the scheduler to an attendant; of several the highest epoch counts."""
+
+    epoch: int
+    scheduler: Address
+
+
 class Tell(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Stored acceptances and cancellations, told to save the wait for the feed."""
 
@@ -224,6 +233,7 @@
 
 
 REPORT = Call(name="Report", request_type=Report, reply_type=ReportReply)
+HELLO = Call(name="Hello", request_type=Hello, reply_type=Acknowledged)
 ORDERS = Call(name="Orders", request_type=Orders, reply_type=Acknowledged)
 TELL = Call(name="Tell", request_type=Tell, reply_type=Acknowledged)
 STATE = Call(name="State", request_type=StateQuery, reply_type=StateReply)
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -12,6 +12,7 @@
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.jobs.keys import LEASE_KEY
+from coltsfoottray.jobs.members import read_members
 from coltsfoottray.jobs.mirror import Mirror
 from coltsfoottray.jobs.model import AcceptedJob, JobId
 from coltsfoottray.jobs.records import JobState
@@ -21,11 +22,13 @@
 from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
 from coltsfoottray.scheduler.lease import LeaseRow, LeaseWatch
 from coltsfoottray.scheduler.messages import (
+    HELLO,
     PING,
     REPORT,
     STATE,
     TELL,
     Acknowledged,
+    Hello,
     Ping,
     PingReply,
     Report,
@@ -36,7 +39,7 @@
 )
 from coltsfoottray.scheduler.reign import Deposed, Reign
 from coltsfoottray.scheduler.restore import read_jobs
-from coltsfoottray.types import Address
+from coltsfoottray.types import Address, Role
 
 __all__ = ["Scheduler"]
 
@@ -97,8 +100,8 @@
             try:
                 await self._lead(reign)
             except* Deposed as group:
-                reasons = [str(error) for error in group.exceptions]
-                log_event("scheduler:deposed", name=self._name, reasons=reasons)
+                reason = str(next(iter(_leaves(group))))
+                log_event("scheduler:deposed", name=self._name, reason=reason)
             finally:
                 self._reign = None
 
@@ -165,25 +168,29 @@
         """Return once this entry has taken the lease row over."""
         while True:
             if not self._is_leaving and self._holder.current.version:
+                # The row as judged is the one to take over: another entry may
+                # have written it since, and must not be robbed of it unjudged.
+                row, version = self._watch.row, self._watch.version
                 standing = await self._watch.judge()
                 if standing.is_free:
-                    reign = await self._claim(standing.value)
+                    reign = await self._claim(row, version, standing.value)
                     if reign is not None:
                         return reign
             await self._clock.sleep(_POLL)
 
-    async def _claim(self, why: str) -> Reign | None:
+    async def _claim(
+        self, seen: LeaseRow | None, version: int, why: str
+    ) -> Reign | None:
         await self._clock.sleep(
             timedelta(seconds=self._random.uniform(0, _MAX_STAGGER_S))
         )
-        seen = self._watch.row
         lease = LeaseRow(
             epoch=1 if seen is None else seen.epoch + 1,
             holder=self._name,
             incarnation=self._incarnation,
             address=self._address,
         )
-        put = Put.of(LEASE_KEY, self._watch.version, lease)
+        put = Put.of(LEASE_KEY, version, lease)
         sent = self._clock.elapsed()
         try:
             outcome = await self._table.commit(Transaction(puts=[put]))
@@ -196,12 +203,12 @@
             for row in outcome.failure().rows:
                 self._watch.see(row.decode(LeaseRow), row.version)
             return None
-        version = outcome.unwrap()[LEASE_KEY]
-        self._watch.see(lease, version)
+        won = outcome.unwrap()[LEASE_KEY]
+        self._watch.see(lease, won)
         log_event("scheduler:claimed", epoch=lease.epoch, name=self._name, why=why)
         return Reign(
             lease=lease,
-            version=version,
+            version=won,
             won=sent,
             table=self._table,
             peers=self._peers,
@@ -212,8 +219,34 @@
 
     async def _lead(self, reign: Reign) -> None:
         self._reign = reign
-        reign.load(await read_jobs(self._table, clock=self._clock))
-        await reign.run()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._introduce, reign.lease)
+            reign.load(await read_jobs(self._table, clock=self._clock))
+            await reign.run()
+
+    async def _introduce(self, lease: LeaseRow) -> None:
+        """Tell attendants whom to report to.
+
+        They would find out by themselves when the scheduler before is silent, but
+        not when it is cut off from the table alone and still answers them.
+        """
+        try:
+            members = await read_members(self._table)
+        except TableUnavailable as error:
+            log_event("scheduler:not-introduced", reason=str(error))
+            return
+        hello = Hello(epoch=lease.epoch, scheduler=lease.address)
+        async with trio.open_nursery() as nursery:
+            for member in members:
+                if member.role is Role.WORKER:
+                    nursery.start_soon(self._greet, member.address, hello)
+
+    async def _greet(self, address: Address, hello: Hello) -> None:
+        try:
+            await self._peers.call(address, HELLO, hello, timeout=_CALL_TIMEOUT)
+        except CommunicationError as error:
+            # It may be gone for good; if not, it finds the scheduler by itself.
+            log_event("scheduler:greeting-failed", peer=str(address), reason=str(error))
 
     # What others call.
 
@@ -249,3 +282,10 @@
         except CommunicationError as error:
             # The scheduler finds it in the table's changes a little later.
             log_event("scheduler:tell-failed", peer=str(row.address), reason=str(error))
+
+
+def _leaves(group: BaseExceptionGroup[Deposed]) -> list[BaseException]:
+    leaves: list[BaseException] = []
+    for error in group.exceptions:
+        leaves += _leaves(error) if isinstance(error, BaseExceptionGroup) else [error]
+    return leaves
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -129,12 +129,16 @@
 
     def kernel(self, process: str) -> Kernel:  # noqa: D102
         kernel = Kernel()
+        kernel.register(PEERS, _MemoryPeers(self, process))
+        self.register_parts(kernel, process)
+        return kernel
+
+    def register_parts(self, kernel: Kernel, process: str) -> None:
+        """Register what every process has but its way of calling peers."""
         kernel.register(CLOCK, _PausableClock(self.faults(process)))
         kernel.register(TRANSPORT, self.transport(process))
-        kernel.register(PEERS, _MemoryPeers(self, process))
         kernel.register(RANDOM, Random(process))
         kernel.register(LISTENERS, self.listeners(process))
-        return kernel
 
     def listeners(self, process: str) -> ListenerFactory:  # noqa: D102
         return _MemoryListeners(self, process)
--- /dev/null
+++ b/standins/job_cell.py
@@ -0,0 +1,160 @@
+"""A deployment for jobs in one process: stand-ins and real daemons in memory."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass, field
+
+import trio
+
+from coltsfoottray.daemons.common import PEERS
+from coltsfoottray.daemons.job_attendant import JobAttendantDaemon
+from coltsfoottray.daemons.job_common import JobDaemon
+from coltsfoottray.daemons.job_entry import JobEntryDaemon
+from coltsfoottray.http import Handler
+from coltsfoottray.kernel import Kernel
+from coltsfoottray.peers.http import HttpPeerClient
+from coltsfoottray.settings import JobAttendantSettings, JobEntrySettings
+from coltsfoottray.types import Address
+from standins.fabric import MemoryFabric
+from standins.instance import InstanceStandIn, RunObserver
+from standins.rows import RowsStandIn
+
+__all__ = ["HOST", "PREFIX", "JobCell"]
+
+HOST = "jobs.example"
+PREFIX = "/rebuild/"
+
+
+@dataclass(kw_only=True)
+class JobCell:
+    """Starts entries, attendants and workers inside `nursery`."""
+
+    fabric: MemoryFabric
+    nursery: trio.Nursery
+    entries: int
+    workers: int
+    processors: int = 8
+    rows: RowsStandIn = field(default_factory=RowsStandIn)
+    observer: RunObserver = field(default_factory=RunObserver)
+    entry_by_name: dict[str, JobEntryDaemon] = field(default_factory=dict)
+    attendant_by_name: dict[str, JobAttendantDaemon] = field(default_factory=dict)
+    worker_by_name: dict[str, InstanceStandIn] = field(default_factory=dict)
+    scope_by_name: dict[str, trio.CancelScope] = field(default_factory=dict)
+    dead: set[str] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self._table = self.fabric.free_address()
+        self._versions = itertools.count(1)
+        self._callers_by_entry: dict[str, Address] = {}
+        self._settings_by_name: dict[str, JobEntrySettings | JobAttendantSettings] = {}
+
+    async def start(self) -> None:
+        """Start everything."""
+        await self._serve("store", self._table, self.rows.handle)
+        self.write_config()
+        for number in range(1, self.entries + 1):
+            name = f"entry-{number}"
+            self._settings_by_name[name] = JobEntrySettings(
+                role="job-entry",
+                name=name,
+                data_centre="caerdydd",
+                callers=self.fabric.free_address(),
+                readiness=self.fabric.free_address(),
+                peers=self.fabric.free_address(),
+                table=self._table,
+                keep_s=30.0,
+            )
+            await self.start_daemon(name)
+        for number in range(1, self.workers + 1):
+            await self._start_worker(f"worker-{number}")
+
+    def write_config(self, **changes: object) -> None:
+        """Write a new version of the config, as the operator does."""
+        route = {
+            "name": "r-rebuild",
+            "host": HOST,
+            "pathPrefix": PREFIX,
+            "service": "svc",
+            "priority": 1,
+            "maxAttempts": 2,
+            "timeoutMs": 3000,
+            **changes,
+        }
+        config = {"version": next(self._versions), "routes": [route], "services": []}
+        self.rows.put("op", "", "config", config)
+
+    def callers(self, entry: str) -> Address:
+        """Return where an entry takes jobs."""
+        settings = self._settings_by_name[entry]
+        assert isinstance(settings, JobEntrySettings)
+        address = settings.callers
+        assert isinstance(address, Address)
+        return address
+
+    def scheduler(self) -> str:
+        """Return the name of the entry that holds the lease row, empty for none."""
+        row = self.rows.value_of("state", "scheduler", "lease")
+        return str(row["holder"]) if isinstance(row, dict) else ""
+
+    def kill(self, name: str) -> None:
+        """End a process at once, as a crash would."""
+        self.scope_by_name[name].cancel()
+        self.dead.add(name)
+
+    async def start_daemon(self, name: str) -> None:
+        """Start a daemon, or start it anew."""
+        self.dead.discard(name)
+        settings = self._settings_by_name[name]
+        daemon: JobDaemon
+        if isinstance(settings, JobEntrySettings):
+            daemon = JobEntryDaemon(settings=settings, kernel=self._kernel(name))
+            self.entry_by_name[name] = daemon
+        else:
+            daemon = JobAttendantDaemon(settings=settings, kernel=self._kernel(name))
+            self.attendant_by_name[name] = daemon
+        scope = trio.CancelScope()
+        self.scope_by_name[name] = scope
+
+        async def run(
+            *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+        ) -> None:
+            with scope:
+                await daemon.run(task_status=task_status)
+
+        await self.nursery.start(run)
+
+    def _kernel(self, name: str) -> Kernel:
+        kernel = Kernel()
+        # Peers speak HTTP here, over the same faulty exchanges as everything else.
+        kernel.register(PEERS, HttpPeerClient(transport=self.fabric.transport(name)))
+        self.fabric.register_parts(kernel, name)
+        return kernel
+
+    async def _start_worker(self, name: str) -> None:
+        address = self.fabric.free_address()
+        heartbeats = self.fabric.free_address()
+        worker = InstanceStandIn(
+            name=name,
+            address=address,
+            attendant=heartbeats,
+            transport=self.fabric.transport(f"{name}/vm"),
+            observer=self.observer,
+            processors=self.processors,
+        )
+        self.worker_by_name[name] = worker
+        await self._serve(f"{name}/vm", address, worker.handle)
+        self._settings_by_name[name] = JobAttendantSettings(
+            role="job-attendant",
+            name=name,
+            data_centre="caerdydd",
+            heartbeats=heartbeats,
+            peers=self.fabric.free_address(),
+            table=self._table,
+        )
+        await self.start_daemon(name)
+        await self.nursery.start(worker.run)
+
+    async def _serve(self, process: str, address: Address, handler: Handler) -> None:
+        listener = self.fabric.listeners(process).http(address, handler)
+        await self.nursery.start(listener.run)
--- /dev/null
+++ b/standins/rows.py
@@ -0,0 +1,197 @@
+"""The platform's metadata store, in memory, with its faults."""
+
+from __future__ import annotations
+
+import base64
+from dataclasses import dataclass, field
+
+import msgspec
+import trio
+
+from coltsfoottray.http import HttpRequest, HttpResponse
+from standins.faults import Faults
+
+__all__ = ["RowsStandIn"]
+
+LATE_WRITE_S = 3.0
+
+
+class _Ref(msgspec.Struct, frozen=True):
+    table: str
+    part: str
+    key: str
+
+
+class _Condition(msgspec.Struct):
+    table: str
+    part: str
+    key: str
+    schemaVersion: int = 0  # noqa: N815
+
+    @property
+    def ref(self) -> _Ref:
+        return _Ref(self.table, self.part, self.key)
+
+
+class _Upsert(_Condition):
+    value: str = ""
+
+
+class _Tx(msgspec.Struct):
+    expectedRevision: list[_Condition]  # noqa: N815
+    upserts: list[_Upsert]
+    remove: list[_Condition]
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Change:
+    ref: _Ref
+    version: int
+    value: str
+    is_deleted: bool
+
+
+@dataclass(kw_only=True)
+class RowsStandIn:
+    """Rows, one counter of versions, and the changes so far.
+
+    Parameters
+    ----------
+    late_writes : int
+        For so many transactions: no answer, and carried out seconds later if the
+        conditions still hold.
+    """
+
+    faults: Faults = field(default_factory=Faults)
+    late_writes: int = 0
+    version: int = 0
+    calls: int = 0
+    current_by_ref: dict[_Ref, _Change] = field(default_factory=dict)
+    changes: list[_Change] = field(default_factory=list)
+    dropped_up_to: int = 0
+
+    def __post_init__(self) -> None:
+        self._changed = trio.Event()
+
+    def put(self, table: str, part: str, key: str, value: object) -> None:
+        """Write a row as the operator does."""
+        text = base64.b64encode(msgspec.json.encode(value)).decode()
+        self.version += 1
+        self._note(_Ref(table, part, key), text, is_deleted=False)
+
+    def value_of(self, table: str, part: str, key: str) -> object:
+        """Return a row's decoded value, none if there is no such row."""
+        change = self.current_by_ref.get(_Ref(table, part, key))
+        if change is None:
+            return None
+        return msgspec.json.decode(base64.b64decode(change.value))
+
+    def drop_history(self) -> None:
+        """Forget every change so far; the rows stay."""
+        self.dropped_up_to = self.version
+        self.changes.clear()
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Serve the store's interface."""
+        self.calls += 1
+        if not await self.faults.before():
+            return HttpResponse(status=503)
+        if request.path == "/v1/rows-tx":
+            return await self._transact(msgspec.json.decode(request.body, type=_Tx))
+        if request.path == "/v1/rows-get":
+            return self._read(request.query)
+        if request.path == "/v1/rows-feed":
+            return await self._feed(request.query)
+        return HttpResponse(status=404)
+
+    async def _transact(self, tx: _Tx) -> HttpResponse:
+        entries = [*tx.expectedRevision, *tx.upserts, *tx.remove]
+        is_valid = len(entries) <= 100 and len({each.part for each in entries}) == 1
+        if not is_valid:
+            return HttpResponse(status=400)
+        if self.late_writes > 0:
+            self.late_writes -= 1
+            await trio.sleep(LATE_WRITE_S)
+            self._apply(tx)
+            await trio.sleep_forever()
+        response = self._apply(tx)
+        await self.faults.after_write()
+        return response
+
+    def _apply(self, tx: _Tx) -> HttpResponse:
+        broken = [
+            each.ref
+            for each in tx.expectedRevision
+            if self._version_of(each.ref) != each.schemaVersion
+        ]
+        if broken:
+            found = [self.current_by_ref.get(ref) for ref in broken]
+            rows = [_as_row(change) for change in found if change is not None]
+            return self._answer({"rows": rows}, status=412)
+        self.version += 1
+        for upsert in tx.upserts:
+            self._note(upsert.ref, upsert.value, is_deleted=False)
+        for gone in tx.remove:
+            self._note(gone.ref, "", is_deleted=True)
+        return self._answer({})
+
+    def _version_of(self, ref: _Ref) -> int:
+        change = self.current_by_ref.get(ref)
+        return 0 if change is None else change.version
+
+    def _note(self, ref: _Ref, value: str, *, is_deleted: bool) -> None:
+        change = _Change(
+            ref=ref, version=self.version, value=value, is_deleted=is_deleted
+        )
+        self.changes.append(change)
+        if is_deleted:
+            self.current_by_ref.pop(ref, None)
+        else:
+            self.current_by_ref[ref] = change
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
+
+    def _read(self, query: dict[str, str]) -> HttpResponse:
+        limit = int(query.get("limit", "500"))
+        part = query.get("part", "")
+        found = [
+            change
+            for ref, change in self.current_by_ref.items()
+            if (ref.table, ref.part) == (query["table"], part)
+            and ref.key >= query.get("from", "")
+        ]
+        found.sort(key=lambda change: change.ref.key)
+        rows = [_as_row(change) for change in found[:limit]]
+        return self._answer({"rows": rows, "hasMore": len(found) > limit})
+
+    async def _feed(self, query: dict[str, str]) -> HttpResponse:
+        after = int(query["after"])
+        with trio.move_on_after(int(query["waitMs"]) / 1000):
+            while not self._since(query["table"], after):
+                if after < self.dropped_up_to:
+                    break
+                await self._changed.wait()
+        if after < self.dropped_up_to:
+            return HttpResponse(status=410)
+        rows = [_as_row(change) for change in self._since(query["table"], after)]
+        return self._answer({"rows": rows})
+
+    def _since(self, table: str, after: int) -> list[_Change]:
+        return [c for c in self.changes if c.ref.table == table and c.version > after]
+
+    def _answer(self, body: dict[str, object], status: int = 200) -> HttpResponse:
+        complete = {"schemaVersion": self.version, "nowMs": 0, **body}
+        return HttpResponse.of_json(complete, status=status)
+
+
+def _as_row(change: _Change) -> dict[str, object]:
+    row: dict[str, object] = {
+        "table": change.ref.table,
+        "part": change.ref.part,
+        "key": change.ref.key,
+        "value": change.value,
+        "schemaVersion": change.version,
+    }
+    if change.is_deleted:
+        row["deleted"] = True
+    return row
--- /dev/null
+++ b/tests/jobs/callers.feature
@@ -0,0 +1,71 @@
+Feature: Callers learn the truth about their jobs
+
+  Scenario: A job is cancelled while it runs
+    # Its tasks are stopped within the time that callers are promised, at whichever
+    # entry it was cancelled.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1 steps with 4 tasks of 60 s is handed in at entry-1
+    And 1 s pass
+    And the job "a" is cancelled at entry-2 with status 200
+    And 3 s pass
+    Then the state of the job "a" at entry-1 is "cancelled"
+    And nothing runs
+
+  Scenario: A job that nobody handed in
+    Given two entries and 1 workers for jobs
+    And 1 s pass
+    Then the state of the job "nobody" at entry-1 is "410"
+    And the job "nobody" is cancelled at entry-1 with status 410
+
+  Scenario: A job whose tasks fail
+    # After the attempts that the queue allows the job is shown as failed, and no
+    # further attempt begins.
+    Given two entries and 2 workers for jobs
+    When the failing job "a" of 1 steps with 1 tasks of 1 s is handed in at entry-1
+    Then the job "a" is "failed" within 10 s
+    And the task of "a" was started 2 times
+
+  Scenario: A queue is dropped from the config
+    # From then on there is no such queue, at any entry.
+    Given two entries and 1 workers for jobs
+    And 1 s pass
+    And the operator moves the queue to the path "/other/"
+    When 1 s pass
+    Then the job "a" of 1 steps with 1 tasks of 1 s is not found at entry-1
+    And the job "a" of 1 steps with 1 tasks of 1 s is not found at entry-2
+
+  Scenario: A description that cannot be run
+    # The field at fault is named, and nothing is stored.
+    Given two entries and 1 workers for jobs
+    And 1 s pass
+    Then a job whose step comes after itself is rejected naming "steps[0].after"
+
+  Scenario: Tasks that last are started again however they end
+    # The worker crashes; the service must be back without its caller doing
+    # anything, and stop when it is cancelled.
+    Given two entries and 2 workers for jobs
+    When the lasting job "a" of 1 steps with 2 tasks of 1 s is handed in at entry-1
+    And 2 s pass
+    And worker-1's machine crashes
+    And 3 s pass
+    Then 2 tasks run
+    And the job "a" is cancelled at entry-1 with status 200
+
+  Scenario: A gang waits until all of it has room
+    # Seven of eight slots are taken for some seconds. A gang of two must not be
+    # started by halves.
+    Given two entries and 1 workers for jobs
+    When the job "a" of 1 steps with 7 tasks of 3 s is handed in at entry-1
+    And 500 ms pass
+    And the gang "g" of 2 tasks of 1 s is handed in at entry-1
+    And 1 s pass
+    Then no task of "g" was started
+    And the job "g" is "completed" within 10 s
+
+  Scenario: A job with occurrences
+    # Each occurrence starts at its own time and not before.
+    Given two entries and 1 workers for jobs
+    And 1 s pass
+    When the job "a" is handed in at entry-1 to run 3 times, every 2 s
+    Then the job "a" is "completed" within 20 s
+    And no occurrence of "a" began before its time
--- /dev/null
+++ b/tests/scheduler/one_run.feature
@@ -0,0 +1,128 @@
+Feature: A job's tasks run once, whatever fails around the scheduler
+
+  Scenario: A job of two steps
+    # The second step begins only when the first has ended well, and each task
+    # is started once.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 2 steps with 3 tasks of 1 s is handed in at entry-1
+    Then the job "a" is "completed" within 10 s
+    And 6 tasks were started, each once
+    And no task ran twice at a time or after its end
+
+  Scenario: The scheduler dies while tasks run
+    # The entry that schedules is killed. The other one takes the lease row over,
+    # reads what is stored and finds the tasks where they run; it starts none anew.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 2 steps with 3 tasks of 4 s is handed in at entry-1
+    And 2 s pass
+    And the scheduler is killed
+    Then the job "a" is "completed" within 20 s
+    And 6 tasks were started, each once
+    And no task ran twice at a time or after its end
+
+  Scenario: Every process loses power right after a job was accepted
+    # The caller has its answer and nothing has begun. All come back; the job's
+    # row is the only trace of it, and it must be done.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1 steps with 2 tasks of 1 s is handed in at entry-1
+    And every daemon is killed and started anew
+    Then the job "a" is "completed" within 20 s
+    And no task ran twice at a time or after its end
+
+  Scenario: Every process loses power while tasks run
+    # The workers go on under their leases. The new scheduler must not start the
+    # tasks elsewhere, although it has heard of no worker yet.
+    Given two entries and 3 workers for jobs
+    When the job "a" of 1 steps with 4 tasks of 5 s is handed in at entry-1
+    And 1 s pass
+    And every daemon is killed and started anew
+    Then the job "a" is "completed" within 20 s
+    And 4 tasks were started, each once
+    And no task ran twice at a time or after its end
+
+  Scenario: The scheduler freezes and wakes
+    # It stops for longer than the others wait. They take over. When it wakes it
+    # still believes that it schedules; its writes fail, its orders are of a
+    # session that no attendant is in any more.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 3 steps with 3 tasks of 2 s is handed in at entry-1
+    And 1 s pass
+    And the scheduler is frozen for 5 s
+    Then the job "a" is "completed" within 30 s
+    And no task ran twice at a time or after its end
+
+  Scenario: An attendant dies and comes back within the lease
+    # Its worker goes on. The new attendant knows nothing, takes the tasks over
+    # from the worker's lists and reports them; none is started again.
+    Given two entries and 1 workers for jobs
+    When the job "a" of 1 steps with 3 tasks of 5 s is handed in at entry-1
+    And 1 s pass
+    And worker-1 is killed and started anew after 2 s
+    Then the job "a" is "completed" within 20 s
+    And 3 tasks were started, each once
+    And no task ran twice at a time or after its end
+
+  Scenario: A worker crashes and comes back empty
+    # Its new life runs nothing. The attendant hears of it by a heartbeat and the
+    # scheduler starts the tasks again, without waiting for any lease.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1 steps with 4 tasks of 3 s is handed in at entry-1
+    And 1 s pass
+    And worker-1's machine crashes
+    Then the job "a" is "completed" within 10 s
+    And no task ran twice at a time or after its end
+
+  Scenario: A worker falls silent and runs on
+    # No answer comes from it, yet its tasks go on until its lease is over. Only
+    # then may they be started elsewhere.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1 steps with 4 tasks of 4 s is handed in at entry-1
+    And 500 ms pass
+    And worker-1's machine falls silent
+    Then the job "a" is "completed" within 30 s
+    And no task ran twice at a time or after its end
+
+  Scenario: An attendant is cut off from everything while its worker runs on
+    # The scheduler hears nothing and cannot know whether the tasks run. It waits
+    # until the lease that it granted has surely ended.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1 steps with 4 tasks of 4 s is handed in at entry-1
+    And 500 ms pass
+    And worker-1 is cut off from the entries and the store for 15 s
+    Then the job "a" is "completed" within 30 s
+    And no task ran twice at a time or after its end
+
+  Scenario: A start gets no answer and is carried out seconds later
+    # The attendant asks again and the worker starts the run. The late order then
+    # finds it there, or ended, and must not start it a second time.
+    Given two entries and 1 workers for jobs
+    And the next 2 starts at worker-1 are carried out late
+    When the job "a" of 2 steps with 2 tasks of 1 s is handed in at entry-1
+    Then the job "a" is "completed" within 20 s
+    And 4 tasks were started, each once
+    And no task ran twice at a time or after its end
+
+  Scenario: Starts are carried out and their answers are lost
+    Given two entries and 1 workers for jobs
+    And the answers to the next 3 starts at worker-1 are lost
+    When the job "a" of 1 steps with 3 tasks of 2 s is handed in at entry-1
+    Then the job "a" is "completed" within 20 s
+    And 3 tasks were started, each once
+    And no task ran twice at a time or after its end
+
+  Scenario: A worker that drains gets nothing new
+    # It says that it leaves. From then on tasks go to the other one.
+    Given two entries and 2 workers for jobs
+    And worker-1's machine drains
+    When 3 s pass
+    And the job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
+    Then the job "a" is "completed" within 10 s
+    And nothing was started on worker-1
+
+  Scenario: More tasks than the workers can hold
+    # Nothing is started beyond what a worker has; the rest waits for room.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1 steps with 40 tasks of 1 s is handed in at entry-1
+    Then the job "a" is "completed" within 20 s
+    And no worker ever ran more than 8 tasks
+    And no task ran twice at a time or after its end
--- /dev/null
+++ b/tests/scheduler/store.feature
@@ -0,0 +1,73 @@
+Feature: The store's faults lose no job and stop no task
+
+  Scenario: The store is down while tasks run
+    # Nobody can renew anything for 5 s. The scheduler's authority and the workers'
+    # leases outlast that; no task is stopped.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1 steps with 4 tasks of 8 s is handed in at entry-1
+    And 1 s pass
+    And the store is down for 5 s
+    Then the job "a" is "completed" within 20 s
+    And 4 tasks were started, each once
+    And no task ran twice at a time or after its end
+
+  Scenario: Answers of the store are lost after the write
+    # The scheduler cannot know whether what it decided is stored. It sends the
+    # same conditional write again and finds its own rows.
+    Given two entries and 2 workers for jobs
+    And 1 s pass
+    And the answers to the next 2 writes of the store are lost
+    When the job "a" of 2 steps with 3 tasks of 1 s is handed in at entry-1
+    Then the job "a" is "completed" within 30 s
+    And no task ran twice at a time or after its end
+
+  Scenario: Writes are carried out seconds later
+    # By then newer rows stand. The late write's conditions fail, or it would put
+    # back a state in which ended tasks still wait.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 2 steps with 3 tasks of 1 s is handed in at entry-1
+    And the job "b" of 2 steps with 3 tasks of 1 s is handed in at entry-2
+    And the next 3 writes of the store are carried out late
+    Then the job "a" is "completed" within 30 s
+    And the job "b" is "completed" within 30 s
+    And no task ran twice at a time or after its end
+
+  Scenario: A job is handed in while the store is down
+    # It cannot be kept, so it is refused at once, which is true: it never runs.
+    Given two entries and 2 workers for jobs
+    And 1 s pass
+    And the store is down
+    Then the job "a" of 1 steps with 1 tasks of 1 s is refused at entry-1
+    And 5 s pass with the store up again
+    And the state of the job "a" at entry-2 is "410"
+    And 0 tasks were started, each once
+
+  Scenario: The answer to an acceptance is lost
+    # The row may stand, so the job is not refused: the entry asks again and finds
+    # it. The caller's repeat at the other entry is the same job.
+    Given two entries and 2 workers for jobs
+    And 1 s pass
+    And the answers to the next 1 writes of the store are lost
+    When the job "a" of 1 steps with 2 tasks of 1 s is handed in at entry-1
+    And the job "a" of 1 steps with 2 tasks of 1 s is handed in at entry-2
+    Then the job "a" is "completed" within 20 s
+    And 2 tasks were started, each once
+
+  Scenario: The store forgets its history
+    # What changed meanwhile cannot be told any more. The entries read the rows
+    # again and miss nothing.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1 steps with 2 tasks of 1 s is handed in at entry-1
+    And the store's history is dropped
+    And the job "b" of 1 steps with 2 tasks of 1 s is handed in at entry-2
+    Then the job "a" is "completed" within 20 s
+    And the job "b" is "completed" within 20 s
+
+  Scenario: The scheduler is cut off from the store
+    # It cannot write any more, while another entry can. That one takes over.
+    Given two entries and 2 workers for jobs
+    And 1 s pass
+    And the scheduler is cut off from the store
+    When the job "a" of 1 steps with 2 tasks of 1 s is handed in at the other entry
+    Then the job "a" is "completed" within 20 s at the other entry
+    And no task ran twice at a time or after its end
--- /dev/null
+++ b/tests/steps/job_steps.py
@@ -0,0 +1,370 @@
+"""Steps on jobs, in a world in memory."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+
+from behave import given, step, then, when
+
+from coltsfoottray.clock import Clock, as_milliseconds
+from coltsfoottray.daemons.common import CLOCK
+from tests.support.job_world import JobWorld, job_id
+
+_DEMAND = {"cpu": 1000, "memoryLimitMb": 100}
+
+
+@given("two entries and {count:d} workers for jobs")
+def make_world(context, count):
+    context.world = JobWorld(instances=1, workers=count)
+    context.closers.append(context.world.close)
+    context.world.wait_until(lambda: context.world.cell.scheduler() != "")
+    context.world.advance(3)
+
+
+def _steps(steps, tasks, seconds, **extra):
+    return [
+        {
+            "count": tasks,
+            "estimateMs": seconds * 1000,
+            "after": [number - 1] if number else [],
+            **_DEMAND,
+            **extra,
+        }
+        for number in range(steps)
+    ]
+
+
+@step(
+    'the job "{label}" of {steps:d} steps with {tasks:d} tasks of {seconds:d} s '
+    "is handed in at {entry}"
+)
+def submit(context, label, steps, tasks, seconds, entry):
+    if entry == "the other entry":
+        entry = _other_entry(context)
+    shape = _steps(steps, tasks, seconds)
+    status = context.world.submit_job(entry, label, shape, work_s=seconds)
+    assert status == 200, status
+
+
+@when(
+    'the failing job "{label}" of {steps:d} steps with {tasks:d} tasks of '
+    "{seconds:d} s is handed in at {entry}"
+)
+def submit_failing(context, label, steps, tasks, seconds, entry):
+    shape = _steps(steps, tasks, seconds)
+    status = context.world.submit_job(entry, label, shape, work_s=seconds, fails=True)
+    assert status == 200, status
+
+
+@when(
+    'the lasting job "{label}" of {steps:d} steps with {tasks:d} tasks of '
+    "{seconds:d} s is handed in at {entry}"
+)
+def submit_lasting(context, label, steps, tasks, seconds, entry):
+    shape = _steps(steps, tasks, seconds, longRunning=True)
+    status = context.world.submit_job(entry, label, shape, lasts=True)
+    assert status == 200, status
+
+
+@when('the gang "{label}" of {tasks:d} tasks of {seconds:d} s is handed in at {entry}')
+def submit_gang(context, label, tasks, seconds, entry):
+    shape = _steps(1, tasks, seconds, gang=True)
+    status = context.world.submit_job(entry, label, shape, work_s=seconds)
+    assert status == 200, status
+
+
+@when(
+    'the job "{label}" is handed in at {entry} to run {times:d} times, '
+    "every {seconds:d} s"
+)
+def submit_repeated(context, label, entry, times, seconds):
+    world = context.world
+    clock = world.cell.entry_by_name[entry].kernel.find(CLOCK, Clock)
+
+    async def read():
+        return as_milliseconds(clock.now())
+
+    context.first_ms = world.run(read) + 2000
+    context.started_at = world.now() + 2.0
+    context.interval_s = seconds
+    body = {
+        "spec": json.dumps({"work_s": 0.5}),
+        "steps": _steps(1, 1, 1),
+        "repetitions": times,
+        "firstRunMs": context.first_ms,
+        "intervalMs": seconds * 1000,
+    }
+    assert world.call("POST", entry, job_id(label), body).status == 200
+    context.begun_by_occurrence = {}
+    observer = world.cell.observer
+    begin = observer.begin
+
+    def note(task, run, worker):
+        context.begun_by_occurrence[int(task.split(".")[1])] = world.now()
+        begin(task, run, worker)
+
+    observer.begin = note
+
+
+@then('no occurrence of "{label}" began before its time')
+def check_times(context, label):
+    assert len(context.begun_by_occurrence) == 3, context.begun_by_occurrence
+    for number, begun in context.begun_by_occurrence.items():
+        due = context.started_at + number * context.interval_s
+        assert begun >= due, f"occurrence {number} began {due - begun} s early"
+
+
+@step("{seconds:d} s pass")
+def let_seconds_pass(context, seconds):
+    context.world.advance(seconds)
+
+
+@step("{milliseconds:d} ms pass")
+def let_milliseconds_pass(context, milliseconds):
+    context.world.advance(milliseconds / 1000)
+
+
+@step("{seconds:d} s pass with the store up again")
+def recover_store(context, seconds):
+    context.world.cell.rows.faults.is_down = False
+    context.world.advance(seconds)
+
+
+@when("the scheduler is killed")
+def kill_scheduler(context):
+    context.world.kill_daemon(context.world.cell.scheduler())
+
+
+@when("the scheduler is frozen for {seconds:d} s")
+def freeze_scheduler(context, seconds):
+    name = context.world.cell.scheduler()
+    context.world.fabric.faults(name).pause()
+    context.world.advance(seconds)
+    context.world.resume(name)
+
+
+@when("every daemon is killed and started anew")
+def restart_all(context):
+    cell = context.world.cell
+    names = list(cell.scope_by_name)
+    for name in names:
+        context.world.kill_daemon(name)
+    context.world.advance(1)
+    for name in names:
+        context.world.start_again(name)
+
+
+@when("{name} is killed and started anew after {seconds:d} s")
+def restart(context, name, seconds):
+    context.world.kill_daemon(name)
+    context.world.advance(seconds)
+    context.world.start_again(name)
+
+
+@when("{name}'s machine crashes")
+def crash(context, name):
+    context.world.cell.worker_by_name[name].crash()
+
+
+@when("{name}'s machine falls silent")
+def silence(context, name):
+    context.world.cell.worker_by_name[name].is_dark = True
+
+
+@given("{name}'s machine drains")
+def drain(context, name):
+    context.world.cell.worker_by_name[name].is_draining = True
+
+
+@when("{name} is cut off from the entries and the store for {seconds:d} s")
+def cut_off(context, name, seconds):
+    fabric = context.world.fabric
+    others = [*context.world.cell.entry_by_name, "store"]
+    for other in others:
+        fabric.cut.add(frozenset((name, other)))
+    context.world.advance(seconds)
+    for other in others:
+        fabric.cut.discard(frozenset((name, other)))
+
+
+@given("the scheduler is cut off from the store")
+def cut_scheduler(context):
+    context.scheduler = context.world.cell.scheduler()
+    context.world.fabric.cut.add(frozenset((context.scheduler, "store")))
+
+
+@given("the next {count:d} starts at {name} are carried out late")
+def make_late(context, count, name):
+    context.world.cell.worker_by_name[name].late_starts = count
+
+
+@given("the answers to the next {count:d} starts at {name} are lost")
+def lose_start_answers(context, count, name):
+    context.world.cell.worker_by_name[name].unanswered_starts = count
+
+
+@given("the answers to the next {count:d} writes of the store are lost")
+def lose_write_answers(context, count):
+    context.world.cell.rows.faults.lost_answers = count
+
+
+@step("the next {count:d} writes of the store are carried out late")
+def make_writes_late(context, count):
+    context.world.cell.rows.late_writes = count
+
+
+@when("the store is down for {seconds:d} s")
+def take_store_down(context, seconds):
+    context.world.cell.rows.faults.is_down = True
+    context.world.advance(seconds)
+    context.world.cell.rows.faults.is_down = False
+
+
+@given("the store is down")
+def leave_store_down(context):
+    context.world.cell.rows.faults.is_down = True
+
+
+@when("the store's history is dropped")
+def drop_history(context):
+    context.world.cell.rows.drop_history()
+
+
+@given('the operator moves the queue to the path "{path}"')
+def move_queue(context, path):
+    async def write():
+        context.world.cell.write_config(pathPrefix=path)
+
+    context.world.run(write)
+
+
+@step('the job "{label}" is cancelled at {entry} with status {status:d}')
+def cancel(context, label, entry, status):
+    answered = context.world.cancel_job(entry, label)
+    assert answered == status, answered
+
+
+@then('the job "{label}" is "{state}" within {seconds:d} s at the other entry')
+def wait_for_state_elsewhere(context, label, state, seconds):
+    _wait_for_state(context, _other_entry(context), label, state, seconds)
+
+
+@then('the job "{label}" is "{state}" within {seconds:d} s')
+def wait_for_state(context, label, state, seconds):
+    running = [
+        name
+        for name in context.world.cell.entry_by_name
+        if name not in context.world.cell.dead
+    ]
+    _wait_for_state(context, running[0], label, state, seconds)
+
+
+def _wait_for_state(context, entry, label, state, seconds):
+    give_up = context.world.now() + seconds
+    seen = ""
+    while seen != state:
+        assert context.world.now() < give_up, f"{label} is {seen}, not {state}"
+        context.world.advance(0.25)
+        seen = context.world.state_of(entry, label)
+
+
+@then('the state of the job "{label}" at {entry} is "{state}"')
+def check_state(context, label, entry, state):
+    seen = context.world.state_of(entry, label)
+    assert seen == state, seen
+
+
+@then(
+    'the job "{label}" of {steps:d} steps with {tasks:d} tasks of {seconds:d} s '
+    "is refused at {entry}"
+)
+def check_refused(context, label, steps, tasks, seconds, entry):
+    begun = context.world.now()
+    answer = context.world.call(
+        "POST",
+        entry,
+        job_id(label),
+        {"spec": "{}", "steps": _steps(steps, tasks, seconds)},
+    )
+    assert answer.status == 503, answer.status
+    assert int(answer.header_by_name["retry-after"]) >= 1
+    waited = context.world.now() - begun
+    assert waited < 0.5, f"refused after {waited} s"
+
+
+@then(
+    'the job "{label}" of {steps:d} steps with {tasks:d} tasks of {seconds:d} s '
+    "is not found at {entry}"
+)
+def check_not_found(context, label, steps, tasks, seconds, entry):
+    shape = _steps(steps, tasks, seconds)
+    status = context.world.submit_job(entry, label, shape, work_s=seconds)
+    assert status == 404, status
+
+
+@then('a job whose step comes after itself is rejected naming "{field}"')
+def check_invalid(context, field):
+    body = {"spec": "", "steps": [{"count": 1, "after": [0]}]}
+    answer = context.world.call("POST", "entry-1", job_id("bad"), body)
+    assert answer.status == 400, answer.status
+    assert field in answer.body.decode(), answer.body
+    assert context.world.state_of("entry-1", "bad") == "410"
+
+
+@then("{count:d} tasks were started, each once")
+def check_starts(context, count):
+    starts = context.world.cell.observer.starts
+    by_task = Counter(task for task, _, _ in starts)
+    assert len(by_task) == count, starts
+    assert all(number == 1 for number in by_task.values()), by_task
+
+
+@then('the task of "{label}" was started {count:d} times')
+def check_starts_of(context, label, count):
+    starts = [
+        each
+        for each in context.world.cell.observer.starts
+        if each[0].startswith(job_id(label))
+    ]
+    assert len(starts) == count, starts
+
+
+@then('no task of "{label}" was started')
+def check_no_start(context, label):
+    check_starts_of(context, label, 0)
+
+
+@then("nothing was started on {name}")
+def check_unused(context, name):
+    starts = context.world.cell.observer.starts
+    assert not [each for each in starts if each[2] == name], starts
+
+
+@then("no worker ever ran more than {count:d} tasks")
+def check_room(context, count):
+    for worker in context.world.cell.worker_by_name.values():
+        assert worker.max_taken <= count, worker.max_taken
+
+
+@then("nothing runs")
+def check_idle(context):
+    check_running(context, 0)
+
+
+@then("{count:d} tasks run")
+def check_running(context, count):
+    workers = context.world.cell.worker_by_name.values()
+    running = [task for worker in workers for task in worker.run_by_task]
+    assert len(running) == count, running
+
+
+@then("no task ran twice at a time or after its end")
+def check_violations(context):
+    violations = context.world.cell.observer.violations
+    assert not violations, violations
+
+
+def _other_entry(context):
+    names = [name for name in context.world.cell.entry_by_name]
+    return next(name for name in names if name != context.scheduler)
--- /dev/null
+++ b/tests/support/job_world.py
@@ -0,0 +1,94 @@
+"""Entries, attendants and workers for jobs, in memory on a virtual clock."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+
+from coltsfoottray.errors import CommunicationError
+from coltsfoottray.http import HttpRequest, HttpResponse
+from standins.job_cell import HOST, PREFIX, JobCell
+from tests.support.world import World
+
+__all__ = ["JobWorld", "job_id"]
+
+_CALL_TIMEOUT = timedelta(seconds=5)
+
+
+def job_id(label: str) -> str:
+    """Return the id of the job that a scenario calls `label`."""
+    return label.encode().hex().ljust(16, "0")[:16]
+
+
+class JobWorld(World):
+    """A world whose cell takes jobs."""
+
+    cell: JobCell  # type: ignore[assignment]
+
+    def submit_job(self, entry: str, label: str, steps: list[Any], **spec: Any) -> int:
+        """Hand a job in; return the status, 0 where no answer came."""
+        body = {"spec": msgspec.json.encode(spec).decode(), "steps": steps}
+        return self.call("POST", entry, job_id(label), body).status
+
+    def cancel_job(self, entry: str, label: str) -> int:
+        """Cancel a job; return the status."""
+        return self.call("DELETE", entry, job_id(label)).status
+
+    def state_of(self, entry: str, label: str) -> str:
+        """Return a job's state as an entry tells it, or the status."""
+        answer = self.call("GET", entry, job_id(label))
+        if answer.status != 200:
+            return str(answer.status)
+        return str(msgspec.json.decode(answer.body)["state"])
+
+    def call(
+        self, method: str, entry: str, name: str, body: object = None
+    ) -> HttpResponse:
+        """Send a caller's request."""
+        request = HttpRequest(
+            method=method,
+            target=f"{PREFIX}{name}",
+            header_by_name={"host": HOST, "deadline-ms": "3000"},
+            body=b"" if body is None else msgspec.json.encode(body),
+        )
+
+        async def exchange() -> HttpResponse:
+            transport = self.fabric.transport("caller")
+            try:
+                return await transport.send(
+                    self.cell.callers(entry), request, timeout=_CALL_TIMEOUT
+                )
+            except CommunicationError:
+                return HttpResponse(status=0)
+
+        answer = self.run(exchange)
+        assert isinstance(answer, HttpResponse)
+        return answer
+
+    def kill_daemon(self, name: str) -> None:
+        """Kill a daemon."""
+
+        async def kill() -> None:
+            self.cell.kill(name)
+
+        self.run(kill)
+
+    def start_again(self, name: str) -> None:
+        """Start a killed daemon anew."""
+
+        async def start() -> None:
+            await self.cell.start_daemon(name)
+
+        self.run(start)
+
+    async def _start_cell(self) -> None:
+        self.cell = JobCell(
+            fabric=self.fabric,
+            nursery=self._nursery,
+            entries=self._deployment.entries,
+            workers=self._deployment.workers.count,
+            processors=int(self._deployment.workers.processors),
+        )
+        await self.cell.start()
