A worker that leaves is emptied, believed, and not waited for anew by each scheduler

Its services were not stopped beforehand, its word that it leaves was not believed, and each new scheduler waited 9.2 s from its own start for the lease of an attendant that was gone; 12 of them followed one another, because a lost answer was waited for for 1.5 s.

Ruled out: a store row with each lease granted (11 writes a second, 530 at the size designed for); a shorter authority of the scheduler (an outage would stop tasks).

Change: what will not end in time is stopped on a draining worker and goes on elsewhere; the word that it leaves and its silence prove that nothing runs there; the lease row lists the workers that are silent with what is left of their leases, and they get none while listed; the wait for an answer of the store begins at 0.3 s and follows what is usual.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -52,6 +52,9 @@
 _MIN_LEASE = timedelta(milliseconds=300)
 _MAX_LATE = 5
 _MILLI = 1000.0
+# A worker that still answers so long after it said that it leaves has not meant it:
+# the word was a late one of an earlier life.
+_LEAVE_TIME = timedelta(seconds=2)
 
 
 class TaskAttendant(Service):
@@ -88,6 +91,10 @@
         self._acknowledged = 0
         self._lapsed_life = ""
         self._is_reachable = False
+        # When the worker said that it leaves, and whether this life is known to
+        # be over, by that word and its silence or by another life's answer.
+        self._left: timedelta | None = None
+        self._is_over = False
         self._reading: WorkerClock | None = None
         # Until when the worker may run, and until when it has been told it may.
         self._lease_end = timedelta(0)
@@ -137,11 +144,14 @@
         self._begin_life(beat)
 
     def take_leave(self, life_id: str) -> None:
-        """Hear that the worker is about to end."""
+        """Hear that the worker is about to end.
+
+        Its runs end with it; that it answers no more confirms it. The word alone
+        may be a late one of an earlier life under the same id.
+        """
         if self._beat is not None and self._beat.life.startswith(f"{life_id}/"):
             log_event("worker:leaves", life=self._beat.life)
-            self._is_reachable = False
-            self._tell()
+            self._left = self._clock.elapsed()
 
     def _begin_life(self, beat: Heartbeat) -> None:
         self._beat = beat
@@ -151,6 +161,8 @@
         self._told_end = timedelta(0)
         self._percent_by_ref = {}
         self._is_reachable = True
+        self._left = None
+        self._is_over = False
         self._tell()
 
     async def _look(self, beat: Heartbeat) -> None:
@@ -168,6 +180,8 @@
             if self._is_reachable:
                 log_event("worker:lost", life=beat.life, reason=str(error))
             self._is_reachable = False
+            has_left = self._left is not None and asked >= self._left
+            self._is_over = has_left or isinstance(error, WorkerReplaced)
             await self._clock.sleep(_RETRY)
             return
         if self._beat is None or beat.life != self._beat.life:
@@ -175,6 +189,8 @@
         if not self._is_reachable:
             log_event("worker:reached", life=beat.life)
         self._is_reachable = True
+        if self._left is not None and asked - self._left > _LEAVE_TIME:
+            self._left = None
         self._reading = look.clock
         if self._runs.take(look, asked=asked):
             self._tell()
@@ -206,9 +222,9 @@
         """
         if self._beat is None or self._is_reachable or not self._told_end:
             return
-        if self._clock.elapsed() <= self._told_end:
+        if self._clock.elapsed() <= self._told_end and not self._is_over:
             return
-        log_event("worker:lease-lapsed", life=self._beat.life)
+        log_event("worker:lease-lapsed", life=self._beat.life, is_over=self._is_over)
         self._lapsed_life = self._beat.life
         self._told_end = timedelta(0)
         self._session = 0
--- a/coltsfoottray/daemons/job_common.py
+++ b/coltsfoottray/daemons/job_common.py
@@ -56,7 +56,9 @@
         self.clock = self.kernel.find(CLOCK, Clock)
         self.kernel.register(TRANSPORT, HttpClient())
         self.transport = self.kernel.find(TRANSPORT, HttpTransport)
-        table = RowsTable(address=settings.table, transport=self.transport)
+        table = RowsTable(
+            address=settings.table, transport=self.transport, clock=self.clock
+        )
         self.kernel.register(TABLE, table)
         self.table = self.kernel.find(TABLE, WatchedTable)
         self.kernel.register(PEERS, HttpPeerClient(transport=self.transport))
--- a/coltsfoottray/platform/rows.py
+++ b/coltsfoottray/platform/rows.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from coltsfoottray.clock import Clock
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.http import HttpRequest, HttpResponse, HttpTransport
 from coltsfoottray.platform.common import (
@@ -30,7 +31,13 @@
 
 # An answer of the store when it is 70 times slower than usual (4 ms, and 8 ms for
 # the transaction) takes 0.84 s; what takes longer is taken for lost.
-ANSWER_TIMEOUT = timedelta(seconds=1.5)
+_MAX_TIMEOUT = timedelta(seconds=1.5)
+# An answer usually takes 12 ms. While a third of them is lost, each that is waited
+# for costs a round of the scheduler, so that the wait begins short and is doubled
+# with each miss; a write asked for again is harmless by its conditions.
+_MIN_TIMEOUT = timedelta(milliseconds=300)
+_USUAL_FACTOR = 8
+_SMOOTHING = 0.3
 # The store's own limit on the conditions and writes of one transaction.
 MAX_ENTRIES = 100
 # The store's own limit on the rows of one answer.
@@ -74,9 +81,14 @@
 class RowsTable(WatchedTable):
     """Translates `group/shard/name` into the store's table, part and key."""
 
-    def __init__(self, *, address: Address, transport: HttpTransport) -> None:
+    def __init__(
+        self, *, address: Address, transport: HttpTransport, clock: Clock
+    ) -> None:
         self._address = address
         self._transport = transport
+        self._clock = clock
+        self._usual = timedelta(0)
+        self._misses = 0
 
     async def commit(  # noqa: D102
         self, transaction: Transaction
@@ -97,8 +109,7 @@
                 target="/v1/rows-tx",
                 header_by_name={"content-type": "application/json"},
                 body=msgspec.json.encode(body),
-            ),
-            ANSWER_TIMEOUT,
+            )
         )
         answer = _decode(response)
         if response.status == _CONFLICT:
@@ -141,9 +152,7 @@
             "waitMs": str(int(wait.total_seconds() * 1000)),
         }
         target = f"/v1/rows-feed?{urlencode(query)}"
-        response = await self._send(
-            HttpRequest(method="GET", target=target), ANSWER_TIMEOUT + wait
-        )
+        response = await self._send(HttpRequest(method="GET", target=target), held=wait)
         if response.status == _HISTORY_LOST:
             raise HistoryLost(f"{group}: changes after {after} are gone")
         answer = _decode(response)
@@ -153,17 +162,27 @@
     async def _read(self, query: dict[str, str]) -> _Answer:
         target = f"/v1/rows-get?{urlencode(query)}"
         request = HttpRequest(method="GET", target=target)
-        return _decode(await self._send(request, ANSWER_TIMEOUT))
-
-    async def _send(self, request: HttpRequest, timeout: timedelta) -> HttpResponse:
+        return _decode(await self._send(request))
+
+    async def _send(
+        self, request: HttpRequest, held: timedelta = timedelta(0)
+    ) -> HttpResponse:
+        """Send `request`, which the store may hold for `held` before it answers."""
+        begun = self._clock.elapsed()
+        timeout = _MAX_TIMEOUT + held if held else self._timeout()
         try:
             response = await self._transport.send(
                 self._address, request, timeout=timeout
             )
         except CommunicationError as error:
+            self._misses += 1
             raise TableUnavailable(
                 detail=str(error), is_unwritten=error.is_unseen
             ) from error
+        self._misses = 0
+        if not held:
+            taken = self._clock.elapsed() - begun
+            self._usual += (taken - self._usual) * _SMOOTHING
         if response.status not in (200, _CONFLICT, _HISTORY_LOST):
             # The store refuses before it writes anything.
             raise TableUnavailable(
@@ -171,6 +190,11 @@
             )
         return response
 
+    def _timeout(self) -> timedelta:
+        """Return how long to wait for an answer, by the last ones."""
+        expected = max(self._usual * _USUAL_FACTOR, _MIN_TIMEOUT)
+        return min(expected * (1 << min(self._misses, 8)), _MAX_TIMEOUT)
+
 
 def _split(key: str) -> tuple[str, str, str]:
     table, part, name = key.split("/", 2)
--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from coltsfoottray.agent.pressure import PressureTable
@@ -23,6 +23,11 @@
 # two of its attendant's reports.
 _BLOCK = timedelta(seconds=2)
 
+# From here on its percentage tells better than the estimate when a task will end.
+_TELLING_PERCENT = 10.0
+# What is likely to end only just in time is taken for late.
+_LATENESS = 1.2
+
 # After so many tasks in urgency order have found no room the rest wait for the next
 # round; it bounds a round's length when thousands wait.
 _MAX_MISSES = 60
@@ -46,10 +51,10 @@
         record: JobRecord | None,
         version: int,
         *,
-        lease_end: timedelta,
+        lease_end: Callable[[str], timedelta],
         now: timedelta,
     ) -> None:
-        """Take in a stored job; its runs may exist until `lease_end`."""
+        """Take in a stored job; its runs may exist until their worker's lease end."""
         job = LiveJob(accepted=accepted, record=record, version=version)
         self._add(job)
         for step in job.steps():
@@ -65,7 +70,8 @@
                     is_released=True,
                     is_stopping=job.record.state.is_final,
                 )
-                self._worker(task.worker, lease_end).hold(placed)
+                end = lease_end(task.worker)
+                self.fleet.get_or_add(task.worker, None, end).hold(placed)
 
     def accept(self, accepted: AcceptedJob) -> None:
         """Take in a job that has just been accepted."""
@@ -158,6 +164,8 @@
         worker.labels = report.labels
         worker.rack = report.rack
         worker.spare_by_image = report.spare_by_image
+        if report.is_draining and not worker.is_draining:
+            worker.leaves = worker.heard + timedelta(milliseconds=report.remaining_ms)
         worker.is_draining = report.is_draining
         worker.is_reachable = report.is_reachable and bool(report.life)
 
@@ -292,13 +300,7 @@
                 placed.append(self._assign(step, ref, member, now))
         else:
             for index in step.waiting:
-                worker = choose_worker(
-                    step,
-                    self.fleet,
-                    self.pressures,
-                    service=service,
-                    now=now,
-                )
+                worker = self._find_place(step, now)
                 if worker is None:
                     break
                 placed.append(self._assign(step, step.next_run(index), worker, now))
@@ -332,6 +334,46 @@
         worker.hold(placed)
         return placed
 
+    def evacuate(self, now: timedelta) -> None:
+        """Stop what would not end in time on workers that leave.
+
+        What is stopped in time goes on elsewhere, from its checkpoint if it has
+        one; what is still there when the worker leaves is lost without one.
+        """
+        for worker in self.fleet.worker_by_id.values():
+            if not worker.is_draining or not worker.is_reachable:
+                continue
+            for placed in worker.held_by_ref.values():
+                if placed.is_stopping or not placed.is_released:
+                    continue
+                if self._ends_in_time(placed, worker, now):
+                    continue
+                if self._find_place(placed.step, now) is not None:
+                    placed.is_stopping = True
+                    log_event(
+                        "decision:evacuate",
+                        run=str(placed.ref),
+                        worker=worker.id,
+                        left_s=(worker.leaves - now).total_seconds(),
+                        percent=placed.percent,
+                    )
+
+    @staticmethod
+    def _ends_in_time(placed: PlacedRun, worker: Worker, now: timedelta) -> bool:
+        spec = placed.step.spec
+        if spec.is_service:
+            return False
+        worked = now - placed.placed
+        if placed.percent >= _TELLING_PERCENT:
+            left = worked * (100.0 / placed.percent - 1.0)
+        else:
+            left = timedelta(milliseconds=spec.estimate_ms) - worked
+        return now + left * _LATENESS < worker.leaves
+
+    def _find_place(self, step: LiveStep, now: timedelta) -> Worker | None:
+        service = self._terms(step.job).service
+        return choose_worker(step, self.fleet, self.pressures, service=service, now=now)
+
     def next_due_ms(self) -> int | None:
         """When the next occurrence of any job is due."""
         dues = [job.next_due_ms for job in self.active_by_id.values()]
@@ -344,10 +386,3 @@
 
     def _terms(self, job: LiveJob) -> QueueTerms:
         return self._holder.terms_of(job.accepted.queue, otherwise=job.accepted.terms)
-
-    def _worker(self, worker: str, lease_end: timedelta) -> Worker:
-        known = self.fleet.worker_by_id.get(worker)
-        if known is not None:
-            known.lease_end = max(known.lease_end, lease_end)
-            return known
-        return self.fleet.get_or_add(worker, None, lease_end)
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -61,10 +61,14 @@
         the attendant starts anew and when runs have been given up here.
     lease_end : timedelta
         Nothing runs here after it unless a lease is granted once more.
+    is_listed : bool
+        The lease row calls it silent; until another one stands it gets no lease.
     acknowledged : int
         Ends of this life up to this number are stored.
     strays : set of RunRef
         Runs found here that should not be.
+    leaves : timedelta
+        While it drains: until when it surely stays.
     blocked_until : timedelta
         Takes nothing new until then.
     """
@@ -81,7 +85,9 @@
     labels: list[str] = field(default_factory=list)
     rack: str = ""
     is_draining: bool = False
+    leaves: timedelta = _NEVER
     is_reachable: bool = False
+    is_listed: bool = False
     heard: timedelta = _NEVER
     acknowledged: int = 0
     held_by_ref: dict[RunRef, PlacedRun] = field(default_factory=dict)
--- a/coltsfoottray/scheduler/lease.py
+++ b/coltsfoottray/scheduler/lease.py
@@ -49,6 +49,10 @@
         Makes each renewal another value.
     is_resigned : bool
         The holder has stopped; anybody may take over at once.
+    silent_ms : dict
+        By worker that holds runs and is not heard of: how much longer a lease it
+        may have from when this was written. The holder grants it none while it
+        is listed, so that the next holder need not wait for longer.
     """
 
     epoch: int
@@ -57,6 +61,7 @@
     address: Address
     renewals: int = 0
     is_resigned: bool = False
+    silent_ms: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 class Standing(enum.Enum):
@@ -99,14 +104,14 @@
         self._clock = clock
         self.row: LeaseRow | None = None
         self.version = 0
-        self._changed = clock.elapsed()
+        self.changed = clock.elapsed()
 
     def see(self, row: LeaseRow, version: int) -> None:
         """Take in what the row holds now."""
         if version > self.version:
             self.row = row
             self.version = version
-            self._changed = self._clock.elapsed()
+            self.changed = self._clock.elapsed()
 
     async def judge(self) -> Standing:
         """Return the holder's standing, as seen by a process that is not it."""
@@ -132,4 +137,4 @@
 
     def _age(self) -> timedelta:
         """Return for how long the row has not changed."""
-        return self._clock.elapsed() - self._changed
+        return self._clock.elapsed() - self.changed
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -47,6 +47,10 @@
 # before its worker stops everything; 3.5 s are an ordinary outage of a VM.
 _HORIZON = timedelta(seconds=7)
 
+# A worker that has not reported for so long is listed as silent: two reports of one
+# second each, and half of one.
+_SILENCE = timedelta(seconds=2.5)
+
 # Two steady clocks drift apart by at most 2% over a lease.
 _DRIFT = 1.02
 
@@ -91,6 +95,9 @@
         The row's version then.
     won : timedelta
         When that write was sent.
+    silent_until : mapping
+        By worker that the scheduler before had not heard of for a while: when its
+        lease has surely ended.
     keep : timedelta
         How long an ended job is remembered.
     """
@@ -101,6 +108,7 @@
         lease: LeaseRow,
         version: int,
         won: timedelta,
+        silent_until: Mapping[str, timedelta],
         table: WatchedTable,
         peers: PeerClient,
         holder: ConfigHolder,
@@ -111,6 +119,7 @@
         self.is_loaded = False
         self._version = version
         self._won = won
+        self._silent_until = silent_until
         self._confirmed = won
         self._table = table
         self._peers = peers
@@ -129,7 +138,7 @@
         """Take a report in and grant its worker what it may have."""
         now = self._clock.elapsed()
         worker = self._fleet.get_or_add(
-            report.worker, report.address, self._first_lease_end()
+            report.worker, report.address, self._first_lease_end(report.worker)
         )
         worker.heard = now
         is_known = (
@@ -187,7 +196,7 @@
                 each.accepted,
                 each.record,
                 each.version,
-                lease_end=self._first_lease_end(),
+                lease_end=self._first_lease_end,
                 now=now,
             )
             if each.is_cancelled:
@@ -247,6 +256,7 @@
             last = self.board.take_report(report, now, now_ms)
             last_end_by_worker[report.worker] = last
         self.board.expire(now, now_ms)
+        self.board.evacuate(now)
         return self.board.plan(now, now_ms), last_end_by_worker
 
     async def _store(self) -> None:
@@ -302,7 +312,9 @@
         checks: list[Check] = []
         if renews:
             self.lease = msgspec.structs.replace(
-                self.lease, renewals=self.lease.renewals + 1
+                self.lease,
+                renewals=self.lease.renewals + 1,
+                silent_ms=self._list_silent(),
             )
             puts.append(Put.of(LEASE_KEY, self._version, self.lease))
         else:
@@ -311,6 +323,8 @@
         versions = await self._commit_surely(transaction)
         self._confirmed = sent
         self._version = versions.get(LEASE_KEY, self._version)
+        if renews:
+            self._unlist(self.lease.silent_ms)
         for job in jobs:
             job.version = versions[record_key(job.id)]
             job.stored_state = job.record.state
@@ -328,7 +342,10 @@
                 continue
             if isinstance(outcome, Failure):
                 rows = [row.key for row in outcome.failure().rows]
-                raise Deposed(f"epoch {self.lease.epoch}: rows changed: {rows}")
+                raise Deposed(
+                    f"epoch {self.lease.epoch}: {len(rows)} rows changed, "
+                    f"the first is {rows[:1]}"
+                )
             return outcome.unwrap()
 
     def _is_renewal_due(self) -> bool:
@@ -339,14 +356,30 @@
     def _grant(self, worker: Worker, now: timedelta) -> int:
         """Return the lease in milliseconds and remember when it surely ends."""
         granted = min(now + _HORIZON, self._confirmed + AUTHORITY) - now
-        if granted <= timedelta(0):
+        if granted <= timedelta(0) or worker.is_listed:
             return 0
         worker.lease_end = max(worker.lease_end, now + granted * _DRIFT)
         return math.floor(granted.total_seconds() * 1000)
 
-    def _first_lease_end(self) -> timedelta:
+    def _first_lease_end(self, worker: str) -> timedelta:
         """Return when leases granted by earlier schedulers have surely ended."""
-        return self._won + AUTHORITY * _DRIFT
+        return self._silent_until.get(worker, self._won + AUTHORITY * _DRIFT)
+
+    def _list_silent(self) -> dict[str, int]:
+        """Return what a next scheduler must wait for, and grant them no more."""
+        now = self._clock.elapsed()
+        silent_ms: dict[str, int] = {}
+        for worker in self._fleet.worker_by_id.values():
+            if worker.held_by_ref and now - worker.heard > _SILENCE:
+                worker.is_listed = True
+                left = max(worker.lease_end - now, timedelta(0))
+                silent_ms[worker.id] = math.ceil(left.total_seconds() * 1000)
+        return silent_ms
+
+    def _unlist(self, silent_ms: Mapping[str, int]) -> None:
+        """Let workers that the stored row does not list have leases again."""
+        for worker in self._fleet.worker_by_id.values():
+            worker.is_listed = worker.id in silent_ms
 
     def _next_session(self) -> int:
         """Return a fencing token above every earlier one, of any scheduler."""
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -190,6 +190,12 @@
             incarnation=self._incarnation,
             address=self._address,
         )
+        silent_until = {}
+        if seen is not None:
+            silent_until = {
+                worker: self._watch.changed + timedelta(milliseconds=left)
+                for worker, left in seen.silent_ms.items()
+            }
         put = Put.of(LEASE_KEY, version, lease)
         sent = self._clock.elapsed()
         try:
@@ -210,6 +216,7 @@
             lease=lease,
             version=won,
             won=sent,
+            silent_until=silent_until,
             table=self._table,
             peers=self._peers,
             holder=self._holder,
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -124,6 +124,19 @@
             self._observer.end(run.task)
         self._begin_life()
 
+    async def leave(self) -> None:
+        """Say that it leaves and be gone."""
+        request = HttpRequest(
+            method="POST", target=f"/v1/instances/i-{self.name}/deregister"
+        )
+        await self._transport.send(
+            self._attendant, request, timeout=timedelta(seconds=1)
+        )
+        self.is_dark = True
+        for run in list(self.run_by_task.values()):
+            self._observer.end(run.task)
+        self.run_by_task.clear()
+
     def clock_ms(self) -> int:
         """Return the worker's own clock."""
         return int(trio.current_time() * 1000)
--- a/tests/scheduler/one_run.feature
+++ b/tests/scheduler/one_run.feature
@@ -126,3 +126,37 @@
     Then the job "a" is "completed" within 20 s
     And no worker ever ran more than 8 tasks
     And no task ran twice at a time or after its end
+
+  Scenario: A worker leaves for good and takes its attendant along
+    # It drains, says that it leaves and is gone a moment later, with its VM. A
+    # service that ran there must run elsewhere at once, not after a lease.
+    Given two entries and 2 workers for jobs
+    When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
+    And 2 s pass
+    And worker-1's machine drains
+    And 2 s pass
+    Then 4 tasks run
+    And nothing runs on worker-1
+
+  Scenario: A worker says that it leaves and is gone before it was emptied
+    # Its word and its silence together are proof that nothing runs there, well
+    # before its lease would have ended.
+    Given two entries and 2 workers for jobs
+    When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
+    And 2 s pass
+    And worker-1's machine leaves without a notice
+    And 3 s pass
+    Then 4 tasks run
+    And no task ran twice at a time or after its end
+
+  Scenario: The scheduler changes again and again while a worker is gone
+    # Each new scheduler knows only that its predecessors may have granted a lease.
+    # If each waited a whole one anew, the tasks of the lost worker would wait for
+    # as long as schedulers change.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1 steps with 4 tasks of 3 s is handed in at entry-1
+    And 1 s pass
+    And worker-1 and its machine are lost
+    And the scheduler is replaced 4 times, every 5 s
+    Then the job "a" is "completed" within 2 s
+    And no task ran twice at a time or after its end
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -172,7 +172,33 @@
     context.world.cell.worker_by_name[name].is_dark = True
 
 
-@given("{name}'s machine drains")
+@when("{name}'s machine leaves without a notice")
+def leave(context, name):
+    context.world.run(context.world.cell.worker_by_name[name].leave)
+
+
+@when("{name} and its machine are lost")
+def lose(context, name):
+    context.world.cell.worker_by_name[name].is_dark = True
+    context.world.kill_daemon(name)
+
+
+@when("the scheduler is replaced {times:d} times, every {seconds:d} s")
+def replace_scheduler(context, times, seconds):
+    for _ in range(times):
+        name = context.world.cell.scheduler()
+        context.world.kill_daemon(name)
+        context.world.advance(seconds)
+        context.world.start_again(name)
+
+
+@then("nothing runs on {name}")
+def check_emptied(context, name):
+    running = context.world.cell.worker_by_name[name].run_by_task
+    assert not running, running
+
+
+@step("{name}'s machine drains")
 def drain(context, name):
     context.world.cell.worker_by_name[name].is_draining = True
 
