Pressures of images are learned by a Kalman filter for each service image

Cause: with several fillers on a worker, least mean squares blamed all of them for what one did; pairs that are harmless were held for strong and their tasks crawled.

Ruled out: a lower rate (slower, same blame); learning from differences of looks only (a filler that stays is forgotten).

Change: one filter a service image, over its services' undisturbed margins and the fillers' pressures, so that what is already known is not blamed again.

--- a/coltsfoottray/agent/pressure.py
+++ b/coltsfoottray/agent/pressure.py
@@ -5,7 +5,12 @@
 fillers use beside it. What is measured here is therefore the *margin*, the
 target divided by the latency (1 when the target is just met), and for each pair of
 images the *pressure*: by how much the margin falls for each whole worker's
-processors that the filler uses. Pairs differ from none to some twenty.
+processors that the filler uses. Most pairs are either harmless or strong.
+
+Several fillers run at a time and the load moves too, so that one look tells little
+of who is to blame. A Kalman filter for each service image weighs each look by what
+it can tell: a filler that has just started, beside others that are well known,
+is blamed for nearly all of a change.
 """
 
 from __future__ import annotations
@@ -29,11 +34,25 @@
 # service of mean load, so that a first task of an image is let in and a second waits
 # for what it shows.
 UNKNOWN_PRESSURE = 8.0
-
-_MAX_PRESSURE = 30.0
+# Standard deviation of that guess: a strong pair shows some 22.
+_UNKNOWN_SPREAD = 12.0
+# What others have learned may be a little different here.
+_SHARED_SPREAD = 3.0
+_MAX_PRESSURE = 40.0
 _MAX_MARGIN = 6.0
-# A latency this far over the target says no more how strong the pressure is.
-_SATURATED = 0.15
+
+# Standard deviations of what changes by itself from look to look: a service's load
+# swings by half within 7 s, a pair's pressure moves within some seconds.
+_MARGIN_DRIFT = 0.15
+_PRESSURE_DRIFT = 0.3
+# Of a margin as recovered from the figure: a tenth of it, and a rounded millisecond.
+_MARGIN_NOISE = 0.12
+_ROUNDING_NOISE = 0.1
+# While a latency over its target falls again, what is recovered is mostly noise.
+_FALLING_NOISE = 0.6
+
+# A latency so far over the target says no more how strong the pressure is.
+_SATURATED = 0.3
 
 # A service that has just started is not yet disturbed as it will be.
 _WARM_UP_LOOKS = 4
@@ -43,16 +62,6 @@
 _HALF_LIFE = timedelta(milliseconds=500)
 # What is recovered from two smoothed figures is no better than this part of one.
 _MIN_RECOVERED = 0.3
-# Below this share of a worker the fillers do not move the margin measurably.
-_MIN_SHARE = 0.004
-# How fast the undisturbed margin follows what is seen: with no filler there, and
-# beside one, when most of a change is the filler's doing.
-_MARGIN_RATE_ALONE = 0.5
-_MARGIN_RATE_BESIDE = 0.08
-_PRESSURE_RATE = 0.3
-_DAMPING = 0.02**2
-# Old observations of a pair weigh no more than so many new ones.
-_MAX_WEIGHT = 40.0
 
 
 class ImagePair(msgspec.Struct, frozen=True, array_like=True):
@@ -63,7 +72,7 @@
 
 
 class Pressure(msgspec.Struct, frozen=True, array_like=True):
-    """What is known of a pair; `weight` is the number of looks behind it."""
+    """What is known of a pair; `weight` is the inverse of the variance."""
 
     pair: ImagePair
     value: float
@@ -74,22 +83,24 @@
     """Merges what several observers know."""
 
     def __init__(self) -> None:
-        self._by_observer: dict[str, dict[ImagePair, Pressure]] = {}
+        self._by_observer: dict[str, list[Pressure]] = {}
         self._value_by_pair: dict[ImagePair, float] = {}
 
-    def take(self, observer: str, pressures: Iterable[Pressure]) -> None:
+    def take(self, observer: str, pressures: list[Pressure]) -> None:
         """Replace what one observer knows."""
-        self._by_observer[observer] = {each.pair: each for each in pressures}
-        sums: dict[ImagePair, tuple[float, float]] = {}
+        if self._by_observer.get(observer) == pressures:
+            return
+        self._by_observer[observer] = pressures
+        total_by_pair: dict[ImagePair, float] = {}
+        weight_by_pair: dict[ImagePair, float] = {}
         for known in self._by_observer.values():
-            for each in known.values():
-                total, weight = sums.get(each.pair, (0.0, 0.0))
-                sums[each.pair] = (
-                    total + each.value * each.weight,
-                    weight + each.weight,
-                )
+            for each in known:
+                total = total_by_pair.get(each.pair, 0.0)
+                weight = weight_by_pair.get(each.pair, 0.0)
+                total_by_pair[each.pair] = total + each.value * each.weight
+                weight_by_pair[each.pair] = weight + each.weight
         self._value_by_pair = {
-            pair: total / weight for pair, (total, weight) in sums.items() if weight
+            pair: total / weight_by_pair[pair] for pair, total in total_by_pair.items()
         }
 
     def get(self, filler: str, service: str) -> float:
@@ -100,7 +111,7 @@
     def all(self) -> list[Pressure]:
         """Return every known pair."""
         return [
-            Pressure(pair=pair, value=value, weight=1.0)
+            Pressure(pair=pair, value=round(value, 2), weight=1.0)
             for pair, value in self._value_by_pair.items()
         ]
 
@@ -130,13 +141,67 @@
         return self.target_ms / self.latency_ms
 
 
+class _Filter:
+    """A Kalman filter: undisturbed margins of services, pressures of fillers.
+
+    A margin is expected to be that of its service less the sum of each filler's
+    pressure times its share. States are called `service:...` and `filler:...`.
+    """
+
+    def __init__(self) -> None:
+        self.mean: dict[str, float] = {}
+        self._cov: dict[str, dict[str, float]] = {}
+
+    def add(self, state: str, mean: float, spread: float) -> None:
+        """Add a state that is independent of all others."""
+        if state in self.mean:
+            return
+        self.mean[state] = mean
+        for other in self._cov:
+            self._cov[other][state] = 0.0
+        self._cov[state] = dict.fromkeys(self.mean, 0.0)
+        self._cov[state][state] = spread**2
+
+    def remove(self, state: str) -> None:
+        """Forget a state."""
+        self.mean.pop(state, None)
+        self._cov.pop(state, None)
+        for row in self._cov.values():
+            row.pop(state, None)
+
+    def variance(self, state: str) -> float:
+        """Return how uncertain a state is."""
+        return self._cov[state][state]
+
+    def drift(self, state: str, spread: float, limit: float) -> None:
+        """Let a state become less certain, up to `limit`."""
+        before = self._cov[state][state]
+        self._cov[state][state] = max(before, min(before + spread**2, limit**2))
+
+    def update(self, seen: float, factors: Mapping[str, float], noise: float) -> None:
+        """Take in a sum of states times `factors`, seen with `noise`."""
+        gains = {
+            state: sum(row[other] * factor for other, factor in factors.items())
+            for state, row in self._cov.items()
+        }
+        uncertainty = sum(gains[state] * factor for state, factor in factors.items())
+        uncertainty += noise**2
+        expected = sum(self.mean[state] * each for state, each in factors.items())
+        error = seen - expected
+        for state, gain in gains.items():
+            self.mean[state] += gain / uncertainty * error
+            row = self._cov[state]
+            for other, other_gain in gains.items():
+                row[other] -= gain * other_gain / uncertainty
+
+
 class PressureLearner:
-    """Learns pressures on one worker, by normalized least mean squares."""
+    """Learns the pressures on one worker."""
 
     def __init__(self) -> None:
-        self._own_by_pair: dict[ImagePair, Pressure] = {}
+        self._filter_by_image: dict[str, _Filter] = {}
         self._shared_by_pair: dict[ImagePair, float] = {}
-        self._margin_by_service: dict[str, float] = {}
+        self._image_by_service: dict[str, str] = {}
         self._looks_by_service: dict[str, int] = {}
         self._last_by_service: dict[str, tuple[timedelta, float]] = {}
 
@@ -146,19 +211,32 @@
 
     def own(self) -> list[Pressure]:
         """Return what was learned here."""
-        return list(self._own_by_pair.values())
+        return [
+            Pressure(
+                pair=ImagePair(filler=state.removeprefix(_FILLER), service=image),
+                value=round(value, 2),
+                weight=round(1.0 / (known.variance(state) + 0.01), 4),
+            )
+            for image, known in self._filter_by_image.items()
+            for state, value in known.mean.items()
+            if state.startswith(_FILLER)
+        ]
 
     def pressure(self, filler: str, service: str) -> float:
         """Return the pressure of a pair: seen here, seen elsewhere, or a guess."""
+        known = self._filter_by_image.get(service)
+        if known is not None and _FILLER + filler in known.mean:
+            return known.mean[_FILLER + filler]
         pair = ImagePair(filler=filler, service=service)
-        own = self._own_by_pair.get(pair)
-        if own is not None:
-            return own.value
         return self._shared_by_pair.get(pair, UNKNOWN_PRESSURE)
 
     def undisturbed(self, observation: Observation) -> float:
         """Return the margin a service would have without fillers."""
-        return self._margin_by_service.get(observation.service, observation.margin)
+        known = self._filter_by_image.get(observation.image)
+        state = _SERVICE + observation.service
+        if known is None or state not in known.mean:
+            return observation.margin
+        return known.mean[state]
 
     def learn(
         self,
@@ -174,73 +252,75 @@
             The part of the worker's processors that fillers of an image use.
         """
         seen = {each.service for each in observations}
-        for service in [each for each in self._margin_by_service if each not in seen]:
-            del self._margin_by_service[service]
-            del self._looks_by_service[service]
-            del self._last_by_service[service]
+        for service in [each for each in self._image_by_service if each not in seen]:
+            self._forget(service)
+        for known in self._filter_by_image.values():
+            for state in known.mean:
+                if state.startswith(_FILLER):
+                    known.drift(state, _PRESSURE_DRIFT, _UNKNOWN_SPREAD)
+                else:
+                    known.drift(state, _MARGIN_DRIFT, _MAX_MARGIN)
         for observation in observations:
-            margin = self._recover_margin(observation, now)
-            self._learn_service(observation, margin, share_by_image)
+            margin, noise = self._recover(observation, now)
+            self._learn_service(observation, margin, noise, share_by_image)
             self._last_by_service[observation.service] = now, observation.latency_ms
 
-    def _recover_margin(self, observation: Observation, now: timedelta) -> float:
-        """Return the margin since the last look, undoing the smoothing."""
+    def _recover(self, observation: Observation, now: timedelta) -> tuple[float, float]:
+        """Return the margin since the last look, undoing the smoothing, and noise."""
         latency = observation.latency_ms
         last = self._last_by_service.get(observation.service)
+        falling = 0.0
         if last is not None:
             then, before = last
             kept = 0.5 ** ((now - then) / _HALF_LIFE)
             recovered = (latency - kept * before) / max(1.0 - kept, 0.1)
+            if latency < before and before > observation.target_ms:
+                falling = _FALLING_NOISE
             latency = max(recovered, _MIN_RECOVERED * latency)
-        return min(observation.target_ms / latency, _MAX_MARGIN)
+        margin = min(observation.target_ms / latency, _MAX_MARGIN)
+        return margin, margin * _MARGIN_NOISE + _ROUNDING_NOISE + falling
 
     def _learn_service(
         self,
         observation: Observation,
         margin: float,
+        noise: float,
         share_by_image: Mapping[str, float],
     ) -> None:
-        service = observation.service
-        known = self._margin_by_service.get(service)
+        service, image = observation.service, observation.image
+        known = self._filter_by_image.setdefault(image, _Filter())
+        state = _SERVICE + service
         looks = self._looks_by_service.get(service, 0) + 1
         self._looks_by_service[service] = looks
-        if known is None or looks <= _WARM_UP_LOOKS:
-            # Its users have only begun to come: no filler can be told by it yet.
-            self._margin_by_service[service] = max(margin, known or 1.0)
+        self._image_by_service[service] = image
+        if looks <= _WARM_UP_LOOKS:
+            best = max(margin, known.mean.get(state, 1.0))
+            known.add(state, best, 1.0)
+            known.mean[state] = best
             return
-        pressures = {
-            image: self.pressure(image, observation.image) for image in share_by_image
-        }
-        pressed = sum(
-            pressures[image] * share for image, share in share_by_image.items()
-        )
-        expected = max(known - pressed, 0.0)
+        factors = {state: 1.0}
+        for filler, share in share_by_image.items():
+            pair = ImagePair(filler=filler, service=image)
+            shared = self._shared_by_pair.get(pair)
+            if shared is None:
+                known.add(_FILLER + filler, UNKNOWN_PRESSURE, _UNKNOWN_SPREAD)
+            else:
+                known.add(_FILLER + filler, shared, _SHARED_SPREAD)
+            factors[_FILLER + filler] = -share
+        expected = sum(known.mean[each] * factor for each, factor in factors.items())
         if margin < _SATURATED and expected < _SATURATED:
             return
-        error = margin - expected
-        rate = _MARGIN_RATE_ALONE
-        if sum(share_by_image.values()) >= _MIN_SHARE:
-            rate = _MARGIN_RATE_BESIDE
-            self._correct(observation.image, pressures, error, share_by_image)
-        self._margin_by_service[service] = min(known + rate * error, _MAX_MARGIN)
-
-    def _correct(
-        self,
-        service: str,
-        pressures: Mapping[str, float],
-        error: float,
-        shares: Mapping[str, float],
-    ) -> None:
-        norm = sum(share * share for share in shares.values()) + _DAMPING
-        for image, share in shares.items():
-            if share < _MIN_SHARE:
-                continue
-            pair = ImagePair(filler=image, service=service)
-            own = self._own_by_pair.get(pair)
-            value = pressures[image] - _PRESSURE_RATE * error * share / norm
-            weight = 1.0 if own is None else min(own.weight + 1.0, _MAX_WEIGHT)
-            self._own_by_pair[pair] = Pressure(
-                pair=pair,
-                value=min(max(value, 0.0), _MAX_PRESSURE),
-                weight=weight,
-            )
+        known.update(margin, factors, noise)
+        for each in factors:
+            limit = _MAX_PRESSURE if each.startswith(_FILLER) else _MAX_MARGIN
+            known.mean[each] = min(max(known.mean[each], 0.0), limit)
+
+    def _forget(self, service: str) -> None:
+        image = self._image_by_service.pop(service)
+        self._filter_by_image[image].remove(_SERVICE + service)
+        self._looks_by_service.pop(service, None)
+        self._last_by_service.pop(service, None)
+
+
+_FILLER = "filler:"
+_SERVICE = "service:"
