Workers that fail or stall their tasks are left alone, and stalled runs moved

Ruled out: counting failures alone (a job that can never be done fails on every worker and would have all of them blocked).

Change: an attendant reports runs that make no progress, they are stopped and started elsewhere; a worker on which tasks of two jobs went wrong with none ended well between is blocked for 2 s, doubled up to 8 s; a task avoids the workers it failed on.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -11,6 +11,7 @@
 from coltsfoottray.agent.pacing import FULL, FillerRun, Pacer, is_worth_an_order
 from coltsfoottray.agent.pressure import Observation, PressureLearner
 from coltsfoottray.agent.runs import Runs
+from coltsfoottray.agent.stalls import StallWatch
 from coltsfoottray.agent.worker import (
     Heartbeat,
     Refusal,
@@ -103,6 +104,8 @@
         self._pacer = Pacer(learner=self._learner)
         self._percent_by_ref: dict[RunRef, int] = {}
         self._paced = timedelta(0)
+        self._stalls = StallWatch()
+        self._stalled: list[RunRef] = []
         self._spare_by_image: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
         self.news = trio.Event()
@@ -196,6 +199,7 @@
             self._tell()
         if asked - self._paced >= _LOOK_WAIT * 0.8:
             self._paced = asked
+            self._find_stalls(asked)
             await self._adjust_pace(beat)
         if look.ends:
             # With ends that are not acknowledged yet a look returns at once.
@@ -231,6 +235,16 @@
         self._runs = Runs()
         self._tell()
 
+    def _find_stalls(self, now: timedelta) -> None:
+        known = set(self._stalled)
+        self._stalled = self._stalls.check(
+            self._runs.running, self._runs.order_by_ref, self._percent_by_ref, now
+        )
+        new = [str(ref) for ref in self._stalled if ref not in known]
+        if new:
+            log_event("worker:stalled", runs=new)
+            self._tell()
+
     async def _adjust_pace(self, beat: Heartbeat) -> None:
         observations, fillers = self._observe(beat)
         percent_by_ref = self._pacer.adjust(
@@ -308,6 +322,7 @@
             starting=[*runs.starting, *runs.started_by_ref],
             ends=runs.ends,
             rejected=list(runs.rejected_by_ref.values()),
+            stalled=self._stalled,
             pressures=self._learner.own(),
             spare_by_image=self._spare_by_image,
         )
--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -99,7 +99,10 @@
         self._take_life(worker, report, now_ms)
         self._describe(worker, report)
         for end in report.ends:
+            self._note_health(worker, end.ref, end.kind, now)
             self._take_end(worker, end.ref, end.kind, end.checkpoint, now_ms)
+        for ref in report.stalled:
+            self._take_stall(worker, ref, now)
         for rejected in report.rejected:
             self._take_rejection(worker, rejected, now, now_ms)
         self.pressures.take(worker.id, report.pressures)
@@ -189,6 +192,40 @@
             kind = EndKind.FAILED
         self._take_end(worker, rejected.ref, kind, "", now_ms)
 
+    def _take_stall(self, worker: Worker, ref: RunRef, now: timedelta) -> None:
+        """Stop a run that makes no progress, to start it elsewhere."""
+        placed = worker.held_by_ref.get(ref)
+        if placed is None or placed.is_stopping:
+            return
+        log_event("decision:stop-stalled", run=str(ref), worker=worker.id)
+        placed.is_stopping = True
+        self._note_bad(worker, ref, now)
+
+    def _note_health(
+        self, worker: Worker, ref: RunRef, kind: EndKind, now: timedelta
+    ) -> None:
+        if ref not in worker.held_by_ref:
+            return
+        if kind is EndKind.DONE:
+            worker.health.note_good()
+        elif kind is EndKind.FAILED:
+            self._note_bad(worker, ref, now)
+
+    def _note_bad(self, worker: Worker, ref: RunRef, now: timedelta) -> None:
+        job = self.job_by_id.get(ref.task.job)
+        step = None if job is None else job.find(ref.task)
+        if step is not None:
+            step.avoid_by_index.setdefault(ref.task.index, set()).add(worker.id)
+        block = worker.health.note_bad(ref.task.job, now)
+        if block is not None:
+            worker.blocked_until = now + block
+            log_event(
+                "decision:block-worker",
+                worker=worker.id,
+                run=str(ref),
+                for_s=block.total_seconds(),
+            )
+
     def _take_end(
         self,
         worker: Worker,
@@ -300,7 +337,7 @@
                 placed.append(self._assign(step, ref, member, now))
         else:
             for index in step.waiting:
-                worker = self._find_place(step, now)
+                worker = self._find_place(step, now, index)
                 if worker is None:
                     break
                 placed.append(self._assign(step, step.next_run(index), worker, now))
@@ -370,9 +407,18 @@
             left = timedelta(milliseconds=spec.estimate_ms) - worked
         return now + left * _LATENESS < worker.leaves
 
-    def _find_place(self, step: LiveStep, now: timedelta) -> Worker | None:
-        service = self._terms(step.job).service
-        return choose_worker(step, self.fleet, self.pressures, service=service, now=now)
+    def _find_place(
+        self, step: LiveStep, now: timedelta, index: int | None = None
+    ) -> Worker | None:
+        avoid = set() if index is None else step.avoid_by_index.get(index, set())
+        return choose_worker(
+            step,
+            self.fleet,
+            self.pressures,
+            service=self._terms(step.job).service,
+            now=now,
+            avoid=avoid,
+        )
 
     def next_due_ms(self) -> int | None:
         """When the next occurrence of any job is due."""
--- a/coltsfoottray/scheduler/fit.py
+++ b/coltsfoottray/scheduler/fit.py
@@ -14,7 +14,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from datetime import timedelta
 
 from coltsfoottray.agent.pressure import PressureTable
@@ -47,8 +47,12 @@
     *,
     service: str,
     now: timedelta,
+    avoid: Collection[str] = (),
 ) -> Worker | None:
-    """Return the best worker for one task of `step`, none if none is fit."""
+    """Return the best worker for one task of `step`, none if none is fit.
+
+    Workers in `avoid` are taken only if there is no other.
+    """
     cost = _cost_of(step, pressures)
     fit = [
         worker
@@ -59,7 +63,11 @@
     ]
     if step.spec.is_filler:
         fit = [w for w in fit if _speed(w, step.spec, pressures) >= _MIN_SPEED]
-    return min(fit, key=lambda worker: (cost(worker), worker.id), default=None)
+    return min(
+        fit,
+        key=lambda worker: (worker.id in avoid, cost(worker), worker.id),
+        default=None,
+    )
 
 
 def choose_gang(
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from coltsfoottray.jobs.model import RunRef, StepSpec
+from coltsfoottray.scheduler.health import WorkerHealth
 from coltsfoottray.scheduler.live import LiveStep
 from coltsfoottray.types import Address, Resources
 
@@ -95,6 +96,7 @@
     blocked_until: timedelta = _NEVER
 
     def __post_init__(self) -> None:
+        self.health = WorkerHealth()
         self.taken = Resources()
         self.busy = 0.0
         self.spare_by_image: dict[str, float] = {}
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -20,6 +20,8 @@
         Tasks without a run, by index.
     failed_runs : set of int
         For a gang: the runs whose failure was counted.
+    avoid_by_index : dict
+        By task, the workers on which it failed or stalled.
     """
 
     job: LiveJob
@@ -30,6 +32,7 @@
     waiting: list[int] = field(default_factory=list)
     done: int = 0
     failed_runs: set[int] = field(default_factory=set)
+    avoid_by_index: dict[int, set[str]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.recount()
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -45,7 +45,7 @@
 
     Parameters
     ----------
-    is_filler, target_latency_ms
+    processors, estimate_ms, is_service, is_filler, target_latency_ms
         See `StepSpec`; the attendant slows fillers down for the sake of those
         with a target.
     """
@@ -55,6 +55,8 @@
     checkpoint: str = ""
     image: str = ""
     processors: float = 0.0
+    estimate_ms: float = 0.0
+    is_service: bool = False
     is_filler: bool = False
     target_latency_ms: float = 0.0
 
@@ -109,6 +111,8 @@
         Whether the worker answered its last look.
     starting : list of RunRef
         Starts without an answer so far.
+    stalled : list of RunRef
+        Runs that make no progress.
     pressures : list of Pressure
         How images disturb one another, as seen here.
     spare_by_image : dict
@@ -133,6 +137,7 @@
     starting: list[RunRef] = msgspec.field(default_factory=list)
     ends: list[RunEnd] = msgspec.field(default_factory=list)
     rejected: list[RejectedStart] = msgspec.field(default_factory=list)
+    stalled: list[RunRef] = msgspec.field(default_factory=list)
     pressures: list[Pressure] = msgspec.field(default_factory=list)
     spare_by_image: dict[str, float] = msgspec.field(default_factory=dict)
 
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -420,6 +420,8 @@
             checkpoint=record.checkpoint if spec.has_checkpoints else "",
             image=spec.image,
             processors=spec.demand.processors,
+            estimate_ms=spec.estimate_ms,
+            is_service=spec.is_service,
             is_filler=spec.is_filler,
             target_latency_ms=spec.target_latency_ms,
         )
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -20,6 +20,7 @@
 _STEP_S = 0.02
 LATE_ORDER_S = 4.0
 _HEARTBEAT_S = 1.0
+_FAIL_AFTER_S = 0.1
 _MAX_LEASE_MS = 10_000
 
 
@@ -86,6 +87,8 @@
         self.late_starts = 0
         self.is_dark = False
         self.is_draining = False
+        self.is_hung = False
+        self.fails_everything = False
         self.processors = processors
         self.max_taken = 0.0
         self._attendant = attendant
@@ -229,8 +232,13 @@
     def _work(self) -> None:
         if self.clock_ms() > self.until_ms:
             self._lapse()
+        if self.is_hung:
+            return
         for run in list(self.run_by_task.values()):
             run.done_s += _STEP_S * run.percent / 100
+            if self.fails_everything and run.done_s > _FAIL_AFTER_S:
+                self._end(run, "failed")
+                continue
             if run.done_s >= run.work_s:
                 self._end(run, "failed" if run.fails else "done")
 
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -172,6 +172,29 @@
     context.world.cell.worker_by_name[name].is_dark = True
 
 
+@given("{name}'s machine fails everything it starts")
+def make_failing(context, name):
+    context.world.cell.worker_by_name[name].fails_everything = True
+
+
+@given("tasks on {name}'s machine stand still")
+def make_hung(context, name):
+    context.world.cell.worker_by_name[name].is_hung = True
+
+
+@when("{count:d} jobs of {tasks:d} task of {seconds:d} s are handed in, one a second")
+def submit_series(context, count, tasks, seconds):
+    for number in range(count):
+        submit(context, f"s{number}", 1, tasks, seconds, "entry-1")
+        context.world.advance(1)
+
+
+@then("all {count:d} jobs are completed within {seconds:d} s")
+def wait_for_series(context, count, seconds):
+    for number in range(count):
+        wait_for_state(context, f"s{number}", "completed", seconds)
+
+
 @when("{name}'s machine leaves without a notice")
 def leave(context, name):
     context.world.run(context.world.cell.worker_by_name[name].leave)
@@ -367,6 +390,12 @@
     assert not [each for each in starts if each[2] == name], starts
 
 
+@then("at most {count:d} tasks were started on {name}")
+def check_few_starts(context, count, name):
+    starts = [e for e in context.world.cell.observer.starts if e[2] == name]
+    assert 0 < len(starts) <= count, starts
+
+
 @then("no worker ever ran more than {count:d} tasks")
 def check_room(context, count):
     for worker in context.world.cell.worker_by_name.values():
