Rows of jobs that ended long ago are removed

Ruled out: removing progress first (a crash in between leaves an acceptance without progress, which is a new job and runs again).

Change: every 5 s the scheduler removes up to 20 ended jobs older than the bound of the settings, acceptance first; progress without acceptance is swept on loading.

--- a/coltsfoottray/jobs/mirror.py
+++ b/coltsfoottray/jobs/mirror.py
@@ -56,6 +56,10 @@
         self.fresh: timedelta | None = None
         self._is_failing = False
 
+    def version_of(self, key: str) -> int:
+        """Return a row's version as last seen, 0 if there is none."""
+        return self._version_by_key.get(key, 0)
+
     def age(self) -> timedelta:
         """Return how old the copy may be."""
         if self.fresh is None:
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -38,7 +38,7 @@
     ReportReply,
     StartOrder,
 )
-from coltsfoottray.scheduler.restore import StoredJob
+from coltsfoottray.scheduler.restore import Stored
 
 __all__ = ["Deposed", "Reign"]
 
@@ -98,8 +98,6 @@
     silent_until : mapping
         By worker that the scheduler before had not heard of for a while: when its
         lease has surely ended.
-    keep : timedelta
-        How long an ended job is remembered.
     """
 
     def __init__(
@@ -113,7 +111,6 @@
         peers: PeerClient,
         holder: ConfigHolder,
         clock: Clock,
-        keep: timedelta,
     ) -> None:
         self.lease = lease
         self.is_loaded = False
@@ -124,11 +121,12 @@
         self._table = table
         self._peers = peers
         self._clock = clock
-        self._keep = keep
         self._fleet = Fleet()
         self.board = Board(holder=holder, fleet=self._fleet)
         self._inbox = Inbox()
         self._wake = trio.Event()
+        # Rows to be deleted with a next commit, by their versions.
+        self._garbage: dict[str, int] = {}
         self._sessions = 0
         self._is_resigning = False
 
@@ -181,17 +179,40 @@
         job = self.board.job_by_id.get(job_id)
         return None if job is None else job.stored_state
 
+    def ended_before(self, moment_ms: int) -> list[JobId]:
+        """Return the jobs that ended before a moment and run nowhere any more."""
+        held = {
+            ref.task.job
+            for worker in self._fleet.worker_by_id.values()
+            for ref in worker.held_by_ref
+        }
+        return [
+            job.id
+            for job in self.board.job_by_id.values()
+            if job.stored_state.is_final
+            and job.record.ended_ms < moment_ms
+            and job.id not in held
+        ]
+
+    def forget(self, job: JobId) -> None:
+        """Drop a job whose acceptance has been removed."""
+        self._inbox.forgotten.append(job)
+        self._wake.set()
+
     def look_again(self) -> None:
         """Plan anew, since the config has changed."""
         self._wake.set()
 
     # The rounds.
 
-    def load(self, stored: Iterable[StoredJob]) -> None:
+    def load(self, stored: Stored) -> None:
         """Take in everything that was stored before the row was taken over."""
         now = self._clock.elapsed()
         now_ms = as_milliseconds(self._clock.now())
-        for each in stored:
+        for orphan in stored.orphans:
+            if "/scheduler/" in orphan.key:
+                self._garbage[orphan.key] = orphan.version
+        for each in stored.jobs:
             self.board.restore(
                 each.accepted,
                 each.record,
@@ -250,6 +271,9 @@
         for job_id in inbox.cancelled:
             self.board.cancel(job_id, now_ms)
         for job_id in inbox.forgotten:
+            ended = self.board.job_by_id.get(job_id)
+            if ended is not None and ended.version:
+                self._garbage[record_key(job_id)] = ended.version
             self.board.forget(job_id)
         last_end_by_worker: dict[str, int] = {}
         for report in inbox.reports:
@@ -264,7 +288,7 @@
         dirty = [job for job in self.board.job_by_id.values() if job.is_dirty]
         for batch in _batches(dirty):
             await self._commit(batch, renews=self._is_renewal_due())
-        if not dirty and self._is_renewal_due():
+        if self._garbage or (not dirty and self._is_renewal_due()):
             await self._commit([], renews=True)
 
     def _release(
@@ -309,6 +333,8 @@
     async def _commit(self, jobs: list[LiveJob], *, renews: bool) -> None:
         sent = self._clock.elapsed()
         puts = [Put.of(record_key(job.id), job.version, job.record) for job in jobs]
+        garbage = list(self._garbage)[: _JOBS_PER_COMMIT - len(jobs)]
+        puts += [Put(key=key, version=self._garbage.pop(key)) for key in garbage]
         checks: list[Check] = []
         if renews:
             self.lease = msgspec.structs.replace(
--- a/coltsfoottray/scheduler/restore.py
+++ b/coltsfoottray/scheduler/restore.py
@@ -14,7 +14,7 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.platform import Row, TableUnavailable, WatchedTable
 
-__all__ = ["StoredJob", "read_jobs"]
+__all__ = ["Stored", "StoredJob", "read_jobs"]
 
 _RETRY = timedelta(milliseconds=200)
 
@@ -29,8 +29,22 @@
     is_cancelled: bool = False
 
 
-async def read_jobs(table: WatchedTable, *, clock: Clock) -> list[StoredJob]:
-    """Return every stored job, asking until the table answers."""
+@dataclass(kw_only=True)
+class Stored:
+    """All that is stored.
+
+    Parameters
+    ----------
+    orphans : list of Row
+        Progress of jobs whose other rows have been removed already.
+    """
+
+    jobs: list[StoredJob]
+    orphans: list[Row]
+
+
+async def read_jobs(table: WatchedTable, *, clock: Clock) -> Stored:
+    """Return all that is stored, asking until the table answers."""
     rows: list[Row] = []
 
     async def read(prefix: str) -> None:
@@ -48,8 +62,9 @@
     return _assemble(rows)
 
 
-def _assemble(rows: list[Row]) -> list[StoredJob]:
+def _assemble(rows: list[Row]) -> Stored:
     stored_by_id: dict[JobId, StoredJob] = {}
+    orphans: list[Row] = []
     for row in rows:
         if "/job." in row.key and "/scheduler/" not in row.key:
             accepted = row.decode(AcceptedJob)
@@ -59,10 +74,11 @@
             continue
         stored = stored_by_id.get(job_of(row.key))
         if stored is None:
+            orphans.append(row)
             continue
         if "/cancel." in row.key:
             stored.is_cancelled = True
         elif "/scheduler/" in row.key:
             stored.record = row.decode(JobRecord)
             stored.version = row.version
-    return list(stored_by_id.values())
+    return Stored(jobs=list(stored_by_id.values()), orphans=orphans)
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import timedelta
+from functools import partial
 from random import Random
 
 import trio
@@ -39,6 +40,7 @@
 )
 from coltsfoottray.scheduler.reign import Deposed, Reign
 from coltsfoottray.scheduler.restore import read_jobs
+from coltsfoottray.scheduler.sweep import sweep_for_ever
 from coltsfoottray.types import Address, Role
 
 __all__ = ["Scheduler"]
@@ -221,7 +223,6 @@
             peers=self._peers,
             holder=self._holder,
             clock=self._clock,
-            keep=self._keep,
         )
 
     async def _lead(self, reign: Reign) -> None:
@@ -229,7 +230,18 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._introduce, reign.lease)
             reign.load(await read_jobs(self._table, clock=self._clock))
+            nursery.start_soon(
+                partial(
+                    sweep_for_ever,
+                    reign,
+                    table=self._table,
+                    mirror=self._mirror,
+                    clock=self._clock,
+                    keep=self._keep,
+                )
+            )
             await reign.run()
+            nursery.cancel_scope.cancel()
 
     async def _introduce(self, lease: LeaseRow) -> None:
         """Tell attendants whom to report to.
--- a/tests/jobs/callers.feature
+++ b/tests/jobs/callers.feature
@@ -69,3 +69,14 @@
     When the job "a" is handed in at entry-1 to run 3 times, every 2 s
     Then the job "a" is "completed" within 20 s
     And no occurrence of "a" began before its time
+
+  Scenario: A job that ended long ago is forgotten
+    # It is remembered for 30 s here. Then all its rows go, the acceptance first,
+    # or a crash in between would leave a job that looks new and runs again.
+    Given two entries and 1 workers for jobs
+    When the job "a" of 1 steps with 1 tasks of 1 s is handed in at entry-1
+    Then the job "a" is "completed" within 10 s
+    When 45 s pass
+    Then the state of the job "a" at entry-2 is "410"
+    And the store holds no row of "a"
+    And 1 tasks were started, each once
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -404,6 +404,13 @@
         assert worker.max_taken <= count, worker.max_taken
 
 
+@then('the store holds no row of "{label}"')
+def check_no_rows(context, label):
+    rows = context.world.cell.rows.current_by_ref
+    held = [ref for ref in rows if job_id(label) in ref.key]
+    assert not held, held
+
+
 @then("nothing runs")
 def check_idle(context):
     check_running(context, 0)
