Fillers start only where they can work at full speed; noise is not slowed for

Cause: a strong filler lifts a service's latency over its target by its start alone, before it can be slowed, and the figure takes a second to fall again; a dozen harmless ones were slowed for the sum of what noise made of each.

Change: a filler waits for a worker where its image would not press beyond what is to spare, until half of its job's time is over; pressures within noise count as none; what fillers can use together is bounded by what the others leave; what a slowed one leaves is given to others; jobs that are late already wait behind those that are not.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -9,7 +9,7 @@
 import trio
 
 from coltsfoottray.agent.pacing import FULL, FillerRun, Pacer, is_worth_an_order
-from coltsfoottray.agent.pressure import Observation, PressureLearner
+from coltsfoottray.agent.pressure import SERVICE_USE, Observation, PressureLearner
 from coltsfoottray.agent.runs import Runs
 from coltsfoottray.agent.stalls import StallWatch
 from coltsfoottray.agent.worker import (
@@ -257,7 +257,7 @@
         observations = self._observations
         fillers = self._fillers(beat)
         percent_by_ref = self._pacer.adjust(
-            observations, fillers, self._clock.elapsed()
+            observations, fillers, self._clock.elapsed(), left=self._left_share(beat)
         )
         self._percent_by_ref = {
             ref: percent
@@ -269,6 +269,16 @@
                 if is_worth_an_order(self._percent_by_ref.get(ref, FULL), percent):
                     nursery.start_soon(self._set_pace, beat, ref, percent)
 
+    def _left_share(self, beat: Heartbeat) -> float:
+        """Return the part of the worker that tasks other than fillers leave."""
+        taken = sum(
+            order.processors * (SERVICE_USE if order.target_latency_ms else 1.0)
+            for order in self._runs.order_by_ref.values()
+            if not order.is_filler
+        )
+        whole = max(beat.capacity.processors, 1e-9)
+        return max(1.0 - taken / whole, 0.0)
+
     def _fillers(self, beat: Heartbeat) -> list[FillerRun]:
         whole = max(beat.capacity.processors, 1e-9)
         there = {status.ref for status in self._runs.running}
--- a/coltsfoottray/agent/pacing.py
+++ b/coltsfoottray/agent/pacing.py
@@ -15,6 +15,7 @@
 
 from coltsfoottray.agent.pressure import Observation, PressureLearner
 from coltsfoottray.jobs.model import RunRef
+from coltsfoottray.logs import log_event
 
 __all__ = ["FULL", "FillerRun", "Pacer", "is_worth_an_order"]
 
@@ -54,13 +55,24 @@
         observations: Sequence[Observation],
         fillers: Sequence[FillerRun],
         now: timedelta,
+        *,
+        left: float,
     ) -> dict[RunRef, int]:
-        """Return the speed of each filler from now on."""
+        """Return the speed of each filler from now on.
+
+        Parameters
+        ----------
+        left : float
+            The part of the worker that is left to fillers: together they press no
+            more than that lets them.
+        """
         self._note_over(observations, now)
+        wanted = sum(filler.share for filler in fillers)
+        scale = min(1.0, left / wanted) if wanted > 0 else 1.0
         full_by_image: dict[str, float] = {}
         for filler in fillers:
             share = full_by_image.get(filler.image, 0.0)
-            full_by_image[filler.image] = share + filler.share
+            full_by_image[filler.image] = share + filler.share * scale
         percent_by_image = dict.fromkeys(full_by_image, FULL)
         for observation in observations:
             allowed = self._allow(observation, full_by_image)
@@ -85,6 +97,23 @@
 
     def _note_over(self, observations: Sequence[Observation], now: timedelta) -> None:
         over = {each.service for each in observations if each.margin <= 1.0}
+        for each in observations:
+            if each.margin <= 1.0 and each.service not in self._over_since_by_service:
+                log_event(
+                    "service:over-target",
+                    run=each.service,
+                    image=each.image,
+                    latency_ms=each.latency_ms,
+                    target_ms=each.target_ms,
+                    undisturbed=round(self._learner.undisturbed(each), 2),
+                    fillers={
+                        image: [
+                            percent,
+                            round(self._learner.pressure(image, each.image), 1),
+                        ]
+                        for image, percent in self._percent_by_image.items()
+                    },
+                )
         self._over_since_by_service = {
             service: self._over_since_by_service.get(service, now) for service in over
         }
--- a/coltsfoottray/agent/pressure.py
+++ b/coltsfoottray/agent/pressure.py
@@ -23,6 +23,7 @@
 import msgspec
 
 __all__ = [
+    "SERVICE_USE",
     "UNKNOWN_PRESSURE",
     "ImagePair",
     "Observation",
@@ -31,6 +32,10 @@
     "PressureTable",
 ]
 
+# A service with a latency target reserves for its peaks; measured over a day it uses
+# 0.42 of that, and half as much again at its peaks.
+SERVICE_USE = 0.5
+
 # Taken for a pair not seen yet: about what one filling task may press beside a
 # service of mean load, so that a first task of an image is let in and a second waits
 # for what it shows.
@@ -42,7 +47,10 @@
 # How many standard deviations a filler is slowed beyond what is thought of it. With a
 # whole one services lost nothing to speak of (0.96 of their worth was earned) but
 # builds nearly all (0.05); with none 0.82 and 0.38.
-_CAUTION = 0.4
+_CAUTION = 0.5
+# What a harmless pair may be thought to press by noise alone. A dozen harmless fillers
+# on a worker would otherwise be slowed for the sum of it.
+_HARMLESS_PRESSURE = 0.8
 _MAX_PRESSURE = 40.0
 _MAX_MARGIN = 6.0
 
@@ -50,9 +58,10 @@
 # swings by half within 7 s, a pair's pressure moves within some seconds.
 _MARGIN_DRIFT = 0.15
 _PRESSURE_DRIFT = 0.3
-# Of a margin as recovered from the figure: a tenth of it, and a rounded millisecond.
+# Of a margin as recovered from two figures: an eighth of it, and what the rounding of
+# each to whole milliseconds may do (0.3 ms each, the first counted twice).
 _MARGIN_NOISE = 0.12
-_ROUNDING_NOISE = 0.1
+_ROUNDING_MS = 0.65
 # While a latency over its target falls again, what is recovered is mostly noise.
 _FALLING_NOISE = 0.6
 
@@ -246,11 +255,15 @@
         state = _FILLER + filler
         if known is not None and state in known.mean:
             spread = math.sqrt(max(known.variance(state), 0.0))
-            return min(known.mean[state] + _CAUTION * spread, _MAX_PRESSURE)
-        pair = ImagePair(filler=filler, service=service)
-        if pair in self._shared_by_pair:
-            return self._shared_by_pair[pair] + _CAUTION * _SHARED_SPREAD
-        return UNKNOWN_PRESSURE + _CAUTION * _UNKNOWN_SPREAD
+            mean = known.mean[state]
+        else:
+            pair = ImagePair(filler=filler, service=service)
+            spread = _SHARED_SPREAD
+            mean = self._shared_by_pair.get(pair, -1.0)
+            if mean < 0:
+                mean, spread = UNKNOWN_PRESSURE, _UNKNOWN_SPREAD
+        cautious = mean + _CAUTION * spread - _HARMLESS_PRESSURE
+        return min(max(cautious, 0.0), _MAX_PRESSURE)
 
     def undisturbed(self, observation: Observation) -> float:
         """Return the margin a service would have without fillers."""
@@ -300,7 +313,8 @@
                 falling = _FALLING_NOISE
             latency = max(recovered, _MIN_RECOVERED * latency)
         margin = min(observation.target_ms / latency, _MAX_MARGIN)
-        return margin, margin * _MARGIN_NOISE + _ROUNDING_NOISE + falling
+        noise = _MARGIN_NOISE + _ROUNDING_MS / observation.latency_ms
+        return margin, margin * noise + falling
 
     def _learn_service(
         self,
--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -15,7 +15,7 @@
 from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
 from coltsfoottray.scheduler.messages import RejectedStart, Report
-from coltsfoottray.scheduler.order import urgency
+from coltsfoottray.scheduler.order import is_half_over, urgency
 
 __all__ = ["Board"]
 
@@ -125,6 +125,7 @@
             record = placed.step.records[status.ref.task.index]
             if status.checkpoint and record.run == status.ref.run:
                 record.checkpoint = status.checkpoint
+        worker.note_use()
         return max((end.number for end in report.ends), default=0)
 
     def expire(self, now: timedelta, now_ms: int) -> None:
@@ -325,14 +326,16 @@
         placed: list[PlacedRun] = []
         misses = 0
         for step in ready:
-            new = self._place_step(step, now)
+            new = self._place_step(step, now, now_ms)
             placed += new
             misses += not new
             if misses > _MAX_MISSES:
                 break
         return placed
 
-    def _place_step(self, step: LiveStep, now: timedelta) -> list[PlacedRun]:
+    def _place_step(
+        self, step: LiveStep, now: timedelta, now_ms: int
+    ) -> list[PlacedRun]:
         service = self._terms(step.job).service
         placed: list[PlacedRun] = []
         if step.spec.is_gang:
@@ -344,8 +347,9 @@
             for ref, member in zip(refs, workers, strict=False):
                 placed.append(self._assign(step, ref, member, now))
         else:
+            is_pressed = is_half_over(step.job, self._holder, now_ms)
             for index in step.waiting:
-                worker = self._find_place(step, now, index)
+                worker = self._find_place(step, now, index, is_pressed=is_pressed)
                 if worker is None:
                     break
                 placed.append(self._assign(step, step.next_run(index), worker, now))
@@ -450,7 +454,12 @@
         return now + left * _LATENESS < worker.leaves
 
     def _find_place(
-        self, step: LiveStep, now: timedelta, index: int | None = None
+        self,
+        step: LiveStep,
+        now: timedelta,
+        index: int | None = None,
+        *,
+        is_pressed: bool = False,
     ) -> Worker | None:
         avoid = set() if index is None else step.avoid_by_index.get(index, set())
         return choose_worker(
@@ -460,6 +469,7 @@
             service=self._terms(step.job).service,
             now=now,
             avoid=avoid,
+            is_pressed=is_pressed,
         )
 
     def next_due_ms(self) -> int | None:
--- a/coltsfoottray/scheduler/fit.py
+++ b/coltsfoottray/scheduler/fit.py
@@ -34,8 +34,15 @@
 # latency leaves 1.4 at a load of 0.42, and 0.4 at its peaks.
 _SPARE_MARGIN = 0.9
 
-# A filler that would work slower than this waits for a better place.
+# A filler that would work slower than this for want of processors waits.
 _MIN_SPEED = 0.45
+# So much of its full speed a filler must be able to work at beside the services of a
+# worker. It starts at full speed, and can be slowed only some 150 ms later: a strong
+# one lifts the tail latency of services over their target by its start alone, for
+# about a second.
+_MIN_SPEED_BESIDE = 0.95
+# One whose job has used half of its time takes what there is.
+_MIN_SPEED_BESIDE_LATE = 0.4
 
 # One that works slower than the first is moved to where it would work faster than the
 # second: a move costs up to a second of work and a quarter for the start.
@@ -55,10 +62,16 @@
     service: str,
     now: timedelta,
     avoid: Collection[str] = (),
+    is_pressed: bool = False,
 ) -> Worker | None:
     """Return the best worker for one task of `step`, none if none is fit.
 
-    Workers in `avoid` are taken only if there is no other.
+    Parameters
+    ----------
+    avoid : collection of str
+        Workers that are taken only if there is no other.
+    is_pressed : bool
+        Its job cannot wait for a good place.
     """
     cost = _cost_of(step, pressures)
     fit = [
@@ -69,7 +82,13 @@
         and _keeps_apart(worker, step, extra=0)
     ]
     if step.spec.is_filler:
-        fit = [w for w in fit if _speed(w, step.spec, pressures) >= _MIN_SPEED]
+        beside = _MIN_SPEED_BESIDE_LATE if is_pressed else _MIN_SPEED_BESIDE
+        fit = [
+            worker
+            for worker in fit
+            if _speed_alone(worker, step.spec) >= _MIN_SPEED
+            and _speed_beside(worker, step.spec, pressures) >= beside
+        ]
     return min(
         fit,
         key=lambda worker: (worker.id in avoid, cost(worker), worker.id),
@@ -205,16 +224,28 @@
 
 def _speed(worker: Worker, spec: StepSpec, pressures: PressureTable) -> float:
     """Return how fast a filler could work on `worker`, 1 for full speed."""
+    return min(_speed_alone(worker, spec), _speed_beside(worker, spec, pressures))
+
+
+def _speed_alone(worker: Worker, spec: StepSpec) -> float:
+    """Return how fast a filler could work by the processors that are left."""
+    wanted = max(spec.demand.processors, 1e-9)
+    return min(1.0, max(worker.processors_left, 0.0) / wanted)
+
+
+def _speed_beside(worker: Worker, spec: StepSpec, pressures: PressureTable) -> float:
+    """Return how fast a filler could work for the sake of the services there."""
     wanted = max(spec.demand.processors, 1e-9)
-    speed = min(1.0, max(worker.processors_left, 0.0) / wanted)
     whole = max(worker.capacity.processors, 1e-9)
+    speed = 1.0
     for service in worker.service_images:
+        own = pressures.get(spec.image, service) * wanted / whole
+        if own < _HARMLESS:
+            continue
         pressing = sum(
             pressures.get(image, service) * count * wanted / whole
             for image, count in worker.fillers_by_image.items()
         )
-        own = pressures.get(spec.image, service) * wanted / whole
         spare = worker.spare_by_image.get(service, _SPARE_MARGIN)
-        if own > 0:
-            speed = min(speed, max(spare - pressing, 0.0) / own)
+        speed = min(speed, max(spare - pressing, 0.0) / own)
     return speed
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -6,16 +6,17 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from coltsfoottray.jobs.model import RunRef, StepSpec
+from coltsfoottray.agent.pressure import SERVICE_USE
+from coltsfoottray.jobs.model import RunRef
 from coltsfoottray.scheduler.health import WorkerHealth
 from coltsfoottray.scheduler.live import LiveStep
 from coltsfoottray.types import Address, Resources
 
 __all__ = ["Fleet", "PlacedRun", "Worker"]
 
-# A service reserves for its peaks; measured over a day it uses 0.42 of that, and half
-# as much again at its peaks.
-_SERVICE_USE = 0.5
+# A slowed filler may be let work a little more by the next look.
+_FILLER_HEADROOM = 0.15
+_MILLI = 1000.0
 _NEVER = timedelta(days=-1)
 _NOTHING = Resources()
 
@@ -124,6 +125,10 @@
         self._sum_up()
         return placed
 
+    def note_use(self) -> None:
+        """Count anew, after a report has told what runs use."""
+        self._sum_up()
+
     def _sum_up(self) -> None:
         """Add up anew: sums kept by adding and taking away would drift."""
         held = self.held_by_ref.values()
@@ -138,13 +143,22 @@
         self.fillers_by_image = Counter(
             placed.step.spec.image for placed in held if placed.step.spec.is_filler
         )
-        self.busy = sum(_likely_use(placed.step.spec) for placed in held)
+        self.busy = sum(_likely_use(placed) for placed in held)
 
 
-def _likely_use(spec: StepSpec) -> float:
-    """Return the processors that a task is likely to keep busy."""
-    share = _SERVICE_USE if spec.target_latency_ms else 1.0
-    return spec.demand.processors * share
+def _likely_use(placed: PlacedRun) -> float:
+    """Return the processors that a run is likely to keep busy.
+
+    Of a filler it is what it used lately: one that is slowed for a service's sake
+    leaves the rest to others.
+    """
+    spec = placed.step.spec
+    wanted = spec.demand.processors
+    if spec.target_latency_ms:
+        return wanted * SERVICE_USE
+    if spec.is_filler and placed.figure > 0:
+        return min(wanted, placed.figure / _MILLI + wanted * _FILLER_HEADROOM)
+    return wanted
 
 
 class Fleet:
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -108,7 +108,8 @@
         self.version = version
         self.stored_state = self.record.state
         self.is_dirty = False
-        self.chain_ms = _longest_chain(accepted.spec.steps)
+        steps = accepted.spec.steps
+        self.chain_ms = _longest_chain(steps, [step.estimate_ms for step in steps])
         self.steps_by_occurrence: list[list[LiveStep]] = [
             self._make_steps(number, tasks)
             for number, tasks in enumerate(self.record.occurrences)
@@ -145,6 +146,12 @@
             self.record.occurrences.append(tasks)
             self.steps_by_occurrence.append(self._make_steps(number, tasks))
 
+    def chain_left(self, occurrence: int) -> float:
+        """Return the estimated length of what is not done of an occurrence, in ms."""
+        steps = self.steps_by_occurrence[occurrence]
+        left = [0.0 if step.is_done else step.spec.estimate_ms for step in steps]
+        return _longest_chain([step.spec for step in steps], left)
+
     def steps(self) -> list[LiveStep]:
         """Return the steps of every occurrence that is not done."""
         return [step for steps in self.steps_by_occurrence for step in steps]
@@ -192,10 +199,10 @@
         ]
 
 
-def _longest_chain(steps: list[StepSpec]) -> float:
-    """Return the estimated length of the longest chain of steps, in ms."""
+def _longest_chain(steps: list[StepSpec], length_ms: list[float]) -> float:
+    """Return the length of the longest chain of steps, in ms."""
     ends: list[float] = []
     for number, step in enumerate(steps):
         before = [ends[each] for each in step.after if each < number]
-        ends.append(max(before, default=0.0) + step.estimate_ms)
+        ends.append(max(before, default=0.0) + length_ms[number])
     return max(ends, default=0.0)
--- a/coltsfoottray/scheduler/order.py
+++ b/coltsfoottray/scheduler/order.py
@@ -1,9 +1,11 @@
 """Which step gets room first.
 
 Answers the load at which more tasks wait than fit. A queue's priority goes first:
-the operator set it. Within a priority the job whose objective ends first goes
-first, which keeps the most jobs on time while all can be; jobs past the point at
-which they are of any use to their caller wait behind those that still are.
+the operator set it. Within a priority services come first, which lose by the second;
+then jobs that can still be on time, the one whose objective ends first before the
+others, which keeps the most on time while all can be. Jobs that are late already
+wait behind them, or each would make the next one late, too; last are those that are
+of no use to their caller any more.
 """
 
 from __future__ import annotations
@@ -11,12 +13,18 @@
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
 
-__all__ = ["objective_ms", "urgency"]
+__all__ = ["is_half_over", "objective_ms", "urgency"]
 
 # A job that takes more than three times its objective is worth nothing to its
 # caller: the users' own measure of late work.
 _USEFUL_FACTOR = 3.0
 
+# Estimates are off by up to nine tenths either way; a job is taken for late only when
+# even this part of what is estimated would not fit.
+_LEAST_OF_ESTIMATE = 0.7
+
+_SERVICE, _ON_TIME, _LATE, _USELESS = range(4)
+
 
 def objective_ms(job: LiveJob, holder: ConfigHolder) -> float:
     """Return how long the job may take to be on time."""
@@ -24,17 +32,29 @@
     return terms.slowdown_factor * job.chain_ms + terms.target_latency_ms
 
 
+def is_half_over(job: LiveJob, holder: ConfigHolder, now_ms: int) -> bool:
+    """Whether half of the time is over in which a job is on time."""
+    return now_ms > job.accepted.accepted_ms + objective_ms(job, holder) / 2
+
+
 def urgency(
     step: LiveStep, holder: ConfigHolder, now_ms: int
-) -> tuple[int, bool, float]:
+) -> tuple[int, int, float]:
     """Return a sort key; the smallest goes first."""
     job = step.job
     terms = holder.terms_of(job.accepted.queue, otherwise=job.accepted.terms)
-    begun_ms = job.accepted.accepted_ms
+    begun_ms: float = job.accepted.accepted_ms
     if job.accepted.spec.repetition is not None:
         begun_ms = job.accepted.spec.repetition.due_ms(step.occurrence)
     objective = objective_ms(job, holder)
-    is_useless = now_ms > begun_ms + _USEFUL_FACTOR * objective
+    due_ms = begun_ms + objective
+    return terms.priority, _rank(step, now_ms, begun_ms, objective), due_ms
+
+
+def _rank(step: LiveStep, now_ms: int, begun_ms: float, objective: float) -> int:
     if step.spec.is_service:
-        is_useless = False
-    return terms.priority, is_useless, begun_ms + objective
+        return _SERVICE
+    if now_ms > begun_ms + _USEFUL_FACTOR * objective:
+        return _USELESS
+    end_ms = now_ms + step.job.chain_left(step.occurrence) * _LEAST_OF_ESTIMATE
+    return _ON_TIME if end_ms <= begun_ms + objective else _LATE
