Steps that only some workers may run wait for advice and carry its tickets

Ruled out: asking at acceptance (tickets hold for 3 s).

Change: the scheduler asks for the most urgent step without valid tickets, one question at a time, about the workers it would go to; starts carry the ticket, and a start refused for its want drops it.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -438,6 +438,7 @@
                     ref=order.ref,
                     payload=order.payload,
                     checkpoint=order.checkpoint,
+                    ticket=order.ticket,
                     fence=session,
                     lease_end_ms=lease_end_ms,
                 )
--- a/coltsfoottray/agent/worker.py
+++ b/coltsfoottray/agent/worker.py
@@ -180,6 +180,7 @@
         ref: RunRef,
         payload: str,
         checkpoint: str,
+        ticket: str,
         fence: int,
         lease_end_ms: int,
     ) -> None:
--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -27,8 +27,10 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.peers.relay import RELAY, Relay
 from coltsfoottray.platform import Row
+from coltsfoottray.platform.advice import AdviceClient
 from coltsfoottray.platform.ingress import JobIngress
 from coltsfoottray.platform.operator import read_config
+from coltsfoottray.scheduler.advice import Adviser
 from coltsfoottray.scheduler.lease import LeaseRow, LeaseWatch
 from coltsfoottray.scheduler.service import Scheduler
 from coltsfoottray.settings import JobEntrySettings
@@ -103,6 +105,7 @@
             clock=self.clock,
             random=self.random,
             keep=timedelta(seconds=settings.keep_s),
+            adviser=self._make_adviser(settings),
         )
         self.scheduler.add_handlers(self.handlers)
         relay = Relay(table=settings.table, transport=self.transport)
@@ -120,6 +123,11 @@
         )
         self._register_services(settings, ingress)
 
+    def _make_adviser(self, settings: JobEntrySettings) -> Adviser | None:
+        if settings.advice is None:
+            return None
+        return AdviceClient(address=settings.advice, transport=self.transport)
+
     def _register_services(
         self, settings: JobEntrySettings, ingress: JobIngress
     ) -> None:
--- a/coltsfoottray/jobs/model.py
+++ b/coltsfoottray/jobs/model.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "AcceptedJob",
+    "AdviceTerms",
     "JobId",
     "JobSpec",
     "QueueTerms",
@@ -131,6 +132,22 @@
     repetition: Repetition | None = None
 
 
+class AdviceTerms(msgspec.Struct, frozen=True, kw_only=True):
+    """How an outside service advises on a queue's steps.
+
+    Parameters
+    ----------
+    decision_ms, per_worker_ms : float
+        How long an answer takes, and how much longer for each worker named.
+    validity_ms : float
+        For how long its tickets are valid.
+    """
+
+    decision_ms: float = 0.0
+    per_worker_ms: float = 0.0
+    validity_ms: float = 0.0
+
+
 class QueueTerms(msgspec.Struct, frozen=True, kw_only=True):
     """What a queue promised the job when it was accepted.
 
@@ -145,6 +162,8 @@
     slowdown_factor, target_latency_ms : float
         A job is on time within `slowdown_factor` times its longest chain of
         work and `target_latency_ms` more.
+    advice : AdviceTerms, optional
+        Given where only workers that an outside service allows may run its steps.
     """
 
     service: str
@@ -152,6 +171,7 @@
     max_attempts: int = 1
     slowdown_factor: float = 1.0
     target_latency_ms: float = 0.0
+    advice: AdviceTerms | None = None
 
 
 class AcceptedJob(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/coltsfoottray/platform/advice.py
@@ -0,0 +1,72 @@
+"""The platform's service that knows which workers a queue's policy allows."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+
+from coltsfoottray.errors import CommunicationError, Step
+from coltsfoottray.http import HttpRequest, HttpTransport
+from coltsfoottray.jobs.model import AdviceTerms, JobId
+from coltsfoottray.scheduler.advice import Adviser, Permit
+from coltsfoottray.types import Address
+
+__all__ = ["AdviceClient"]
+
+# Beside the times that the queue names: the way, and a question of another daemon on
+# this VM that is answered first.
+_SLACK = timedelta(seconds=1)
+
+
+class _Answer(msgspec.Struct):
+    # Rows of a worker's id and the ticket for it.
+    allowed: list[list[str]] = msgspec.field(default_factory=list)
+
+
+class AdviceClient(Adviser):
+    """Asks the service over HTTP."""
+
+    def __init__(self, *, address: Address, transport: HttpTransport) -> None:
+        self._address = address
+        self._transport = transport
+
+    async def advise(  # noqa: D102
+        self,
+        *,
+        job: JobId,
+        occurrence: int,
+        step: int,
+        lives: list[str],
+        terms: AdviceTerms,
+    ) -> list[Permit]:
+        life_by_id = {life.split("/")[0]: life for life in lives}
+        body = {"step": f"{job}.{occurrence}.{step}", "workers": list(life_by_id)}
+        request = HttpRequest(
+            method="POST",
+            target="/v1/advise",
+            header_by_name={"content-type": "application/json"},
+            body=msgspec.json.encode(body),
+        )
+        expected = timedelta(
+            milliseconds=terms.decision_ms + terms.per_worker_ms * len(lives)
+        )
+        response = await self._transport.send(
+            self._address, request, timeout=2 * expected + _SLACK
+        )
+        if response.status != 200:
+            raise self._failed(f"status {response.status}")
+        try:
+            answer = msgspec.json.decode(response.body, type=_Answer)
+        except msgspec.DecodeError as error:
+            raise self._failed(str(error)) from error
+        return [
+            Permit(life=life_by_id[row[0]], ticket=row[1])
+            for row in answer.allowed
+            if len(row) > 1 and row[0] in life_by_id
+        ]
+
+    def _failed(self, detail: str) -> CommunicationError:
+        return CommunicationError(
+            step=Step.RECEIVE, peer=f"adviser {self._address}", detail=detail
+        )
--- a/coltsfoottray/platform/instance.py
+++ b/coltsfoottray/platform/instance.py
@@ -115,6 +115,7 @@
         ref: RunRef,
         payload: str,
         checkpoint: str,
+        ticket: str,
         fence: int,
         lease_end_ms: int,
     ) -> None:
@@ -127,6 +128,8 @@
         }
         if checkpoint:
             body["checkpoint"] = checkpoint
+        if ticket:
+            body["ticket"] = ticket
         response = await self._post(beat, "/v1/run-start", body, ORDER_TIMEOUT)
         if response.status == 200:
             return
--- a/coltsfoottray/platform/operator.py
+++ b/coltsfoottray/platform/operator.py
@@ -6,11 +6,17 @@
 from returns.result import Failure, Result, Success
 
 from coltsfoottray.jobs.config import Queue, ServiceTerms, SiteConfig
-from coltsfoottray.jobs.model import QueueTerms
+from coltsfoottray.jobs.model import AdviceTerms, QueueTerms
 
 __all__ = ["read_config"]
 
 
+class _Recommendation(msgspec.Struct):
+    decisionMs: float = 0.0  # noqa: N815
+    periodMs: float = 0.0  # noqa: N815  for each worker named in a question
+    validityMs: float = 0.0  # noqa: N815
+
+
 class _Route(msgspec.Struct):
     name: str
     host: str
@@ -22,6 +28,8 @@
     # Counts the runs that ended by a failure; lost or stopped ones are free.
     maxAttempts: int = 1  # noqa: N815
     slowdownFactor: float = 1.0  # noqa: N815
+    # Not a hint: without it no worker may run the queue's steps.
+    recommendation: _Recommendation | None = None
 
 
 class _Service(msgspec.Struct):
@@ -57,6 +65,16 @@
     return Success(config)
 
 
+def _as_advice(wire: _Recommendation | None) -> AdviceTerms | None:
+    if wire is None:
+        return None
+    return AdviceTerms(
+        decision_ms=wire.decisionMs,
+        per_worker_ms=wire.periodMs,
+        validity_ms=wire.validityMs,
+    )
+
+
 def _as_queue(route: _Route) -> Queue:
     return Queue(
         name=route.name,
@@ -69,5 +87,6 @@
             max_attempts=route.maxAttempts,
             slowdown_factor=route.slowdownFactor,
             target_latency_ms=route.targetLatencyMs,
+            advice=_as_advice(route.recommendation),
         ),
     )
--- /dev/null
+++ b/coltsfoottray/scheduler/advice.py
@@ -0,0 +1,104 @@
+"""Which workers may run a step, where a queue's policy asks an outside service.
+
+Its answers take long, a fixed time and more for each worker named, and hold for some
+seconds only. One question is asked at a time, for the most urgent step that has no
+valid answer, about the workers it would go to.
+"""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from coltsfoottray.clock import Clock
+from coltsfoottray.errors import CommunicationError
+from coltsfoottray.jobs.model import AdviceTerms, JobId
+from coltsfoottray.logs import log_event
+from coltsfoottray.scheduler.board import Board
+from coltsfoottray.scheduler.live import LiveStep, Ticket
+
+__all__ = ["Adviser", "Permit", "ask_for_ever"]
+
+_POLL = timedelta(milliseconds=30)
+_RETRY = timedelta(milliseconds=200)
+# Each worker named prolongs the answer; a step that needs more asks again.
+_MAX_WORKERS = 30
+
+
+@dataclass(frozen=True, kw_only=True)
+class Permit:
+    """One worker that may run the step."""
+
+    life: str
+    ticket: str
+
+
+class Adviser(abc.ABC):
+    """The outside service."""
+
+    @abc.abstractmethod
+    async def advise(
+        self,
+        *,
+        job: JobId,
+        occurrence: int,
+        step: int,
+        lives: list[str],
+        terms: AdviceTerms,
+    ) -> list[Permit]:
+        """Return which of the workers may run a step.
+
+        Raises
+        ------
+        CommunicationError
+            If no answer came, or the service turned the question away.
+        """
+
+
+async def ask_for_ever(
+    board: Board, adviser: Adviser, *, clock: Clock, wake: Callable[[], None]
+) -> None:
+    """Keep the steps that need it supplied with tickets."""
+    while True:
+        step = board.next_without_ticket(clock.elapsed())
+        if step is None:
+            await clock.sleep(_POLL)
+            continue
+        if await _ask(board, step, adviser, clock):
+            wake()
+        else:
+            await clock.sleep(_RETRY)
+
+
+async def _ask(board: Board, step: LiveStep, adviser: Adviser, clock: Clock) -> bool:
+    """Ask about one step; return whether an answer came."""
+    terms = board.terms_of(step).advice
+    lives = board.candidates(step, clock.elapsed())[:_MAX_WORKERS]
+    if terms is None or not lives:
+        return False
+    asked = clock.elapsed()
+    try:
+        permits = await adviser.advise(
+            job=step.job.id,
+            occurrence=step.occurrence,
+            step=step.number,
+            lives=lives,
+            terms=terms,
+        )
+    except CommunicationError as error:
+        log_event("advice:no-answer", job=step.job.id, reason=str(error))
+        return False
+    until = asked + timedelta(milliseconds=terms.validity_ms)
+    step.ticket_by_life = {
+        permit.life: Ticket(value=permit.ticket, until=until) for permit in permits
+    }
+    log_event(
+        "decision:advised",
+        step=f"{step.job.id}.{step.occurrence}.{step.number}",
+        asked=len(lives),
+        allowed=len(permits),
+        took_s=(clock.elapsed() - asked).total_seconds(),
+    )
+    return True
--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -11,7 +11,12 @@
 from coltsfoottray.jobs.model import AcceptedJob, JobId, QueueTerms, RunRef
 from coltsfoottray.jobs.records import JobRecord, JobState, TaskPhase
 from coltsfoottray.logs import log_event
-from coltsfoottray.scheduler.fit import choose_gang, choose_worker, find_faster
+from coltsfoottray.scheduler.fit import (
+    choose_gang,
+    choose_worker,
+    find_faster,
+    list_candidates,
+)
 from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
 from coltsfoottray.scheduler.messages import RejectedStart, Report
@@ -49,6 +54,8 @@
         self.fleet = fleet
         self.pressures = PressureTable()
         self._rebalanced = timedelta(0)
+        # The steps whose turn has come, the most urgent first, as of the last plan.
+        self._ready: list[LiveStep] = []
         self._holder = holder
 
     # What was stored.
@@ -194,6 +201,9 @@
         )
         if rejected.reason in (Refusal.UNHEALTHY, Refusal.NO_ROOM):
             worker.blocked_until = now + _BLOCK
+        if rejected.reason is Refusal.NO_TICKET:
+            placed = worker.held_by_ref[rejected.ref]
+            placed.step.ticket_by_life.pop(placed.life, None)
         kind = EndKind.STOPPED
         if rejected.reason is Refusal.INVALID:
             # The worker will never take it; counted like a failure, or the job
@@ -323,6 +333,7 @@
             job.open_occurrences(now_ms)
             ready += [step for step in job.steps() if step.can_start]
         ready.sort(key=lambda step: urgency(step, self._holder, now_ms))
+        self._ready = ready
         placed: list[PlacedRun] = []
         misses = 0
         for step in ready:
@@ -340,7 +351,12 @@
         placed: list[PlacedRun] = []
         if step.spec.is_gang:
             gang = choose_gang(
-                step, self.fleet, self.pressures, service=service, now=now
+                step,
+                self.fleet,
+                self.pressures,
+                service=service,
+                now=now,
+                allowed=self._allowed(step, now),
             )
             workers = gang or []
             refs = [step.next_run(index) for index in step.waiting]
@@ -469,9 +485,40 @@
             service=self._terms(step.job).service,
             now=now,
             avoid=avoid,
+            allowed=self._allowed(step, now),
             is_pressed=is_pressed,
         )
 
+    def _allowed(self, step: LiveStep, now: timedelta) -> set[str] | None:
+        """Return the lives that may run a step, none if all may."""
+        if self.terms_of(step).advice is None:
+            return None
+        return step.valid_lives(now)
+
+    def next_without_ticket(self, now: timedelta) -> LiveStep | None:
+        """Return the most urgent step that waits for advice."""
+        for step in self._ready:
+            if self.terms_of(step).advice is None or not step.can_start:
+                continue
+            if not step.valid_lives(now):
+                return step
+        return None
+
+    def candidates(self, step: LiveStep, now: timedelta) -> list[str]:
+        """Return the lives of the workers that a step would go to, best first."""
+        workers = list_candidates(
+            step,
+            self.fleet,
+            self.pressures,
+            service=self.terms_of(step).service,
+            now=now,
+        )
+        return [worker.life for worker in workers]
+
+    def terms_of(self, step: LiveStep) -> QueueTerms:
+        """Return the terms under which a step runs now."""
+        return self._terms(step.job)
+
     def next_due_ms(self) -> int | None:
         """When the next occurrence of any job is due."""
         dues = [job.next_due_ms for job in self.active_by_id.values()]
--- a/coltsfoottray/scheduler/fit.py
+++ b/coltsfoottray/scheduler/fit.py
@@ -23,7 +23,7 @@
 from coltsfoottray.scheduler.live import LiveStep
 from coltsfoottray.types import Resources
 
-__all__ = ["choose_gang", "choose_worker", "find_faster"]
+__all__ = ["choose_gang", "choose_worker", "find_faster", "list_candidates"]
 
 # A worker that has not reported for so long takes nothing new: two reports of one
 # second each, and half of one.
@@ -62,6 +62,7 @@
     service: str,
     now: timedelta,
     avoid: Collection[str] = (),
+    allowed: Collection[str] | None = None,
     is_pressed: bool = False,
 ) -> Worker | None:
     """Return the best worker for one task of `step`, none if none is fit.
@@ -70,6 +71,8 @@
     ----------
     avoid : collection of str
         Workers that are taken only if there is no other.
+    allowed : collection of str, optional
+        The lives of workers that may run the step, if not all may.
     is_pressed : bool
         Its job cannot wait for a good place.
     """
@@ -78,6 +81,7 @@
         worker
         for worker in fleet.worker_by_id.values()
         if _takes_work(worker, service, now)
+        and (allowed is None or worker.life in allowed)
         and _suits(worker, step.spec, worker.room)
         and _keeps_apart(worker, step, extra=0)
     ]
@@ -103,6 +107,7 @@
     *,
     service: str,
     now: timedelta,
+    allowed: Collection[str] | None = None,
 ) -> list[Worker] | None:
     """Return a worker for each task of a gang, none unless all have room."""
     cost = _cost_of(step, pressures)
@@ -110,6 +115,7 @@
         worker
         for worker in fleet.worker_by_id.values()
         if _takes_work(worker, service, now)
+        and (allowed is None or worker.life in allowed)
     ]
     if step.spec.is_one_rack:
         for rack in sorted({worker.rack for worker in workers}):
@@ -119,6 +125,24 @@
     return _spread(step, workers, cost)
 
 
+def list_candidates(
+    step: LiveStep,
+    fleet: Fleet,
+    pressures: PressureTable,
+    *,
+    service: str,
+    now: timedelta,
+) -> list[Worker]:
+    """Return the workers that could run a task of `step`, the best first."""
+    cost = _cost_of(step, pressures)
+    fit = [
+        worker
+        for worker in fleet.worker_by_id.values()
+        if _takes_work(worker, service, now) and _suits(worker, step.spec, worker.room)
+    ]
+    return sorted(fit, key=lambda worker: (cost(worker), worker.id))
+
+
 def _spread(
     step: LiveStep, workers: list[Worker], cost: Callable[[Worker], _Cost]
 ) -> list[Worker] | None:
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -3,11 +3,23 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from datetime import timedelta
 
 from coltsfoottray.jobs.model import AcceptedJob, JobId, RunRef, StepSpec, TaskRef
 from coltsfoottray.jobs.records import JobRecord, JobState, TaskPhase, TaskRecord
 
-__all__ = ["LiveJob", "LiveStep"]
+__all__ = ["LiveJob", "LiveStep", "Ticket"]
+
+# A start is stored, sent and carried out within it, on an ordinary day.
+_ORDER_TIME = timedelta(milliseconds=300)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Ticket:
+    """Lets a worker run a step until it expires."""
+
+    value: str
+    until: timedelta
 
 
 @dataclass(kw_only=True, eq=False)
@@ -22,6 +34,8 @@
         For a gang: the runs whose failure was counted.
     avoid_by_index : dict
         By task, the workers on which it failed or stalled.
+    ticket_by_life : dict
+        By life of a worker, the ticket with which it may run the step.
     """
 
     job: LiveJob
@@ -33,6 +47,7 @@
     done: int = 0
     failed_runs: set[int] = field(default_factory=set)
     avoid_by_index: dict[int, set[str]] = field(default_factory=dict)
+    ticket_by_life: dict[str, Ticket] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.recount()
@@ -46,6 +61,14 @@
         ]
         self.done = sum(record.phase is TaskPhase.DONE for record in self.records)
 
+    def valid_lives(self, now: timedelta) -> set[str]:
+        """Return the lives whose tickets hold until a start can reach them."""
+        return {
+            life
+            for life, ticket in self.ticket_by_life.items()
+            if ticket.until > now + _ORDER_TIME
+        }
+
     @property
     def is_done(self) -> bool:
         """Whether every task has ended well."""
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -42,6 +42,8 @@
 
     Parameters
     ----------
+    ticket : str
+        Shows the worker that the queue's policy lets it run the step.
     processors, estimate_ms, is_service, is_filler, target_latency_ms
         See `StepSpec`; the attendant slows fillers down for the sake of those
         with a target.
@@ -50,6 +52,7 @@
     ref: RunRef
     payload: str
     checkpoint: str = ""
+    ticket: str = ""
     image: str = ""
     processors: float = 0.0
     estimate_ms: float = 0.0
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -202,8 +202,8 @@
         self._inbox.forgotten.append(job)
         self._wake.set()
 
-    def look_again(self) -> None:
-        """Plan anew, since the config has changed."""
+    def wake(self) -> None:
+        """Plan anew, since something outside has changed."""
         self._wake.set()
 
     # The rounds.
@@ -449,6 +449,7 @@
             ref=placed.ref,
             payload=placed.step.job.accepted.spec.payload,
             checkpoint=record.checkpoint if spec.has_checkpoints else "",
+            ticket=_ticket_of(placed),
             image=spec.image,
             processors=spec.demand.processors,
             estimate_ms=spec.estimate_ms,
@@ -458,6 +459,11 @@
         )
 
 
+def _ticket_of(placed: PlacedRun) -> str:
+    ticket = placed.step.ticket_by_life.get(placed.life)
+    return "" if ticket is None else ticket.value
+
+
 def _batches(jobs: list[LiveJob]) -> list[list[LiveJob]]:
     """Split jobs into what one transaction takes."""
     batches: list[list[LiveJob]] = []
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -21,6 +21,7 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.peers import CallHandlers, PeerClient
 from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
+from coltsfoottray.scheduler.advice import Adviser, ask_for_ever
 from coltsfoottray.scheduler.lease import LeaseRow, LeaseWatch
 from coltsfoottray.scheduler.messages import (
     HELLO,
@@ -70,6 +71,7 @@
         clock: Clock,
         random: Random,
         keep: timedelta,
+        adviser: Adviser | None = None,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
@@ -82,6 +84,7 @@
         self._clock = clock
         self._random = random
         self._keep = keep
+        self._adviser = adviser
         self._reign: Reign | None = None
         self._is_leaving = False
 
@@ -152,7 +155,7 @@
     def look_again(self) -> None:
         """Plan anew, since the config has changed."""
         if self._reign is not None:
-            self._reign.look_again()
+            self._reign.wake()
 
     def see_cancelled(self, job: JobId) -> None:
         """Take in a cancellation seen in the table."""
@@ -240,6 +243,16 @@
                     keep=self._keep,
                 )
             )
+            if self._adviser is not None:
+                nursery.start_soon(
+                    partial(
+                        ask_for_ever,
+                        reign.board,
+                        self._adviser,
+                        clock=self._clock,
+                        wake=reign.wake,
+                    )
+                )
             await reign.run()
             nursery.cancel_scope.cancel()
 
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -36,6 +36,9 @@
 
 
 AddressField = Annotated[Any, BeforeValidator(as_address)]
+OptionalAddress = Annotated[
+    Any, BeforeValidator(lambda value: None if value is None else as_address(value))
+]
 Seconds = Annotated[float, Field(gt=0)]
 
 
@@ -199,6 +202,8 @@
     ----------
     callers, readiness : Address
         Where callers hand jobs in, and where the balancer asks for readiness.
+    advice : Address, optional
+        The service that says which workers a queue's policy allows.
     keep_s : float
         How long an ended job is remembered.
     grace_s : float
@@ -208,6 +213,7 @@
     role: Literal["job-entry"]
     callers: AddressField
     readiness: AddressField
+    advice: OptionalAddress = None
     keep_s: Seconds = 120.0
     grace_s: Seconds = 6.0
 
--- /dev/null
+++ b/standins/advice.py
@@ -0,0 +1,62 @@
+"""The platform's service that knows which workers a queue's policy allows."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import trio
+
+from coltsfoottray.http import HttpRequest, HttpResponse
+
+__all__ = ["AdviceStandIn"]
+
+VALIDITY_S = 3.0
+_DECISION_S = 0.1
+_PER_WORKER_S = 0.02
+
+
+@dataclass(kw_only=True)
+class AdviceStandIn:
+    """Allows some workers, and remembers the tickets that it gave.
+
+    Parameters
+    ----------
+    allowed : set of str
+        Ids of the workers that it allows.
+    """
+
+    allowed: set[str] = field(default_factory=set)
+    expiry_by_ticket: dict[str, float] = field(default_factory=dict)
+    questions: int = 0
+    is_busy: bool = False
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one question; a second one at a time is turned away."""
+        if self.is_busy:
+            return HttpResponse(status=429)
+        self.is_busy = True
+        try:
+            return await self._answer(msgspec.json.decode(request.body))
+        finally:
+            self.is_busy = False
+
+    async def _answer(self, body: dict[str, Any]) -> HttpResponse:
+        self.questions += 1
+        await trio.sleep(_DECISION_S + _PER_WORKER_S * len(body["workers"]))
+        rows = []
+        for worker in body["workers"]:
+            if worker not in self.allowed:
+                continue
+            ticket = f"{body['step']}@{worker}#{self.questions}"
+            self.expiry_by_ticket[ticket] = trio.current_time() + VALIDITY_S
+            rows.append([worker, ticket])
+        answer = {"allowed": rows, "validityMs": VALIDITY_S * 1000}
+        return HttpResponse.of_json(answer)
+
+    def is_valid(self, ticket: str, step: str, worker: str) -> bool:
+        """Whether a start with `ticket` may go on."""
+        expiry = self.expiry_by_ticket.get(ticket, 0.0)
+        named = ticket.startswith(f"{step}@{worker}#")
+        return named and expiry > trio.current_time()
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -14,6 +14,7 @@
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.http import HttpRequest, HttpResponse, HttpTransport
 from coltsfoottray.types import Address
+from standins.advice import AdviceStandIn
 
 __all__ = ["InstanceStandIn", "RunObserver"]
 
@@ -80,6 +81,7 @@
         transport: HttpTransport,
         observer: RunObserver,
         processors: int,
+        advice: AdviceStandIn,
     ) -> None:
         self.name = name
         self.address = address
@@ -88,10 +90,12 @@
         self.is_dark = False
         self.is_draining = False
         self.is_hung = False
+        self.refused_tickets = 0
         self.fails_everything = False
         self.processors = processors
         self.max_taken = 0.0
         self._attendant = attendant
+        self._advice = advice
         self._transport = transport
         self._observer = observer
         self._lives = itertools.count(1)
@@ -190,6 +194,13 @@
         if body["untilMs"] <= self.clock_ms():
             return self._answer({"reason": "late"}, status=409)
         wish = msgspec.json.decode(body["spec"], type=dict[str, Any])
+        step = task.rsplit(".", 1)[0]
+        ticket = body.get("ticket", "")
+        if wish.get("needs_ticket") and not self._advice.is_valid(
+            ticket, step, f"i-{self.name}"
+        ):
+            self.refused_tickets += 1
+            return self._answer({"reason": "ticket"}, status=409)
         self.run_by_task[task] = _Run(
             task=task,
             number=number,
--- a/standins/job_cell.py
+++ b/standins/job_cell.py
@@ -16,6 +16,7 @@
 from coltsfoottray.peers.http import HttpPeerClient
 from coltsfoottray.settings import JobAttendantSettings, JobEntrySettings
 from coltsfoottray.types import Address
+from standins.advice import AdviceStandIn
 from standins.fabric import MemoryFabric
 from standins.instance import InstanceStandIn, RunObserver
 from standins.rows import RowsStandIn
@@ -36,6 +37,7 @@
     workers: int
     processors: int = 8
     rows: RowsStandIn = field(default_factory=RowsStandIn)
+    advice: AdviceStandIn = field(default_factory=AdviceStandIn)
     observer: RunObserver = field(default_factory=RunObserver)
     entry_by_name: dict[str, JobEntryDaemon] = field(default_factory=dict)
     attendant_by_name: dict[str, JobAttendantDaemon] = field(default_factory=dict)
@@ -45,6 +47,7 @@
 
     def __post_init__(self) -> None:
         self._table = self.fabric.free_address()
+        self._advice_address = self.fabric.free_address()
         self._versions = itertools.count(1)
         self._callers_by_entry: dict[str, Address] = {}
         self._settings_by_name: dict[str, JobEntrySettings | JobAttendantSettings] = {}
@@ -52,6 +55,7 @@
     async def start(self) -> None:
         """Start everything."""
         await self._serve("store", self._table, self.rows.handle)
+        await self._serve("adviser", self._advice_address, self.advice.handle)
         self.write_config()
         for number in range(1, self.entries + 1):
             name = f"entry-{number}"
@@ -63,6 +67,7 @@
                 readiness=self.fabric.free_address(),
                 peers=self.fabric.free_address(),
                 table=self._table,
+                advice=self._advice_address,
                 keep_s=30.0,
             )
             await self.start_daemon(name)
@@ -141,6 +146,7 @@
             transport=self.fabric.transport(f"{name}/vm"),
             observer=self.observer,
             processors=self.processors,
+            advice=self.advice,
         )
         self.worker_by_name[name] = worker
         await self._serve(f"{name}/vm", address, worker.handle)
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -76,6 +76,36 @@
     assert status == 200, status
 
 
+@given("the queue's policy allows only {name}")
+def restrict_queue(context, name):
+    context.world.cell.advice.allowed = {f"i-{name}"}
+    terms = {"decisionMs": 100, "periodMs": 20, "validityMs": 3000}
+
+    async def write():
+        context.world.cell.write_config(recommendation=terms)
+
+    context.world.run(write)
+    context.world.advance(1)
+
+
+@when(
+    'the job "{label}" of {tasks:d} tasks of {seconds:d} s that need tickets '
+    "is handed in at {entry}"
+)
+def submit_with_tickets(context, label, tasks, seconds, entry):
+    shape = _steps(1, tasks, seconds)
+    status = context.world.submit_job(
+        entry, label, shape, work_s=seconds, needs_ticket=True
+    )
+    assert status == 200, status
+
+
+@then("no start was refused for want of a ticket")
+def check_tickets(context):
+    workers = context.world.cell.worker_by_name.values()
+    assert not sum(worker.refused_tickets for worker in workers)
+
+
 @when(
     'the job "{label}" is handed in at {entry} to run {times:d} times, '
     "every {seconds:d} s"
