--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -25,6 +25,7 @@
 from coltsfoottray.jobs.model import RunRef
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
+from coltsfoottray.metrics import Metrics
 from coltsfoottray.scheduler.messages import (
     Acknowledged,
     Orders,
@@ -78,6 +79,7 @@
         data_centre: str,
         link: WorkerLink,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
@@ -85,6 +87,7 @@
         self._data_centre = data_centre
         self._link = link
         self._clock = clock
+        self._metrics = metrics
         self._beat: Heartbeat | None = None
         self._runs = Runs()
         self._epoch = 0
@@ -196,6 +199,10 @@
         if self._left is not None and asked - self._left > _LEAVE_TIME:
             self._left = None
         self._reading = look.clock
+        self._metrics.time("look", self._clock.elapsed() - asked)
+        left = max(self._lease_end - self._clock.elapsed(), timedelta(0))
+        self._metrics.gauge("lease_left_seconds", left.total_seconds())
+        self._metrics.gauge("runs_there", len(look.running))
         if self._runs.take(look, asked=asked):
             self._tell()
         if asked - self._paced >= _LOOK_WAIT * 0.8:
@@ -454,6 +461,7 @@
                     "worker:start-unanswered", run=str(order.ref), reason=str(error)
                 )
             else:
+                self._metrics.time("start_order", self._clock.elapsed() - now)
                 runs.starting.discard(order.ref)
                 runs.started_by_ref[order.ref] = self._clock.elapsed()
                 log_event("worker:started", run=str(order.ref), session=session)
@@ -465,6 +473,7 @@
             await self._clock.sleep(_RETRY)
 
     def _reject(self, order: StartOrder, reason: Refusal) -> None:
+        self._metrics.count("starts_refused", reason=reason.value)
         log_event("worker:refused", run=str(order.ref), reason=reason.value)
         self._runs.reject(order.ref, reason)
         self._tell()
--- a/coltsfoottray/daemons/job_attendant.py
+++ b/coltsfoottray/daemons/job_attendant.py
@@ -43,6 +43,7 @@
             data_centre=settings.data_centre,
             link=InstanceLink(transport=self.transport, clock=self.clock),
             clock=self.clock,
+            metrics=self.metrics,
         )
         reporter = Reporter(
             attendant=self.attendant,
@@ -58,6 +59,7 @@
         self.kernel.register(_HEARTBEATS, server)
         self.kernel.register(_ATTENDANT, self.attendant)
         self.kernel.register(_REPORTER, reporter)
+        self.register_metrics()
         self.register_member()
 
     async def shut_down(self) -> None:
--- a/coltsfoottray/daemons/job_common.py
+++ b/coltsfoottray/daemons/job_common.py
@@ -24,6 +24,7 @@
 from coltsfoottray.kernel import Kernel, ServiceName
 from coltsfoottray.logs import log_event
 from coltsfoottray.membership import make_incarnation
+from coltsfoottray.metrics import Metrics
 from coltsfoottray.peers import CallHandlers, PeerClient
 from coltsfoottray.peers.http import HttpPeerClient, HttpPeerHandler
 from coltsfoottray.peers.relay import RelayTransport
@@ -34,6 +35,7 @@
 
 __all__ = ["JobDaemon"]
 
+_METRICS_SERVER = ServiceName("metrics-server")
 _REGISTRATION = ServiceName("registration")
 
 
@@ -57,6 +59,8 @@
         self.clock = self.kernel.find(CLOCK, Clock)
         self.kernel.register(TRANSPORT, HttpClient())
         self.transport = self.kernel.find(TRANSPORT, HttpTransport)
+        self.metrics = Metrics()
+        self._metrics_address = settings.metrics
         self.kernel.register(PEERS, HttpPeerClient(transport=self.transport))
         self.peers = self.kernel.find(PEERS, PeerClient)
         self.kernel.register(RANDOM, Random(secrets.randbits(64)))
@@ -76,7 +80,10 @@
             random=self.random,
         )
         table = RowsTable(
-            address=settings.table, transport=round_about, clock=self.clock
+            address=settings.table,
+            transport=round_about,
+            clock=self.clock,
+            metrics=self.metrics,
         )
         self.kernel.register(TABLE, table)
         self.table = self.kernel.find(TABLE, WatchedTable)
@@ -109,6 +116,12 @@
         server = self.listeners.http(self.address, handler.handle)
         self.kernel.register(PEER_SERVER, server)
 
+    def register_metrics(self) -> None:
+        """Register the server of metrics, where the settings name an address."""
+        if self._metrics_address is not None:
+            server = self.listeners.http(self._metrics_address, self.metrics.handle)
+            self.kernel.register(_METRICS_SERVER, server)
+
     def register_member(self) -> None:
         """Register the service that makes this daemon known to the others."""
         member = MemberRow(
--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -106,6 +106,7 @@
             random=self.random,
             keep=timedelta(seconds=settings.keep_s),
             adviser=self._make_adviser(settings),
+            metrics=self.metrics,
         )
         self.scheduler.add_handlers(self.handlers)
         relay = Relay(table=settings.table, transport=self.transport)
@@ -117,6 +118,7 @@
             view=self.view,
             scheduler=self.scheduler,
             clock=self.clock,
+            metrics=self.metrics,
         )
         ingress = JobIngress(
             holder=self.holder, intake=intake, spawn=self._background.spawn
@@ -140,6 +142,7 @@
         self.kernel.register(_CONFIG_MIRROR, self._config_mirror)
         self.kernel.register(_JOBS_MIRROR, self._jobs_mirror)
         self.kernel.register(_SCHEDULER, self.scheduler)
+        self.register_metrics()
         self.register_member()
 
     async def shut_down(self) -> None:
--- a/coltsfoottray/jobs/intake.py
+++ b/coltsfoottray/jobs/intake.py
@@ -22,6 +22,7 @@
 from coltsfoottray.jobs.records import JobState
 from coltsfoottray.jobs.view import JobsView
 from coltsfoottray.logs import log_event
+from coltsfoottray.metrics import Metrics
 from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
 from coltsfoottray.scheduler.service import Scheduler
 
@@ -81,17 +82,20 @@
         view: JobsView,
         scheduler: Scheduler,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._table = table
         self._mirror = mirror
         self._view = view
         self._scheduler = scheduler
         self._clock = clock
+        self._metrics = metrics
 
     async def submit(
         self, queue: Queue, job_id: JobId, spec: JobSpec, *, deadline: timedelta
     ) -> JobAnswer:
         """Accept a job, once however often it comes."""
+        begun = self._clock.elapsed()
         if job_id in self._view.job_by_id:
             return _DONE
         job = AcceptedJob(
@@ -111,6 +115,9 @@
             verdict=answer.verdict.value,
             table_age_s=self._mirror.age_s(),
         )
+        self._metrics.time(
+            "submit", self._clock.elapsed() - begun, verdict=answer.verdict.value
+        )
         if answer.verdict is Verdict.DONE:
             self._view.job_by_id.setdefault(job_id, job)
         return answer
--- a/coltsfoottray/platform/rows.py
+++ b/coltsfoottray/platform/rows.py
@@ -13,6 +13,7 @@
 from coltsfoottray.clock import Clock
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.http import HttpRequest, HttpResponse, HttpTransport
+from coltsfoottray.metrics import Metrics
 from coltsfoottray.platform.common import (
     Changes,
     Check,
@@ -82,11 +83,17 @@
     """Translates `group/shard/name` into the store's table, part and key."""
 
     def __init__(
-        self, *, address: Address, transport: HttpTransport, clock: Clock
+        self,
+        *,
+        address: Address,
+        transport: HttpTransport,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._address = address
         self._transport = transport
         self._clock = clock
+        self._metrics = metrics
         self._usual = timedelta(0)
         self._misses = 0
 
@@ -176,12 +183,15 @@
             )
         except CommunicationError as error:
             self._misses += 1
+            self._count(request, error.step.value)
             raise TableUnavailable(
                 detail=str(error), is_unwritten=error.is_unseen
             ) from error
         self._misses = 0
+        self._count(request, str(response.status))
         if not held:
             taken = self._clock.elapsed() - begun
+            self._metrics.time("table_call", taken, call=request.path[4:])
             self._usual += (taken - self._usual) * _SMOOTHING
         if response.status not in (200, _CONFLICT, _HISTORY_LOST):
             # The store refuses before it writes anything.
@@ -190,6 +200,9 @@
             )
         return response
 
+    def _count(self, request: HttpRequest, outcome: str) -> None:
+        self._metrics.count("table_calls", call=request.path[4:], outcome=outcome)
+
     def _timeout(self) -> timedelta:
         """Return how long to wait for an answer, by the last ones."""
         expected = max(self._usual * _USUAL_FACTOR, _MIN_TIMEOUT)
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -18,6 +18,7 @@
 from coltsfoottray.jobs.model import AcceptedJob, JobId
 from coltsfoottray.jobs.records import JobState
 from coltsfoottray.logs import log_event
+from coltsfoottray.metrics import Metrics
 from coltsfoottray.peers import PeerClient
 from coltsfoottray.platform import (
     Check,
@@ -111,6 +112,7 @@
         peers: PeerClient,
         holder: ConfigHolder,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self.lease = lease
         self.is_loaded = False
@@ -124,6 +126,7 @@
         self._table = table
         self._peers = peers
         self._clock = clock
+        self._metrics = metrics
         self._fleet = Fleet()
         self.board = Board(holder=holder, fleet=self._fleet)
         self._inbox = Inbox()
@@ -245,9 +248,11 @@
         async with trio.open_nursery() as nursery:
             while not self._is_resigning:
                 await self._wait_for_news()
+                begun = self._clock.elapsed()
                 placed, ends = self._decide()
                 await self._store()
                 self._release(placed, ends, nursery)
+                self._measure(begun, placed)
         self.lease = msgspec.structs.replace(self.lease, is_resigned=True)
         await self._commit([], renews=True)
         log_event("scheduler:resigned", epoch=self.lease.epoch)
@@ -257,6 +262,23 @@
         self._is_resigning = True
         self._wake.set()
 
+    def _measure(self, begun: timedelta, placed: list[PlacedRun]) -> None:
+        """Measure a round that has been stored."""
+        self._metrics.time("scheduler_round", self._clock.elapsed() - begun)
+        now_ms = as_milliseconds(self._clock.now())
+        for each in placed:
+            job = each.step.job.accepted
+            first = each.ref.run == 1 and not each.step.spec.after
+            if first and job.spec.repetition is None:
+                waited = timedelta(milliseconds=max(now_ms - job.accepted_ms, 0))
+                priority = str(job.terms.priority)
+                self._metrics.time("wait_for_start", waited, priority=priority)
+        self._metrics.count("runs_placed", len(placed))
+        self._metrics.gauge("jobs_active", len(self.board.active_by_id))
+        workers = self._fleet.worker_by_id.values()
+        self._metrics.gauge("workers_reachable", sum(w.is_reachable for w in workers))
+        self._metrics.gauge("runs_held", sum(len(w.held_by_ref) for w in workers))
+
     async def _wait_for_news(self) -> None:
         due = self._renewed + RENEWAL - self._clock.elapsed()
         with trio.move_on_after(max(due.total_seconds(), 0.0)):
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -19,6 +19,7 @@
 from coltsfoottray.jobs.records import JobState
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
+from coltsfoottray.metrics import Metrics
 from coltsfoottray.peers import CallHandlers, PeerClient
 from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
 from coltsfoottray.scheduler.advice import Adviser, ask_for_ever
@@ -71,6 +72,7 @@
         clock: Clock,
         random: Random,
         keep: timedelta,
+        metrics: Metrics,
         adviser: Adviser | None = None,
     ) -> None:
         self._name = name
@@ -84,6 +86,7 @@
         self._clock = clock
         self._random = random
         self._keep = keep
+        self._metrics = metrics
         self._adviser = adviser
         self._reign: Reign | None = None
         self._is_leaving = False
@@ -226,6 +229,7 @@
             peers=self._peers,
             holder=self._holder,
             clock=self._clock,
+            metrics=self._metrics,
         )
 
     async def _lead(self, reign: Reign) -> None:
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -182,6 +182,8 @@
         Where other daemons call this one. They all use the same port.
     table : Address
         The platform's store.
+    metrics : Address, optional
+        Where counters and histograms are served as text.
     seeds : list of Address
         Any addresses of entries to turn to while the table has not been read;
         only the host counts, since all daemons use the same peer port.
@@ -191,6 +193,7 @@
     data_centre: str
     peers: AddressField
     table: AddressField
+    metrics: OptionalAddress = None
     seeds: list[AddressField] = []
     log: LogSettings = LogSettings()
 
