A filler waits for a good place for a second at most while nothing of its job runs

Change: after a second of which nothing of a job runs one of its tasks takes any place; the others wait on.

--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -12,6 +12,7 @@
 from coltsfoottray.jobs.records import JobRecord, JobState, TaskPhase
 from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.fit import (
+    Patience,
     choose_gang,
     choose_worker,
     find_faster,
@@ -40,6 +41,10 @@
 # Without a checkpoint a move throws the work away: beyond this it costs too much.
 _MOVABLE_PERCENT = 15.0
 
+# The users take a job for lost of which nothing runs for 3 s; a start takes up to half
+# a second on a day on which the table is slow.
+_MAX_IDLE = timedelta(seconds=1)
+
 # After so many tasks in urgency order have found no room the rest wait for the next
 # round; it bounds a round's length when thousands wait.
 _MAX_MISSES = 60
@@ -363,11 +368,15 @@
             for ref, member in zip(refs, workers, strict=False):
                 placed.append(self._assign(step, ref, member, now))
         else:
-            is_pressed = is_half_over(step.job, self._holder, now_ms)
+            patience = self._patience(step.job, now, now_ms)
             for index in step.waiting:
-                worker = self._find_place(step, now, index, is_pressed=is_pressed)
+                worker = self._find_place(step, now, index, patience=patience)
                 if worker is None:
                     break
+                if patience is Patience.NONE:
+                    # For the others something of the job runs now.
+                    patience = Patience.HALF
+                step.job.idle_since = None
                 placed.append(self._assign(step, step.next_run(index), worker, now))
         if placed:
             step.recount()
@@ -475,7 +484,7 @@
         now: timedelta,
         index: int | None = None,
         *,
-        is_pressed: bool = False,
+        patience: Patience = Patience.WHOLE,
     ) -> Worker | None:
         avoid = set() if index is None else step.avoid_by_index.get(index, set())
         return choose_worker(
@@ -486,9 +495,25 @@
             now=now,
             avoid=avoid,
             allowed=self._allowed(step, now),
-            is_pressed=is_pressed,
+            patience=patience,
         )
 
+    def _patience(self, job: LiveJob, now: timedelta, now_ms: int) -> Patience:
+        """Return how good a place a job's tasks can wait for.
+
+        A job of which nothing runs while workers have room is lost to its caller,
+        however good the reason to wait: after a while any place will do.
+        """
+        if not job.is_idle:
+            job.idle_since = None
+        elif job.idle_since is None:
+            job.idle_since = now
+        elif now - job.idle_since > _MAX_IDLE:
+            return Patience.NONE
+        if is_half_over(job, self._holder, now_ms):
+            return Patience.HALF
+        return Patience.WHOLE
+
     def _allowed(self, step: LiveStep, now: timedelta) -> set[str] | None:
         """Return the lives that may run a step, none if all may."""
         if self.terms_of(step).advice is None:
--- a/coltsfoottray/scheduler/fit.py
+++ b/coltsfoottray/scheduler/fit.py
@@ -14,7 +14,9 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Callable, Collection
+from dataclasses import dataclass
 from datetime import timedelta
 
 from coltsfoottray.agent.pressure import PressureTable
@@ -23,7 +25,7 @@
 from coltsfoottray.scheduler.live import LiveStep
 from coltsfoottray.types import Resources
 
-__all__ = ["choose_gang", "choose_worker", "find_faster", "list_candidates"]
+__all__ = ["Patience", "choose_gang", "choose_worker", "find_faster", "list_candidates"]
 
 # A worker that has not reported for so long takes nothing new: two reports of one
 # second each, and half of one.
@@ -34,15 +36,40 @@
 # latency leaves 1.4 at a load of 0.42, and 0.4 at its peaks.
 _SPARE_MARGIN = 0.9
 
-# A filler that would work slower than this for want of processors waits.
-_MIN_SPEED = 0.45
-# So much of its full speed a filler must be able to work at beside the services of a
-# worker. It starts at full speed, and can be slowed only some 150 ms later: a strong
-# one lifts the tail latency of services over their target by its start alone, for
-# about a second.
-_MIN_SPEED_BESIDE = 0.95
-# One whose job has used half of its time takes what there is.
-_MIN_SPEED_BESIDE_LATE = 0.4
+
+class Patience(enum.Enum):
+    """How good a place a filler can wait for."""
+
+    WHOLE = "whole"
+    HALF = "half"
+    """Half of its job's time is over."""
+    NONE = "none"
+    """Nothing of its job runs, and it has waited long enough."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class _LeastSpeeds:
+    """Parts of its full speed that a filler must be able to work at.
+
+    Parameters
+    ----------
+    alone : float
+        By the processors that are left.
+    beside : float
+        For the sake of the services there. A filler starts at full speed and can be
+        slowed only some 150 ms later: a strong one lifts the tail latency of
+        services over their target by its start alone, for about a second.
+    """
+
+    alone: float
+    beside: float
+
+
+_LEAST_SPEEDS_BY_PATIENCE = {
+    Patience.WHOLE: _LeastSpeeds(alone=0.45, beside=0.95),
+    Patience.HALF: _LeastSpeeds(alone=0.45, beside=0.4),
+    Patience.NONE: _LeastSpeeds(alone=0.0, beside=0.0),
+}
 
 # One that works slower than the first is moved to where it would work faster than the
 # second: a move costs up to a second of work and a quarter for the start.
@@ -63,7 +90,7 @@
     now: timedelta,
     avoid: Collection[str] = (),
     allowed: Collection[str] | None = None,
-    is_pressed: bool = False,
+    patience: Patience = Patience.WHOLE,
 ) -> Worker | None:
     """Return the best worker for one task of `step`, none if none is fit.
 
@@ -73,8 +100,8 @@
         Workers that are taken only if there is no other.
     allowed : collection of str, optional
         The lives of workers that may run the step, if not all may.
-    is_pressed : bool
-        Its job cannot wait for a good place.
+    patience : Patience
+        How good a place the task can wait for.
     """
     cost = _cost_of(step, pressures)
     fit = [
@@ -86,12 +113,12 @@
         and _keeps_apart(worker, step, extra=0)
     ]
     if step.spec.is_filler:
-        beside = _MIN_SPEED_BESIDE_LATE if is_pressed else _MIN_SPEED_BESIDE
+        least = _LEAST_SPEEDS_BY_PATIENCE[patience]
         fit = [
             worker
             for worker in fit
-            if _speed_alone(worker, step.spec) >= _MIN_SPEED
-            and _speed_beside(worker, step.spec, pressures) >= beside
+            if _speed_alone(worker, step.spec) >= least.alone
+            and _speed_beside(worker, step.spec, pressures) >= least.beside
         ]
     return min(
         fit,
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -131,6 +131,8 @@
         self.version = version
         self.stored_state = self.record.state
         self.is_dirty = False
+        # Since when nothing of it has run although a task could.
+        self.idle_since: timedelta | None = None
         steps = accepted.spec.steps
         self.chain_ms = _longest_chain(steps, [step.estimate_ms for step in steps])
         self.steps_by_occurrence: list[list[LiveStep]] = [
@@ -200,6 +202,15 @@
         self.record.ended_ms = now_ms
         self.is_dirty = True
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether none of its tasks has a run."""
+        return not any(
+            record.phase is TaskPhase.ASSIGNED
+            for step in self.steps()
+            for record in step.records
+        )
+
     @property
     def is_complete(self) -> bool:
         """Whether every occurrence has been due and is done."""
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -22,6 +22,8 @@
 LATE_ORDER_S = 4.0
 _HEARTBEAT_S = 1.0
 _FAIL_AFTER_S = 0.1
+_FOR_EVER_S = 1e9
+_SERVICE_START_S = 0.3
 _MAX_LEASE_MS = 10_000
 
 
@@ -204,7 +206,7 @@
         self.run_by_task[task] = _Run(
             task=task,
             number=number,
-            work_s=1e9 if wish.get("lasts") else wish["work_s"],
+            work_s=_FOR_EVER_S if wish.get("lasts") else wish["work_s"],
             fails=wish.get("fails", False),
             saves=wish.get("saves", False),
             latency_ms=wish.get("latency_ms", 0.0),
@@ -276,6 +278,8 @@
         return str(int(run.done_s)) if run.saves and run.done_s >= 1 else ""
 
     def _percent(self, run: _Run) -> float:
+        if run.work_s >= _FOR_EVER_S:
+            return 100.0 if run.done_s > _SERVICE_START_S else 0.0
         return min(100.0, 100.0 * run.done_s / run.work_s)
 
     def _answer(self, body: dict[str, Any], status: int = 200) -> HttpResponse:
--- /dev/null
+++ b/tests/scheduler/fillers.feature
@@ -0,0 +1,21 @@
+Feature: Fillers beside services with a latency target
+
+  Scenario: A filler finds no worker where it would not press
+    # Every worker runs a service that has no latency to spare. A filler waits for a
+    # better place, but not for ever: a job of which nothing runs while room is free
+    # is lost to its caller.
+    Given two entries and 2 workers for jobs
+    When a service of 2 tasks near its latency target is handed in at entry-1
+    And 3 s pass
+    And the filling job "f" of 2 tasks of 1 s is handed in at entry-1
+    And 3 s pass
+    Then a task of "f" was started
+
+  Scenario: A service over its target has all fillers stopped in time
+    # Whatever was thought of the images, fillers do not work on for long beside a
+    # service that is over its target.
+    Given two entries and 1 workers for jobs
+    When a service of 1 tasks over its latency target is handed in at entry-1
+    And the filling job "f" of 2 tasks of 30 s is handed in at entry-1
+    And 8 s pass
+    Then every filler of "f" works at 0 percent
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -106,6 +106,50 @@
     assert not sum(worker.refused_tickets for worker in workers)
 
 
+_TARGET_MS = 45.0
+_LATENCY_MS_BY_STATE = {"near": 40.0, "over": 60.0}
+
+
+@when("a service of {tasks:d} tasks {state} its latency target is handed in at {entry}")
+def submit_service(context, tasks, state, entry):
+    shape = _steps(
+        1, tasks, 1, longRunning=True, image="svc", targetMs=_TARGET_MS, antiAffinity=1
+    )
+    latency = _LATENCY_MS_BY_STATE[state]
+    status = context.world.submit_job(
+        entry, "service", shape, lasts=True, latency_ms=latency
+    )
+    assert status == 200, status
+
+
+@when(
+    'the filling job "{label}" of {tasks:d} tasks of {seconds:d} s '
+    "is handed in at {entry}"
+)
+def submit_filler(context, label, tasks, seconds, entry):
+    shape = _steps(1, tasks, seconds, fills=True, image="fill")
+    status = context.world.submit_job(entry, label, shape, work_s=seconds)
+    assert status == 200, status
+
+
+@then('a task of "{label}" was started')
+def check_some_start(context, label):
+    starts = context.world.cell.observer.starts
+    assert any(each[0].startswith(job_id(label)) for each in starts), starts
+
+
+@then('every filler of "{label}" works at {percent:d} percent')
+def check_paces(context, label, percent):
+    runs = [
+        run
+        for worker in context.world.cell.worker_by_name.values()
+        for run in worker.run_by_task.values()
+        if run.task.startswith(job_id(label))
+    ]
+    assert runs, "no filler runs"
+    assert all(run.percent == percent for run in runs), runs
+
+
 @when(
     'the job "{label}" is handed in at {entry} to run {times:d} times, '
     "every {seconds:d} s"
