Trial: what fillers may press goes to one after the other

Ruled out: nothing.

Change: the filler that is nearest its end gets all that is to spare, then the next.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -288,12 +288,18 @@
 
     def _fillers(self, beat: Heartbeat) -> list[FillerRun]:
         whole = max(beat.capacity.processors, 1e-9)
-        there = {status.ref for status in self._runs.running}
-        there.update(self._runs.started_by_ref)
+        done_by_ref = dict.fromkeys(self._runs.started_by_ref, 0.0)
+        for status in self._runs.running:
+            done_by_ref[status.ref] = status.percent
         return [
-            FillerRun(ref=ref, image=order.image, share=order.processors / whole)
+            FillerRun(
+                ref=ref,
+                image=order.image,
+                share=order.processors / whole,
+                percent_done=done_by_ref[ref],
+            )
             for ref, order in self._runs.order_by_ref.items()
-            if order.is_filler and ref in there
+            if order.is_filler and ref in done_by_ref
         ]
 
     def _observe(self, beat: Heartbeat) -> list[Observation]:
