--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -288,18 +288,12 @@
 
     def _fillers(self, beat: Heartbeat) -> list[FillerRun]:
         whole = max(beat.capacity.processors, 1e-9)
-        done_by_ref = dict.fromkeys(self._runs.started_by_ref, 0.0)
-        for status in self._runs.running:
-            done_by_ref[status.ref] = status.percent
+        there = {status.ref for status in self._runs.running}
+        there.update(self._runs.started_by_ref)
         return [
-            FillerRun(
-                ref=ref,
-                image=order.image,
-                share=order.processors / whole,
-                percent_done=done_by_ref[ref],
-            )
+            FillerRun(ref=ref, image=order.image, share=order.processors / whole)
             for ref, order in self._runs.order_by_ref.items()
-            if order.is_filler and ref in done_by_ref
+            if order.is_filler and ref in there
         ]
 
     def _observe(self, beat: Heartbeat) -> list[Observation]:
--- a/coltsfoottray/agent/pacing.py
+++ b/coltsfoottray/agent/pacing.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -25,7 +25,7 @@
 # (77 to 114 s of a day with three seeds; 11 to 61 s with 1.5).
 _KEPT_MARGIN = 1.5
 # A filler that takes less than this of a service's margin is not worth slowing.
-_NEGLIGIBLE = 0.03
+_NEGLIGIBLE = 0.08
 # Fillers are stopped altogether once a service has been over its target for so
 # long: the users allow 4 s, of which a look and an order take up to 0.7 s.
 _PATIENCE = timedelta(seconds=2)
@@ -40,7 +40,6 @@
     ref: RunRef
     image: str
     share: float
-    percent_done: float = 0.0
 
 
 class Pacer:
@@ -50,7 +49,6 @@
         self._learner = learner
         self._over_since_by_service: dict[str, timedelta] = {}
         self._percent_by_image: dict[str, int] = {}
-        self._pressed_by_service: dict[str, float] = {}
 
     def adjust(
         self,
@@ -69,32 +67,23 @@
             more than that lets them.
         """
         self._note_over(observations, now)
-        if self._is_over_for_long(now):
-            self._percent_by_image = {filler.image: 0 for filler in fillers}
-            return {filler.ref: 0 for filler in fillers}
         wanted = sum(filler.share for filler in fillers)
         scale = min(1.0, left / wanted) if wanted > 0 else 1.0
-        budget_by_service = {each.service: self._budget(each) for each in observations}
-        self._pressed_by_service = dict.fromkeys(budget_by_service, 0.0)
-        percent_by_ref: dict[RunRef, int] = {}
-        for filler in sorted(fillers, key=_most_done_first):
-            pressed_by_service = {
-                each.service: filler.share
-                * scale
-                * self._learner.cautious_pressure(filler.image, each.image)
-                for each in observations
-            }
-            percent = _fit(pressed_by_service, budget_by_service)
-            percent_by_ref[filler.ref] = percent
-            for service, pressed in pressed_by_service.items():
-                taken = pressed * percent / FULL
-                left_over = budget_by_service[service] - taken
-                budget_by_service[service] = max(left_over, 0.0)
-                self._pressed_by_service[service] += taken
-        self._percent_by_image = {
-            filler.image: percent_by_ref[filler.ref] for filler in fillers
-        }
-        return percent_by_ref
+        full_by_image: dict[str, float] = {}
+        for filler in fillers:
+            share = full_by_image.get(filler.image, 0.0)
+            full_by_image[filler.image] = share + filler.share * scale
+        percent_by_image = dict.fromkeys(full_by_image, FULL)
+        for observation in observations:
+            allowed = self._allow(observation, full_by_image)
+            for image, percent in allowed.items():
+                percent_by_image[image] = min(percent_by_image[image], percent)
+        if any(
+            now - since > _PATIENCE for since in self._over_since_by_service.values()
+        ):
+            percent_by_image = dict.fromkeys(full_by_image, 0)
+        self._percent_by_image = percent_by_image
+        return {filler.ref: percent_by_image[filler.image] for filler in fillers}
 
     def spare(self, observations: Sequence[Observation]) -> dict[str, float]:
         """Return by service image what margin there is to spare for fillers."""
@@ -129,38 +118,33 @@
             service: self._over_since_by_service.get(service, now) for service in over
         }
 
-    def _is_over_for_long(self, now: timedelta) -> bool:
-        return any(
-            now - since > _PATIENCE for since in self._over_since_by_service.values()
-        )
-
-    def _budget(self, observation: Observation) -> float:
-        """Return what margin fillers may take from one service."""
-        budget = max(self._learner.undisturbed(observation) - _KEPT_MARGIN, 0.0)
+    def _allow(
+        self, observation: Observation, full_by_image: dict[str, float]
+    ) -> dict[str, int]:
+        """Return how fast each filler image may work for one service's sake."""
+        spare = max(self._learner.undisturbed(observation) - _KEPT_MARGIN, 0.0)
+        pressed_by_image = {
+            image: self._learner.cautious_pressure(image, observation.image) * share
+            for image, share in full_by_image.items()
+        }
+        light = {
+            image: pressed
+            for image, pressed in pressed_by_image.items()
+            if pressed <= _NEGLIGIBLE
+        }
+        heavy = sum(pressed_by_image.values()) - sum(light.values())
+        spare = max(spare - sum(light.values()), 0.0)
+        share = 1.0 if heavy <= spare else spare / heavy
+        percent = max(int(share * FULL), _CRAWL)
+        allowed = {
+            image: FULL if image in light else percent for image in pressed_by_image
+        }
         if observation.margin <= 1.0:
-            before = self._pressed_by_service.get(observation.service, budget)
-            budget = min(budget, before / 2)
-        return budget
-
-
-def _most_done_first(filler: FillerRun) -> tuple[float, RunRef]:
-    """Order fillers: what is to spare goes to one after the other.
-
-    Shared evenly among five it would let all of them crawl, and hold the steps that
-    wait for any of them; in turn the first ends after a fifth of that time.
-    """
-    return -filler.percent_done, filler.ref
-
-
-def _fit(
-    pressed_by_service: Mapping[str, float], budget_by_service: Mapping[str, float]
-) -> int:
-    """Return the speed at which a filler presses no more than is left."""
-    speed = 1.0
-    for service, pressed in pressed_by_service.items():
-        if pressed > _NEGLIGIBLE:
-            speed = min(speed, budget_by_service[service] / pressed)
-    return max(int(speed * FULL), _CRAWL)
+            for image in allowed:
+                if image not in light:
+                    before = self._percent_by_image.get(image, FULL)
+                    allowed[image] = min(allowed[image], max(before // 2, _CRAWL))
+        return allowed
 
 
 def is_worth_an_order(before: int, percent: int) -> bool:
