The scheduler and the attendant in smaller parts

Ruled out: nothing.

Change: planner (starts, moves, evacuations), grants (leases and sessions), orders (what attendants are told) and speeds (services and fillers on a worker) stand by themselves; behaviour as before.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -8,9 +8,8 @@
 import msgspec
 import trio
 
-from coltsfoottray.agent.pacing import FULL, FillerRun, Pacer, is_worth_an_order
-from coltsfoottray.agent.pressure import SERVICE_USE, Observation, PressureLearner
 from coltsfoottray.agent.runs import Runs
+from coltsfoottray.agent.speeds import SpeedControl
 from coltsfoottray.agent.stalls import StallWatch
 from coltsfoottray.agent.worker import (
     Heartbeat,
@@ -53,7 +52,6 @@
 # A start that the worker would get with less lease than this is held back.
 _MIN_LEASE = timedelta(milliseconds=300)
 _MAX_LATE = 5
-_MILLI = 1000.0
 # A worker that still answers so long after it said that it leaves has not meant it:
 # the word was a late one of an earlier life.
 _LEAVE_TIME = timedelta(seconds=2)
@@ -103,14 +101,10 @@
         # Until when the worker may run, and until when it has been told it may.
         self._lease_end = timedelta(0)
         self._told_end = timedelta(0)
-        self._learner = PressureLearner()
-        self._pacer = Pacer(learner=self._learner)
-        self._percent_by_ref: dict[RunRef, int] = {}
+        self._speeds = SpeedControl(link=link, clock=clock)
         self._paced = timedelta(0)
-        self._observations: list[Observation] = []
         self._stalls = StallWatch()
         self._stalled: list[RunRef] = []
-        self._spare_by_image: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
         self.news = trio.Event()
 
@@ -166,7 +160,7 @@
         self._acknowledged = 0
         self._reading = None
         self._told_end = timedelta(0)
-        self._percent_by_ref = {}
+        self._speeds.begin_life()
         self._is_reachable = True
         self._left = None
         self._is_over = False
@@ -208,7 +202,7 @@
         if asked - self._paced >= _LOOK_WAIT * 0.8:
             self._paced = asked
             self._find_stalls(asked)
-            await self._adjust_pace(beat)
+            await self._speeds.take_look(beat, self._runs, self._session)
         if look.ends:
             # With ends that are not acknowledged yet a look returns at once.
             await self._clock.sleep(_RETRY)
@@ -246,96 +240,16 @@
     def _find_stalls(self, now: timedelta) -> None:
         known = set(self._stalled)
         self._stalled = self._stalls.check(
-            self._runs.running, self._runs.order_by_ref, self._percent_by_ref, now
+            self._runs.running,
+            self._runs.order_by_ref,
+            self._speeds.percent_by_ref,
+            now,
         )
         new = [str(ref) for ref in self._stalled if ref not in known]
         if new:
             log_event("worker:stalled", runs=new)
             self._tell()
 
-    async def _adjust_pace(self, beat: Heartbeat) -> None:
-        """Learn from the last look and set the speed of fillers by it."""
-        observations = self._observe(beat)
-        self._observations = observations
-        await self._set_paces(beat)
-
-    async def _set_paces(self, beat: Heartbeat) -> None:
-        """Set the speed of all fillers, also of those just started."""
-        observations = self._observations
-        fillers = self._fillers(beat)
-        percent_by_ref = self._pacer.adjust(
-            observations, fillers, self._clock.elapsed(), left=self._left_share(beat)
-        )
-        self._percent_by_ref = {
-            ref: percent
-            for ref, percent in self._percent_by_ref.items()
-            if ref in percent_by_ref
-        }
-        async with trio.open_nursery() as nursery:
-            for ref, percent in percent_by_ref.items():
-                if is_worth_an_order(self._percent_by_ref.get(ref, FULL), percent):
-                    nursery.start_soon(self._set_pace, beat, ref, percent)
-
-    def _left_share(self, beat: Heartbeat) -> float:
-        """Return the part of the worker that tasks other than fillers leave."""
-        taken = sum(
-            order.processors * (SERVICE_USE if order.target_latency_ms else 1.0)
-            for order in self._runs.order_by_ref.values()
-            if not order.is_filler
-        )
-        whole = max(beat.capacity.processors, 1e-9)
-        return max(1.0 - taken / whole, 0.0)
-
-    def _fillers(self, beat: Heartbeat) -> list[FillerRun]:
-        whole = max(beat.capacity.processors, 1e-9)
-        there = {status.ref for status in self._runs.running}
-        there.update(self._runs.started_by_ref)
-        return [
-            FillerRun(ref=ref, image=order.image, share=order.processors / whole)
-            for ref, order in self._runs.order_by_ref.items()
-            if order.is_filler and ref in there
-        ]
-
-    def _observe(self, beat: Heartbeat) -> list[Observation]:
-        """Learn from what the last look showed; return the services."""
-        observations: list[Observation] = []
-        share_by_image: dict[str, float] = {}
-        whole = max(beat.capacity.processors, 1e-9)
-        for status in self._runs.running:
-            order = self._runs.order_by_ref.get(status.ref)
-            if order is None:
-                continue
-            if order.is_filler:
-                used = status.figure / _MILLI / whole
-                share_by_image[order.image] = (
-                    share_by_image.get(order.image, 0.0) + used
-                )
-            elif order.target_latency_ms and status.figure > 0:
-                observations.append(
-                    Observation(
-                        service=str(status.ref),
-                        image=order.image,
-                        latency_ms=status.figure,
-                        target_ms=order.target_latency_ms,
-                    )
-                )
-        self._learner.learn(observations, share_by_image, self._clock.elapsed())
-        self._spare_by_image = self._pacer.spare(observations)
-        return observations
-
-    async def _set_pace(self, beat: Heartbeat, ref: RunRef, percent: int) -> None:
-        try:
-            await self._link.pace(
-                beat=beat, ref=ref, percent=percent, fence=self._session
-            )
-        except (CommunicationError, WorkerReplaced) as error:
-            # Not noted as set, so the next look's adjustment sets it again.
-            self._percent_by_ref.pop(ref, None)
-            log_event("worker:pace-failed", run=str(ref), reason=str(error))
-            return
-        self._percent_by_ref[ref] = percent
-        log_event("decision:pace", run=str(ref), percent=percent)
-
     # What the scheduler says.
 
     def report(self) -> Report:
@@ -354,8 +268,8 @@
             ends=runs.ends,
             rejected=list(runs.rejected_by_ref.values()),
             stalled=self._stalled,
-            pressures=self._learner.own(),
-            spare_by_image=self._spare_by_image,
+            pressures=self._speeds.pressures(),
+            spare_by_image=self._speeds.spare_by_image,
         )
         if beat is None:
             return report
@@ -386,7 +300,7 @@
         self._epoch = reply.epoch
         lease_end = sent + timedelta(milliseconds=reply.lease_ms)
         self._lease_end = max(self._lease_end, lease_end)
-        self._learner.share(reply.pressures)
+        self._speeds.share(reply.pressures)
         if report.lapsed_life == self._lapsed_life:
             self._lapsed_life = ""
         for rejected in report.rejected:
@@ -465,10 +379,10 @@
                 runs.starting.discard(order.ref)
                 runs.started_by_ref[order.ref] = self._clock.elapsed()
                 log_event("worker:started", run=str(order.ref), session=session)
-                if order.is_filler and self._observations:
+                if order.is_filler and self._speeds.has_services:
                     # Not at the next look: half a second of a strong filler at
                     # full speed takes two more to wear off.
-                    await self._set_paces(beat)
+                    await self._speeds.set_speeds(beat, runs, session)
                 return
             await self._clock.sleep(_RETRY)
 
--- a/coltsfoottray/scheduler/advice.py
+++ b/coltsfoottray/scheduler/advice.py
@@ -16,8 +16,8 @@
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.jobs.model import AdviceTerms, JobId
 from coltsfoottray.logs import log_event
-from coltsfoottray.scheduler.board import Board
 from coltsfoottray.scheduler.live import LiveStep, Ticket
+from coltsfoottray.scheduler.planner import Planner
 
 __all__ = ["Adviser", "Permit", "ask_for_ever"]
 
@@ -58,24 +58,26 @@
 
 
 async def ask_for_ever(
-    board: Board, adviser: Adviser, *, clock: Clock, wake: Callable[[], None]
+    planner: Planner, adviser: Adviser, *, clock: Clock, wake: Callable[[], None]
 ) -> None:
     """Keep the steps that need it supplied with tickets."""
     while True:
-        step = board.next_without_ticket(clock.elapsed())
+        step = planner.next_without_ticket(clock.elapsed())
         if step is None:
             await clock.sleep(_POLL)
             continue
-        if await _ask(board, step, adviser, clock):
+        if await _ask(planner, step, adviser, clock):
             wake()
         else:
             await clock.sleep(_RETRY)
 
 
-async def _ask(board: Board, step: LiveStep, adviser: Adviser, clock: Clock) -> bool:
+async def _ask(
+    planner: Planner, step: LiveStep, adviser: Adviser, clock: Clock
+) -> bool:
     """Ask about one step; return whether an answer came."""
-    terms = board.terms_of(step).advice
-    lives = board.candidates(step, clock.elapsed())[:_MAX_WORKERS]
+    terms = planner.terms_of(step).advice
+    lives = planner.candidates(step, clock.elapsed())[:_MAX_WORKERS]
     if terms is None or not lives:
         return False
     asked = clock.elapsed()
--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -11,17 +11,9 @@
 from coltsfoottray.jobs.model import AcceptedJob, JobId, QueueTerms, RunRef
 from coltsfoottray.jobs.records import JobRecord, JobState, TaskPhase
 from coltsfoottray.logs import log_event
-from coltsfoottray.scheduler.fit import (
-    Patience,
-    choose_gang,
-    choose_worker,
-    find_faster,
-    list_candidates,
-)
 from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
 from coltsfoottray.scheduler.messages import RejectedStart, Report
-from coltsfoottray.scheduler.order import is_half_over, urgency
 
 __all__ = ["Board"]
 
@@ -29,26 +21,6 @@
 # two of its attendant's reports.
 _BLOCK = timedelta(seconds=2)
 
-# From here on its percentage tells better than the estimate when a task will end.
-_TELLING_PERCENT = 10.0
-# What is likely to end only just in time is taken for late.
-_LATENESS = 1.2
-
-# Two moves a second are far more than crawling tasks come up.
-_REBALANCE_PERIOD = timedelta(milliseconds=500)
-# A run is left alone for so long: what its image does is learned in two looks.
-_SETTLING = timedelta(seconds=1.5)
-# Without a checkpoint a move throws the work away: beyond this it costs too much.
-_MOVABLE_PERCENT = 15.0
-
-# The users take a job for lost of which nothing runs for 3 s; a start takes up to half
-# a second on a day on which the table is slow.
-_MAX_IDLE = timedelta(seconds=1)
-
-# After so many tasks in urgency order have found no room the rest wait for the next
-# round; it bounds a round's length when thousands wait.
-_MAX_MISSES = 60
-
 
 class Board:
     """Jobs, workers and runs; changed by one task only, the scheduler's rounds."""
@@ -58,9 +30,6 @@
         self.active_by_id: dict[JobId, LiveJob] = {}
         self.fleet = fleet
         self.pressures = PressureTable()
-        self._rebalanced = timedelta(0)
-        # The steps whose turn has come, the most urgent first, as of the last plan.
-        self._ready: list[LiveStep] = []
         self._holder = holder
 
     # What was stored.
@@ -303,7 +272,7 @@
         step.failed_runs.add(ref.run)
         record.failures += 1
         job = step.job
-        allowed = self._terms(job).max_attempts
+        allowed = self.terms_of(job).max_attempts
         if record.failures >= allowed and not job.record.state.is_final:
             log_event(
                 "decision:failed",
@@ -329,221 +298,6 @@
                 if placed.ref.task.job == job.id:
                     placed.is_stopping = True
 
-    # What to start.
-
-    def plan(self, now: timedelta, now_ms: int) -> list[PlacedRun]:
-        """Assign waiting tasks to workers; return the new runs."""
-        ready: list[LiveStep] = []
-        for job in self.active_by_id.values():
-            job.open_occurrences(now_ms)
-            ready += [step for step in job.steps() if step.can_start]
-        ready.sort(key=lambda step: urgency(step, self._holder, now_ms))
-        self._ready = ready
-        placed: list[PlacedRun] = []
-        misses = 0
-        for step in ready:
-            new = self._place_step(step, now, now_ms)
-            placed += new
-            misses += not new
-            if misses > _MAX_MISSES:
-                break
-        return placed
-
-    def _place_step(
-        self, step: LiveStep, now: timedelta, now_ms: int
-    ) -> list[PlacedRun]:
-        service = self._terms(step.job).service
-        placed: list[PlacedRun] = []
-        if step.spec.is_gang:
-            gang = choose_gang(
-                step,
-                self.fleet,
-                self.pressures,
-                service=service,
-                now=now,
-                allowed=self._allowed(step, now),
-            )
-            workers = gang or []
-            refs = [step.next_run(index) for index in step.waiting]
-            for ref, member in zip(refs, workers, strict=False):
-                placed.append(self._assign(step, ref, member, now))
-        else:
-            patience = self._patience(step.job, now, now_ms)
-            for index in step.waiting:
-                worker = self._find_place(step, now, index, patience=patience)
-                if worker is None:
-                    break
-                if patience is Patience.NONE:
-                    # For the others something of the job runs now.
-                    patience = Patience.HALF
-                step.job.idle_since = None
-                placed.append(self._assign(step, step.next_run(index), worker, now))
-        if placed:
-            step.recount()
-            log_event(
-                "decision:place",
-                step=f"{step.job.id}.{step.occurrence}.{step.number}",
-                workers=[f"{each.ref.task.index}@{each.worker}" for each in placed],
-                waiting=len(step.waiting),
-                config=self._holder.current.version,
-            )
-        return placed
-
-    def _assign(
-        self, step: LiveStep, ref: RunRef, worker: Worker, now: timedelta
-    ) -> PlacedRun:
-        record = step.records[ref.task.index]
-        record.phase = TaskPhase.ASSIGNED
-        record.run = ref.run
-        record.worker = worker.id
-        record.life = worker.life
-        job = step.job
-        job.is_dirty = True
-        job.record.has_started = True
-        if job.record.state is JobState.QUEUED:
-            job.record.state = JobState.RUNNING
-        placed = PlacedRun(
-            ref=ref, step=step, worker=worker.id, life=worker.life, placed=now
-        )
-        worker.hold(placed)
-        return placed
-
-    def rebalance(self, now: timedelta) -> None:
-        """Move fillers that crawl to where they would work at full speed."""
-        if now - self._rebalanced < _REBALANCE_PERIOD:
-            return
-        self._rebalanced = now
-        crawling = [
-            placed
-            for worker in self.fleet.worker_by_id.values()
-            for placed in worker.held_by_ref.values()
-            if _may_move(placed, now)
-        ]
-        for placed in crawling:
-            place = find_faster(
-                placed,
-                self.fleet,
-                self.pressures,
-                service=self._terms(placed.step.job).service,
-                now=now,
-            )
-            if place is None:
-                continue
-            log_event(
-                "decision:move",
-                run=str(placed.ref),
-                worker=placed.worker,
-                to=place.id,
-                percent=placed.percent,
-            )
-            placed.is_stopping = True
-            index = placed.ref.task.index
-            placed.step.avoid_by_index.setdefault(index, set()).add(placed.worker)
-            # One at a time: the place found may be full with it.
-            return
-
-    def evacuate(self, now: timedelta) -> None:
-        """Stop what would not end in time on workers that leave.
-
-        What is stopped in time goes on elsewhere, from its checkpoint if it has
-        one; what is still there when the worker leaves is lost without one.
-        """
-        for worker in self.fleet.worker_by_id.values():
-            if not worker.is_draining or not worker.is_reachable:
-                continue
-            for placed in worker.held_by_ref.values():
-                if placed.is_stopping or not placed.is_released:
-                    continue
-                if self._ends_in_time(placed, worker, now):
-                    continue
-                if self._find_place(placed.step, now) is not None:
-                    placed.is_stopping = True
-                    log_event(
-                        "decision:evacuate",
-                        run=str(placed.ref),
-                        worker=worker.id,
-                        left_s=(worker.leaves - now).total_seconds(),
-                        percent=placed.percent,
-                    )
-
-    @staticmethod
-    def _ends_in_time(placed: PlacedRun, worker: Worker, now: timedelta) -> bool:
-        spec = placed.step.spec
-        if spec.is_service:
-            return False
-        worked = now - placed.placed
-        if placed.percent >= _TELLING_PERCENT:
-            left = worked * (100.0 / placed.percent - 1.0)
-        else:
-            left = timedelta(milliseconds=spec.estimate_ms) - worked
-        return now + left * _LATENESS < worker.leaves
-
-    def _find_place(
-        self,
-        step: LiveStep,
-        now: timedelta,
-        index: int | None = None,
-        *,
-        patience: Patience = Patience.WHOLE,
-    ) -> Worker | None:
-        avoid = set() if index is None else step.avoid_by_index.get(index, set())
-        return choose_worker(
-            step,
-            self.fleet,
-            self.pressures,
-            service=self._terms(step.job).service,
-            now=now,
-            avoid=avoid,
-            allowed=self._allowed(step, now),
-            patience=patience,
-        )
-
-    def _patience(self, job: LiveJob, now: timedelta, now_ms: int) -> Patience:
-        """Return how good a place a job's tasks can wait for.
-
-        A job of which nothing runs while workers have room is lost to its caller,
-        however good the reason to wait: after a while any place will do.
-        """
-        if not job.is_idle:
-            job.idle_since = None
-        elif job.idle_since is None:
-            job.idle_since = now
-        elif now - job.idle_since > _MAX_IDLE:
-            return Patience.NONE
-        if is_half_over(job, self._holder, now_ms):
-            return Patience.HALF
-        return Patience.WHOLE
-
-    def _allowed(self, step: LiveStep, now: timedelta) -> set[str] | None:
-        """Return the lives that may run a step, none if all may."""
-        if self.terms_of(step).advice is None:
-            return None
-        return step.valid_lives(now)
-
-    def next_without_ticket(self, now: timedelta) -> LiveStep | None:
-        """Return the most urgent step that waits for advice."""
-        for step in self._ready:
-            if self.terms_of(step).advice is None or not step.can_start:
-                continue
-            if not step.valid_lives(now):
-                return step
-        return None
-
-    def candidates(self, step: LiveStep, now: timedelta) -> list[str]:
-        """Return the lives of the workers that a step would go to, best first."""
-        workers = list_candidates(
-            step,
-            self.fleet,
-            self.pressures,
-            service=self.terms_of(step).service,
-            now=now,
-        )
-        return [worker.life for worker in workers]
-
-    def terms_of(self, step: LiveStep) -> QueueTerms:
-        """Return the terms under which a step runs now."""
-        return self._terms(step.job)
-
     def next_due_ms(self) -> int | None:
         """When the next occurrence of any job is due."""
         dues = [job.next_due_ms for job in self.active_by_id.values()]
@@ -554,17 +308,6 @@
         if not job.record.state.is_final:
             self.active_by_id[job.id] = job
 
-    def _terms(self, job: LiveJob) -> QueueTerms:
+    def terms_of(self, job: LiveJob) -> QueueTerms:
+        """Return the terms under which a job runs now."""
         return self._holder.terms_of(job.accepted.queue, otherwise=job.accepted.terms)
-
-
-def _may_move(placed: PlacedRun, now: timedelta) -> bool:
-    spec = placed.step.spec
-    return (
-        spec.is_filler
-        and not spec.is_gang
-        and placed.is_released
-        and not placed.is_stopping
-        and now - placed.placed > _SETTLING
-        and (spec.has_checkpoints or placed.percent < _MOVABLE_PERCENT)
-    )
--- /dev/null
+++ b/coltsfoottray/scheduler/grants.py
@@ -0,0 +1,98 @@
+"""What a scheduler grants attendants: leases for their workers, and sessions."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from datetime import timedelta
+
+from coltsfoottray.clock import Clock
+from coltsfoottray.scheduler.fleet import Fleet, Worker
+from coltsfoottray.scheduler.lease import AUTHORITY
+
+__all__ = ["Grants"]
+
+# How far ahead of a report a worker's lease may reach. A worker that is lost is
+# given up after it, and an attendant that restarts has this long to return
+# before its worker stops everything; 3.5 s are an ordinary outage of a VM.
+_HORIZON = timedelta(seconds=7)
+
+# A worker that has not reported for so long is listed as silent: two reports of one
+# second each, and half of one.
+_SILENCE = timedelta(seconds=2.5)
+
+# Two steady clocks drift apart by at most 2% over a lease.
+_DRIFT = 1.02
+
+# Far more sessions than one scheduler can grant; keeps tokens of a later epoch
+# above all of an earlier one.
+_SESSIONS_PER_EPOCH = 1_000_000
+
+
+class Grants:
+    """Keeps account of what workers may still have, now and under schedulers before.
+
+    Parameters
+    ----------
+    won : timedelta
+        When the lease row was taken over.
+    silent_until : mapping
+        By worker that the scheduler before had not heard of for a while: when its
+        lease has surely ended.
+    """
+
+    def __init__(
+        self,
+        *,
+        epoch: int,
+        won: timedelta,
+        silent_until: Mapping[str, timedelta],
+        fleet: Fleet,
+        clock: Clock,
+    ) -> None:
+        self._epoch = epoch
+        self._won = won
+        self._silent_until = silent_until
+        self._fleet = fleet
+        self._clock = clock
+        self._sessions = 0
+
+    def grant(self, worker: Worker, confirmed: timedelta) -> int:
+        """Return a lease in milliseconds and remember when it surely ends.
+
+        Parameters
+        ----------
+        confirmed : timedelta
+            When the last write was sent that proved the scheduler's right.
+        """
+        now = self._clock.elapsed()
+        granted = min(now + _HORIZON, confirmed + AUTHORITY) - now
+        if granted <= timedelta(0) or worker.is_listed:
+            return 0
+        worker.lease_end = max(worker.lease_end, now + granted * _DRIFT)
+        return math.floor(granted.total_seconds() * 1000)
+
+    def first_lease_end(self, worker: str) -> timedelta:
+        """Return when leases granted by earlier schedulers have surely ended."""
+        return self._silent_until.get(worker, self._won + AUTHORITY * _DRIFT)
+
+    def list_silent(self) -> dict[str, int]:
+        """Return what a next scheduler must wait for, and grant them no more."""
+        now = self._clock.elapsed()
+        silent_ms: dict[str, int] = {}
+        for worker in self._fleet.worker_by_id.values():
+            if worker.held_by_ref and now - worker.heard > _SILENCE:
+                worker.is_listed = True
+                left = max(worker.lease_end - now, timedelta(0))
+                silent_ms[worker.id] = math.ceil(left.total_seconds() * 1000)
+        return silent_ms
+
+    def unlist(self, silent_ms: Mapping[str, int]) -> None:
+        """Let workers that the stored row does not list have leases again."""
+        for worker in self._fleet.worker_by_id.values():
+            worker.is_listed = worker.id in silent_ms
+
+    def next_session(self) -> int:
+        """Return a fencing token above every earlier one, of any scheduler."""
+        self._sessions += 1
+        return self._epoch * _SESSIONS_PER_EPOCH + self._sessions
--- /dev/null
+++ b/coltsfoottray/scheduler/orders.py
@@ -0,0 +1,60 @@
+"""What attendants are told of the runs that their workers are to have."""
+
+from __future__ import annotations
+
+from coltsfoottray.scheduler.fleet import PlacedRun, Worker
+from coltsfoottray.scheduler.messages import Orders, Report, StartOrder
+
+__all__ = ["as_order", "orders_after"]
+
+
+def orders_after(worker: Worker, report: Report) -> Orders:
+    """Return the orders that a report shows to be missing.
+
+    Of a worker in another life than the one known nothing is ordered yet.
+    """
+    if report.life != worker.life:
+        return Orders(session=worker.session, life=report.life)
+    known = {status.ref for status in report.running}
+    known.update(report.starting)
+    known.update(end.ref for end in report.ends)
+    known.update(rejected.ref for rejected in report.rejected)
+    is_new = report.session != worker.session
+    held = [each for each in worker.held_by_ref.values() if each.is_released]
+    return Orders(
+        session=worker.session,
+        life=worker.life,
+        starts=[
+            as_order(each)
+            for each in held
+            if not each.is_stopping and (is_new or each.ref not in known)
+        ],
+        stops=[
+            *(each.ref for each in held if each.is_stopping),
+            *(ref for ref in worker.strays if ref not in worker.held_by_ref),
+        ],
+        acknowledged=worker.acknowledged,
+    )
+
+
+def as_order(placed: PlacedRun) -> StartOrder:
+    """Return the order to start a run."""
+    spec = placed.step.spec
+    record = placed.step.records[placed.ref.task.index]
+    return StartOrder(
+        ref=placed.ref,
+        payload=placed.step.job.accepted.spec.payload,
+        checkpoint=record.checkpoint if spec.has_checkpoints else "",
+        ticket=_ticket_of(placed),
+        image=spec.image,
+        processors=spec.demand.processors,
+        estimate_ms=spec.estimate_ms,
+        is_service=spec.is_service,
+        is_filler=spec.is_filler,
+        target_latency_ms=spec.target_latency_ms,
+    )
+
+
+def _ticket_of(placed: PlacedRun) -> str:
+    ticket = placed.step.ticket_by_life.get(placed.life)
+    return "" if ticket is None else ticket.value
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -30,40 +29,26 @@
 from coltsfoottray.platform.settle import commit_settled
 from coltsfoottray.scheduler.board import Board
 from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
-from coltsfoottray.scheduler.lease import AUTHORITY, RENEWAL, LeaseRow
+from coltsfoottray.scheduler.grants import Grants
+from coltsfoottray.scheduler.lease import RENEWAL, LeaseRow
 from coltsfoottray.scheduler.live import LiveJob
 from coltsfoottray.scheduler.messages import (
     ORDERS,
     Orders,
     Report,
     ReportReply,
-    StartOrder,
 )
+from coltsfoottray.scheduler.orders import as_order, orders_after
+from coltsfoottray.scheduler.planner import Planner
 from coltsfoottray.scheduler.restore import Stored
 
 __all__ = ["Deposed", "Reign"]
 
-# How far ahead of a report a worker's lease may reach. A worker that is lost is
-# given up after it, and an attendant that restarts has this long to return
-# before its worker stops everything; 3.5 s are an ordinary outage of a VM.
-_HORIZON = timedelta(seconds=7)
-
-# A worker that has not reported for so long is listed as silent: two reports of one
-# second each, and half of one.
-_SILENCE = timedelta(seconds=2.5)
-
-# Two steady clocks drift apart by at most 2% over a lease.
-_DRIFT = 1.02
-
 # What comes within it is decided together and stored in one transaction.
 _MIN_ROUND = timedelta(milliseconds=15)
 _ORDERS_TIMEOUT = timedelta(milliseconds=700)
 _RETRY = timedelta(milliseconds=100)
 
-# Far more sessions than one scheduler can grant; keeps tokens of a later epoch
-# above all of an earlier one.
-_SESSIONS_PER_EPOCH = 1_000_000
-
 # The store takes 100 conditions and writes in a transaction: a condition and a
 # write a job, and those of the lease row.
 _JOBS_PER_COMMIT = 48
@@ -117,8 +102,6 @@
         self.lease = lease
         self.is_loaded = False
         self._version = version
-        self._won = won
-        self._silent_until = silent_until
         # When the last write of ours that succeeded was sent, and the last one that
         # renewed the lease row, by which the others judge.
         self._confirmed = won
@@ -129,11 +112,18 @@
         self._metrics = metrics
         self._fleet = Fleet()
         self.board = Board(holder=holder, fleet=self._fleet)
+        self.planner = Planner(board=self.board, holder=holder)
+        self._grants = Grants(
+            epoch=lease.epoch,
+            won=won,
+            silent_until=silent_until,
+            fleet=self._fleet,
+            clock=clock,
+        )
         self._inbox = Inbox()
         self._wake = trio.Event()
         # Rows to be deleted with a next commit, by their versions.
         self._garbage: dict[str, int] = {}
-        self._sessions = 0
         self._is_resigning = False
 
     # What others ask and tell; none of it changes the board.
@@ -142,7 +132,7 @@
         """Take a report in and grant its worker what it may have."""
         now = self._clock.elapsed()
         worker = self._fleet.get_or_add(
-            report.worker, report.address, self._first_lease_end(report.worker)
+            report.worker, report.address, self._grants.first_lease_end(report.worker)
         )
         worker.heard = now
         is_known = (
@@ -152,7 +142,7 @@
         )
         if not is_known:
             worker.incarnation = report.incarnation
-            worker.session = self._next_session()
+            worker.session = self._grants.next_session()
             log_event(
                 "scheduler:session",
                 worker=worker.id,
@@ -161,12 +151,15 @@
             )
         self._inbox.reports.append(report)
         self._wake.set()
+        orders = Orders(session=worker.session, life=report.life)
+        if self.is_loaded:
+            orders = orders_after(worker, report)
         return ReportReply(
             scheduler=self.lease.address,
             is_scheduler=True,
             epoch=self.lease.epoch,
-            lease_ms=self._grant(worker, now),
-            orders=self._orders_after(worker, report),
+            lease_ms=self._grants.grant(worker, self._confirmed),
+            orders=orders,
             pressures=self.board.pressures.all(),
         )
 
@@ -223,7 +216,7 @@
                 each.accepted,
                 each.record,
                 each.version,
-                lease_end=self._first_lease_end,
+                lease_end=self._grants.first_lease_end,
                 now=now,
             )
             if each.is_cancelled:
@@ -305,9 +298,9 @@
             last = self.board.take_report(report, now, now_ms)
             last_end_by_worker[report.worker] = last
         self.board.expire(now, now_ms)
-        self.board.evacuate(now)
-        self.board.rebalance(now)
-        return self.board.plan(now, now_ms), last_end_by_worker
+        self.planner.evacuate(now)
+        self.planner.rebalance(now)
+        return self.planner.plan(now, now_ms), last_end_by_worker
 
     async def _store(self) -> None:
         """Store what the round has changed."""
@@ -340,7 +333,7 @@
             orders = Orders(
                 session=worker.session,
                 life=worker.life,
-                starts=[self._as_order(each) for each in starts],
+                starts=[as_order(each) for each in starts],
                 stops=[each.ref for each in stops],
                 acknowledged=worker.acknowledged,
             )
@@ -366,7 +359,7 @@
             self.lease = msgspec.structs.replace(
                 self.lease,
                 renewals=self.lease.renewals + 1,
-                silent_ms=self._list_silent(),
+                silent_ms=self._grants.list_silent(),
             )
             puts.append(Put.of(LEASE_KEY, self._version, self.lease))
         else:
@@ -377,7 +370,7 @@
         self._version = versions.get(LEASE_KEY, self._version)
         if renews:
             self._renewed = sent
-            self._unlist(self.lease.silent_ms)
+            self._grants.unlist(self.lease.silent_ms)
         for job in jobs:
             job.version = versions[record_key(job.id)]
             job.stored_state = job.record.state
@@ -404,87 +397,6 @@
     def _is_renewal_due(self) -> bool:
         return self._clock.elapsed() - self._renewed >= RENEWAL
 
-    # What a worker may have.
-
-    def _grant(self, worker: Worker, now: timedelta) -> int:
-        """Return the lease in milliseconds and remember when it surely ends."""
-        granted = min(now + _HORIZON, self._confirmed + AUTHORITY) - now
-        if granted <= timedelta(0) or worker.is_listed:
-            return 0
-        worker.lease_end = max(worker.lease_end, now + granted * _DRIFT)
-        return math.floor(granted.total_seconds() * 1000)
-
-    def _first_lease_end(self, worker: str) -> timedelta:
-        """Return when leases granted by earlier schedulers have surely ended."""
-        return self._silent_until.get(worker, self._won + AUTHORITY * _DRIFT)
-
-    def _list_silent(self) -> dict[str, int]:
-        """Return what a next scheduler must wait for, and grant them no more."""
-        now = self._clock.elapsed()
-        silent_ms: dict[str, int] = {}
-        for worker in self._fleet.worker_by_id.values():
-            if worker.held_by_ref and now - worker.heard > _SILENCE:
-                worker.is_listed = True
-                left = max(worker.lease_end - now, timedelta(0))
-                silent_ms[worker.id] = math.ceil(left.total_seconds() * 1000)
-        return silent_ms
-
-    def _unlist(self, silent_ms: Mapping[str, int]) -> None:
-        """Let workers that the stored row does not list have leases again."""
-        for worker in self._fleet.worker_by_id.values():
-            worker.is_listed = worker.id in silent_ms
-
-    def _next_session(self) -> int:
-        """Return a fencing token above every earlier one, of any scheduler."""
-        self._sessions += 1
-        return self.lease.epoch * _SESSIONS_PER_EPOCH + self._sessions
-
-    def _orders_after(self, worker: Worker, report: Report) -> Orders:
-        """Return the orders that a report shows to be missing."""
-        if not self.is_loaded or report.life != worker.life:
-            return Orders(session=worker.session, life=report.life)
-        known = {status.ref for status in report.running}
-        known.update(report.starting)
-        known.update(end.ref for end in report.ends)
-        known.update(rejected.ref for rejected in report.rejected)
-        is_new = report.session != worker.session
-        held = [each for each in worker.held_by_ref.values() if each.is_released]
-        return Orders(
-            session=worker.session,
-            life=worker.life,
-            starts=[
-                self._as_order(each)
-                for each in held
-                if not each.is_stopping and (is_new or each.ref not in known)
-            ],
-            stops=[
-                *(each.ref for each in held if each.is_stopping),
-                *(ref for ref in worker.strays if ref not in worker.held_by_ref),
-            ],
-            acknowledged=worker.acknowledged,
-        )
-
-    def _as_order(self, placed: PlacedRun) -> StartOrder:
-        spec = placed.step.spec
-        record = placed.step.records[placed.ref.task.index]
-        return StartOrder(
-            ref=placed.ref,
-            payload=placed.step.job.accepted.spec.payload,
-            checkpoint=record.checkpoint if spec.has_checkpoints else "",
-            ticket=_ticket_of(placed),
-            image=spec.image,
-            processors=spec.demand.processors,
-            estimate_ms=spec.estimate_ms,
-            is_service=spec.is_service,
-            is_filler=spec.is_filler,
-            target_latency_ms=spec.target_latency_ms,
-        )
-
-
-def _ticket_of(placed: PlacedRun) -> str:
-    ticket = placed.step.ticket_by_life.get(placed.life)
-    return "" if ticket is None else ticket.value
-
 
 def _batches(jobs: list[LiveJob]) -> list[list[LiveJob]]:
     """Split jobs into what one transaction takes."""
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -251,7 +251,7 @@
                 nursery.start_soon(
                     partial(
                         ask_for_ever,
-                        reign.board,
+                        reign.planner,
                         self._adviser,
                         clock=self._clock,
                         wake=reign.wake,
