Ends are logged; a request is explained from log files alone

Cause: the end of a run left no line, so that a late or failed request could not be followed from its id past its starts; and needed a running entry.

Ruled out: a line for each end (30 a second; one a report is enough).

Change: one line for the ends that a report brought; shows all lines that name the id, by time and file.

--- a/coltsfoottray/cli/queries.py
+++ b/coltsfoottray/cli/queries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Annotated
 
 import msgspec
@@ -10,6 +11,7 @@
 from coltsfoottray.cli.common import EntryOption, ask, fail
 from coltsfoottray.entry.operators import EntryStatus
 from coltsfoottray.explain import Decision
+from coltsfoottray.explain.logfiles import read_about
 
 __all__ = ["explain", "status"]
 
@@ -17,8 +19,15 @@
 def explain(
     subject: Annotated[str, typer.Argument(help="A request's or task's id.")],
     entry: EntryOption = "127.0.0.1:8080",
+    logs: Annotated[
+        list[Path] | None,
+        typer.Option(help="Log files to read instead, when no process is left."),
+    ] = None,
 ) -> None:
     """Show why a request or task was routed, placed, refused or evicted."""
+    if logs:
+        _explain_by_logs(subject, logs)
+        return
     found: list[Decision] = []
     for address in _entries(entry):
         response = ask(address, "GET", f"/explain/{subject}")
@@ -33,6 +42,18 @@
             typer.echo(f"    not {runner_up.name}: {runner_up.why_not}")
 
 
+def _explain_by_logs(subject: str, files: list[Path]) -> None:
+    for path in files:
+        if not path.is_file():
+            fail(f"--logs: got {str(path)!r}, expected a log file", code=2)
+    lines = read_about(subject, files)
+    if not lines:
+        fail(f"{subject!r}: no line of these files names it")
+    for line in lines:
+        details = ", ".join(f"{name} {value}" for name, value in line.fields.items())
+        typer.echo(f"{line.at.isoformat()}  {line.source}  {line.event}: {details}")
+
+
 def status(entry: EntryOption = "127.0.0.1:8080") -> None:
     """Show what an entry knows of the daemons and of latency."""
     answer = read_status(entry)
--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -87,6 +87,14 @@
         worker = self.fleet.worker_by_id[report.worker]
         self._take_life(worker, report, now_ms)
         self._describe(worker, report)
+        new = [end for end in report.ends if end.ref in worker.held_by_ref]
+        if new:
+            log_event(
+                "decision:ends",
+                worker=worker.id,
+                life=worker.life,
+                ends=[f"{end.ref} {end.kind.value}" for end in new],
+            )
         for end in report.ends:
             self._note_health(worker, end.ref, end.kind, now)
             self._take_end(worker, end.ref, end.kind, end.checkpoint, now_ms)
--- /dev/null
+++ b/tests/steps/log_steps.py
@@ -0,0 +1,94 @@
+"""Steps on log files and on the writing of lines."""
+
+from __future__ import annotations
+
+import json
+import os
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from coltsfoottray.explain.logfiles import read_about
+from coltsfoottray.logs import LineWriter
+
+
+def _folder(context):
+    if not hasattr(context, "folder"):
+        context.folder = Path(tempfile.mkdtemp())
+    return context.folder
+
+
+def _line(stamp, event, **fields):
+    return json.dumps({"timestamp": stamp, "message_type": event, **fields})
+
+
+@given('a log file "{name}" with lines about the jobs "{first}" and "{second}"')
+def write_entry_log(context, name, first, second):
+    lines = [
+        _line(10.0, "decision:submit", job=first, verdict="done"),
+        _line(11.0, "decision:submit", job=second, verdict="done"),
+        _line(12.0, "decision:completed", job=first),
+    ]
+    (_folder(context) / name).write_text("\n".join(lines) + "\n")
+
+
+@given('a log file "{name}" with an earlier line about "{job}" and half a line')
+def write_worker_log(context, name, job):
+    whole = _line(9.0, "worker:started", run=f"{job}.0.0.0#1")
+    half = _line(13.0, "worker:stopped", run=f"{job}.0.0.0#1")[:40]
+    (_folder(context) / name).write_text(f"{whole}\n{half}")
+
+
+@when('"{job}" is looked for in both')
+def look(context, job):
+    context.lines = read_about(job, sorted(_folder(context).iterdir()))
+
+
+@then('the events are "{first}", "{second}", "{third}"')
+def check_events(context, first, second, third):
+    events = [line.event for line in context.lines]
+    assert events == [first, second, third], events
+
+
+@then("there are no events")
+def check_no_events(context):
+    assert context.lines == []
+
+
+@given("a pipe that nobody reads")
+def make_pipe(context):
+    context.reader, writer = os.pipe()
+    context.closers.append(lambda: os.close(context.reader))
+    context.closers.append(lambda: os.close(writer))
+    context.seconds = 0.0
+    context.writer = LineWriter(descriptor=writer, monotonic=lambda: context.seconds)
+
+
+@when("{count:d} log lines are written to it")
+def write_lines(context, count):
+    for _ in range(count):
+        context.seconds += 0.01
+        context.writer.write(b"x" * 100)
+
+
+@then("lines were dropped and nothing waited")
+def check_dropped(context):
+    assert context.writer.dropped > 0
+
+
+@when("the pipe is emptied and one more line is written")
+def empty_pipe(context):
+    os.set_blocking(context.reader, False)
+    context.seconds += 1.0
+    context.read = b""
+    for _ in range(50):
+        try:
+            context.read += os.read(context.reader, 1 << 20)
+        except BlockingIOError:
+            context.writer.write(b"one more")
+
+
+@then("the number of dropped lines is in the pipe")
+def check_note(context):
+    assert b'"message_type":"log:dropped"' in context.read
