An entry joins the others only once its own lease stands

Cause: tests/processes failed once beside other work, its logs kept: both entries started before the table did. entry-2's first lease failed and was tried again a second later; it joined at the next tenth of a second without one. entry-1 found a member without a lease, took it for gone and refused all new keys for 4560 s.

Ruled out: the load.

Change: joining waits until the table holds a lease of this life of the entry.

--- a/coltsfoottray/claims/members.py
+++ b/coltsfoottray/claims/members.py
@@ -182,9 +182,15 @@
     async def _join(self) -> None:
         """Write the row, then get every other member's claims.
 
-        The row comes first: of two that join at once each finds the other.
+        The row comes first: of two that join at once each finds the other. It has
+        to wait for this entry's lease: one that joined while its first lease could
+        not be written was taken for gone by the next that joined, and that one
+        refused new keys as if all entries had been lost.
         """
         asked_at = self._clock.elapsed()
+        if not await self._has_lease():
+            log_event("claims:waits-for-lease", entry=self.own_row().entry)
+            return
         await self._write_row()
         if self.row_version == ABSENT:
             return
@@ -207,6 +213,12 @@
         self.is_joined = True
         log_event("claims:joined", members=self.others(), has_memory=has_memory)
 
+    async def _has_lease(self) -> bool:
+        """Whether the table holds a lease of this life of the entry."""
+        entries = await self._table.scan(ENTRY_PREFIX)
+        own = self.own_row().incarnation
+        return any(row.decode(EntryRecord).incarnation == own for row in entries)
+
     async def _write_row(self) -> None:
         """Write the member row, or find that it is there."""
         key = MEMBER_PREFIX + self.own_row().entry
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -60,10 +60,12 @@
         fabric: Fabric,
         routing: str = "two-choices",
         placement: str = "tightest-fit",
+        table_late_s: float = 0.0,
     ) -> None:
         self.deployment = deployment
         self._routing = routing
         self._placement = placement
+        self._table_late_s = table_late_s
         self.fabric = fabric
         self.observer = Observer()
         self.table = TableStandIn()
@@ -81,6 +83,9 @@
         """Start everything, and return once all attendants are in place."""
         self._table_address = await self._serve(self.table.handle, "table")
         await self._write_lists(extra_customers)
+        if self._table_late_s:
+            self.table.faults.is_down = True
+            self._nursery.start_soon(self._bring_table_up)
         for number in range(1, self.deployment.entries + 1):
             await self.start_entry(f"entry-{number}")
         for number in range(1, self.deployment.service.instances + 1):
@@ -89,6 +94,10 @@
             await self._start_worker(number)
         await self._wait_until_known()
 
+    async def _bring_table_up(self) -> None:
+        await trio.sleep(self._table_late_s)
+        self.table.faults.is_down = False
+
     def live_entries(self) -> list[EntryDaemon]:
         """Return the entries a balancer would still use."""
         return [e for e in self.entry_by_name.values() if not e.is_draining]
--- a/tests/requests/at_most_once.feature
+++ b/tests/requests/at_most_once.feature
@@ -164,3 +164,13 @@
     And "again" sends key "q1" to entry-2, which takes 50 ms to run
     Then "again" gets the whole answer of "q1"
     And "q1" has run 1 time
+
+  Scenario: The entries start before the table is up
+    # Their first write of a lease fails and is tried again a second later; they
+    # join at the next tenth. An entry that joined without its lease was taken for
+    # one that is gone, and the other refused all new keys for over an hour.
+    Given two entries and three instances that start before the table is up
+    When "first" sends key "q1" to entry-1, which takes 50 ms to run
+    And "second" sends key "q2" to entry-2, which takes 50 ms to run
+    Then "first" gets the whole answer of "q1"
+    And "second" gets the whole answer of "q2"
--- a/tests/steps/request_steps.py
+++ b/tests/steps/request_steps.py
@@ -15,6 +15,12 @@
     context.closers.append(context.world.close)
 
 
+@given("two entries and three instances that start before the table is up")
+def make_early_world(context):
+    context.world = World(table_late_s=0.25)
+    context.closers.append(context.world.close)
+
+
 @given("the next message to each instance is lost")
 def lose_messages(context):
     for name in context.world.cell.upstream_by_name:
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -29,7 +29,15 @@
 class World:
     """Runs trio in a thread; virtual time passes only inside `run`."""
 
-    def __init__(self, *, entries: int = 2, instances: int = 3, workers: int = 0):
+    def __init__(
+        self,
+        *,
+        entries: int = 2,
+        instances: int = 3,
+        workers: int = 0,
+        table_late_s: float = 0.0,
+    ):
+        self._table_late_s = table_late_s
         self.fabric = MemoryFabric()
         self.answer_by_label: dict[str, HttpResponse | None] = {}
         self.runs_at_answer_by_label: dict[str, int] = {}
@@ -206,7 +214,10 @@
 
     async def _start_cell(self) -> None:
         self.cell = Cell(
-            deployment=self._deployment, nursery=self._nursery, fabric=self.fabric
+            deployment=self._deployment,
+            nursery=self._nursery,
+            fabric=self.fabric,
+            table_late_s=self._table_late_s,
         )
         await self.cell.start()
 
