One piece of code where the change had two

Cause: a last reading found the strain of fillers on a service computed in two places, five loops over all placed runs, the rule that a silent worker gets no lease written at both callers instead of in `_lease_ms`, a stop noted twice, and a method that nobody called.

Change: `_strains`, `Fleet.placed_runs`, the check inside `_lease_ms`; behaviour as before.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -172,8 +172,7 @@
             look = await self._link.look(
                 beat=beat,
                 fence=self._session,
-                # Of a worker that does not answer the lease has to run out.
-                lease_end_ms=self._lease_ms(asked) if self._is_reachable else 0,
+                lease_end_ms=self._lease_ms(asked),
                 acknowledged=self._acknowledged,
                 wait=_LOOK_WAIT if self._reading is not None else timedelta(0),
             )
@@ -212,9 +211,10 @@
 
         The reading was made before it arrived here, so that the clock is at least
         as far by then; less the margin, the lease ends in time on a slow clock.
+        Of a worker that does not answer the lease has to run out.
         """
         end = min(self._lease_end, now + _WORKER_HORIZON)
-        if self._reading is None or end <= now:
+        if self._reading is None or not self._is_reachable or end <= now:
             return 0
         ahead = (end - self._reading.received) * _CLOCK_MARGIN
         self._told_end = max(self._told_end, end)
@@ -349,7 +349,7 @@
                 self._reject(order, Refusal.DRAINING)
                 return
             now = self._clock.elapsed()
-            lease_end_ms = self._lease_ms(now) if self._is_reachable else 0
+            lease_end_ms = self._lease_ms(now)
             if not lease_end_ms or self._lease_end - now < _MIN_LEASE:
                 await self._clock.sleep(_RETRY)
                 continue
@@ -395,7 +395,6 @@
     async def _stop(self, ref: RunRef, beat: Heartbeat, session: int) -> None:
         runs = self._runs
         runs.starting.discard(ref)
-        runs.stopped_by_ref[ref] = None
         while self._is_current(session, runs) and ref in runs.stopped_by_ref:
             try:
                 await self._link.stop(beat=beat, ref=ref, fence=session)
--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -293,18 +293,16 @@
 
     def _stop_gang(self, step: LiveStep, run: int) -> None:
         """Stop the rest of a gang, which would wait for the one that ended."""
-        for worker in self.fleet.worker_by_id.values():
-            for placed in worker.held_by_ref.values():
-                if placed.step is step and placed.ref.run == run:
-                    placed.is_stopping = True
+        for placed in self.fleet.placed_runs():
+            if placed.step is step and placed.ref.run == run:
+                placed.is_stopping = True
 
     def _finish(self, job: LiveJob, state: JobState, now_ms: int) -> None:
         job.finish(state, now_ms)
         self.active_by_id.pop(job.id, None)
-        for worker in self.fleet.worker_by_id.values():
-            for placed in worker.held_by_ref.values():
-                if placed.ref.task.job == job.id:
-                    placed.is_stopping = True
+        for placed in self.fleet.placed_runs():
+            if placed.ref.task.job == job.id:
+                placed.is_stopping = True
 
     def next_due_ms(self) -> int | None:
         """When the next occurrence of any job is due."""
--- a/coltsfoottray/scheduler/fit.py
+++ b/coltsfoottray/scheduler/fit.py
@@ -258,19 +258,14 @@
 
 def _speed_among(worker: Worker, spec: StepSpec, pressures: PressureTable) -> float:
     """Return how fast a filler that is on `worker` can work beside the others."""
-    whole = max(worker.capacity.processors, 1e-9)
-    wanted = max(spec.demand.processors, 1e-9)
-    speed = 1.0
-    for service in worker.service_images:
-        if pressures.get(spec.image, service) * wanted / whole < _HARMLESS:
-            continue
-        pressing = sum(
-            pressures.get(image, service) * count * wanted / whole
-            for image, count in worker.fillers_by_image.items()
-        )
-        spare = worker.spare_by_image.get(service, _SPARE_MARGIN)
-        speed = min(speed, spare / pressing if pressing > 0 else 1.0)
-    return speed
+    return min(
+        (
+            strain.spare / strain.pressing
+            for strain in _strains(worker, spec, pressures)
+            if strain.pressing > strain.spare
+        ),
+        default=1.0,
+    )
 
 
 def _speed(worker: Worker, spec: StepSpec, pressures: PressureTable) -> float:
@@ -286,17 +281,44 @@
 
 def _speed_beside(worker: Worker, spec: StepSpec, pressures: PressureTable) -> float:
     """Return how fast a filler could work for the sake of the services there."""
-    wanted = max(spec.demand.processors, 1e-9)
-    whole = max(worker.capacity.processors, 1e-9)
-    speed = 1.0
-    for service in worker.service_images:
-        own = pressures.get(spec.image, service) * wanted / whole
-        if own < _HARMLESS:
-            continue
-        pressing = sum(
-            pressures.get(image, service) * count * wanted / whole
-            for image, count in worker.fillers_by_image.items()
+    return min(
+        (
+            min(1.0, max(strain.spare - strain.pressing, 0.0) / strain.own)
+            for strain in _strains(worker, spec, pressures)
+        ),
+        default=1.0,
+    )
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Strain:
+    """What fillers take of a service's margin, and what it has to spare.
+
+    Parameters
+    ----------
+    own : float
+        What one more of the filler asked for would take.
+    pressing : float
+        What the fillers there take.
+    """
+
+    own: float
+    pressing: float
+    spare: float
+
+
+def _strains(worker: Worker, spec: StepSpec, pressures: PressureTable) -> list[_Strain]:
+    """Return the strains on the services of `worker` that a filler presses on."""
+    share = max(spec.demand.processors, 1e-9) / max(worker.capacity.processors, 1e-9)
+    strains = [
+        _Strain(
+            own=pressures.get(spec.image, service) * share,
+            pressing=sum(
+                pressures.get(image, service) * count * share
+                for image, count in worker.fillers_by_image.items()
+            ),
+            spare=worker.spare_by_image.get(service, _SPARE_MARGIN),
         )
-        spare = worker.spare_by_image.get(service, _SPARE_MARGIN)
-        speed = min(speed, max(spare - pressing, 0.0) / own)
-    return speed
+        for service in worker.service_images
+    ]
+    return [strain for strain in strains if strain.own >= _HARMLESS]
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -178,7 +178,10 @@
         known.address = address or known.address
         return known
 
-    def find_run(self, worker: str, ref: RunRef) -> PlacedRun | None:
-        """Return a run held at a worker."""
-        known = self.worker_by_id.get(worker)
-        return None if known is None else known.held_by_ref.get(ref)
+    def placed_runs(self) -> list[PlacedRun]:
+        """Return every run that may exist on any worker."""
+        return [
+            placed
+            for worker in self.worker_by_id.values()
+            for placed in worker.held_by_ref.values()
+        ]
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -140,10 +140,7 @@
             return
         self._rebalanced = now
         crawling = [
-            placed
-            for worker in self._fleet.worker_by_id.values()
-            for placed in worker.held_by_ref.values()
-            if _may_move(placed, now)
+            placed for placed in self._fleet.placed_runs() if _may_move(placed, now)
         ]
         for placed in crawling:
             place = find_faster(
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -180,11 +180,7 @@
 
     def ended_before(self, moment_ms: int) -> list[JobId]:
         """Return the jobs that ended before a moment and run nowhere any more."""
-        held = {
-            ref.task.job
-            for worker in self._fleet.worker_by_id.values()
-            for ref in worker.held_by_ref
-        }
+        held = {placed.ref.task.job for placed in self._fleet.placed_runs()}
         return [
             job.id
             for job in self.board.job_by_id.values()
