Jobs are refused at once while the store is known to be down

Change: once the store has not answered for 600 ms, nothing is tried: 503 with when to come back, or 504 where an earlier attempt may stand. A job whose acceptance is open is never refused as one that will not run. Of a short deadline half is left.

--- a/coltsfoottray/jobs/intake.py
+++ b/coltsfoottray/jobs/intake.py
@@ -32,9 +32,18 @@
 _RETRY = timedelta(milliseconds=100)
 _RETRY_FOR = timedelta(milliseconds=300)
 
-# What is left of a caller's deadline for the answer's way back.
+# What is left of a caller's deadline for the answer's way back; of a short one half.
 _ANSWER_MARGIN = timedelta(milliseconds=250)
 
+# A table that has not answered for so long is taken to be down: longer than a
+# connection that broke takes to be replaced. An outage lasts seconds, and whoever is
+# held meanwhile could have been told when to come back.
+_LOST = timedelta(milliseconds=600)
+
+# Jobs of which it is open whether they are stored; each is asked for again within a
+# caller's deadline of 3 s, at a few a second while the table is down.
+_MAX_OPEN = 1000
+
 # An outage seen so far lasts some seconds more; a caller that comes back after
 # one finds it over or is told so again at once.
 _COME_BACK = timedelta(seconds=1)
@@ -90,6 +99,7 @@
         self._scheduler = scheduler
         self._clock = clock
         self._metrics = metrics
+        self._open: dict[JobId, None] = {}
 
     async def submit(
         self, queue: Queue, job_id: JobId, spec: JobSpec, *, deadline: timedelta
@@ -107,6 +117,7 @@
         )
         put = Put.of(accepted_key(job_id), 0, job)
         answer = await self._write(Transaction(puts=[put]), deadline)
+        answer = self._mind_earlier(job_id, answer)
         log_event(
             "decision:submit",
             job=job_id,
@@ -122,6 +133,22 @@
             self._view.job_by_id.setdefault(job_id, job)
         return answer
 
+    def _mind_earlier(self, job_id: JobId, answer: JobAnswer) -> JobAnswer:
+        """Return what can be said of a job, given what was said of it before.
+
+        The write of an earlier attempt may have taken effect, or may still. That the
+        job will never run would then be wrong, although this attempt wrote nothing.
+        """
+        if answer.verdict is Verdict.UNKNOWN:
+            self._open[job_id] = None
+            if len(self._open) > _MAX_OPEN:
+                del self._open[next(iter(self._open))]
+        elif answer.verdict is Verdict.DONE:
+            self._open.pop(job_id, None)
+        elif job_id in self._open:
+            return _UNKNOWN
+        return answer
+
     async def tell(self, job_id: JobId) -> None:
         """Let the scheduler know of a job accepted here."""
         job = self._view.job_by_id.get(job_id)
@@ -181,7 +208,9 @@
         started = self._clock.elapsed()
         is_uncertain = False
         is_attempted = False
-        left = deadline - _ANSWER_MARGIN
+        left = max(deadline - _ANSWER_MARGIN, deadline / 2)
+        if self._mirror.failing_for() > _LOST:
+            return _NOT_DONE
         with trio.move_on_after(left.total_seconds()):
             while True:
                 is_attempted = True
@@ -197,6 +226,8 @@
                 waited = self._clock.elapsed() - started
                 if not is_uncertain and waited > _RETRY_FOR:
                     return _NOT_DONE
+                if self._mirror.failing_for() > _LOST:
+                    return _UNKNOWN
                 await self._clock.sleep(_RETRY)
         # A write cut off in the middle may take effect.
         return _UNKNOWN if is_uncertain or is_attempted else _NOT_DONE
--- a/coltsfoottray/jobs/mirror.py
+++ b/coltsfoottray/jobs/mirror.py
@@ -54,7 +54,7 @@
         self._version = 0
         self.loaded = trio.Event()
         self.fresh: timedelta | None = None
-        self._is_failing = False
+        self._failing_since: timedelta | None = None
 
     def version_of(self, key: str) -> int:
         """Return a row's version as last seen, 0 if there is none."""
@@ -66,6 +66,12 @@
             return timedelta(days=1)
         return self._clock.elapsed() - self.fresh
 
+    def failing_for(self) -> timedelta:
+        """Return for how long the table has not answered, 0 while it does."""
+        if self._failing_since is None:
+            return timedelta(0)
+        return self._clock.elapsed() - self._failing_since
+
     def age_s(self) -> float:
         """Return `age` in seconds, for logs."""
         return round(self.age().total_seconds(), 3)
@@ -129,11 +135,11 @@
 
     def _note_success(self, asked: timedelta) -> None:
         self.fresh = asked
-        if self._is_failing:
-            self._is_failing = False
+        if self._failing_since is not None:
+            self._failing_since = None
             log_event("table:regained", group=self._group, version=self._version)
 
     def _note_failure(self, error: TableUnavailable) -> None:
-        if not self._is_failing:
-            self._is_failing = True
+        if self._failing_since is None:
+            self._failing_since = self._clock.elapsed()
             log_event("table:lost", group=self._group, reason=str(error))
--- a/tests/jobs/callers.feature
+++ b/tests/jobs/callers.feature
@@ -25,6 +25,14 @@
     Then the job "a" is "failed" within 10 s
     And the task of "a" was started 2 times
 
+  Scenario: A job is handed in with little time left
+    # A caller's last attempt has 150 ms left. That is enough to store the job; it was
+    # answered as an internal error, and the caller did not learn what became of it.
+    Given two entries and 2 workers for jobs
+    And 1 s pass
+    Then the job "a" handed in at entry-1 with 150 ms left is answered 200
+    And the job "a" is "completed" within 5 s
+
   Scenario: A queue is dropped from the config
     # From then on there is no such queue, at any entry.
     Given two entries and 1 workers for jobs
--- a/tests/scheduler/store.feature
+++ b/tests/scheduler/store.feature
@@ -42,6 +42,28 @@
     And the state of the job "a" at entry-2 is "410"
     And 0 tasks were started, each once
 
+  Scenario: A job is handed in while the store has been down for a while
+    # The entry knows, so its caller is told when to come back without being held: an
+    # attempt to write would only use up the time that the caller has.
+    Given two entries and 2 workers for jobs
+    And 1 s pass
+    And the store is down
+    And 2 s pass
+    Then the job "a" of 1 steps with 1 tasks of 1 s is refused at entry-1
+    And the refusal took less than 50 ms
+
+  Scenario: A job whose acceptance is open is handed in again
+    # The first attempt's answer was lost, then the store went down. The row stands, so
+    # the second attempt must not be told that the job will never run.
+    Given two entries and 2 workers for jobs
+    And 1 s pass
+    And the answers to the next 1 writes of the store are lost
+    And the store goes down in 100 ms
+    Then the job "a" of 1 steps with 1 tasks of 1 s is answered 504 at entry-1
+    And the job "a" of 1 steps with 1 tasks of 1 s is answered 504 at entry-1
+    And 5 s pass with the store up again
+    And the state of the job "a" at entry-2 is "completed"
+
   Scenario: The answer to an acceptance is lost
     # The row may stand, so the job is not refused: the entry asks again and finds
     # it. The caller's repeat at the other entry is the same job.
--- a/tests/support/job_world.py
+++ b/tests/support/job_world.py
@@ -44,13 +44,19 @@
         return str(msgspec.json.decode(answer.body)["state"])
 
     def call(
-        self, method: str, entry: str, name: str, body: object = None
+        self,
+        method: str,
+        entry: str,
+        name: str,
+        body: object = None,
+        *,
+        deadline_ms: int = 3000,
     ) -> HttpResponse:
         """Send a caller's request."""
         request = HttpRequest(
             method=method,
             target=f"{PREFIX}{name}",
-            header_by_name={"host": HOST, "deadline-ms": "3000"},
+            header_by_name={"host": HOST, "deadline-ms": str(deadline_ms)},
             body=b"" if body is None else msgspec.json.encode(body),
         )
 
