--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,4 @@
 	$(BIN)/python -m benchmarks.propagation
 	$(BIN)/python -m benchmarks.policies
 	$(BIN)/python -m benchmarks.outage
+	$(BIN)/python -m benchmarks.pressures
