A state machine for jobs, with two planted faults that its oracle sees

Change: properties/jobs plays crashes, pauses, cuts, silent workers, late and unanswered orders, a store that is down, late, loses answers and forgets. Its oracle: nothing runs twice or after its end, no worker is overcommitted, accepted jobs end, refused ones never start.

--- a/properties/planted.py
+++ b/properties/planted.py
@@ -4,15 +4,20 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from datetime import timedelta
 from typing import Any
 from unittest import mock
 
 from msgspec.structs import replace
 
 from coltsfoottray.claims import Claim, Claims, Taking, TakingOutcome
+from coltsfoottray.jobs.intake import Intake, JobAnswer, Verdict
+from coltsfoottray.jobs.model import JobId
 from coltsfoottray.leases import LeaseObserver
 from coltsfoottray.lists import Edit, ListEditor, apply_change
 from coltsfoottray.lists.editor import read_head
+from coltsfoottray.scheduler.fleet import Worker
+from coltsfoottray.scheduler.grants import Grants
 from coltsfoottray.tasks import StoredTask, TaskStore
 from coltsfoottray.types import ListVersion, TaskState
 from coltsfoottray.upstream import ExecutionLedger
@@ -25,6 +30,8 @@
     "lapse_without_waiting",
     "ledger_without_bounds",
     "moves_without_attempts",
+    "refusals_without_proof",
+    "runs_given_up_early",
 ]
 
 
@@ -115,3 +122,32 @@
 
     with mock.patch.object(ListEditor, "commit", commit):
         yield
+
+
+@contextmanager
+def runs_given_up_early() -> Iterator[None]:
+    """Let the scheduler give a silent worker's runs up before its lease has ended."""
+    grant = Grants.grant
+
+    def grant_and_forget(self: Grants, worker: Worker, confirmed: timedelta) -> int:
+        granted = grant(self, worker, confirmed)
+        worker.lease_end = self._clock.elapsed() + timedelta(seconds=1.5)
+        return granted
+
+    with mock.patch.object(Grants, "grant", grant_and_forget):
+        yield
+
+
+@contextmanager
+def refusals_without_proof() -> Iterator[None]:
+    """Let entries refuse a job whose row may stand, as one that will never run."""
+    mind = Intake._mind_earlier
+
+    def refuse(self: Intake, job_id: JobId, answer: JobAnswer) -> JobAnswer:
+        minded = mind(self, job_id, answer)
+        if minded.verdict is Verdict.UNKNOWN:
+            return JobAnswer(verdict=Verdict.NOT_DONE, come_back=timedelta(seconds=1))
+        return minded
+
+    with mock.patch.object(Intake, "_mind_earlier", refuse):
+        yield
--- /dev/null
+++ b/tests/scheduler/fuzz.feature
@@ -0,0 +1,15 @@
+Feature: Jobs under every fault at once
+
+  Scenario: No order of faults loses, doubles or overcommits
+    # Entries and attendants die, freeze and come back, links are cut, workers crash,
+    # fall silent and carry orders out late, the store is down, late or loses answers.
+    # The oracle knows what runs where, what has ended, and what callers were told.
+    Then the machine "jobs" finds nothing in 25 runs of 20 steps
+
+  Scenario: The oracle sees a run that is given up too early
+    # Planted: a worker that is silent is given up while its lease still runs.
+    Then with the planted fault "runs given up early" the machine "jobs" fails
+
+  Scenario: The oracle sees a refusal that is not true
+    # Planted: a job whose acceptance is open is refused as one that will never run.
+    Then with the planted fault "refusals without proof" the machine "jobs" fails
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -6,11 +6,12 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from properties import batch_tasks, keyed_requests, list_edits, planted
+from properties import batch_tasks, jobs, keyed_requests, list_edits, planted
 
 MACHINE_BY_NAME = {
     "keyed requests": keyed_requests.KeyedRequests,
     "batch tasks": batch_tasks.BatchTasks,
+    "jobs": jobs.Jobs,
     "list edits": list_edits.ListEdits,
 }
 PLANTED_BY_NAME = {
@@ -19,6 +20,8 @@
     "edits without versions": planted.edits_without_versions,
     "ledger without bounds": planted.ledger_without_bounds,
     "moves without attempts": planted.moves_without_attempts,
+    "refusals without proof": planted.refusals_without_proof,
+    "runs given up early": planted.runs_given_up_early,
 }
 
 
