--- a/coltsfoottray/agent/learning.py
+++ b/coltsfoottray/agent/learning.py
@@ -17,8 +17,7 @@
 
 from coltsfoottray.agent.margins import MarginFilter
 from coltsfoottray.agent.pressure import (
-    UNKNOWN_PRESSURE,
-    UNKNOWN_SPREAD,
+    UNKNOWN,
     Estimate,
     ImagePair,
     Pressure,
@@ -122,8 +121,6 @@
         By how much its margin differed lately from what its job leads to expect.
     """
 
-    job: str
-    image: str
     looks: int = 0
     seen: timedelta = timedelta(0)
     latency_ms: float = 0.0
@@ -148,7 +145,8 @@
         """Take in what others have learned."""
         self._shared_by_pair = {
             each.pair: Estimate(
-                each.value, max(each.weight**-0.5, _LEAST_SHARED_SPREAD)
+                value=each.value,
+                spread=max(each.weight**-0.5, _LEAST_SHARED_SPREAD),
             )
             for each in pressures
             if each.weight > 0
@@ -176,7 +174,8 @@
         known = self._filter_by_image.get(service)
         state = _FILLER + filler
         if known is not None and state in known.mean:
-            return Estimate(known.mean[state], math.sqrt(known.variance(state)))
+            spread = math.sqrt(known.variance(state))
+            return Estimate(value=known.mean[state], spread=spread)
         return self._first(ImagePair(filler=filler, service=service))
 
     def undisturbed(self, observation: Observation) -> float:
@@ -256,9 +255,7 @@
         observation: Observation,
         now: timedelta,
     ) -> None:
-        own = self._service_by_run.setdefault(
-            observation.service, _Service(job=observation.job, image=observation.image)
-        )
+        own = self._service_by_run.setdefault(observation.service, _Service())
         own.looks += 1
         margin, noise = _recover(observation, own, now)
         own.seen, own.latency_ms = now, observation.latency_ms
@@ -307,8 +304,7 @@
 
     def _first(self, pair: ImagePair) -> Estimate:
         """Return with what a pair begins here."""
-        unknown = Estimate(UNKNOWN_PRESSURE, UNKNOWN_SPREAD)
-        return self._shared_by_pair.get(pair, unknown)
+        return self._shared_by_pair.get(pair, UNKNOWN)
 
 
 def _recover(
--- a/coltsfoottray/agent/pressure.py
+++ b/coltsfoottray/agent/pressure.py
@@ -19,8 +19,7 @@
 __all__ = [
     "LIGHT_PRESSURE",
     "SERVICE_USE",
-    "UNKNOWN_PRESSURE",
-    "UNKNOWN_SPREAD",
+    "UNKNOWN",
     "Estimate",
     "ImagePair",
     "Pressure",
@@ -32,10 +31,6 @@
 # 0.42 of that, and half as much again at its peaks.
 SERVICE_USE = 0.5
 
-# Taken for a pair not seen yet: one pair in six is heavy.
-UNKNOWN_PRESSURE = 2.5
-UNKNOWN_SPREAD = 5.0
-
 # A pair that presses less is light: slowing such fillers would gain services little.
 LIGHT_PRESSURE = 4.0
 
@@ -65,7 +60,7 @@
     weight: float
 
 
-class ServiceMargin(msgspec.Struct, frozen=True, array_like=True):
+class ServiceMargin(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """The margin that services of an image would have on a worker without fillers.
 
     Parameters
@@ -80,7 +75,7 @@
     usual: float
 
 
-class Estimate(msgspec.Struct, frozen=True):
+class Estimate(msgspec.Struct, frozen=True, kw_only=True):
     """A pressure and its standard deviation."""
 
     value: float
@@ -91,7 +86,8 @@
         return max(self.value + spreads * self.spread, 0.0)
 
 
-_UNKNOWN = Estimate(UNKNOWN_PRESSURE, UNKNOWN_SPREAD)
+UNKNOWN = Estimate(value=2.5, spread=5.0)
+"""Taken for a pair not seen yet: one pair in six is heavy."""
 
 
 class PressureTable:
@@ -129,7 +125,8 @@
                 weight_by_pair[each.pair] += each.weight
         self._estimate_by_pair = {
             pair: Estimate(
-                total_by_pair[pair] / weight, max(1 / math.sqrt(weight), _MIN_SPREAD)
+                value=total_by_pair[pair] / weight,
+                spread=max(1 / math.sqrt(weight), _MIN_SPREAD),
             )
             for pair, weight in weight_by_pair.items()
             if weight > 0
@@ -138,7 +135,7 @@
     def get(self, filler: str, service: str) -> Estimate:
         """Return what is known of a pair, a guess where it was never seen."""
         pair = ImagePair(filler=filler, service=service)
-        return self._estimate_by_pair.get(pair, _UNKNOWN)
+        return self._estimate_by_pair.get(pair, UNKNOWN)
 
     def all(self) -> list[Pressure]:
         """Return every known pair."""
