--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import math
 from datetime import timedelta
 
 import msgspec
 import trio
 
+from coltsfoottray.agent.lease import WorkerLease
 from coltsfoottray.agent.runs import Runs
 from coltsfoottray.agent.speeds import SpeedControl
 from coltsfoottray.agent.stalls import StallWatch
@@ -15,7 +15,6 @@
     Heartbeat,
     Refusal,
     StartRefused,
-    WorkerClock,
     WorkerLink,
     WorkerReplaced,
 )
@@ -41,14 +40,6 @@
 _LOOK_WAIT = timedelta(milliseconds=500)
 _RETRY = timedelta(milliseconds=100)
 
-# How far ahead the worker's lease reaches: an attendant that is killed has this
-# long to return (3.5 s for a VM without power, and its start), and a worker that
-# falls silent is given up after it.
-_WORKER_HORIZON = timedelta(seconds=6)
-
-# A worker's clock may be 2% slow: of a lease it is told a little less.
-_CLOCK_MARGIN = 0.975
-
 # A start that the worker would get with less lease than this is held back.
 _MIN_LEASE = timedelta(milliseconds=300)
 _MAX_LATE = 5
@@ -97,10 +88,7 @@
         # be over, by that word and its silence or by another life's answer.
         self._left: timedelta | None = None
         self._is_over = False
-        self._reading: WorkerClock | None = None
-        # Until when the worker may run, and until when it has been told it may.
-        self._lease_end = timedelta(0)
-        self._told_end = timedelta(0)
+        self._lease = WorkerLease()
         self._speeds = SpeedControl(link=link, clock=clock)
         self._paced = timedelta(0)
         self._stalls = StallWatch()
@@ -158,8 +146,7 @@
         self._beat = beat
         self._runs = Runs()
         self._acknowledged = 0
-        self._reading = None
-        self._told_end = timedelta(0)
+        self._lease.begin_life()
         self._speeds.begin_life()
         self._is_reachable = True
         self._left = None
@@ -174,7 +161,7 @@
                 fence=self._session,
                 lease_end_ms=self._lease_ms(asked),
                 acknowledged=self._acknowledged,
-                wait=_LOOK_WAIT if self._reading is not None else timedelta(0),
+                wait=_LOOK_WAIT if self._lease.is_clock_known else timedelta(0),
             )
         except (CommunicationError, WorkerReplaced) as error:
             if self._is_reachable:
@@ -191,9 +178,9 @@
         self._is_reachable = True
         if self._left is not None and asked - self._left > _LEAVE_TIME:
             self._left = None
-        self._reading = look.clock
+        self._lease.take_reading(look.clock)
         self._metrics.time("look", self._clock.elapsed() - asked)
-        left = max(self._lease_end - self._clock.elapsed(), timedelta(0))
+        left = self._lease.left(self._clock.elapsed())
         self._metrics.gauge("lease_left_seconds", left.total_seconds())
         self._metrics.gauge("runs_there", len(look.running))
         if self._runs.take(look, asked=asked):
@@ -209,16 +196,9 @@
     def _lease_ms(self, now: timedelta) -> int:
         """Return the end of the lease on the worker's clock, 0 for no change.
 
-        The reading was made before it arrived here, so that the clock is at least
-        as far by then; less the margin, the lease ends in time on a slow clock.
         Of a worker that does not answer the lease has to run out.
         """
-        end = min(self._lease_end, now + _WORKER_HORIZON)
-        if self._reading is None or not self._is_reachable or end <= now:
-            return 0
-        ahead = (end - self._reading.received) * _CLOCK_MARGIN
-        self._told_end = max(self._told_end, end)
-        return self._reading.reading_ms + math.floor(ahead.total_seconds() * 1000)
+        return self._lease.tell(now) if self._is_reachable else 0
 
     def _notice_lapse(self) -> None:
         """Give up the runs of a worker that is silent past its lease.
@@ -226,13 +206,13 @@
         Without this the tasks of a worker that has vanished would wait for the
         scheduler to miss this attendant too, which goes on reporting.
         """
-        if self._beat is None or self._is_reachable or not self._told_end:
+        if self._beat is None or self._is_reachable or not self._lease.is_told:
             return
-        if self._clock.elapsed() <= self._told_end and not self._is_over:
+        if not self._lease.has_lapsed(self._clock.elapsed()) and not self._is_over:
             return
         log_event("worker:lease-lapsed", life=self._beat.life, is_over=self._is_over)
         self._lapsed_life = self._beat.life
-        self._told_end = timedelta(0)
+        self._lease.end()
         self._session = 0
         self._runs = Runs()
         self._tell()
@@ -303,8 +283,7 @@
             log_event("scheduler:outdated", epoch=reply.epoch, known=self._epoch)
             return False
         self._epoch = reply.epoch
-        lease_end = sent + timedelta(milliseconds=reply.lease_ms)
-        self._lease_end = max(self._lease_end, lease_end)
+        self._lease.grant(sent + timedelta(milliseconds=reply.lease_ms))
         self._speeds.share(reply.pressures)
         if report.lapsed_life == self._lapsed_life:
             self._lapsed_life = ""
@@ -355,7 +334,7 @@
                 return
             now = self._clock.elapsed()
             lease_end_ms = self._lease_ms(now)
-            if not lease_end_ms or self._lease_end - now < _MIN_LEASE:
+            if not lease_end_ms or self._lease.left(now) < _MIN_LEASE:
                 await self._clock.sleep(_RETRY)
                 continue
             try:
--- /dev/null
+++ b/coltsfoottray/agent/lease.py
@@ -0,0 +1,77 @@
+"""What is left of a worker's lease, by the grants and by the worker's clock."""
+
+from __future__ import annotations
+
+import math
+from datetime import timedelta
+
+from coltsfoottray.agent.worker import WorkerClock
+
+__all__ = ["WorkerLease"]
+
+# How far ahead the worker's lease reaches: an attendant that is killed has this
+# long to return (3.5 s for a VM without power, and its start), and a worker that
+# falls silent is given up after it.
+_WORKER_HORIZON = timedelta(seconds=6)
+
+# A worker's clock may be 2% slow: of a lease it is told a little less.
+_CLOCK_MARGIN = 0.975
+
+_NOTHING = timedelta(0)
+
+
+class WorkerLease:
+    """Until when the worker may run, and until when it has been told it may."""
+
+    def __init__(self) -> None:
+        self._granted = _NOTHING
+        self._told = _NOTHING
+        self._reading: WorkerClock | None = None
+
+    def begin_life(self) -> None:
+        """Forget what another life was told, and its clock."""
+        self._reading = None
+        self._told = _NOTHING
+
+    def take_reading(self, reading: WorkerClock) -> None:
+        """Take in a reading of the worker's clock."""
+        self._reading = reading
+
+    def grant(self, end: timedelta) -> None:
+        """Take in a grant of the scheduler; a shorter one changes nothing."""
+        self._granted = max(self._granted, end)
+
+    def left(self, now: timedelta) -> timedelta:
+        """Return how much of the grant is left."""
+        return max(self._granted - now, _NOTHING)
+
+    @property
+    def is_clock_known(self) -> bool:
+        """Whether the worker can be told an end on its own clock."""
+        return self._reading is not None
+
+    @property
+    def is_told(self) -> bool:
+        """Whether the worker has been told that it may run."""
+        return bool(self._told)
+
+    def has_lapsed(self, now: timedelta) -> bool:
+        """Whether all that the worker was told is over."""
+        return now > self._told
+
+    def end(self) -> None:
+        """Note that nothing runs there any more."""
+        self._told = _NOTHING
+
+    def tell(self, now: timedelta) -> int:
+        """Return the end to tell the worker, on its clock; 0 for none.
+
+        The reading was made before it arrived here, so that the clock is at least
+        as far by then; less the margin, the lease ends in time on a slow clock.
+        """
+        end = min(self._granted, now + _WORKER_HORIZON)
+        if self._reading is None or end <= now:
+            return 0
+        ahead = (end - self._reading.received) * _CLOCK_MARGIN
+        self._told = max(self._told, end)
+        return self._reading.reading_ms + math.floor(ahead.total_seconds() * 1000)
