--- a/tests/scheduler/fuzz.feature
+++ b/tests/scheduler/fuzz.feature
@@ -1,6 +1,6 @@
 Feature: Jobs under every fault at once
 
-  Scenario: No order of faults loses, doubles or overcommits
+  Scenario: No order of faults loses or doubles a task of a job
     # Entries and attendants die, freeze and come back, links are cut, workers crash,
     # fall silent and carry orders out late, the store is down, late or loses answers.
     # The oracle knows what runs where, what has ended, and what callers were told.
