Places of fillers are foreseen once; what was learned is looked at every 4 s

Figures: on 20,000 random workers the new outlook equals the four old functions; 53 scenarios of tests/agent, tests/jobs and tests/scheduler (without the state machine) pass.

--- a/coltsfoottray/agent/learning.py
+++ b/coltsfoottray/agent/learning.py
@@ -282,8 +282,8 @@
         factors: dict[str, float] = {}
         for filler, share in self._smooth_by_image.items():
             state = _FILLER + filler
-            pair = ImagePair(filler=filler, service=observation.image)
             if state not in known.mean:
+                pair = ImagePair(filler=filler, service=observation.image)
                 first = self._first(pair)
                 self._first_weight_by_pair[pair] = first.spread**-2
                 known.add(state, first.value, first.spread)
--- a/coltsfoottray/scheduler/fit.py
+++ b/coltsfoottray/scheduler/fit.py
@@ -23,13 +23,7 @@
 from coltsfoottray.jobs.model import StepSpec
 from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
 from coltsfoottray.scheduler.live import LiveStep
-from coltsfoottray.scheduler.strain import (
-    is_safe,
-    speed_alone,
-    speed_among,
-    speed_beside,
-    speed_of,
-)
+from coltsfoottray.scheduler.strain import Outlook, foresee, speed_among
 from coltsfoottray.types import Resources
 
 __all__ = ["Patience", "choose_gang", "choose_worker", "find_faster", "list_candidates"]
@@ -111,15 +105,12 @@
         and _keeps_apart(worker, step, extra=0)
     ]
     if step.spec.is_filler:
-        least = _LEAST_SPEEDS_BY_PATIENCE[patience]
-        # A worker that fails all it starts is empty, and so the fastest place.
         fit = [
             worker
             for worker in fit
+            # A worker that fails all it starts is empty, and so the fastest place.
             if (patience is Patience.NONE or worker.id not in avoid)
-            and speed_alone(worker, step.spec) >= least.alone
-            and speed_beside(worker, step.spec, pressures) >= least.beside
-            and (patience is Patience.NONE or is_safe(worker, step.spec, pressures))
+            and _is_good(foresee(worker, step.spec, pressures), patience)
         ]
     return min(
         fit,
@@ -128,6 +119,16 @@
     )
 
 
+def _is_good(outlook: Outlook, patience: Patience) -> bool:
+    """Whether a place is as good as a filler can wait for."""
+    least = _LEAST_SPEEDS_BY_PATIENCE[patience]
+    return (
+        outlook.alone >= least.alone
+        and outlook.beside >= least.beside
+        and (patience is Patience.NONE or outlook.is_safe)
+    )
+
+
 def choose_gang(
     step: LiveStep,
     fleet: Fleet,
@@ -230,9 +231,9 @@
             left = worker.room.processors / max(worker.capacity.processors, 1e-9)
             return is_far, float(len(others)), left
         if spec.is_filler:
-            speed = round(speed_of(worker, spec, pressures), 1)
-            risk = float(not is_safe(worker, spec, pressures))
-            return is_far, risk, -speed, -worker.processors_left
+            outlook = foresee(worker, spec, pressures)
+            risk = float(not outlook.is_safe)
+            return is_far, risk, -round(outlook.speed, 1), -worker.processors_left
         return is_far, worker.busy / max(worker.capacity.processors, 1e-9)
 
     return cost
@@ -254,6 +255,6 @@
     place = choose_worker(
         placed.step, fleet, pressures, service=service, now=now, avoid=[worker.id]
     )
-    if place is None or place is worker or speed_of(place, spec, pressures) < _FAST:
+    if place is None or place is worker:
         return None
-    return place
+    return place if foresee(place, spec, pressures).speed >= _FAST else None
--- a/coltsfoottray/scheduler/ledger.py
+++ b/coltsfoottray/scheduler/ledger.py
@@ -84,7 +84,7 @@
         # Rows to be deleted with a next commit, by their versions.
         self._garbage: dict[str, int] = {}
         self._checkpoints_stored = won
-        self._pressures_stored = won
+        self._pressures_looked_at = won
         self._pressures_version = 0
         self._pressures: list[Pressure] = []
 
@@ -145,12 +145,12 @@
         been tried anew.
         """
         now = self._clock.elapsed()
-        if now - self._pressures_stored < _PRESSURES_PERIOD:
+        if now - self._pressures_looked_at < _PRESSURES_PERIOD:
             return []
+        self._pressures_looked_at = now
         pressures = sorted(table.all(), key=lambda each: -each.weight)[:_MAX_PRESSURES]
         if not pressures or pressures == self._pressures:
             return []
-        self._pressures_stored = now
         self._pressures = pressures
         return [Put.of(PRESSURES_KEY, self._pressures_version, pressures)]
 
--- a/coltsfoottray/scheduler/strain.py
+++ b/coltsfoottray/scheduler/strain.py
@@ -17,7 +17,7 @@
 from coltsfoottray.jobs.model import StepSpec
 from coltsfoottray.scheduler.fleet import Worker
 
-__all__ = ["is_safe", "speed_alone", "speed_among", "speed_beside", "speed_of"]
+__all__ = ["Outlook", "foresee", "speed_among"]
 
 # Taken for the margin of a service until its attendant has told it: a target of 4.5
 # times the unloaded latency leaves 2.6 at a load of 0.42, and 1.7 at its peaks.
@@ -43,30 +43,40 @@
     )
 
 
-def speed_of(worker: Worker, spec: StepSpec, pressures: PressureTable) -> float:
-    """Return how fast a filler could work on `worker`, 1 for full speed."""
-    return min(speed_alone(worker, spec), speed_beside(worker, spec, pressures))
+@dataclass(frozen=True, kw_only=True)
+class Outlook:
+    """What is foreseen of one more filler on a worker.
 
+    Parameters
+    ----------
+    alone : float
+        How fast it could work by the processors that are left, 1 for full speed.
+    beside : float
+        How fast it could work for the sake of the services there.
+    is_safe : bool
+        Whether the services can bear its start, whatever it may turn out to be.
+    """
 
-def speed_alone(worker: Worker, spec: StepSpec) -> float:
-    """Return how fast a filler could work by the processors that are left."""
-    wanted = max(spec.demand.processors, 1e-9)
-    return min(1.0, max(worker.processors_left, 0.0) / wanted)
+    alone: float
+    beside: float
+    is_safe: bool
 
-
-def speed_beside(worker: Worker, spec: StepSpec, pressures: PressureTable) -> float:
-    """Return how fast one more filler could work for the sake of the services there."""
-    return min(
-        (strain.speed(strain.own) for strain in _strains(worker, spec, pressures)),
-        default=1.0,
-    )
+    @property
+    def speed(self) -> float:
+        """How fast it could work."""
+        return min(self.alone, self.beside)
 
 
-def is_safe(worker: Worker, spec: StepSpec, pressures: PressureTable) -> bool:
-    """Whether services can bear a filler's start, whatever it may turn out to be."""
-    return all(
-        strain.margin.now - strain.worst >= _START_MARGIN
-        for strain in _strains(worker, spec, pressures)
+def foresee(worker: Worker, spec: StepSpec, pressures: PressureTable) -> Outlook:
+    """Return what a filler would meet on `worker`."""
+    wanted = max(spec.demand.processors, 1e-9)
+    strains = _strains(worker, spec, pressures)
+    return Outlook(
+        alone=min(1.0, max(worker.processors_left, 0.0) / wanted),
+        beside=min((strain.speed(strain.own) for strain in strains), default=1.0),
+        is_safe=all(
+            strain.margin.now - strain.worst >= _START_MARGIN for strain in strains
+        ),
     )
 
 
--- a/properties/jobs.py
+++ b/properties/jobs.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from tests.support.job_world import JobWorld, job_id
+from tests.support.job_world import JobWorld, job_id, make_steps
 
 __all__ = ["Jobs"]
 
@@ -59,17 +59,7 @@
         if not self._is_answering(entry):
             return
         label = f"j{next(self._numbers)}"
-        shape = [
-            {
-                "count": tasks,
-                "cpu": 1000,
-                "memoryLimitMb": 100,
-                "estimateMs": int(work_s * _MILLI),
-                "after": [number - 1] if number else [],
-                "checkpointing": saves,
-            }
-            for number in range(steps)
-        ]
+        shape = make_steps(steps, tasks, work_s, checkpointing=saves)
         status = self.world.submit_job(entry, label, shape, work_s=work_s, saves=saves)
         if status == 200:
             self._accepted.add(label)
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -10,9 +10,7 @@
 
 from coltsfoottray.clock import Clock, as_milliseconds
 from coltsfoottray.daemons.common import CLOCK
-from tests.support.job_world import JobWorld, job_id
-
-_DEMAND = {"cpu": 1000, "memoryLimitMb": 100}
+from tests.support.job_world import JobWorld, job_id, make_steps
 
 
 @given("two entries and {count:d} workers for jobs")
@@ -23,19 +21,6 @@
     context.world.advance(3)
 
 
-def _steps(steps, tasks, seconds, **extra):
-    return [
-        {
-            "count": tasks,
-            "estimateMs": seconds * 1000,
-            "after": [number - 1] if number else [],
-            **_DEMAND,
-            **extra,
-        }
-        for number in range(steps)
-    ]
-
-
 @step(
     'the job "{label}" of {steps:d} steps with {tasks:d} tasks of {seconds:d} s '
     "is handed in at {entry}"
@@ -45,7 +30,7 @@
         entry = _other_entry(context)
     if entry == "that entry":
         entry = context.scheduler
-    shape = _steps(steps, tasks, seconds)
+    shape = make_steps(steps, tasks, seconds)
     status = context.world.submit_job(entry, label, shape, work_s=seconds)
     assert status == 200, status
 
@@ -55,7 +40,7 @@
     "{seconds:d} s is handed in at {entry}"
 )
 def submit_failing(context, label, steps, tasks, seconds, entry):
-    shape = _steps(steps, tasks, seconds)
+    shape = make_steps(steps, tasks, seconds)
     status = context.world.submit_job(entry, label, shape, work_s=seconds, fails=True)
     assert status == 200, status
 
@@ -65,7 +50,7 @@
     "{seconds:d} s is handed in at {entry}"
 )
 def submit_saving(context, label, steps, tasks, seconds, entry):
-    shape = _steps(steps, tasks, seconds, checkpointing=True)
+    shape = make_steps(steps, tasks, seconds, checkpointing=True)
     status = context.world.submit_job(entry, label, shape, work_s=seconds, saves=True)
     assert status == 200, status
 
@@ -83,14 +68,14 @@
     "{seconds:d} s is handed in at {entry}"
 )
 def submit_lasting(context, label, steps, tasks, seconds, entry):
-    shape = _steps(steps, tasks, seconds, longRunning=True)
+    shape = make_steps(steps, tasks, seconds, longRunning=True)
     status = context.world.submit_job(entry, label, shape, lasts=True)
     assert status == 200, status
 
 
 @when('the gang "{label}" of {tasks:d} tasks of {seconds:d} s is handed in at {entry}')
 def submit_gang(context, label, tasks, seconds, entry):
-    shape = _steps(1, tasks, seconds, gang=True)
+    shape = make_steps(1, tasks, seconds, gang=True)
     status = context.world.submit_job(entry, label, shape, work_s=seconds)
     assert status == 200, status
 
@@ -112,7 +97,7 @@
     "is handed in at {entry}"
 )
 def submit_with_tickets(context, label, tasks, seconds, entry):
-    shape = _steps(1, tasks, seconds)
+    shape = make_steps(1, tasks, seconds)
     status = context.world.submit_job(
         entry, label, shape, work_s=seconds, needs_ticket=True
     )
@@ -131,7 +116,7 @@
 
 @when("a service of {tasks:d} tasks {state} its latency target is handed in at {entry}")
 def submit_service(context, tasks, state, entry):
-    shape = _steps(
+    shape = make_steps(
         1, tasks, 1, longRunning=True, image="svc", targetMs=_TARGET_MS, antiAffinity=1
     )
     latency = _LATENCY_MS_BY_STATE[state]
@@ -146,7 +131,7 @@
     "is handed in at {entry}"
 )
 def submit_filler(context, label, tasks, seconds, entry):
-    shape = _steps(1, tasks, seconds, fills=True, image="fill")
+    shape = make_steps(1, tasks, seconds, fills=True, image="fill")
     status = context.world.submit_job(entry, label, shape, work_s=seconds)
     assert status == 200, status
 
@@ -185,7 +170,7 @@
     context.interval_s = seconds
     body = {
         "spec": json.dumps({"work_s": 0.5}),
-        "steps": _steps(1, 1, 1),
+        "steps": make_steps(1, 1, 1),
         "repetitions": times,
         "firstRunMs": context.first_ms,
         "intervalMs": seconds * 1000,
@@ -451,7 +436,7 @@
         "POST",
         entry,
         job_id(label),
-        {"spec": "{}", "steps": _steps(steps, tasks, seconds)},
+        {"spec": "{}", "steps": make_steps(steps, tasks, seconds)},
     )
     assert answer.status == 503, answer.status
     assert int(answer.header_by_name["retry-after"]) >= 1
@@ -469,7 +454,7 @@
     "is answered {status:d} at {entry}"
 )
 def check_answer(context, label, steps, tasks, seconds, status, entry):
-    shape = _steps(steps, tasks, seconds)
+    shape = make_steps(steps, tasks, seconds)
     answered = context.world.submit_job(entry, label, shape, work_s=seconds)
     assert answered == status, answered
 
@@ -479,7 +464,7 @@
     "is answered {status:d}"
 )
 def check_late_answer(context, label, entry, milliseconds, status):
-    body = {"spec": json.dumps({"work_s": 1}), "steps": _steps(1, 1, 1)}
+    body = {"spec": json.dumps({"work_s": 1}), "steps": make_steps(1, 1, 1)}
     answer = context.world.call(
         "POST", entry, job_id(label), body, deadline_ms=milliseconds
     )
@@ -500,7 +485,7 @@
     "is not found at {entry}"
 )
 def check_not_found(context, label, steps, tasks, seconds, entry):
-    shape = _steps(steps, tasks, seconds)
+    shape = make_steps(steps, tasks, seconds)
     status = context.world.submit_job(entry, label, shape, work_s=seconds)
     assert status == 404, status
 
--- a/tests/support/job_world.py
+++ b/tests/support/job_world.py
@@ -12,9 +12,10 @@
 from standins.job_cell import HOST, PREFIX, JobCell
 from tests.support.world import World
 
-__all__ = ["JobWorld", "job_id"]
+__all__ = ["JobWorld", "job_id", "make_steps"]
 
 _CALL_TIMEOUT = timedelta(seconds=5)
+_DEMAND = {"cpu": 1000, "memoryLimitMb": 100}
 
 
 def job_id(label: str) -> str:
@@ -22,6 +23,22 @@
     return label.encode().hex().ljust(16, "0")[:16]
 
 
+def make_steps(
+    steps: int, tasks: int, seconds: float, **extra: Any
+) -> list[dict[str, Any]]:
+    """Return steps as a caller describes them, each after the one before."""
+    return [
+        {
+            "count": tasks,
+            "estimateMs": int(seconds * 1000),
+            "after": [number - 1] if number else [],
+            **_DEMAND,
+            **extra,
+        }
+        for number in range(steps)
+    ]
+
+
 class JobWorld(World):
     """A world whose cell takes jobs."""
 
