A worker's new life shows what it runs before earlier runs are given up

Cause: a worker that crashes and is back at once under its id takes starts that were meant for its earlier life until its attendant hears of the new one. The scheduler gave all runs of the old life up at once and began them elsewhere, beside those the new life had taken. The same hole stood in a second place: a start that was refused after an attempt without an answer was reported as one that can never happen, while the first attempt may be carried out seconds later.

Its trace: the store is down, tasks end, nobody can note the ends, the worker loses power with all daemons. An end that nobody has noted does not count, so the tasks have to run again; the stand-in held them against it after a crash, though not after a lapse. It now forgets such ends in both cases; the new scenario fails with the old count.

Change: a session belongs to one life of the worker; runs of another life are settled when a look in the new session has shown what is there: what runs is taken over, the rest is given up, and the session shuts out what is still under way. A life that never answers is waited for 12 s at the most. A refused start with an open attempt is stopped first.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -81,6 +81,7 @@
         self._runs = Runs()
         self._epoch = 0
         self._session = 0
+        self._looked = 0
         self._acknowledged = 0
         self._lapsed_life = ""
         self._is_reachable = False
@@ -145,6 +146,7 @@
     def _begin_life(self, beat: Heartbeat) -> None:
         self._beat = beat
         self._runs = Runs()
+        self._looked = 0
         self._acknowledged = 0
         self._lease.begin_life()
         self._speeds.begin_life()
@@ -155,10 +157,11 @@
 
     async def _look(self, beat: Heartbeat) -> None:
         asked = self._clock.elapsed()
+        session = self._session
         try:
             look = await self._link.look(
                 beat=beat,
-                fence=self._session,
+                fence=session,
                 lease_end_ms=self._lease_ms(asked),
                 acknowledged=self._acknowledged,
                 wait=_LOOK_WAIT if self._lease.is_clock_known else timedelta(0),
@@ -168,7 +171,10 @@
                 log_event("worker:lost", life=beat.life, reason=str(error))
             self._is_reachable = False
             has_left = self._left is not None and asked >= self._left
-            self._is_over = has_left or isinstance(error, WorkerReplaced)
+            # A new life under the same id may have taken orders meant for this one:
+            # what became of them is settled once it has reported itself.
+            is_replaced = isinstance(error, WorkerReplaced) and not error.takes_orders
+            self._is_over = has_left or is_replaced
             await self._clock.sleep(_RETRY)
             return
         if self._beat is None or beat.life != self._beat.life:
@@ -183,7 +189,9 @@
         left = self._lease.left(self._clock.elapsed())
         self._metrics.gauge("lease_left_seconds", left.total_seconds())
         self._metrics.gauge("runs_there", len(look.running))
-        if self._runs.take(look, asked=asked):
+        has_news = self._runs.take(look, asked=asked)
+        if has_news or self._looked != session:
+            self._looked = session
             self._tell()
         if asked - self._paced >= _LOOK_WAIT * 0.8:
             self._paced = asked
@@ -247,6 +255,7 @@
             address=self._address,
             data_centre=self._data_centre,
             session=self._session,
+            looked=self._looked,
             lapsed_life=self._lapsed_life,
             running=runs.running,
             starting=[*runs.starting, *runs.started_by_ref],
@@ -328,9 +337,11 @@
     async def _start(self, order: StartOrder, beat: Heartbeat, session: int) -> None:
         runs = self._runs
         late = 0
+        is_open = False
         while self._is_current(session, runs) and order.ref in runs.starting:
             if self._beat is None or self._beat.is_draining:
-                self._reject(order, Refusal.DRAINING)
+                reason = Refusal.DRAINING
+                await self._refuse(order, reason, beat, session, is_open=is_open)
                 return
             now = self._clock.elapsed()
             lease_end_ms = self._lease_ms(now)
@@ -350,11 +361,13 @@
             except StartRefused as error:
                 late += error.reason is Refusal.LATE
                 if error.reason is not Refusal.LATE or late > _MAX_LATE:
-                    self._reject(order, error.reason)
+                    reason = error.reason
+                    await self._refuse(order, reason, beat, session, is_open=is_open)
                     return
             except (CommunicationError, WorkerReplaced) as error:
                 # It may have begun, or begin later; the same start asked for
                 # again finds out, and begins no second one.
+                is_open = True
                 log_event(
                     "worker:start-unanswered", run=str(order.ref), reason=str(error)
                 )
@@ -370,9 +383,32 @@
                 return
             await self._clock.sleep(_RETRY)
 
-    def _reject(self, order: StartOrder, reason: Refusal) -> None:
+    async def _refuse(
+        self,
+        order: StartOrder,
+        reason: Refusal,
+        beat: Heartbeat,
+        session: int,
+        *,
+        is_open: bool,
+    ) -> None:
+        """Report that a run does not and will not exist here.
+
+        An earlier attempt without an answer may be carried out seconds later, when
+        the run's successor is at work elsewhere: then the run is stopped first, which
+        shuts the attempt out.
+        """
         self._metrics.count("starts_refused", reason=reason.value)
-        log_event("worker:refused", run=str(order.ref), reason=reason.value)
+        log_event(
+            "worker:refused",
+            run=str(order.ref),
+            reason=reason.value,
+            is_open=is_open,
+        )
+        if is_open:
+            self._runs.stopped_by_ref[order.ref] = None
+            await self._stop(order.ref, beat, session)
+            return
         self._runs.reject(order.ref, reason)
         self._tell()
 
--- a/coltsfoottray/agent/worker.py
+++ b/coltsfoottray/agent/worker.py
@@ -128,8 +128,24 @@
     sequence: int = 0
 
 
+@dataclass(kw_only=True)
 class WorkerReplaced(ColtsfoottrayError):
-    """Another life of the worker answers at its address."""
+    """Another life of the worker answers at its address.
+
+    Parameters
+    ----------
+    life : str
+        The one that was called.
+    takes_orders : bool
+        Whether the other one has the same id, and so takes orders meant for it.
+    """
+
+    life: str
+    takes_orders: bool
+
+    def __str__(self) -> str:
+        now = "has started again" if self.takes_orders else "is no longer there"
+        return f"{self.life} {now}"
 
 
 @dataclass(kw_only=True)
--- a/coltsfoottray/platform/instance.py
+++ b/coltsfoottray/platform/instance.py
@@ -182,7 +182,7 @@
         )
         response = await self._transport.send(beat.address, request, timeout=timeout)
         if response.status == _REPLACED:
-            raise WorkerReplaced(f"{beat.life} is no longer at {beat.address}")
+            raise WorkerReplaced(life=beat.life, takes_orders=False)
         _check_life(beat, response)
         return response
 
@@ -236,7 +236,7 @@
     except msgspec.DecodeError as error:
         raise _failed(beat, str(error)) from error
     if born and f"/{born}" != beat.life[beat.life.rfind("/") :]:
-        raise WorkerReplaced(f"{beat.life} has started again at {born}")
+        raise WorkerReplaced(life=beat.life, takes_orders=True)
 
 
 def _as_resources(capacity: _Capacity) -> Resources:
--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 from coltsfoottray.agent.pressure import PressureTable
@@ -21,6 +21,10 @@
 # two of its attendant's reports.
 _BLOCK = timedelta(seconds=2)
 
+# A new life of a worker that never answers its attendant cannot show what it runs. A
+# start of the life before that reached it would run for a lease of 10 s at the most.
+_MAX_STRAY = timedelta(seconds=12)
+
 
 class Board:
     """Jobs, workers and runs; changed by one task only, the scheduler's rounds."""
@@ -85,7 +89,8 @@
     def take_report(self, report: Report, now: timedelta, now_ms: int) -> int:
         """Take in a report; return the last end that need not be told again."""
         worker = self.fleet.worker_by_id[report.worker]
-        self._take_life(worker, report, now_ms)
+        if not self._take_life(worker, report, now, now_ms):
+            return 0
         self._describe(worker, report)
         new = [end for end in report.ends if end.ref in worker.held_by_ref]
         if new:
@@ -129,40 +134,78 @@
         """Give up the runs of workers whose lease has surely run out."""
         for worker in self.fleet.worker_by_id.values():
             if worker.held_by_ref and worker.lease_end < now:
-                log_event(
-                    "decision:give-up-worker",
-                    worker=worker.id,
-                    life=worker.life,
-                    silent_s=(now - worker.heard).total_seconds(),
-                    runs=len(worker.held_by_ref),
-                )
-                self._lose(worker, list(worker.held_by_ref.values()), now_ms)
+                silent_s = (now - worker.heard).total_seconds()
+                held = list(worker.held_by_ref.values())
+                self._lose(worker, held, now_ms, why=f"silent for {silent_s:.1f} s")
                 worker.is_reachable = False
 
-    def _take_life(self, worker: Worker, report: Report, now_ms: int) -> None:
-        gone: list[PlacedRun] = []
-        if report.life and report.life != worker.life:
-            held = worker.held_by_ref.values()
-            gone += [placed for placed in held if placed.life != report.life]
-            worker.acknowledged = 0
-            worker.life = report.life
+    def _take_life(
+        self, worker: Worker, report: Report, now: timedelta, now_ms: int
+    ) -> bool:
+        """Settle what became of earlier lives' runs; return whether all is settled."""
         if report.lapsed_life:
             held = worker.held_by_ref.values()
-            gone += [p for p in held if p.life == report.lapsed_life and p not in gone]
-        if gone:
-            log_event(
-                "decision:runs-lost",
-                worker=worker.id,
-                life=worker.life,
-                lapsed_life=report.lapsed_life,
-                runs=[str(placed.ref) for placed in gone],
-            )
-            self._lose(worker, gone, now_ms)
+            gone = [placed for placed in held if placed.life == report.lapsed_life]
+            self._lose(worker, gone, now_ms, why="its lease lapsed")
         worker.is_settling = False
+        others = worker.held_of_others(report.life)
+        if others and not self._has_shown_its_runs(worker, report, now):
+            return False
+        worker.replaced = None
+        if report.life and report.life != worker.life:
+            worker.acknowledged = 0
+            worker.life = report.life
+        self._adopt(worker, others, report, now_ms)
+        return True
 
-    def _lose(self, worker: Worker, gone: Iterable[PlacedRun], now_ms: int) -> None:
+    @staticmethod
+    def _has_shown_its_runs(worker: Worker, report: Report, now: timedelta) -> bool:
+        """Whether a new life can have no more runs than it reports.
+
+        A worker that starts again under its id takes starts that were meant for the
+        life before, until its attendant has heard of the new one: given up with the
+        old life they ran beside their successors. A look in a later session shows
+        what is there and shuts out the rest.
+        """
+        if worker.replaced is None:
+            worker.replaced = now
+        if now - worker.replaced > _MAX_STRAY:
+            return True
+        return 0 < worker.session == report.session == report.looked
+
+    def _adopt(
+        self, worker: Worker, others: list[PlacedRun], report: Report, now_ms: int
+    ) -> None:
+        """Take over the runs that the new life has; give the others up."""
+        there = {status.ref for status in report.running}
+        there.update(end.ref for end in report.ends)
+        for placed in others:
+            if placed.ref in there:
+                placed.life = report.life
+                placed.step.records[placed.ref.task.index].life = report.life
+                placed.step.job.is_dirty = True
+        gone = [placed for placed in others if placed.ref not in there]
+        self._give_up(worker, gone, now_ms, why="it started anew")
+
+    def _lose(
+        self, worker: Worker, gone: Sequence[PlacedRun], now_ms: int, *, why: str
+    ) -> None:
         """Give runs up; orders for them that are still under way become void."""
         worker.session = 0
+        self._give_up(worker, gone, now_ms, why=why)
+
+    def _give_up(
+        self, worker: Worker, gone: Sequence[PlacedRun], now_ms: int, *, why: str
+    ) -> None:
+        if not gone:
+            return
+        log_event(
+            "decision:runs-lost",
+            worker=worker.id,
+            life=worker.life,
+            why=why,
+            runs=[str(placed.ref) for placed in gone],
+        )
         for placed in gone:
             self._take_end(worker, placed.ref, EndKind.LAPSED, "", now_ms)
 
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -60,11 +60,16 @@
     ----------
     session : int
         The fencing token of its attendant's orders; a new one is granted when
-        the attendant starts anew and when runs have been given up here.
+        the attendant starts anew, when the worker does, and when runs have been
+        given up here.
+    session_life : str
+        The life for which it was granted.
     lease_end : timedelta
         Nothing runs here after it unless a lease is granted once more.
     is_settling : bool
         Runs are to be given up here before another session begins.
+    replaced : timedelta, optional
+        Since when another life than that of the runs held has been reported.
     is_listed : bool
         The lease row calls it silent; until another one stands it gets no lease.
     acknowledged : int
@@ -82,7 +87,9 @@
     lease_end: timedelta
     incarnation: str = ""
     session: int = 0
+    session_life: str = ""
     life: str = ""
+    replaced: timedelta | None = None
     service: str = ""
     data_centre: str = ""
     capacity: Resources = _NOTHING
@@ -121,11 +128,11 @@
         """Return which part of the whole worker `processors` are."""
         return processors / max(self.capacity.processors, 1e-9)
 
-    def holds_other_life(self, life: str) -> bool:
-        """Whether runs are held that are known to have ended with another life."""
+    def held_of_others(self, life: str) -> list[PlacedRun]:
+        """Return the runs that were meant for another life than `life`."""
         if not life:
-            return False
-        return any(placed.life != life for placed in self.held_by_ref.values())
+            return []
+        return [placed for placed in self.held_by_ref.values() if placed.life != life]
 
     def hold(self, placed: PlacedRun) -> None:
         """Take room for a run."""
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -102,6 +102,9 @@
     session : int
         The last one granted, 0 for none. A session is the fencing token of the
         attendant's orders to the worker.
+    looked : int
+        The session in which this life of the worker has last shown what it runs,
+        0 for none. No order of an earlier session takes effect there any more.
     life : str
         The worker's life, empty where none is known.
     lapsed_life : str
@@ -124,6 +127,7 @@
     address: Address
     data_centre: str
     session: int = 0
+    looked: int = 0
     life: str = ""
     lapsed_life: str = ""
     service: str = ""
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -141,8 +141,11 @@
         A session that began before they are could carry an order to start one of
         them to where it would run beside its successor. The attendant asks again
         soon; waiting for its next report cost each worker that came back a second.
+
+        Each life of the worker gets a session of its own, so that a look in it
+        shuts out the orders that were meant for the life before.
         """
-        if report.lapsed_life or worker.holds_other_life(report.life):
+        if report.lapsed_life:
             worker.is_settling = True
         if worker.is_settling:
             worker.session = 0
@@ -150,17 +153,20 @@
         is_known = (
             worker.incarnation == report.incarnation
             and worker.session == report.session
+            and worker.session_life == report.life
             and worker.session > 0
         )
         if is_known:
             return
         worker.incarnation = report.incarnation
+        worker.session_life = report.life
         worker.session = self._grants.next_session()
         log_event(
             "scheduler:session",
             worker=worker.id,
             session=worker.session,
             attendant=report.incarnation,
+            life=report.life,
         )
 
     def tell_accepted(self, job: AcceptedJob) -> None:
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -138,6 +138,7 @@
         """Lose everything and start a new life."""
         for run in self.run_by_task.values():
             self._observer.end(run.task)
+        self._forget_ends()
         self._begin_life()
 
     async def leave(self) -> None:
@@ -266,6 +267,9 @@
         """End every run; ends that nobody has acknowledged do not count."""
         for run in list(self.run_by_task.values()):
             self._end(run, "lapsed")
+        self._forget_ends()
+
+    def _forget_ends(self) -> None:
         for _, task, _, how, _ in self.ends:
             if how == "done":
                 self._observer.done.discard(task)
--- a/tests/scheduler/one_run.feature
+++ b/tests/scheduler/one_run.feature
@@ -72,6 +72,44 @@
     Then the job "a" is "completed" within 10 s
     And no task ran twice at a time or after its end
 
+  Scenario: A worker crashes, and its new life takes a start meant for the old one
+    # The worker comes back at once under its id and carries out the starts that reach
+    # it before it has reported. Its attendant then hears of the new life; the runs were
+    # given up with the old one and begun elsewhere, beside those in the new life.
+    Given two entries and 2 workers for jobs
+    When worker-1's machine crashes
+    And the job "a" of 1 steps with 6 tasks of 4 s is handed in at entry-1
+    Then the job "a" is "completed" within 15 s
+    And no task ran twice at a time or after its end
+
+  Scenario: A start is refused after an earlier attempt went unanswered
+    # The first attempt gets no answer, and the worker carries it out seconds later.
+    # Meanwhile the worker says that it leaves; the attendant gave the start up, the
+    # task began elsewhere, and the late order ran it a second time.
+    Given two entries and 2 workers for jobs
+    And the next 3 starts at worker-1 are carried out late
+    When the job "a" of 1 steps with 6 tasks of 4 s is handed in at entry-1
+    And 200 ms pass
+    And worker-1's machine drains and reports at once
+    Then the job "a" is "completed" within 25 s
+    And no task ran twice at a time or after its end
+
+  Scenario: A worker crashes before anybody has noted how its tasks ended
+    # The store is down, so that the ends cannot be stored and the worker goes on
+    # listing them. Then it loses power with all daemons, and nobody will ever know of
+    # them: the tasks have to run again, which is no second run by the users' count.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
+    And 500 ms pass
+    And the store is down from now on
+    And 2 s pass
+    And worker-1's machine crashes
+    And every daemon is killed and started anew
+    And 2 s pass with the store up again
+    Then the job "a" is "completed" within 15 s
+    And no task ran twice at a time or after its end
+    And 6 tasks were started in all
+
   Scenario: A worker that crashed is used again at once
     # After a loss of power all workers come back empty within a second. Each was
     # left without orders until its attendant's next report a second later, since
