Light fillers are slowed for a service that is over its target at a peak

Cause: a filler that takes little of a service's margin is never slowed for it; several together took a whole margin at a peak of the load, and the service stayed over its target until all were stopped after 2 s, and again when they went on. A second of one service over its target costs its users what five seconds of a filler are worth.

Ruled out: slowing light fillers by what is expected alone.

Change: once a service has been seen over its target, light fillers leave it 1.1 of a margin until its load allows them full speed again.

--- a/coltsfoottray/agent/pacing.py
+++ b/coltsfoottray/agent/pacing.py
@@ -25,6 +25,11 @@
 # The margin that services keep: what is expected of one is off by 0.3 (standard
 # deviation, over four calm days).
 KEPT_MARGIN = 1.4
+# What light fillers leave to a service that has been over its target, until its load
+# has fallen: several of them, each too weak to be noticed, took a whole margin together
+# at a peak of the load. A second over the target of one service costs its users what
+# five seconds of a filler are worth.
+_LEAST_MARGIN = 1.1
 # How many standard deviations a filler is slowed beyond what is thought of it. With a
 # whole one services lost nothing to speak of (0.96 of their worth was earned) but
 # builds nearly all (0.05); with none 0.82 and 0.38.
@@ -52,6 +57,8 @@
         self._learner = learner
         self._over_since_by_service: dict[str, timedelta] = {}
         self._percent_by_image: dict[str, int] = {}
+        # Services for whose sake light fillers are slowed as well.
+        self._pressed: set[str] = set()
 
     def adjust(
         self,
@@ -70,6 +77,7 @@
             more than that lets them.
         """
         self._note_over(observations, now)
+        self._pressed &= {each.service for each in observations}
         wanted = sum(filler.share for filler in fillers)
         scale = min(1.0, left / wanted) if wanted > 0 else 1.0
         full_by_image: dict[str, float] = {}
@@ -129,21 +137,21 @@
         self, observation: Observation, full_by_image: dict[str, float]
     ) -> dict[str, int]:
         """Return how fast each filler image may work for one service's sake."""
-        light = 0.0
+        light_by_image: dict[str, float] = {}
         heavy_by_image: dict[str, float] = {}
         for image, share in full_by_image.items():
             pressure = self._learner.pressure(image, observation.image)
             cautious = pressure.cautious(_CAUTION)
             if cautious < LIGHT_PRESSURE:
-                light += cautious * share
+                light_by_image[image] = cautious * share
             else:
                 heavy_by_image[image] = cautious * share
-        spare = self._learner.undisturbed(observation) - KEPT_MARGIN - light
-        spare = max(spare, 0.0)
+        margin = self._learner.undisturbed(observation)
+        light = sum(light_by_image.values())
+        light_percent = self._percent_of_light(observation, light, margin)
+        allowed = dict.fromkeys(light_by_image, light_percent)
         heavy = sum(heavy_by_image.values())
-        share = 1.0 if heavy <= spare else spare / heavy
-        percent = max(int(share * FULL), _CRAWL)
-        allowed = dict.fromkeys(full_by_image, FULL)
+        percent = _percent(heavy, margin - KEPT_MARGIN - light)
         for image in heavy_by_image:
             allowed[image] = percent
             if observation.margin <= 1.0:
@@ -151,6 +159,29 @@
                 allowed[image] = min(percent, max(before // 2, _CRAWL))
         return allowed
 
+    def _percent_of_light(
+        self, observation: Observation, light: float, margin: float
+    ) -> int:
+        """Return how fast light fillers may work for one service's sake.
+
+        Full speed, until the service has been seen over its target: what is expected
+        is not sure enough to slow fillers that seem harmless.
+        """
+        percent = _percent(light, margin - _LEAST_MARGIN)
+        if observation.margin <= 1.0:
+            self._pressed.add(observation.service)
+        elif percent == FULL:
+            self._pressed.discard(observation.service)
+        return percent if observation.service in self._pressed else FULL
+
+
+def _percent(wanted: float, spare: float) -> int:
+    """Return the speed, in percent, that takes no more of a margin than is to spare."""
+    spare = max(spare, 0.0)
+    if wanted <= spare:
+        return FULL
+    return max(int(spare / wanted * FULL), _CRAWL)
+
 
 def is_worth_an_order(before: int, percent: int) -> bool:
     """Whether a change of speed matters: it stops, restores, or is by a tenth."""
--- a/tests/agent/pressures.feature
+++ b/tests/agent/pressures.feature
@@ -10,6 +10,16 @@
     Then "light" is known to be light
     And fillers of "light" were at full speed from the 5th second on
 
+  Scenario: Many light fillers press a service over its target together
+    # Each takes too little of the margin to be slowed for. Together they kept the
+    # service over its target at each peak of its load, until all were stopped after
+    # two seconds, and so again when they went on.
+    Given a worker with 3 tasks of a service whose load swings within 10 s
+    And a filler image "light" that hardly disturbs it
+    When 9 fillers of "light" work there for 60 s
+    Then "light" is known to be light
+    And the service was over its target for at most 3 percent of its looks
+
   Scenario: A heavy filler is found out by one look
     # A build of another image starts beside builds that were there before and do no
     # harm. The service's latency doubles. The blame must fall on the newcomer alone.
