--- a/standins/instance.py
+++ b/standins/instance.py
@@ -97,6 +97,7 @@
         self.unanswered_starts = 0
         self.late_starts = 0
         self.is_dark = False
+        self.sends_heartbeats = True
         self.is_draining = False
         self.is_hung = False
         self.refused_tickets = 0
@@ -299,7 +300,7 @@
 
     async def _report_for_ever(self) -> None:
         while True:
-            if not self.is_dark:
+            if self.sends_heartbeats and not self.is_dark:
                 await self.report()
             await trio.sleep(_HEARTBEAT_S)
 
--- a/tests/scheduler/one_run.feature
+++ b/tests/scheduler/one_run.feature
@@ -82,6 +82,42 @@
     Then the job "a" is "completed" within 15 s
     And no task ran twice at a time or after its end
 
+  Scenario: A worker's new life answers before it has reported itself
+    # A look is answered by the new life: the old one is over. But starts meant for it
+    # have been carried out meanwhile, and giving all up at once began them twice.
+    Given two entries and 2 workers for jobs
+    When 250 ms pass
+    And worker-1's machine crashes and sends no heartbeats
+    And the job "a" of 1 steps with 6 tasks of 4 s is handed in at entry-1
+    And 2 s pass
+    And worker-1's machine sends heartbeats again
+    Then the job "a" is "completed" within 15 s
+    And no task ran twice at a time or after its end
+
+  Scenario: A worker is back that the scheduler lists as silent
+    # What is listed gets no lease before the list has been stored anew; the worker
+    # stood idle until the next renewal was due, up to half a second.
+    Given two entries and 1 workers for jobs
+    When the job "a" of 1 steps with 1 tasks of 60 s is handed in at entry-1
+    And 1 s pass
+    And worker-1's machine crashes and sends no heartbeats
+    And worker-1 is killed and started anew after 4 s
+    And worker-1's machine sends heartbeats again
+    And 250 ms pass
+    Then 1 tasks run
+
+  Scenario: A worker's new life says that it is there and then answers nobody
+    # Its attendant cannot look at it, so what became of the runs of its earlier life
+    # is never shown. They must not wait for ever: no start that it may have taken
+    # outlasts a lease.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1 steps with 4 tasks of 4 s is handed in at entry-1
+    And 500 ms pass
+    And worker-1's machine crashes and reports at once
+    And worker-1's machine falls silent
+    Then the job "a" is "completed" within 25 s
+    And no task ran twice at a time or after its end
+
   Scenario: A start is refused after an earlier attempt went unanswered
     # The first attempt gets no answer, and the worker carries it out seconds later.
     # Meanwhile the worker says that it leaves; the attendant gave the start up, the
--- /dev/null
+++ b/tests/steps/job_fault_steps.py
@@ -0,0 +1,228 @@
+"""Steps that make daemons, workers and the store of a world of jobs fail."""
+
+from __future__ import annotations
+
+import trio
+from behave import given, step, when
+
+
+@step("{seconds:d} s pass with the store up again")
+def recover_store(context, seconds):
+    context.world.cell.rows.faults.is_down = False
+    context.world.advance(seconds)
+
+
+@when("the scheduler is killed")
+def kill_scheduler(context):
+    context.world.kill_daemon(context.world.cell.scheduler())
+
+
+@when("the scheduler is frozen for {seconds:d} s")
+def freeze_scheduler(context, seconds):
+    name = context.world.cell.scheduler()
+    context.world.fabric.faults(name).pause()
+    context.world.advance(seconds)
+    context.world.resume(name)
+
+
+@when("every daemon is killed and started anew")
+def restart_all(context):
+    cell = context.world.cell
+    names = list(cell.scope_by_name)
+    for name in names:
+        context.world.kill_daemon(name)
+    context.world.advance(1)
+    for name in names:
+        context.world.start_again(name)
+
+
+@when(
+    "everything loses power and the entries come back {milliseconds:d} ms after {name}"
+)
+def lose_power(context, milliseconds, name):
+    world = context.world
+    lose_all_power(world)
+    # What is sent to a VM without power is answered by nobody.
+    dark = {frozenset((name, entry)) for entry in world.cell.entry_by_name}
+    world.fabric.cut |= dark
+    bring_worker_back(world, name)
+    for entry in world.cell.entry_by_name:
+        world.start_again(entry)
+    world.advance(milliseconds / 1000)
+    world.fabric.cut -= dark
+
+
+@when(
+    "everything loses power and {name} comes back {milliseconds:d} ms before the other "
+    "workers"
+)
+def lose_power_unevenly(context, milliseconds, name):
+    world = context.world
+    before = world.cell.rows.value_of("state", "scheduler", "lease")
+    lose_all_power(world)
+    bring_worker_back(world, name)
+    for entry in world.cell.entry_by_name:
+        world.start_again(entry)
+    world.wait_until(
+        lambda: world.cell.rows.value_of("state", "scheduler", "lease") != before
+    )
+    world.advance(milliseconds / 1000)
+    for each in world.cell.worker_by_name:
+        if each != name:
+            bring_worker_back(world, each)
+
+
+def lose_all_power(world):
+    for name in list(world.cell.scope_by_name):
+        world.kill_daemon(name)
+    for worker in world.cell.worker_by_name.values():
+        worker.crash()
+    world.advance(1)
+
+
+def bring_worker_back(world, name):
+    world.start_again(name)
+    world.run(world.cell.worker_by_name[name].report)
+
+
+@when("{name} is killed and started anew after {seconds:d} s")
+def restart(context, name, seconds):
+    context.world.kill_daemon(name)
+    context.world.advance(seconds)
+    context.world.start_again(name)
+
+
+@when("{name}'s machine crashes")
+def crash(context, name):
+    context.world.cell.worker_by_name[name].crash()
+
+
+@when("{name}'s machine crashes and sends no heartbeats")
+def crash_unheard(context, name):
+    worker = context.world.cell.worker_by_name[name]
+    worker.sends_heartbeats = False
+    worker.crash()
+
+
+@when("{name}'s machine sends heartbeats again")
+def be_heard(context, name):
+    worker = context.world.cell.worker_by_name[name]
+    worker.sends_heartbeats = True
+    context.world.run(worker.report)
+
+
+@when("{name}'s machine crashes and reports at once")
+def crash_and_report(context, name):
+    worker = context.world.cell.worker_by_name[name]
+    worker.crash()
+    context.world.run(worker.report)
+
+
+@when("{name}'s machine drains and reports at once")
+def drain_and_report(context, name):
+    worker = context.world.cell.worker_by_name[name]
+    worker.is_draining = True
+    context.world.run(worker.report)
+
+
+@when("{name}'s machine falls silent")
+def silence(context, name):
+    context.world.cell.worker_by_name[name].is_dark = True
+
+
+@given("{name}'s machine fails everything it starts")
+def make_failing(context, name):
+    context.world.cell.worker_by_name[name].fails_everything = True
+
+
+@given("tasks on {name}'s machine stand still")
+def make_hung(context, name):
+    context.world.cell.worker_by_name[name].is_hung = True
+
+
+@when("{name}'s machine leaves without a notice")
+def leave(context, name):
+    context.world.run(context.world.cell.worker_by_name[name].leave)
+
+
+@when("{name} and its machine are lost")
+def lose(context, name):
+    context.world.cell.worker_by_name[name].is_dark = True
+    context.world.kill_daemon(name)
+
+
+@when("the scheduler is replaced {times:d} times, every {seconds:d} s")
+def replace_scheduler(context, times, seconds):
+    for _ in range(times):
+        name = context.world.cell.scheduler()
+        context.world.kill_daemon(name)
+        context.world.advance(seconds)
+        context.world.start_again(name)
+
+
+@step("{name}'s machine drains")
+def drain(context, name):
+    context.world.cell.worker_by_name[name].is_draining = True
+
+
+@when("{name} is cut off from the entries and the store for {seconds:d} s")
+def cut_off(context, name, seconds):
+    fabric = context.world.fabric
+    others = [*context.world.cell.entry_by_name, "store"]
+    for other in others:
+        fabric.cut.add(frozenset((name, other)))
+    context.world.advance(seconds)
+    for other in others:
+        fabric.cut.discard(frozenset((name, other)))
+
+
+@given("the scheduler is cut off from the store")
+def cut_scheduler(context):
+    context.scheduler = context.world.cell.scheduler()
+    context.world.fabric.cut.add(frozenset((context.scheduler, "store")))
+
+
+@given("the next {count:d} starts at {name} are carried out late")
+def make_late(context, count, name):
+    context.world.cell.worker_by_name[name].late_starts = count
+
+
+@given("the answers to the next {count:d} starts at {name} are lost")
+def lose_start_answers(context, count, name):
+    context.world.cell.worker_by_name[name].unanswered_starts = count
+
+
+@given("the answers to the next {count:d} writes of the store are lost")
+def lose_write_answers(context, count):
+    context.world.cell.rows.faults.lost_answers = count
+
+
+@step("the next {count:d} writes of the store are carried out late")
+def make_writes_late(context, count):
+    context.world.cell.rows.late_writes = count
+
+
+@when("the store is down for {seconds:d} s")
+def take_store_down(context, seconds):
+    context.world.cell.rows.faults.is_down = True
+    context.world.advance(seconds)
+    context.world.cell.rows.faults.is_down = False
+
+
+@step("the store is down from now on")
+def leave_store_down(context):
+    context.world.cell.rows.faults.is_down = True
+
+
+@when("the store's history is dropped")
+def drop_history(context):
+    context.world.cell.rows.drop_history()
+
+
+@given("the store goes down in {milliseconds:d} ms")
+def plan_outage(context, milliseconds):
+    async def go_down():
+        await trio.sleep(milliseconds / 1000)
+        context.world.cell.rows.faults.is_down = True
+
+    context.world.spawn(go_down)
--- /dev/null
+++ b/tests/steps/job_placement_steps.py
@@ -0,0 +1,119 @@
+"""Steps on where tasks of jobs go, what lets them in and how fast they work."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from tests.support.job_world import job_id, make_steps
+
+_TARGET_MS = 45.0
+_LATENCY_MS_BY_STATE = {"far below": 15.0, "near": 40.0, "over": 60.0}
+
+
+@then('the scheduler knows how "{filler}" presses on "{service}"')
+def check_known(context, filler, service):
+    cell = context.world.cell
+    known = cell.entry_by_name[cell.scheduler()].scheduler.known_pressures()
+    pairs = {(each.pair.filler, each.pair.service) for each in known}
+    assert (filler, service) in pairs, pairs
+
+
+@given("the queue's policy allows only {name}")
+def restrict_queue(context, name):
+    context.world.cell.advice.allowed = {f"i-{name}"}
+    terms = {"decisionMs": 100, "periodMs": 20, "validityMs": 3000}
+
+    async def write():
+        context.world.cell.write_config(recommendation=terms)
+
+    context.world.run(write)
+    context.world.advance(1)
+
+
+@when(
+    'the job "{label}" of {tasks:d} tasks of {seconds:d} s that need tickets '
+    "is handed in at {entry}"
+)
+def submit_with_tickets(context, label, tasks, seconds, entry):
+    shape = make_steps(1, tasks, seconds)
+    status = context.world.submit_job(
+        entry, label, shape, work_s=seconds, needs_ticket=True
+    )
+    assert status == 200, status
+
+
+@then("no start was refused for want of a ticket")
+def check_tickets(context):
+    workers = context.world.cell.worker_by_name.values()
+    assert not sum(worker.refused_tickets for worker in workers)
+
+
+@when("a service of {tasks:d} tasks {state} its latency target is handed in at {entry}")
+def submit_service(context, tasks, state, entry):
+    shape = make_steps(
+        1, tasks, 1, longRunning=True, image="svc", targetMs=_TARGET_MS, antiAffinity=1
+    )
+    latency = _LATENCY_MS_BY_STATE[state]
+    status = context.world.submit_job(
+        entry, "service", shape, lasts=True, latency_ms=latency
+    )
+    assert status == 200, status
+
+
+@when(
+    'the filling job "{label}" of {tasks:d} tasks of {seconds:d} s '
+    "is handed in at {entry}"
+)
+def submit_filler(context, label, tasks, seconds, entry):
+    shape = make_steps(1, tasks, seconds, fills=True, image="fill")
+    status = context.world.submit_job(entry, label, shape, work_s=seconds)
+    assert status == 200, status
+
+
+@then('a task of "{label}" was started')
+def check_some_start(context, label):
+    starts = context.world.cell.observer.starts
+    assert any(each[0].startswith(job_id(label)) for each in starts), starts
+
+
+@then('every filler of "{label}" works at {percent:d} percent')
+def check_paces(context, label, percent):
+    runs = [
+        run
+        for worker in context.world.cell.worker_by_name.values()
+        for run in worker.run_by_task.values()
+        if run.task.startswith(job_id(label))
+    ]
+    assert runs, "no filler runs"
+    assert all(run.percent == percent for run in runs), runs
+
+
+@then("at most {count:d} tasks run on any worker")
+def check_spread(context, count):
+    workers = context.world.cell.worker_by_name.values()
+    held = {worker.name: len(worker.run_by_task) for worker in workers}
+    assert max(held.values()) <= count, held
+
+
+@then("nothing runs on {name}")
+def check_emptied(context, name):
+    running = context.world.cell.worker_by_name[name].run_by_task
+    assert not running, running
+
+
+@then("nothing was started on {name}")
+def check_unused(context, name):
+    starts = context.world.cell.observer.starts
+    assert not [each for each in starts if each[2] == name], starts
+
+
+@then("at most {count:d} tasks were started on {name}")
+def check_few_starts(context, count, name):
+    starts = [e for e in context.world.cell.observer.starts if e[2] == name]
+    assert 0 < len(starts) <= count, starts
+
+
+@then("no worker ever ran more than {count:d} tasks")
+def check_room(context, count):
+    for worker in context.world.cell.worker_by_name.values():
+        assert worker.max_taken <= count, worker.max_taken
