Orders are carried out in a module of their own

Change: agent/executor.py starts and stops runs; what an order holds for (a life and a session) is one object in place of three arguments. Behaviour is the same.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -7,14 +7,13 @@
 import msgspec
 import trio
 
+from coltsfoottray.agent.executor import AttendantState, OrderExecutor, OrderScope
 from coltsfoottray.agent.lease import WorkerLease
 from coltsfoottray.agent.runs import Runs
 from coltsfoottray.agent.speeds import SpeedControl
 from coltsfoottray.agent.stalls import StallWatch
 from coltsfoottray.agent.worker import (
     Heartbeat,
-    Refusal,
-    StartRefused,
     WorkerLink,
     WorkerReplaced,
 )
@@ -29,7 +28,6 @@
     Orders,
     Report,
     ReportReply,
-    StartOrder,
 )
 from coltsfoottray.types import Address
 
@@ -39,16 +37,12 @@
 # second, and the lease is renewed as often.
 _LOOK_WAIT = timedelta(milliseconds=500)
 _RETRY = timedelta(milliseconds=100)
-
-# A start that the worker would get with less lease than this is held back.
-_MIN_LEASE = timedelta(milliseconds=300)
-_MAX_LATE = 5
 # A worker that still answers so long after it said that it leaves has not meant it:
 # the word was a late one of an earlier life.
 _LEAVE_TIME = timedelta(seconds=2)
 
 
-class TaskAttendant(Service):
+class TaskAttendant(Service, AttendantState):
     """Stands beside one worker.
 
     Parameters
@@ -94,6 +88,14 @@
         self._paced = timedelta(0)
         self._stalls = StallWatch()
         self._stalled: list[RunRef] = []
+        self._executor = OrderExecutor(
+            link=link,
+            state=self,
+            lease=self._lease,
+            speeds=self._speeds,
+            clock=clock,
+            metrics=metrics,
+        )
         self._nursery: trio.Nursery | None = None
         self._session_begun = trio.Event()
         self.news = trio.Event()
@@ -126,7 +128,7 @@
                     life=beat.life,
                     remaining_s=beat.remaining.total_seconds(),
                 )
-                self._tell()
+                self.tell()
             self._beat = beat
             return
         if known is not None and beat.born_ms <= known.born_ms:
@@ -155,7 +157,7 @@
         self._is_reachable = True
         self._left = None
         self._is_over = False
-        self._tell()
+        self.tell()
 
     async def _look(self, beat: Heartbeat) -> None:
         asked = self._clock.elapsed()
@@ -164,7 +166,7 @@
             look = await self._link.look(
                 beat=beat,
                 fence=session,
-                lease_end_ms=self._lease_ms(asked),
+                lease_end_ms=self.lease_ms(asked),
                 acknowledged=self._acknowledged,
                 wait=_LOOK_WAIT if self._lease.is_clock_known else timedelta(0),
             )
@@ -194,7 +196,7 @@
         has_news = self._runs.take(look, asked=asked)
         if has_news or self._looked != session:
             self._looked = session
-            self._tell()
+            self.tell()
         if asked - self._paced >= _LOOK_WAIT * 0.8:
             self._paced = asked
             self._find_stalls(asked)
@@ -203,13 +205,6 @@
             # With ends that are not acknowledged yet a look returns at once.
             await self._clock.sleep(_RETRY)
 
-    def _lease_ms(self, now: timedelta) -> int:
-        """Return the end of the lease on the worker's clock, 0 for no change.
-
-        Of a worker that does not answer the lease has to run out.
-        """
-        return self._lease.tell(now) if self._is_reachable else 0
-
     def _notice_lapse(self) -> None:
         """Give up the runs of a worker that is silent past its lease.
 
@@ -225,7 +220,7 @@
         self._lease.end()
         self._session = 0
         self._runs = Runs()
-        self._tell()
+        self.tell()
 
     def _find_stalls(self, now: timedelta) -> None:
         known = set(self._stalled)
@@ -238,7 +233,7 @@
         new = [str(ref) for ref in self._stalled if ref not in known]
         if new:
             log_event("worker:stalled", runs=new)
-            self._tell()
+            self.tell()
 
     # What the scheduler says.
 
@@ -325,6 +320,7 @@
             return
         self._acknowledged = max(self._acknowledged, orders.acknowledged)
         assert self._nursery is not None
+        scope = OrderScope(beat=beat, session=orders.session, runs=self._runs)
         for order in orders.starts:
             if order.ref in self._runs.stopped_by_ref:
                 continue
@@ -332,107 +328,27 @@
             self._runs.order_by_ref[order.ref] = order
             if not is_repeat:
                 self._runs.starting.add(order.ref)
-                self._nursery.start_soon(self._start, order, beat, orders.session)
+                self._nursery.start_soon(self._executor.start, order, scope)
         for ref in orders.stops:
             if ref not in self._runs.stopped_by_ref:
                 self._runs.stopped_by_ref[ref] = None
-                self._nursery.start_soon(self._stop, ref, beat, orders.session)
+                self._nursery.start_soon(self._executor.stop, ref, scope)
 
-    async def _start(self, order: StartOrder, beat: Heartbeat, session: int) -> None:
-        runs = self._runs
-        late = 0
-        is_open = False
-        while self._is_current(session, runs) and order.ref in runs.starting:
-            if self._beat is None or self._beat.is_draining:
-                reason = Refusal.DRAINING
-                await self._refuse(order, reason, beat, session, is_open=is_open)
-                return
-            now = self._clock.elapsed()
-            lease_end_ms = self._lease_ms(now)
-            if not lease_end_ms or self._lease.left(now) < _MIN_LEASE:
-                await self._clock.sleep(_RETRY)
-                continue
-            try:
-                await self._link.start(
-                    beat=beat,
-                    ref=order.ref,
-                    payload=order.payload,
-                    checkpoint=order.checkpoint,
-                    ticket=order.ticket,
-                    fence=session,
-                    lease_end_ms=lease_end_ms,
-                )
-            except StartRefused as error:
-                late += error.reason is Refusal.LATE
-                if error.reason is not Refusal.LATE or late > _MAX_LATE:
-                    reason = error.reason
-                    await self._refuse(order, reason, beat, session, is_open=is_open)
-                    return
-            except (CommunicationError, WorkerReplaced) as error:
-                # It may have begun, or begin later; the same start asked for
-                # again finds out, and begins no second one.
-                is_open = True
-                log_event(
-                    "worker:start-unanswered", run=str(order.ref), reason=str(error)
-                )
-            else:
-                self._metrics.time("start_order", self._clock.elapsed() - now)
-                runs.starting.discard(order.ref)
-                runs.started_by_ref[order.ref] = self._clock.elapsed()
-                log_event("worker:started", run=str(order.ref), session=session)
-                if order.is_filler and self._speeds.has_services:
-                    # Not at the next look: half a second of a strong filler at
-                    # full speed takes two more to wear off.
-                    await self._speeds.set_speeds(beat, runs, session)
-                return
-            await self._clock.sleep(_RETRY)
+    # What orders ask while they are carried out.
 
-    async def _refuse(
-        self,
-        order: StartOrder,
-        reason: Refusal,
-        beat: Heartbeat,
-        session: int,
-        *,
-        is_open: bool,
-    ) -> None:
-        """Report that a run does not and will not exist here.
+    def is_current(self, scope: OrderScope) -> bool:  # noqa: D102
+        return scope.session == self._session and scope.runs is self._runs
 
-        An earlier attempt without an answer may be carried out seconds later, when
-        the run's successor is at work elsewhere: then the run is stopped first, which
-        shuts the attempt out.
-        """
-        self._metrics.count("starts_refused", reason=reason.value)
-        log_event(
-            "worker:refused",
-            run=str(order.ref),
-            reason=reason.value,
-            is_open=is_open,
-        )
-        if is_open:
-            self._runs.stopped_by_ref[order.ref] = None
-            await self._stop(order.ref, beat, session)
-            return
-        self._runs.reject(order.ref, reason)
-        self._tell()
+    @property
+    def is_draining(self) -> bool:  # noqa: D102
+        return self._beat is None or self._beat.is_draining
 
-    async def _stop(self, ref: RunRef, beat: Heartbeat, session: int) -> None:
-        runs = self._runs
-        runs.starting.discard(ref)
-        while self._is_current(session, runs) and ref in runs.stopped_by_ref:
-            try:
-                await self._link.stop(beat=beat, ref=ref, fence=session)
-            except (CommunicationError, WorkerReplaced) as error:
-                log_event("worker:stop-unanswered", run=str(ref), reason=str(error))
-                await self._clock.sleep(_RETRY)
-                continue
-            runs.stopped_by_ref[ref] = self._clock.elapsed()
-            log_event("worker:stopped", run=str(ref), session=session)
-            return
+    def lease_ms(self, now: timedelta) -> int:
+        """Return the end of the lease on the worker's clock, 0 for no change.
 
-    def _is_current(self, session: int, runs: Runs) -> bool:
-        """Whether neither the session nor the worker's life has changed."""
-        return session == self._session and runs is self._runs
+        Of a worker that does not answer the lease has to run out.
+        """
+        return self._lease.tell(now) if self._is_reachable else 0
 
-    def _tell(self) -> None:
+    def tell(self) -> None:  # noqa: D102
         self.news.set()
