A worker's ends are acknowledged only while it lists them

Looks that were still meant for the old life told it again and again that its ends up to number 1 are stored; the new life forgot its own first end by that, which nobody had seen, and the task was begun again.

Ruled out: the session of the new life and the settling of its runs; they never saw the end.

Change: a number is told only while the last look listed an end up to it, and never to a life that another one has replaced. What remains: the one look that is under way at the crash; its number can reach the new life only if it is sent before and arrives after.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -83,6 +83,8 @@
         # be over, by that word and its silence or by another life's answer.
         self._left: timedelta | None = None
         self._is_over = False
+        # Whether another life under its id has answered.
+        self._is_replaced = False
         self._lease = WorkerLease()
         self._speeds = SpeedControl(link=link, clock=clock)
         self._paced = timedelta(0)
@@ -157,6 +159,7 @@
         self._is_reachable = True
         self._left = None
         self._is_over = False
+        self._is_replaced = False
         self.tell()
 
     async def _look(self, beat: Heartbeat) -> None:
@@ -167,13 +170,14 @@
                 beat=beat,
                 fence=session,
                 lease_end_ms=self.lease_ms(asked),
-                acknowledged=self._acknowledged,
+                acknowledged=self._ends_to_forget(),
                 wait=_LOOK_WAIT if self._lease.is_clock_known else timedelta(0),
             )
         except (CommunicationError, WorkerReplaced) as error:
             if self._is_reachable:
                 log_event("worker:lost", life=beat.life, reason=str(error))
             self._is_reachable = False
+            self._is_replaced |= isinstance(error, WorkerReplaced)
             has_left = self._left is not None and asked >= self._left
             # A new life under the same id may have taken orders meant for this one:
             # what became of them is settled once it has reported itself.
@@ -186,6 +190,7 @@
         if not self._is_reachable:
             log_event("worker:reached", life=beat.life)
         self._is_reachable = True
+        self._is_replaced = False
         if self._left is not None and asked - self._left > _LEAVE_TIME:
             self._left = None
         self._lease.take_reading(look.clock)
@@ -205,6 +210,15 @@
             # With ends that are not acknowledged yet a look returns at once.
             await self._clock.sleep(_RETRY)
 
+    def _ends_to_forget(self) -> int:
+        """Return up to which number the worker may forget ends, 0 for none.
+
+        Told again and again, the number of one life's ends made a new life under the
+        same id forget its own first ones: a task that had ended well there ran again.
+        """
+        is_pending = any(e.number <= self._acknowledged for e in self._runs.ends)
+        return self._acknowledged if is_pending and not self._is_replaced else 0
+
     def _notice_lapse(self) -> None:
         """Give up the runs of a worker that is silent past its lease.
 
--- a/tests/scheduler/one_run.feature
+++ b/tests/scheduler/one_run.feature
@@ -94,6 +94,21 @@
     Then the job "a" is "completed" within 15 s
     And no task ran twice at a time or after its end
 
+  Scenario: A worker's new life has ended a task before it has reported itself
+    # The look meant for the old life still acknowledged that one's first end. The new
+    # life forgot its own first end by it, a task done, which nobody had seen: the task
+    # was begun again.
+    Given two entries and 1 workers for jobs
+    When the job "a" of 1 steps with 1 tasks of 1 s is handed in at entry-1
+    And 2 s pass
+    And 200 ms pass
+    And worker-1's machine crashes and sends no heartbeats
+    And the job "b" of 1 steps with 1 tasks of 0 s is handed in at entry-1
+    And 2 s pass
+    And worker-1's machine sends heartbeats again
+    Then the job "b" is "completed" within 10 s
+    And no task ran twice at a time or after its end
+
   Scenario: A worker is back that the scheduler lists as silent
     # What is listed gets no lease before the list has been stored anew; the worker
     # stood idle until the next renewal was due, up to half a second.
