--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -181,8 +181,8 @@
             has_left = self._left is not None and asked >= self._left
             # A new life under the same id may have taken orders meant for this one:
             # what became of them is settled once it has reported itself.
-            is_replaced = isinstance(error, WorkerReplaced) and not error.takes_orders
-            self._is_over = has_left or is_replaced
+            is_gone = isinstance(error, WorkerReplaced) and not error.takes_orders
+            self._is_over = has_left or is_gone
             await self._clock.sleep(_RETRY)
             return
         if self._beat is None or beat.life != self._beat.life:
--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -18,6 +18,7 @@
     JOBS_GROUP,
     LEASE_KEY,
     OPERATOR_GROUP,
+    is_scheduler_key,
     job_of,
     job_shards,
 )
@@ -189,7 +190,7 @@
                 self._watch.see(row.decode(LeaseRow), row.version)
             return
         self.view.take(row)
-        if row.is_deleted or "/scheduler/" in row.key:
+        if row.is_deleted or is_scheduler_key(row.key):
             return
         job_id = job_of(row.key)
         if "/cancel." in row.key:
--- a/coltsfoottray/jobs/keys.py
+++ b/coltsfoottray/jobs/keys.py
@@ -22,6 +22,7 @@
     "RECORDS_PREFIX",
     "accepted_key",
     "cancel_key",
+    "is_scheduler_key",
     "job_of",
     "job_shards",
     "member_key",
@@ -72,6 +73,11 @@
     return f"{MEMBERS_GROUP}//{name}"
 
 
+def is_scheduler_key(key: str) -> bool:
+    """Whether the scheduler alone writes the row."""
+    return "/scheduler/" in key
+
+
 def job_shards() -> list[str]:
     """Return the prefix of each shard of the jobs' rows, the scheduler's last."""
     shards = [f"{JOBS_GROUP}/j{number}/" for number in range(_JOB_SHARDS)]
--- a/coltsfoottray/jobs/view.py
+++ b/coltsfoottray/jobs/view.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from coltsfoottray.jobs.keys import LEASE_KEY, job_of
+from coltsfoottray.jobs.keys import LEASE_KEY, is_scheduler_key, job_of
 from coltsfoottray.jobs.model import AcceptedJob, JobId
 from coltsfoottray.jobs.records import JobState, JobSummary
 from coltsfoottray.logs import log_event
@@ -35,7 +35,7 @@
             log_event("jobs:row-unreadable", key=row.key, reason=str(error))
 
     def _take(self, row: Row, job_id: JobId) -> None:
-        if "/scheduler/" in row.key:
+        if is_scheduler_key(row.key):
             if row.is_deleted:
                 self._summary_by_id.pop(job_id, None)
             else:
--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -89,19 +89,18 @@
         if not self._take_life(worker, report, now, now_ms):
             return 0
         self._describe(worker, report)
-        new = [end for end in report.ends if end.ref in worker.held_by_ref]
-        if new:
-            log_event(
-                "decision:ends",
-                worker=worker.id,
-                life=worker.life,
-                ends=[f"{end.ref} {end.kind.value}" for end in new],
-            )
         ended = [
             (worker.held_by_ref[end.ref], end.kind)
             for end in report.ends
             if end.ref in worker.held_by_ref
         ]
+        if ended:
+            log_event(
+                "decision:ends",
+                worker=worker.id,
+                life=worker.life,
+                ends=[f"{placed.ref} {kind.value}" for placed, kind in ended],
+            )
         for end in report.ends:
             self._take_end(worker, end.ref, end.kind, end.checkpoint, now_ms)
         self._note_health(worker, ended, now)
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -150,7 +150,6 @@
         self.summary_version = summary_version
         self.record = record or JobRecord()
         self.version = version
-        self.stored_state = self.record.state
         self.is_dirty = False
         # Whether a checkpoint came since it was stored last, and when that was.
         self.has_new_checkpoints = False
@@ -220,6 +219,13 @@
             self.record.occurrences[number] = []
             self.steps_by_occurrence[number] = []
 
+    @property
+    def stored_state(self) -> JobState:
+        """The state that callers may be told."""
+        if self.stored_summary is None:
+            return JobState.QUEUED
+        return self.stored_summary.state
+
     @property
     def has_new_summary(self) -> bool:
         """Whether what callers may ask for has changed since it was stored."""
@@ -231,7 +237,6 @@
         self.summary_version = summary_version
         self.stored_summary = self.record.summary
         self.stored = sent
-        self.stored_state = self.record.state
         self.is_dirty = False
         self.has_new_checkpoints = False
 
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -12,6 +12,7 @@
 from coltsfoottray.clock import Clock, as_milliseconds
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.jobs.config import ConfigHolder
+from coltsfoottray.jobs.keys import is_scheduler_key
 from coltsfoottray.jobs.model import AcceptedJob, JobId
 from coltsfoottray.jobs.records import JobState
 from coltsfoottray.logs import log_event
@@ -216,7 +217,7 @@
         now = self._clock.elapsed()
         now_ms = as_milliseconds(self._clock.now())
         for orphan in stored.orphans:
-            if "/scheduler/" in orphan.key:
+            if is_scheduler_key(orphan.key):
                 self._ledger.discard(orphan.key, orphan.version)
         if stored.pressures is not None:
             pressures = stored.pressures.decode(list[Pressure])
--- a/coltsfoottray/scheduler/restore.py
+++ b/coltsfoottray/scheduler/restore.py
@@ -8,7 +8,13 @@
 import trio
 
 from coltsfoottray.clock import Clock
-from coltsfoottray.jobs.keys import PRESSURES_KEY, RECORDS_PREFIX, job_of, job_shards
+from coltsfoottray.jobs.keys import (
+    PRESSURES_KEY,
+    RECORDS_PREFIX,
+    is_scheduler_key,
+    job_of,
+    job_shards,
+)
 from coltsfoottray.jobs.model import AcceptedJob, JobId
 from coltsfoottray.jobs.records import JobRecord, JobSummary
 from coltsfoottray.logs import log_event
@@ -16,7 +22,6 @@
 
 __all__ = ["Stored", "StoredJob", "read_jobs"]
 
-_SCHEDULER = "/scheduler/"
 _RETRY = timedelta(milliseconds=200)
 
 
@@ -73,7 +78,7 @@
     orphans: list[Row] = []
     pressures = next((row for row in rows if row.key == PRESSURES_KEY), None)
     for row in rows:
-        if "/job." in row.key and _SCHEDULER not in row.key:
+        if "/job." in row.key and not is_scheduler_key(row.key):
             accepted = row.decode(AcceptedJob)
             stored_by_id[accepted.id] = StoredJob(accepted=accepted)
     for row in rows:
@@ -88,7 +93,7 @@
         elif row.key.startswith(RECORDS_PREFIX):
             stored.record = row.decode(JobRecord)
             stored.version = row.version
-        elif _SCHEDULER in row.key:
+        elif is_scheduler_key(row.key):
             stored.summary = row.decode(JobSummary)
             stored.summary_version = row.version
     return Stored(
