--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -220,7 +220,16 @@
         if report.is_draining and not worker.is_draining:
             worker.leaves = worker.heard + timedelta(milliseconds=report.remaining_ms)
         worker.is_draining = report.is_draining
+        was_reachable = worker.is_reachable
         worker.is_reachable = report.is_reachable and bool(report.life)
+        if was_reachable and not worker.is_reachable and worker.held_by_ref:
+            log_event(
+                "decision:out-of-reach",
+                worker=worker.id,
+                life=report.life,
+                lease_left_s=(worker.lease_end - worker.heard).total_seconds(),
+                runs=[str(ref) for ref in worker.held_by_ref],
+            )
 
     def _take_rejection(
         self, worker: Worker, rejected: RejectedStart, now: timedelta, now_ms: int
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -153,6 +153,13 @@
         """
         if report.lapsed_life:
             worker.is_settling = True
+            log_event(
+                "scheduler:lapse-heard",
+                epoch=self.lease.epoch,
+                worker=worker.id,
+                life=report.lapsed_life,
+                held=len(worker.held_by_ref),
+            )
         if worker.is_settling:
             worker.session = 0
             return
@@ -246,6 +253,11 @@
             jobs=len(self.board.job_by_id),
             active=len(self.board.active_by_id),
             workers=len(self._fleet.worker_by_id),
+            held_by_worker={
+                worker.id: len(worker.held_by_ref)
+                for worker in self._fleet.worker_by_id.values()
+                if worker.held_by_ref
+            },
         )
 
     async def run(self) -> None:
@@ -289,6 +301,8 @@
         workers = self._fleet.worker_by_id.values()
         self._metrics.gauge("workers_reachable", sum(w.is_reachable for w in workers))
         self._metrics.gauge("runs_held", sum(len(w.held_by_ref) for w in workers))
+        out_of_reach = [w.held_by_ref for w in workers if not w.is_reachable]
+        self._metrics.gauge("runs_out_of_reach", sum(map(len, out_of_reach)))
 
     async def _wait_for_news(self) -> None:
         due = self._ledger.renewed + RENEWAL - self._clock.elapsed()
