Failing: what ran on a worker that is gone for good never runs again

Symptom, as callers saw it: tasks that last, accepted and running, stop at the moment their worker dies, and no other worker gets them, however long one waits and however much room there is. The bound is the users': 4 s of calm and 3 s without a run.

--- a/standins/instance.py
+++ b/standins/instance.py
@@ -142,6 +142,11 @@
         self._forget_ends()
         self._begin_life()
 
+    def vanish(self) -> None:
+        """Lose everything, never to come back; nobody is told."""
+        self.crash()
+        self.is_dark = True
+
     async def leave(self) -> None:
         """Say that it leaves and be gone."""
         request = HttpRequest(
--- /dev/null
+++ b/tests/scheduler/gone.feature
@@ -0,0 +1,46 @@
+Feature: What ran on a worker that is gone for good runs again elsewhere
+
+  # Users take a task that lasts for lost if, with room for it and everything else calm
+  # for 4 s, it has no run for 3 s: 7 s after the last trouble all tasks run.
+
+  Scenario: A worker is gone, and the scheduler that heard so is replaced
+    # A worker dies and never comes back; its attendant lives on. Its lease ends while the
+    # store is down. The scheduler answers the attendant's word and is replaced before it
+    # could store anything. The tasks never ran again, though the other worker had room.
+    Given two entries and 2 workers for jobs
+    When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
+    And 2 s pass
+    And worker-1's machine is gone for good
+    And 4 s pass
+    And the store is down from now on
+    And 4 s pass
+    And the scheduler is killed
+    And 7 s pass with the store up again
+    Then 4 tasks run
+    And no task ran twice at a time or after its end
+
+  Scenario: A worker is gone, and its attendant starts anew
+    # A worker dies and never comes back. Its attendant is killed before the lease is over
+    # and starts anew, beside nothing. It reports, as attendants do that have yet to see
+    # their worker, and as long as it did so the tasks never ran again.
+    Given two entries and 2 workers for jobs
+    When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
+    And 2 s pass
+    And worker-1's machine is gone for good
+    And worker-1 is killed and started anew after 1 s
+    And 7 s pass
+    Then 4 tasks run
+    And no task ran twice at a time or after its end
+
+  Scenario: A worker is gone, and every process loses power
+    # A worker dies and never comes back, and every daemon is killed. The next scheduler
+    # knows from its rows that the tasks were there, and the attendant that starts anew
+    # beside nothing goes on reporting: the tasks never ran again.
+    Given two entries and 2 workers for jobs
+    When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
+    And 2 s pass
+    And worker-1's machine is gone for good
+    And every daemon is killed and started anew
+    And 7 s pass
+    Then 4 tasks run
+    And no task ran twice at a time or after its end
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -125,6 +125,11 @@
     context.world.run(worker.report)
 
 
+@when("{name}'s machine is gone for good")
+def vanish(context, name):
+    context.world.cell.worker_by_name[name].vanish()
+
+
 @when("{name}'s machine falls silent")
 def silence(context, name):
     context.world.cell.worker_by_name[name].is_dark = True
