Attendants say with each report how long a silent worker may still run

Callers saw tasks of a dead worker wait a whole lease longer each time the scheduler changed, and after a loss of power. Cause: that a worker's lease was over was one word, said to one scheduler and forgotten as soon as that one had answered; a scheduler deposed before it could store it took it along (heard at 18.542 s, deposed at 22.817 s), and an attendant that had started anew had no such word to say.

Change: a report that shows no life of the worker carries how long it may still run by what it was told, and makes void the grants beyond that. The scheduler shortens its count of the lease by it. An attendant that starts anew counts what the one before may have told at the last moment. So every scheduler and every attendant can say it, at any time; the single word, the state of settling it at the scheduler and the wait for a session are gone. scheduler:lease-shortened takes the place of scheduler:lapse-heard; the attendant's gauges no longer show the last healthy values of a worker that is gone.

Ruled out: saying the word again to each new scheduler alone (an attendant that starts anew has none). Why it holds: what a report promises is kept until a later report is granted more. A report that arrives late counts only in its order and in the session of its attendant.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from datetime import timedelta
 
 import msgspec
@@ -77,7 +78,10 @@
         self._session = 0
         self._looked = 0
         self._acknowledged = 0
-        self._lapsed_life = ""
+        # How many reports were made; whether the lease of a worker that does not answer
+        # has been seen to be over.
+        self._reports = 0
+        self._has_lapsed = False
         self._is_reachable = False
         # When the worker said that it leaves, and whether this life is known to
         # be over, by that word and its silence or by another life's answer.
@@ -85,7 +89,7 @@
         self._is_over = False
         # Whether another life under its id has answered.
         self._is_replaced = False
-        self._lease = WorkerLease()
+        self._lease = WorkerLease(started=clock.elapsed())
         self._speeds = SpeedControl(link=link, clock=clock)
         self._paced = timedelta(0)
         self._stalls = StallWatch()
@@ -157,6 +161,7 @@
         self._lease.begin_life()
         self._speeds.begin_life()
         self._is_reachable = True
+        self._has_lapsed = False
         self._left = None
         self._is_over = False
         self._is_replaced = False
@@ -189,6 +194,7 @@
             return
         was_reachable = self._is_reachable
         self._is_reachable = True
+        self._has_lapsed = False
         if not was_reachable:
             log_event("worker:reached", life=beat.life)
             # While it did not answer, its lease was not renewed.
@@ -223,20 +229,22 @@
         return self._acknowledged if is_pending and not self._is_replaced else 0
 
     def _notice_lapse(self) -> None:
-        """Give up the runs of a worker that is silent past its lease.
+        """Let go of the runs of a worker that is silent past its lease.
 
-        Without this the tasks of a worker that has vanished would wait for the
-        scheduler to miss this attendant too, which goes on reporting.
+        It is told at once, and again with each report: the scheduler that hears it
+        first may be replaced before it has stored it.
         """
-        if self._beat is None or self._is_reachable or not self._lease.is_told:
+        if self._is_reachable or self._has_lapsed:
             return
-        if not self._lease.has_lapsed(self._clock.elapsed()) and not self._is_over:
+        if self._lease.left_to_run(self._clock.elapsed()) and not self._is_over:
             return
-        log_event("worker:lease-lapsed", life=self._beat.life, is_over=self._is_over)
-        self._lapsed_life = self._beat.life
+        life = "" if self._beat is None else self._beat.life
+        log_event("worker:lease-lapsed", life=life, is_over=self._is_over)
+        self._has_lapsed = True
         self._lease.end()
-        self._session = 0
         self._runs = Runs()
+        self._metrics.gauge("lease_left_seconds", 0.0)
+        self._metrics.gauge("runs_there", 0)
         self.tell()
 
     def _find_stalls(self, now: timedelta) -> None:
@@ -260,17 +268,26 @@
         return self._session
 
     def report(self) -> Report:
-        """Return what is known now."""
+        """Return what is known now.
+
+        One that shows no life of the worker says for how long it may still run. The
+        grants that would let it run on are void with it.
+        """
         runs = self._runs
         beat = self._beat
+        if beat is None or not self._is_reachable:
+            self._lease.withdraw()
+        left = self._lease.left_to_run(self._clock.elapsed())
+        self._reports += 1
         report = Report(
             worker=self._name,
             incarnation=self._incarnation,
+            number=self._reports,
+            lease_left_ms=math.ceil(left.total_seconds() * 1000),
             address=self._address,
             data_centre=self._data_centre,
             session=self._session,
             looked=self._looked,
-            lapsed_life=self._lapsed_life,
             running=runs.running,
             starting=[*runs.starting, *runs.started_by_ref],
             ends=runs.ends,
@@ -309,8 +326,6 @@
         self._epoch = reply.epoch
         self._lease.grant(sent + timedelta(milliseconds=reply.lease_ms))
         self._speeds.share(reply.pressures)
-        if report.lapsed_life == self._lapsed_life:
-            self._lapsed_life = ""
         for rejected in report.rejected:
             self._runs.rejected_by_ref.pop(rejected.ref, None)
         if reply.orders.session != self._session:
@@ -327,6 +342,9 @@
         """Drop the starts under way: the reply names all that still hold."""
         log_event("scheduler:session", session=session, before=self._session)
         self._session = session
+        if self._has_lapsed:
+            # Only in the session that it granted a scheduler believes it.
+            self.tell()
         self._session_begun.set()
         self._session_begun = trio.Event()
         self._runs.starting.clear()
--- a/coltsfoottray/agent/lease.py
+++ b/coltsfoottray/agent/lease.py
@@ -21,17 +21,23 @@
 
 
 class WorkerLease:
-    """Until when the worker may run, and until when it has been told it may."""
+    """Until when the worker may run, and until when it has been told it may.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    started : timedelta
+        When this attendant began. The one before it may have told the worker a whole
+        lease just then, and left no trace of it.
+    """
+
+    def __init__(self, *, started: timedelta) -> None:
         self._granted = _NOTHING
-        self._told = _NOTHING
+        self._told = started + _WORKER_HORIZON
         self._reading: WorkerClock | None = None
 
     def begin_life(self) -> None:
-        """Forget what another life was told, and its clock."""
+        """Forget the clock of another life."""
         self._reading = None
-        self._told = _NOTHING
 
     def take_reading(self, reading: WorkerClock) -> None:
         """Take in a reading of the worker's clock."""
@@ -50,14 +56,13 @@
         """Whether the worker can be told an end on its own clock."""
         return self._reading is not None
 
-    @property
-    def is_told(self) -> bool:
-        """Whether the worker has been told that it may run."""
-        return bool(self._told)
+    def left_to_run(self, now: timedelta) -> timedelta:
+        """Return for how long the worker may still run by what it was told."""
+        return max(self._told - now, _NOTHING)
 
-    def has_lapsed(self, now: timedelta) -> bool:
-        """Whether all that the worker was told is over."""
-        return now > self._told
+    def withdraw(self) -> None:
+        """Tell the worker no more than it was told, until there is another grant."""
+        self._granted = min(self._granted, self._told)
 
     def end(self) -> None:
         """Note that nothing runs there any more."""
--- a/coltsfoottray/agent/reporter.py
+++ b/coltsfoottray/agent/reporter.py
@@ -22,9 +22,6 @@
 _PERIOD = timedelta(seconds=1)
 _TIMEOUT = timedelta(milliseconds=800)
 _RETRY = timedelta(milliseconds=100)
-# A round of the scheduler and its write take some 50 ms; after a loss of power all
-# attendants ask at once.
-_SETTLING = timedelta(milliseconds=150)
 
 
 class Reporter(Service):
@@ -80,11 +77,6 @@
                 with trio.move_on_after(_RETRY.total_seconds()):
                     await self._attendant.news.wait()
                 continue
-            if not self._attendant.session:
-                # The worker takes no orders until the scheduler has settled what
-                # became of earlier runs.
-                await self._clock.sleep(_SETTLING)
-                continue
             with trio.move_on_after(_PERIOD.total_seconds()):
                 await self._attendant.news.wait()
 
--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -146,11 +146,6 @@
         self, worker: Worker, report: Report, now: timedelta, now_ms: int
     ) -> bool:
         """Settle what became of earlier lives' runs; return whether all is settled."""
-        if report.lapsed_life:
-            held = worker.held_by_ref.values()
-            gone = [placed for placed in held if placed.life == report.lapsed_life]
-            self._lose(worker, gone, now_ms, why="its lease lapsed")
-        worker.is_settling = False
         others = worker.held_of_others(report.life)
         if others and not self._has_shown_its_runs(worker, report, now):
             return False
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -71,8 +71,8 @@
         Nothing runs here after it unless a lease is granted once more.
     answered : timedelta
         When a report last showed that the worker answers its attendant.
-    is_settling : bool
-        Runs are to be given up here before another session begins.
+    report_number : int
+        The latest report of this life of its attendant.
     replaced : timedelta, optional
         Since when another life than that of the runs held has been reported.
     is_listed : bool
@@ -103,7 +103,7 @@
     is_draining: bool = False
     leaves: timedelta = _NEVER
     is_reachable: bool = False
-    is_settling: bool = False
+    report_number: int = 0
     is_listed: bool = False
     heard: timedelta = _NEVER
     answered: timedelta = _NEVER
--- a/coltsfoottray/scheduler/grants.py
+++ b/coltsfoottray/scheduler/grants.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from coltsfoottray.clock import Clock
+from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.fleet import Fleet, Worker
 from coltsfoottray.scheduler.lease import AUTHORITY
 
@@ -24,6 +25,9 @@
 # Two steady clocks drift apart by at most 2% over a lease.
 _DRIFT = 1.02
 
+# A lease that ends sooner by less is not worth a line: each report says so anew.
+_TELLING = timedelta(milliseconds=500)
+
 # Far more sessions than one scheduler can grant; keeps tokens of a later epoch
 # above all of an earlier one.
 _SESSIONS_PER_EPOCH = 1_000_000
@@ -72,6 +76,24 @@
         worker.lease_end = max(worker.lease_end, now + granted * _DRIFT)
         return math.floor(granted.total_seconds() * 1000)
 
+    def shorten(self, worker: Worker, left: timedelta) -> None:
+        """Note that a worker that does not answer may run for `left` at the most.
+
+        Told with each report, it reaches every scheduler. A single word that the lease
+        was over got lost with the scheduler that heard it, and the next one waited for
+        a whole lease; one lost with its attendant was never said.
+        """
+        end = self._clock.elapsed() + left * _DRIFT
+        if worker.held_by_ref and worker.lease_end - end > _TELLING:
+            log_event(
+                "scheduler:lease-shortened",
+                worker=worker.id,
+                life=worker.life,
+                left_s=left.total_seconds(),
+                held=len(worker.held_by_ref),
+            )
+        worker.lease_end = min(worker.lease_end, end)
+
     def first_lease_end(self, worker: str) -> timedelta:
         """Return when leases granted by earlier schedulers have surely ended."""
         return self._silent_until.get(worker, self._won + AUTHORITY * _DRIFT)
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -107,9 +107,12 @@
         0 for none. No order of an earlier session takes effect there any more.
     life : str
         The worker's life, empty where none is known.
-    lapsed_life : str
-        A life whose lease ran out while the worker gave no answer: none of its
-        runs exists any more.
+    number : int
+        Rises with each report of this attendant, so that a late one can be told.
+    lease_left_ms : int
+        For how long the worker may still run at the most, by what it was told. In a
+        report that shows no life of it this is a promise: it will be told no more
+        before the scheduler has granted another lease.
     is_reachable : bool
         Whether the worker answered its last look.
     starting : list of RunRef
@@ -129,7 +132,8 @@
     session: int = 0
     looked: int = 0
     life: str = ""
-    lapsed_life: str = ""
+    number: int = 0
+    lease_left_ms: int = 0
     service: str = ""
     capacity: Resources = Resources()
     labels: list[str] = msgspec.field(default_factory=list)
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -125,9 +125,12 @@
         worker = self._fleet.get_or_add(
             report.worker, report.address, self._grants.first_lease_end(report.worker)
         )
+        if self._is_late(worker, report):
+            return ReportReply(scheduler=self.lease.address)
         worker.heard = now
         if report.shows_life:
             worker.answered = now
+        lease_ms = self._settle_lease(worker, report)
         self._grant_session(worker, report)
         self._inbox.reports.append(report)
         self._wake.set()
@@ -138,44 +141,44 @@
             scheduler=self.lease.address,
             is_scheduler=True,
             epoch=self.lease.epoch,
-            lease_ms=self._grant_lease(worker, report),
+            lease_ms=lease_ms,
             orders=orders,
             pressures=self.board.pressures.all(),
         )
 
-    def _grant_lease(self, worker: Worker, report: Report) -> int:
+    @staticmethod
+    def _is_late(worker: Worker, report: Report) -> bool:
+        """Whether a later report of the same attendant has been taken in.
+
+        One that got no answer may still arrive, seconds later. What it says of the
+        lease is no longer true of a worker that has answered since.
+        """
+        if report.incarnation != worker.incarnation:
+            return False
+        if report.number <= worker.report_number:
+            return True
+        worker.report_number = report.number
+        return False
+
+    def _settle_lease(self, worker: Worker, report: Report) -> int:
         """Return a lease in milliseconds, none unless the worker is seen to live.
 
         Attendants outlive their workers. Renewed by their reports alone, the lease of
         a worker that was gone for good never ended, and what had run there was never
         given up. Told to nobody, a grant extends nothing, so none is made.
         """
-        if not report.shows_life:
-            return 0
-        return self._grants.grant(worker, self._ledger.confirmed)
+        if report.shows_life:
+            return self._grants.grant(worker, self._ledger.confirmed)
+        if 0 < worker.session == report.session:
+            # Not of an attendant that another one may have replaced meanwhile.
+            self._grants.shorten(worker, timedelta(milliseconds=report.lease_left_ms))
+        return 0
 
     def _grant_session(self, worker: Worker, report: Report) -> None:
-        """Grant an attendant a session, unless runs are to be given up there first.
-
-        A session that began before they are could carry an order to start one of
-        them to where it would run beside its successor. The attendant asks again
-        soon; waiting for its next report cost each worker that came back a second.
+        """Grant an attendant a session of its own, and another to each life beside it.
 
-        Each life of the worker gets a session of its own, so that a look in it
-        shuts out the orders that were meant for the life before.
+        So a look in it shuts out the orders that were meant for the life before.
         """
-        if report.lapsed_life:
-            worker.is_settling = True
-            log_event(
-                "scheduler:lapse-heard",
-                epoch=self.lease.epoch,
-                worker=worker.id,
-                life=report.lapsed_life,
-                held=len(worker.held_by_ref),
-            )
-        if worker.is_settling:
-            worker.session = 0
-            return
         is_known = (
             worker.incarnation == report.incarnation
             and worker.session == report.session
@@ -184,6 +187,8 @@
         )
         if is_known:
             return
+        if worker.incarnation != report.incarnation:
+            worker.report_number = report.number
         worker.incarnation = report.incarnation
         worker.session_life = report.life
         worker.session = self._grants.next_session()
--- a/tests/scheduler/gone.feature
+++ b/tests/scheduler/gone.feature
@@ -36,9 +36,10 @@
     And no task ran twice at a time or after its end
 
   Scenario: A worker is gone, and every process loses power
-    # A worker dies and never comes back, and every daemon is killed. The next scheduler
-    # knows from its rows that the tasks were there, and the attendant that starts anew
-    # beside nothing goes on reporting: the tasks never ran again.
+    # A worker dies for good, and every daemon is killed. The next scheduler knows from its
+    # rows that the tasks were there; the attendant that starts anew beside nothing could
+    # not say that no lease of before its start can have lasted, so that the scheduler held
+    # them, first for ever, then for a whole lease of its predecessor.
     Given two entries and 2 workers for jobs
     When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
     And 2 s pass
@@ -47,3 +48,70 @@
     And 7 s pass
     Then 4 tasks run
     And no task ran twice at a time or after its end
+
+  Scenario: A worker is gone, and the store fails as it goes
+    # As the worker dies the store goes down, so that no scheduler can store that it is
+    # silent. The one at work hears that its lease is over ("worker:lease-lapsed" at
+    # 18.542 s, said once) and is replaced ("scheduler:deposed" at 22.817 s, nothing decided
+    # since 18.083 s). The next one never heard it and waited for a whole lease.
+    Given two entries and 2 workers for jobs
+    When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
+    And 2 s pass
+    And worker-1's machine is gone for good
+    And the store is down from now on
+    And 7 s pass
+    And the scheduler is killed
+    And 7 s pass with the store up again
+    Then 4 tasks run
+    And no task ran twice at a time or after its end
+
+  Scenario: A word that a worker does not answer arrives seconds late
+    # A worker is silent for some seconds, and its attendant says how long it may still run.
+    # That report arrives when the worker has long answered again and been granted more.
+    # Then the attendant is cut off. Had the old word counted, the tasks would have begun
+    # elsewhere while they ran on.
+    Given two entries and 2 workers for jobs
+    When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
+    And 2 s pass
+    And worker-1's machine falls silent
+    And 4 s pass
+    And what is sent to the scheduler for 1 s arrives late
+    And worker-1's machine answers again
+    And 3 s pass
+    And worker-1 is cut off from the entries and the store for 5 s
+    And 2 s pass
+    Then 4 tasks run
+    And no task ran twice at a time or after its end
+
+  Scenario: A worker answers again as its attendant is cut off
+    # A worker is silent for some seconds, and its attendant says how long it may still run.
+    # It answers again while the attendant reaches nobody. Had the attendant then told it
+    # all that had once been granted, the tasks would have run beside their successors.
+    Given two entries and 2 workers for jobs
+    When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
+    And 2 s pass
+    And worker-1's machine falls silent
+    And 3 s pass
+    And worker-1's machine answers again
+    And worker-1 is cut off from the entries and the store for 6 s
+    And 2 s pass
+    Then 4 tasks run
+    And no task ran twice at a time or after its end
+
+  Scenario: A word that a worker does not answer arrives after its attendant has died
+    # A worker is silent for some seconds, its attendant says how long it may still run, and
+    # dies. The next attendant finds the worker answering, and it is granted more; then the
+    # old word arrives. Had it counted, the tasks would have run beside their successors.
+    Given two entries and 2 workers for jobs
+    When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
+    And 2 s pass
+    And worker-1's machine falls silent
+    And 2 s pass
+    And what is sent to the scheduler for 1 s arrives late
+    And worker-1 is killed and started anew after 0 s
+    And worker-1's machine answers again
+    And 2 s pass
+    And worker-1 is cut off from the entries and the store for 7 s
+    And 2 s pass
+    Then 4 tasks run
+    And no task ran twice at a time or after its end
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import sys
+
 import trio
 from behave import given, step, when
 
@@ -135,6 +137,19 @@
     context.world.cell.worker_by_name[name].is_dark = True
 
 
+@when("{name}'s machine answers again")
+def answer_again(context, name):
+    context.world.cell.worker_by_name[name].is_dark = False
+
+
+@when("what is sent to the scheduler for {seconds:d} s arrives late")
+def delay_requests(context, seconds):
+    faults = context.world.fabric.faults(context.world.cell.scheduler())
+    faults.late_requests = sys.maxsize
+    context.world.advance(seconds)
+    faults.late_requests = 0
+
+
 @given("{name}'s machine fails everything it starts")
 def make_failing(context, name):
     context.world.cell.worker_by_name[name].fails_everything = True
