An attendant stays with the scheduler that lists its worker as silent

Cause: a worker that the lease row lists as silent is granted nothing until the row is stored anew, some 30 ms later. The attendant took the answer without a lease for that of a scheduler cut off from the store, asked the others, and two of them did not answer.

Change: the answer says that the lease is pending, where the scheduler's own right still holds; the attendant asks the same one again 100 ms later. Ruled out: a longer wait before others are asked, which a scheduler that is truly cut off would make longer too.

Before: the new scenario fails (nothing runs after 250 ms).

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -105,6 +105,8 @@
         self._nursery: trio.Nursery | None = None
         self._session_begun = trio.Event()
         self.news = trio.Event()
+        # Whether the scheduler has yet to store that the worker is back.
+        self.is_lease_pending = False
 
     async def run(  # noqa: D102
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -319,6 +321,9 @@
             Whether it is from a scheduler worth reporting to: not from one that
             has been replaced, nor from one that has nothing left to grant where a
             lease was due.
+
+            A lease that is only pending is no reason to leave: other entries may be
+            dead, and asking them left the worker idle for seconds.
         """
         if reply.epoch < self._epoch:
             log_event("scheduler:outdated", epoch=reply.epoch, known=self._epoch)
@@ -331,7 +336,9 @@
         if reply.orders.session != self._session:
             self._begin_session(reply.orders.session)
         self._carry_out(reply.orders)
-        return reply.lease_ms > 0 or not report.shows_life
+        self.is_lease_pending = reply.is_lease_pending
+        is_due = report.shows_life and not reply.is_lease_pending
+        return reply.lease_ms > 0 or not is_due
 
     async def answer_orders(self, orders: Orders) -> Acknowledged:
         """Take orders that the scheduler sends between reports."""
--- a/coltsfoottray/agent/reporter.py
+++ b/coltsfoottray/agent/reporter.py
@@ -73,7 +73,7 @@
                 is_answered = await self._report()
             if self._attempt.cancelled_caught:
                 continue
-            if not is_answered:
+            if not is_answered or self._attendant.is_lease_pending:
                 with trio.move_on_after(_RETRY.total_seconds()):
                     await self._attendant.news.wait()
                 continue
--- a/coltsfoottray/scheduler/grants.py
+++ b/coltsfoottray/scheduler/grants.py
@@ -76,6 +76,10 @@
         worker.lease_end = max(worker.lease_end, now + granted * _DRIFT)
         return math.floor(granted.total_seconds() * 1000)
 
+    def is_pending(self, worker: Worker, confirmed: timedelta) -> bool:
+        """Whether a worker gets a lease as soon as it is no longer listed as silent."""
+        return worker.is_listed and self._clock.elapsed() < confirmed + AUTHORITY
+
     def shorten(self, worker: Worker, left: timedelta) -> None:
         """Note that a worker that does not answer may run for `left` at the most.
 
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -170,6 +170,9 @@
     lease_ms : int
         How long the worker may run from the moment the report was sent; 0 where the
         report shows no life of it.
+    is_lease_pending : bool
+        The lease row lists the worker as silent; it gets a lease as soon as another
+        row stands.
     pressures : list of Pressure
         How images disturb one another, as seen everywhere.
     """
@@ -178,6 +181,7 @@
     is_scheduler: bool = False
     epoch: int = 0
     lease_ms: int = 0
+    is_lease_pending: bool = False
     orders: Orders = Orders(session=0)
     pressures: list[Pressure] = msgspec.field(default_factory=list)
 
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -142,6 +142,8 @@
             is_scheduler=True,
             epoch=self.lease.epoch,
             lease_ms=lease_ms,
+            is_lease_pending=report.shows_life
+            and self._grants.is_pending(worker, self._ledger.confirmed),
             orders=orders,
             pressures=self.board.pressures.all(),
         )
--- a/tests/scheduler/one_run.feature
+++ b/tests/scheduler/one_run.feature
@@ -121,6 +121,20 @@
     And 250 ms pass
     Then 1 tasks run
 
+  Scenario: A worker is back that the scheduler lists as silent, beside a dead entry
+    # The scheduler grants a listed worker nothing until its list is stored anew. Its
+    # attendant took the answer without a lease for one of a scheduler that is no longer
+    # one, asked the entry that does not answer instead, and its worker stood idle.
+    Given two entries and 1 workers for jobs
+    When the job "a" of 1 steps with 1 tasks of 60 s is handed in at entry-1
+    And 1 s pass
+    And worker-1's machine crashes and sends no heartbeats
+    And worker-1 is killed and started anew after 4 s
+    And the other entry freezes
+    And worker-1's machine sends heartbeats again
+    And 250 ms pass
+    Then 1 tasks run
+
   Scenario: A worker's new life says that it is there and then answers nobody
     # Its attendant cannot look at it, so what became of the runs of its earlier life
     # is never shown. They must not wait for ever: no start that it may have taken
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -27,6 +27,13 @@
     context.world.resume(name)
 
 
+@when("the other entry freezes")
+def freeze_other_entry(context):
+    cell = context.world.cell
+    other = next(name for name in cell.entry_by_name if name != cell.scheduler())
+    context.world.fabric.faults(other).pause()
+
+
 @when("every daemon is killed and started anew")
 def restart_all(context):
     cell = context.world.cell
