A new scheduler asks who is there until the store answers

Cause: the new scheduler reads the attendants' addresses once; the store had just come back, and one failed reading was the end of the introduction. The line that would prove it (scheduler:not-introduced) was not collected; the failed reading is brought about in a scenario instead.

Ruled out: slow attendants (the same ones answer within 23 ms at the next change).

Before: the new scenario fails with 1, 2 and 4 failed readings and passes with none.

--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -14,7 +14,7 @@
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.jobs.keys import LEASE_KEY
-from coltsfoottray.jobs.members import read_members
+from coltsfoottray.jobs.members import MemberRow, read_members
 from coltsfoottray.jobs.mirror import Mirror
 from coltsfoottray.jobs.model import AcceptedJob, JobId
 from coltsfoottray.jobs.records import JobState
@@ -276,17 +276,25 @@
         They would find out by themselves when the scheduler before is silent, but
         not when it is cut off from the table alone and still answers them.
         """
-        try:
-            members = await read_members(self._table)
-        except TableUnavailable as error:
-            log_event("scheduler:not-introduced", reason=str(error))
-            return
         hello = Hello(epoch=lease.epoch, scheduler=lease.address)
         async with trio.open_nursery() as nursery:
-            for member in members:
+            for member in await self._read_members():
                 if member.role is Role.WORKER:
                     nursery.start_soon(self._greet, member.address, hello)
 
+    async def _read_members(self) -> list[MemberRow]:
+        """Return the members, asking until the table answers.
+
+        Schedulers change when the table has just failed. Asked once only, it left the
+        attendants to find the new one with their next reports.
+        """
+        while True:
+            try:
+                return await read_members(self._table)
+            except TableUnavailable as error:
+                log_event("scheduler:not-introduced", reason=str(error))
+                await self._clock.sleep(_GREETING_PAUSE)
+
     async def _greet(self, address: Address, hello: Hello) -> None:
         for _ in range(_GREETINGS):
             try:
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from collections import Counter
 from dataclasses import dataclass, field
 
 import msgspec
@@ -60,10 +61,13 @@
     late_writes : int
         For so many transactions: no answer, and carried out seconds later if the
         conditions still hold.
+    failed_reads_by_table : dict
+        For so many readings of a table: it is unavailable.
     """
 
     faults: Faults = field(default_factory=Faults)
     late_writes: int = 0
+    failed_reads_by_table: Counter[str] = field(default_factory=Counter)
     version: int = 0
     calls: int = 0
     current_by_ref: dict[_Ref, _Change] = field(default_factory=dict)
@@ -99,6 +103,9 @@
         if request.path == "/v1/rows-tx":
             return await self._transact(msgspec.json.decode(request.body, type=_Tx))
         if request.path == "/v1/rows-get":
+            if self.failed_reads_by_table[request.query["table"]] > 0:
+                self.failed_reads_by_table[request.query["table"]] -= 1
+                return HttpResponse(status=503)
             return self._read(request.query)
         if request.path == "/v1/rows-feed":
             return await self._feed(request.query)
--- a/tests/scheduler/store.feature
+++ b/tests/scheduler/store.feature
@@ -120,3 +120,15 @@
     Given two entries and 2 workers for jobs
     When 60 jobs of 1 task are handed in over 12 s
     Then the scheduler has not changed
+
+  Scenario: The store fails just as a new scheduler asks who is there
+    # The scheduler dies, and the next one is to introduce itself to all attendants. The
+    # one reading of their addresses failed and was not repeated, so that each found the
+    # new scheduler only with its next report: for up to a second nothing was started.
+    Given two entries and 1 workers for jobs
+    When the scheduler freezes
+    And the next 2 readings of the members fail
+    And another entry has taken over
+    And the job "a" of 1 steps with 1 tasks of 60 s is handed in at the new scheduler
+    And 400 ms pass
+    Then 1 tasks run
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -19,6 +19,11 @@
     context.world.kill_daemon(context.world.cell.scheduler())
 
 
+@when("the scheduler freezes")
+def freeze_scheduler_for_good(context):
+    context.world.fabric.faults(context.world.cell.scheduler()).pause()
+
+
 @when("the scheduler is frozen for {seconds:d} s")
 def freeze_scheduler(context, seconds):
     name = context.world.cell.scheduler()
@@ -241,6 +246,20 @@
     context.world.cell.rows.faults.is_down = True
 
 
+@when("the next {count:d} readings of the members fail")
+def fail_member_reads(context, count):
+    context.world.cell.rows.failed_reads_by_table["members"] = count
+
+
+@when("another entry has taken over")
+def wait_for_takeover(context):
+    rows = context.world.cell.rows
+    before = rows.value_of("state", "scheduler", "lease")["epoch"]
+    context.world.wait_until(
+        lambda: rows.value_of("state", "scheduler", "lease")["epoch"] != before
+    )
+
+
 @when("the store's history is dropped")
 def drop_history(context):
     context.world.cell.rows.drop_history()
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -28,6 +28,8 @@
 def submit(context, label, steps, tasks, seconds, entry):
     if entry == "the other entry":
         entry = _other_entry(context)
+    if entry == "the new scheduler":
+        entry = context.world.cell.scheduler()
     if entry == "that entry":
         entry = context.scheduler
     shape = make_steps(steps, tasks, seconds)
