Nothing is acknowledged by a look that may reach another life first

Callers could see a task begun again after it had ended well. A worker crashes while a look at it waits, and is back at once; the connection breaks. The next look still carried the number of the earlier life's ends, and the new life forgot its own first one by it.

It was hidden by the stand-in: it answered a call that waited at the crash as if from the new life, which told the attendant in time. Now such a call gets an error, as from a process that has died, and a life's clock starts anew with it. Change: ends are acknowledged only to a worker whose last look was answered.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -224,11 +224,12 @@
     def _ends_to_forget(self) -> int:
         """Return up to which number the worker may forget ends, 0 for none.
 
-        Told again and again, the number of one life's ends made a new life under the
-        same id forget its own first ones: a task that had ended well there ran again.
+        Told to a new life under the same id, the number of the earlier life's ends made
+        it forget its own first ones: a task that had ended well there ran again. So
+        nothing is forgotten by a look that may be the first to reach another life.
         """
         is_pending = any(e.number <= self._acknowledged for e in self._runs.ends)
-        return self._acknowledged if is_pending and not self._is_replaced else 0
+        return self._acknowledged if is_pending and self._is_reachable else 0
 
     def _notice_lapse(self) -> None:
         """Let go of the runs of a worker that is silent past its lease.
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from coltsfoottray.errors import CommunicationError
+from coltsfoottray.errors import CommunicationError, Step
 from coltsfoottray.http import HttpRequest, HttpResponse, HttpTransport
 from coltsfoottray.types import Address
 from standins.advice import AdviceStandIn
@@ -114,6 +114,7 @@
 
     def _begin_life(self) -> None:
         self.born = 1_000_000 + next(self._lives)
+        self._life_began: float | None = None
         self.fence = 0
         self.until_ms = 0
         self.run_by_task: dict[str, _Run] = {}
@@ -161,8 +162,10 @@
         self.run_by_task.clear()
 
     def clock_ms(self) -> int:
-        """Return the worker's own clock."""
-        return int(trio.current_time() * 1000)
+        """Return the worker's own clock, which starts anew with each life."""
+        if self._life_began is None:
+            self._life_began = trio.current_time()
+        return int((trio.current_time() - self._life_began) * 1000)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Serve the worker's interface."""
@@ -243,9 +246,14 @@
         self._extend(body.get("untilMs", 0))
         seen = body["ackCursor"]
         self.ends = [end for end in self.ends if end[0] > seen]
+        born = self.born
         if not self.ends:
             with trio.move_on_after(body.get("waitMs", 0) / 1000):
                 await self._ended.wait()
+        if self.born != born:
+            raise CommunicationError(
+                step=Step.RECEIVE, peer=str(self.address), detail="the worker crashed"
+            )
         rows = [
             [run.task, run.number, self._saved(run), self._percent(run), run.figure]
             for run in self.run_by_task.values()
--- a/tests/scheduler/one_run.feature
+++ b/tests/scheduler/one_run.feature
@@ -95,9 +95,9 @@
     And no task ran twice at a time or after its end
 
   Scenario: A worker's new life has ended a task before it has reported itself
-    # The look meant for the old life still acknowledged that one's first end. The new
-    # life forgot its own first end by it, a task done, which nobody had seen: the task
-    # was begun again.
+    # The look meant for the old life still acknowledged that one's first end, also when
+    # the connection to it had just broken. The new life forgot its own first end by it, a
+    # task done, which nobody had seen: the task was begun again.
     Given two entries and 1 workers for jobs
     When the job "a" of 1 steps with 1 tasks of 1 s is handed in at entry-1
     And 2 s pass
