A lease says nothing of the runs of a worker that another life has replaced

Callers could see a task run twice at a time. A worker crashes and is back under its id, and its heartbeats get lost. Starts meant for the life before reach it seconds late; the lease end in them is on that life's clock, so the new life lets them run for its longest lease, 10 s. The attendant knew that another life answers, but what was held there was given up when the lease of the first one was over: one lease end stood for two lives.

Change: the attendant's reports say that another life answers; the scheduler then waits as it does for a new life that has reported itself and shows nothing, also in the list that the next scheduler reads. That wait was 12 s and counted the lease alone, not that a start is carried out late; it is 16 s now. Ruled out: taking the new life over from the answer itself (its kind and room are known only from a heartbeat).

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -184,7 +184,8 @@
             if self._is_reachable:
                 log_event("worker:lost", life=beat.life, reason=str(error))
             self._is_reachable = False
-            self._is_replaced |= isinstance(error, WorkerReplaced)
+            if isinstance(error, WorkerReplaced) and error.takes_orders:
+                self._is_replaced = True
             has_left = self._left is not None and asked >= self._left
             # A new life under the same id may have taken orders meant for this one:
             # what became of them is settled once it has reported itself.
@@ -311,6 +312,7 @@
             is_draining=beat.is_draining,
             remaining_ms=beat.remaining.total_seconds() * 1000,
             is_reachable=self._is_reachable,
+            is_replaced=self._is_replaced,
         )
 
     def take_reply(self, report: Report, reply: ReportReply, sent: timedelta) -> bool:
--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -11,7 +11,7 @@
 from coltsfoottray.jobs.model import AcceptedJob, JobId, QueueTerms, RunRef
 from coltsfoottray.jobs.records import JobState, TaskPhase
 from coltsfoottray.logs import log_event
-from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
+from coltsfoottray.scheduler.fleet import MAX_STRAY, Fleet, PlacedRun, Worker
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
 from coltsfoottray.scheduler.messages import RejectedStart, Report
 
@@ -21,10 +21,6 @@
 # two of its attendant's reports.
 _BLOCK = timedelta(seconds=2)
 
-# A new life of a worker that never answers its attendant cannot show what it runs. A
-# start of the life before that reached it would run for a lease of 10 s at the most.
-_MAX_STRAY = timedelta(seconds=12)
-
 
 class Board:
     """Jobs, workers and runs; changed by one task only, the scheduler's rounds."""
@@ -133,7 +129,7 @@
     def expire(self, now: timedelta, now_ms: int) -> None:
         """Give up the runs of workers whose lease has surely run out."""
         for worker in self.fleet.worker_by_id.values():
-            if not worker.held_by_ref or _surely_over(worker) >= now:
+            if not worker.held_by_ref or worker.surely_over >= now:
                 continue
             silent_s = (now - worker.heard).total_seconds()
             gone_s = (now - worker.answered).total_seconds()
@@ -149,7 +145,9 @@
         others = worker.held_of_others(report.life)
         if others and not self._has_shown_its_runs(worker, report, now):
             return False
-        if report.life:
+        if report.is_replaced:
+            worker.replaced = worker.replaced or now
+        elif report.life:
             worker.replaced = None
         if report.life and report.life != worker.life:
             worker.acknowledged = 0
@@ -168,7 +166,7 @@
         """
         if worker.replaced is None:
             worker.replaced = now
-        if now - worker.replaced > _MAX_STRAY:
+        if now - worker.replaced > MAX_STRAY:
             return True
         return 0 < worker.session == report.session == report.looked
 
@@ -392,14 +390,3 @@
     def terms_of(self, job: LiveJob) -> QueueTerms:
         """Return the terms under which a job runs now."""
         return self._holder.terms_of(job.accepted.queue, otherwise=job.accepted.terms)
-
-
-def _surely_over(worker: Worker) -> timedelta:
-    """Return when nothing that is held on a worker can run any more.
-
-    Another life of the worker may have taken starts that were meant for the one
-    before. Its clock is another, so that they outlast the lease of that one.
-    """
-    if worker.replaced is None:
-        return worker.lease_end
-    return max(worker.lease_end, worker.replaced + _MAX_STRAY)
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -12,7 +12,7 @@
 from coltsfoottray.scheduler.live import LiveStep
 from coltsfoottray.types import Address, Resources
 
-__all__ = ["Fleet", "PlacedRun", "Worker"]
+__all__ = ["MAX_STRAY", "Fleet", "PlacedRun", "Worker"]
 
 # A slowed filler may be let work a little more by the next look.
 _FILLER_HEADROOM = 0.15
@@ -21,6 +21,11 @@
 # which tasks stand still is found out after 1.5 s.
 _TRIAL = timedelta(seconds=2)
 _NEVER = timedelta(days=-1)
+
+# A new life of a worker that never answers its attendant cannot show what it runs. A
+# start of the life before that reached it, seconds late, would run for a lease of 10 s
+# at the most.
+MAX_STRAY = timedelta(seconds=16)
 _NOTHING = Resources()
 
 
@@ -74,7 +79,7 @@
     report_number : int
         The latest report of this life of its attendant.
     replaced : timedelta, optional
-        Since when another life than that of the runs held has been reported.
+        Since when another life than that of the runs held is known to be there.
     is_listed : bool
         The lease row calls it silent; until another one stands it gets no lease.
     acknowledged : int
@@ -141,6 +146,17 @@
             return False
         return not self.life or self.replaced is not None
 
+    @property
+    def surely_over(self) -> timedelta:
+        """When nothing that is held here can run any more.
+
+        Another life of the worker may have taken starts that were meant for the one
+        before. Its clock is another, so that they outlast the lease of that one.
+        """
+        if self.replaced is None:
+            return self.lease_end
+        return max(self.lease_end, self.replaced + MAX_STRAY)
+
     def is_being_tried(self, now: timedelta) -> bool:
         """Whether a first task after a block is yet to show if the worker is sound.
 
--- a/coltsfoottray/scheduler/grants.py
+++ b/coltsfoottray/scheduler/grants.py
@@ -109,7 +109,7 @@
         for worker in self._fleet.worker_by_id.values():
             if worker.held_by_ref and now - worker.answered > _SILENCE:
                 worker.is_listed = True
-                left = max(worker.lease_end - now, timedelta(0))
+                left = max(worker.surely_over - now, timedelta(0))
                 silent_ms[worker.id] = math.ceil(left.total_seconds() * 1000)
         return silent_ms
 
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -115,6 +115,8 @@
         before the scheduler has granted another lease.
     is_reachable : bool
         Whether the worker answered its last look.
+    is_replaced : bool
+        Another life under its id answers in its place, which has not reported itself.
     starting : list of RunRef
         Starts without an answer so far.
     stalled : list of RunRef
@@ -141,6 +143,7 @@
     is_draining: bool = False
     remaining_ms: float = 0.0
     is_reachable: bool = True
+    is_replaced: bool = False
     running: list[RunStatus] = msgspec.field(default_factory=list)
     starting: list[RunRef] = msgspec.field(default_factory=list)
     ends: list[RunEnd] = msgspec.field(default_factory=list)
--- a/tests/scheduler/one_run.feature
+++ b/tests/scheduler/one_run.feature
@@ -94,6 +94,21 @@
     Then the job "a" is "completed" within 15 s
     And no task ran twice at a time or after its end
 
+  Scenario: A worker's new life takes a late start and is not heard of
+    # A worker crashes and is back at once; its heartbeats get lost. Starts meant for the
+    # life before reach it seconds late. The lease end that they carry is on the clock of
+    # that life, so that they run longer than it, up to the most that a worker allows.
+    # Given up when that lease was over, the tasks ran beside their successors.
+    Given two entries and 2 workers for jobs
+    And the next 3 starts at worker-1 are carried out late
+    When 30 s pass
+    And the job "a" of 1 steps with 6 tasks of 30 s is handed in at entry-1
+    And 200 ms pass
+    And worker-1's machine crashes and sends no heartbeats
+    And 20 s pass
+    Then no task ran twice at a time or after its end
+    And the job "a" is "completed" within 60 s
+
   Scenario: A worker's new life has ended a task before it has reported itself
     # The look meant for the old life still acknowledged that one's first end, also when
     # the connection to it had just broken. The new life forgot its own first end by it, a
