--- /dev/null
+++ b/tests/scheduler/lost.feature
@@ -0,0 +1,47 @@
+Feature: What was held on a worker that is lost, and by whom it is known
+
+  Scenario: A worker lists a new life, is lost, and the scheduler is replaced
+    # The scheduler knows that a new life may hold starts of the one before and waits for
+    # them. What it stores for the next scheduler is the lease alone.
+    Given two entries and 2 workers for jobs
+    When 10 s pass
+    And 250 ms pass
+    And worker-1's machine crashes and sends no heartbeats
+    And the lasting job "a" of 1 steps with 6 tasks of 1 s is handed in at entry-1
+    And 100 ms pass
+    And worker-1's machine sends heartbeats again
+    And worker-1's machine falls silent
+    And 20 ms pass
+    And worker-1 and its machine are lost
+    And 4 s pass
+    And the scheduler is killed
+    And 15 s pass
+    Then 6 tasks run
+    And no task ran twice at a time or after its end
+
+  Scenario: A new life carries out a start seconds late and holds it for a whole lease
+    # The start gets no answer and is carried out seconds later, by the next life, which
+    # has been heard of and answers nobody. It holds for the longest lease from then on.
+    Given two entries and 2 workers for jobs
+    And the next 6 starts at worker-1 are carried out late
+    When 10 s pass
+    And the lasting job "a" of 1 steps with 6 tasks of 1 s is handed in at entry-1
+    And 50 ms pass
+    And worker-1's machine crashes and reports at once
+    And worker-1's machine falls silent
+    And 20 s pass
+    Then 6 tasks run
+    And no task ran twice at a time or after its end
+
+  Scenario: The new scheduler cannot read who is there
+    # The scheduler is cut off from the store and still answers attendants. Its successor
+    # fails to read the members once, and introduces itself to nobody: the workers stay
+    # with the old one until it has nothing left to grant, and all they run is killed.
+    Given two entries and 2 workers for jobs
+    When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
+    And 2 s pass
+    And the scheduler loses the store for good
+    And another scheduler has taken over, and cannot read the store for 3000 ms
+    And 12 s pass
+    Then 4 tasks run
+    And 4 tasks were started, each once
--- /dev/null
+++ b/tests/steps/lost_steps.py
@@ -0,0 +1,125 @@
+"""Steps that lose workers, or what is sent to and by them."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import trio
+from behave import given, then, when
+
+from coltsfoottray.http import HttpRequest
+from tests.support.job_world import make_steps
+
+
+@when('the VM that runs "{task}" is lost and its attendant lives on')
+def lose_vm_only(context, task):
+    world = context.world
+    name = f"{world.rows()[task].worker}/vm"
+    world.kill(name)
+
+
+@when('the task "{task}" is finished within {seconds:d} s')
+def wait_finished(context, task, seconds):
+    world = context.world
+    world.wait_until(
+        lambda: world.rows()[task].state.value == "finished", limit_s=seconds
+    )
+
+
+@when('{count:d} lasting jobs that need the label "{label}" are handed in at {entry}')
+def submit_labelled(context, count, label, entry):
+    for number in range(count):
+        shape = make_steps(1, 1, 1, requirements=label, longRunning=True)
+        status = context.world.submit_job(entry, f"l{number}", shape, lasts=True)
+        assert status == 200, status
+
+
+@when(
+    'the job "{name}" that needs a ticket and the label "{label}" is handed in '
+    "at {entry}"
+)
+def submit_labelled_ticket(context, name, label, entry):
+    shape = make_steps(1, 1, 1, requirements=label)
+    status = context.world.submit_job(entry, name, shape, work_s=1, needs_ticket=True)
+    assert status == 200, status
+
+
+@when("another scheduler has taken over, and cannot read the store for {ms:d} ms")
+def take_over_blind(context, ms):
+    """Cut the new scheduler off from the store as soon as its row stands."""
+    world = context.world
+    before = world.cell.scheduler()
+    world.wait_until(lambda: world.cell.scheduler() != before, step_s=0.0002)
+    link = frozenset((world.cell.scheduler(), "store"))
+    world.fabric.cut.add(link)
+    world.advance(ms / 1000)
+    world.fabric.cut.discard(link)
+
+
+@when("the scheduler loses the store for good")
+def lose_store(context):
+    cell = context.world.cell
+    name = cell.scheduler()
+    for other in [*cell.entry_by_name, "store"]:
+        if other != name:
+            context.world.fabric.cut.add(frozenset((name, other)))
+
+
+@when("{name} starts anew just before its task ends, and one look goes unanswered")
+def end_beside_start(context, name):
+    """Let a start be refused for a run whose end no look has shown yet."""
+    world = context.world
+    worker = world.cell.worker_by_name[name]
+    worker.sends_heartbeats = False
+    world.kill_daemon(name)
+    world.start_again(name)
+    world.advance(0.5)
+    (run,) = worker.run_by_task.values()
+    world.wait_until(lambda: run.done_s > run.work_s - 0.06, step_s=0.005)
+    hold = worker._hold
+    looks = []
+
+    async def answer(body):
+        looks.append(body)
+        if len(looks) == 2:
+            await trio.sleep_forever()
+        return await hold(body)
+
+    worker._hold = answer
+    world.run(worker.report)
+    worker.sends_heartbeats = True
+
+
+@when("a late word that {name}'s machine leaves arrives")
+def leave_falsely(context, name):
+    """Deliver what an earlier life under the same id said before it ended."""
+    world = context.world
+    worker = world.cell.worker_by_name[name]
+    request = HttpRequest(method="POST", target=f"/v1/instances/i-{name}/deregister")
+
+    async def say():
+        await worker._transport.send(
+            worker._attendant, request, timeout=timedelta(seconds=1)
+        )
+
+    world.run(say)
+
+
+@given("{name}'s machine answers looks and never takes a start")
+def lose_starts(context, name):
+    async def never(body):
+        await trio.sleep_forever()
+
+    context.world.cell.worker_by_name[name]._take_start = never
+
+
+@when('the VM that runs "{task}" starts anew, empty, beside its attendant')
+def restart_vm_only(context, task):
+    world = context.world
+    worker = world.cell.worker_stand_in_by_name[world.rows()[task].worker]
+    for attempt in worker._attempts():
+        worker._suspend(attempt)
+        worker._lose_result(attempt)
+    worker._attempt_by_task.clear()
+    worker._stopped.clear()
+    worker.boot += "-anew"
