--- a/tests/steps/lost_steps.py
+++ b/tests/steps/lost_steps.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 import trio
-from behave import given, then, when
+from behave import given, when
 
 from coltsfoottray.http import HttpRequest
 from tests.support.job_world import make_steps
