The scheduler hears at once that another life has answered a start

Callers could see a task run twice at a time. A worker starts anew under its id and takes starts that were meant for the life before; its answers show another life. The attendant noted that only when a look was answered so. If the worker then fell silent, or the attendant died too, the runs were given up with the lease of the first life, while the new one held them for 10 s by its own clock.

Change: a start that another life answers is told to the scheduler at once, as a look is. Open: a start that a new life takes without any answer, with its heartbeats unheard for as long as a lease; nobody can know of it.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -184,8 +184,8 @@
             if self._is_reachable:
                 log_event("worker:lost", life=beat.life, reason=str(error))
             self._is_reachable = False
-            if isinstance(error, WorkerReplaced) and error.takes_orders:
-                self._is_replaced = True
+            if isinstance(error, WorkerReplaced):
+                self.note_replaced(error)
             has_left = self._left is not None and asked >= self._left
             # A new life under the same id may have taken orders meant for this one:
             # what became of them is settled once it has reported itself.
@@ -396,5 +396,17 @@
         """
         return self._lease.tell(now) if self._is_reachable else 0
 
+    def note_replaced(self, error: WorkerReplaced) -> None:
+        """Tell the scheduler of another life under the worker's id at once.
+
+        What it has taken outlasts the lease of the one before. Were this attendant to
+        die with the news, the scheduler would count that lease alone.
+        """
+        if self._beat is None or error.life != self._beat.life or self._is_replaced:
+            return
+        self._is_replaced = error.takes_orders
+        if self._is_replaced:
+            self.tell()
+
     def tell(self) -> None:  # noqa: D102
         self.news.set()
--- a/coltsfoottray/agent/executor.py
+++ b/coltsfoottray/agent/executor.py
@@ -56,6 +56,10 @@
     def lease_ms(self, now: timedelta) -> int:
         """Return the end of the lease on the worker's clock, 0 for no change."""
 
+    @abc.abstractmethod
+    def note_replaced(self, error: WorkerReplaced) -> None:
+        """Note that another life of the worker has answered."""
+
     @abc.abstractmethod
     def tell(self) -> None:
         """Report to the scheduler soon."""
@@ -124,6 +128,8 @@
                 # It may have begun, or begin later; the same start asked for
                 # again finds out, and begins no second one.
                 is_open = True
+                if isinstance(error, WorkerReplaced):
+                    self._state.note_replaced(error)
                 log_event(
                     "worker:start-unanswered", run=str(order.ref), reason=str(error)
                 )
--- a/tests/scheduler/lost.feature
+++ b/tests/scheduler/lost.feature
@@ -45,3 +45,33 @@
     And 12 s pass
     Then 4 tasks run
     And 4 tasks were started, each once
+
+  Scenario: A new life takes a start, and nobody hears of that life
+    # The worker starts anew under its id, carries out starts meant for the life before
+    # and then answers nobody. By its new clock they carry the longest lease there is;
+    # the attendant's account is of the old clock, and the tasks begin elsewhere first.
+    Given two entries and 2 workers for jobs
+    When 10 s pass
+    And 250 ms pass
+    And worker-1's machine crashes and sends no heartbeats
+    And the lasting job "a" of 1 steps with 6 tasks of 1 s is handed in at entry-1
+    And 100 ms pass
+    And worker-1's machine falls silent
+    And 20 s pass
+    Then 6 tasks run
+    And no task ran twice at a time or after its end
+
+  Scenario: A new life takes a start, and its attendant starts anew without it
+    # The same, and the attendant dies too. The next one counts a lease from its own
+    # start, but what the new life holds by its new clock lasts longer.
+    Given two entries and 2 workers for jobs
+    When 10 s pass
+    And 250 ms pass
+    And worker-1's machine crashes and sends no heartbeats
+    And the lasting job "a" of 1 steps with 6 tasks of 1 s is handed in at entry-1
+    And 100 ms pass
+    And worker-1's machine falls silent
+    And worker-1 is killed and started anew after 0 s
+    And 20 s pass
+    Then 6 tasks run
+    And no task ran twice at a time or after its end
