That a worker leaves is believed when nobody listens there any more

Callers could see all tasks of a worker run twice at a time. A word that the worker leaves, late and of an earlier life under the same id, arrives; a moment later one look goes unanswered. Word and silence together were taken for proof that the worker has ended, while it ran on.

Change: the word counts once a connection to the worker is refused, as it is by the VM of a process that has ended, and not when it merely gives no answer; errors of connections say which of the two it was. Ruled out: asking for an earlier heartbeat that says draining (it may have been lost). Where the word is true and the VM is silent the lease has to end.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -148,8 +148,9 @@
     def take_leave(self, life_id: str) -> None:
         """Hear that the worker is about to end.
 
-        Its runs end with it; that it answers no more confirms it. The word alone
-        may be a late one of an earlier life under the same id.
+        Its runs end with it; that nobody listens there any more confirms it. The word
+        alone may be a late one of an earlier life under the same id, and a worker that
+        runs on may be silent for a moment.
         """
         if self._beat is not None and self._beat.life.startswith(f"{life_id}/"):
             log_event("worker:leaves", life=self._beat.life)
@@ -186,7 +187,8 @@
             self._is_reachable = False
             if isinstance(error, WorkerReplaced):
                 self.note_replaced(error)
-            has_left = self._left is not None and asked >= self._left
+            is_refused = isinstance(error, CommunicationError) and error.is_refused
+            has_left = is_refused and self._left is not None and asked >= self._left
             # A new life under the same id may have taken orders meant for this one:
             # what became of them is settled once it has reported itself.
             is_gone = isinstance(error, WorkerReplaced) and not error.takes_orders
--- a/coltsfoottray/errors.py
+++ b/coltsfoottray/errors.py
@@ -34,11 +34,14 @@
         The peer's address or name.
     detail : str
         What the library underneath said.
+    is_refused : bool
+        The peer's VM answered, and nobody listens there.
     """
 
     step: Step
     peer: str
     detail: str
+    is_refused: bool = False
 
     def __str__(self) -> str:
         return f"{self.step.value} to {self.peer} failed: {self.detail}"
--- a/coltsfoottray/http/client.py
+++ b/coltsfoottray/http/client.py
@@ -100,7 +100,10 @@
                 stream = await trio.open_tcp_stream(address.host, address.port)
         except (OSError, trio.TooSlowError) as error:
             raise CommunicationError(
-                step=Step.CONNECT, peer=str(address), detail=str(error) or "timeout"
+                step=Step.CONNECT,
+                peer=str(address),
+                detail=str(error) or "timeout",
+                is_refused=_is_refused(error),
             ) from error
         assert isinstance(stream, trio.SocketStream)
         return _Link(stream)
@@ -145,3 +148,11 @@
         header_by_name=as_header_by_name(event.headers),
         body=body,
     )
+
+
+def _is_refused(error: Exception) -> bool:
+    """Whether a failed connection was refused, and not given up without an answer."""
+    causes: list[BaseException | None] = [error.__cause__]
+    if isinstance(error.__cause__, BaseExceptionGroup):
+        causes = list(error.__cause__.exceptions)
+    return any(isinstance(cause, ConnectionError) for cause in causes)
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -192,7 +192,12 @@
         await trio.sleep(_LATENCY_S)
         listener = self.listener_by_address.get(address)
         if listener is None:
-            raise _error(Step.CONNECT, address, "refused")
+            raise CommunicationError(
+                step=Step.CONNECT,
+                peer=str(address),
+                detail="nobody listens",
+                is_refused=True,
+            )
         pending = _Pending()
         with trio.move_on_after(timeout.total_seconds()):
             is_cut = frozenset((sender, listener.process)) in self.cut
--- a/tests/scheduler/lost.feature
+++ b/tests/scheduler/lost.feature
@@ -75,3 +75,17 @@
     And 20 s pass
     Then 6 tasks run
     And no task ran twice at a time or after its end
+
+  Scenario: A late word that a worker leaves arrives as it is silent for a moment
+    # An earlier life under the same id said that it leaves, and the word arrives late. The
+    # worker does not answer one look and runs on: word and silence together are taken for
+    # proof, and all that runs there begins elsewhere as well.
+    Given two entries and 2 workers for jobs
+    When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
+    And 2 s pass
+    And a late word that worker-1's machine leaves arrives
+    And worker-1's machine falls silent
+    And 2 s pass
+    And worker-1's machine answers again
+    And 2 s pass
+    Then no task ran twice at a time or after its end
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -174,7 +174,10 @@
 
 @when("{name}'s machine leaves without a notice")
 def leave(context, name):
-    context.world.run(context.world.cell.worker_by_name[name].leave)
+    worker = context.world.cell.worker_by_name[name]
+    context.world.run(worker.leave)
+    # Its process has ended: the VM refuses connections to it.
+    del context.world.fabric.listener_by_address[worker.address]
 
 
 @when("{name} and its machine are lost")
