Failing: a refused start is told as a run's end, and hides the true one

An attendant starts anew under the same life of its worker and the starts of all held runs are asked for again.

- a run fails before that start arrives, and the look that shows so is lost: of a task that may be tried twice three runs are started;
- the same with a run that ends well: the task begins again after its end;
- 520 runs end beside a dead attendant: the 20 that a look, of 500 ends, leaves out begin again after their end;
- the worker drains meanwhile: the attendant refuses the starts by itself, and the two tasks at work there begin elsewhere beside themselves.

The stand-in lists ends 500 at a time, as workers do.

--- a/standins/instance.py
+++ b/standins/instance.py
@@ -27,6 +27,7 @@
 _FOR_EVER_S = 1e9
 _SERVICE_START_S = 0.3
 _MAX_LEASE_MS = 10_000
+_LISTED_AT_A_TIME = 500
 
 
 @dataclass(kw_only=True)
@@ -100,6 +101,7 @@
         self.sends_heartbeats = True
         self.is_draining = False
         self.is_hung = False
+        self.looks = 0
         self.refused_tickets = 0
         self.fails_everything = False
         self.processors = processors
@@ -160,6 +162,11 @@
             self._observer.end(run.task)
         self.run_by_task.clear()
 
+    def finish_all(self) -> None:
+        """Let all work that is there come to its end now."""
+        for run in self.run_by_task.values():
+            run.done_s = run.work_s
+
     def clock_ms(self) -> int:
         """Return the worker's own clock."""
         return int(trio.current_time() * 1000)
@@ -240,6 +247,7 @@
         return self._answer({})
 
     async def _hold(self, body: dict[str, Any]) -> HttpResponse:
+        self.looks += 1
         self._extend(body.get("untilMs", 0))
         seen = body["ackCursor"]
         self.ends = [end for end in self.ends if end[0] > seen]
@@ -250,7 +258,8 @@
             [run.task, run.number, self._saved(run), self._percent(run), run.figure]
             for run in self.run_by_task.values()
         ]
-        return self._answer({"running": rows, "finished": self.ends})
+        listed = self.ends[:_LISTED_AT_A_TIME]
+        return self._answer({"running": rows, "finished": listed})
 
     def _extend(self, until_ms: int) -> None:
         most = self.clock_ms() + _MAX_LEASE_MS
--- /dev/null
+++ b/tests/scheduler/ends.feature
@@ -0,0 +1,54 @@
+Feature: How a run ended counts, also where its start is asked for again
+
+  Scenario: A run fails while its start is asked for again, and a look is lost
+    # An attendant dies and starts anew beside a task at work, whose start is asked for
+    # again. The task fails before that start arrives; the look that shows so is lost, and
+    # the start is refused as known. The failure was not counted: a task that may be tried
+    # twice was started three times.
+    Given two entries and 1 workers for jobs
+    When the failing job "a" of 1 steps with 1 tasks of 4 s is handed in at entry-1
+    And 1 s pass
+    And worker-1 is killed and started anew after 1 s
+    And what runs on worker-1 ends right after its new attendant's first look
+    And the answer to worker-1's next look is lost
+    Then the job "a" is "failed" within 15 s
+    And 2 tasks were started in all
+    And no task ran twice at a time or after its end
+
+  Scenario: A run is done while its start is asked for again, and a look is lost
+    # As before, but the task ends well. The scheduler took the refusal for a stop and
+    # began the task again after its end.
+    Given two entries and 1 workers for jobs
+    When the job "a" of 1 steps with 1 tasks of 4 s is handed in at entry-1
+    And 1 s pass
+    And worker-1 is killed and started anew after 1 s
+    And what runs on worker-1 ends right after its new attendant's first look
+    And the answer to worker-1's next look is lost
+    Then the job "a" is "completed" within 15 s
+    And 1 tasks were started in all
+    And no task ran twice at a time or after its end
+
+  Scenario: More runs ended beside a dead attendant than a look lists
+    # A worker lists its oldest 500 ends; of more, the others only once those are
+    # acknowledged. The new attendant's starts of them were refused, and tasks that had
+    # ended well were begun again.
+    Given two entries and 1 workers for jobs
+    When the job "a" of 520 small tasks of 4 s is handed in at entry-1
+    And 1 s pass
+    And worker-1 is killed and started anew after 4 s
+    Then the job "a" is "completed" within 15 s
+    And 520 tasks were started, each once
+    And no task ran twice at a time or after its end
+
+  Scenario: An attendant starts anew beside a worker that drains
+    # The worker says that it leaves while its attendant is dead; its tasks would end in
+    # time. The new attendant refused their starts, since the worker takes nothing new,
+    # and the tasks were begun elsewhere beside those at work.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1 steps with 4 tasks of 4 s is handed in at entry-1
+    And 1 s pass
+    And worker-1's machine drains
+    And worker-1 is killed and started anew after 1 s
+    Then the job "a" is "completed" within 15 s
+    And 4 tasks were started, each once
+    And no task ran twice at a time or after its end
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -92,6 +92,21 @@
     context.world.start_again(name)
 
 
+@when("what runs on {name} ends right after its new attendant's first look")
+def end_after_look(context, name):
+    world = context.world
+    worker = world.cell.worker_by_name[name]
+    before = worker.looks
+    # The first look is answered at once, the second waits for an end.
+    world.wait_until(lambda: worker.looks == before + 2, step_s=0.001)
+    worker.finish_all()
+
+
+@when("the answer to {name}'s next look is lost")
+def lose_look(context, name):
+    context.world.fabric.faults(f"{name}/vm").lost_replies = 1
+
+
 @when("{name}'s machine crashes")
 def crash(context, name):
     context.world.cell.worker_by_name[name].crash()
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -35,6 +35,16 @@
     assert status == 200, status
 
 
+@when(
+    'the job "{label}" of {tasks:d} small tasks of {seconds:d} s '
+    "is handed in at {entry}"
+)
+def submit_small(context, label, tasks, seconds, entry):
+    shape = make_steps(1, tasks, seconds, cpu=10)
+    status = context.world.submit_job(entry, label, shape, work_s=seconds)
+    assert status == 200, status
+
+
 @when(
     'the failing job "{label}" of {steps:d} steps with {tasks:d} tasks of '
     "{seconds:d} s is handed in at {entry}"
