Failing: more ways in which a refused start is told as a run's end

- 520 ends and no acknowledgement while the store is down, so that looks list the same 500 again and again: tasks begin again after their end;
- the same where the new attendant's first starts get no answer: what is refused then is stopped first, and its end looked for in a list that leaves it out;
- a worker refuses, unhealthy, the repeated start of a run that was done there: the task begins again after its end;
- a start is overtaken by the same one in a later session and shut out: the task, which has begun, is begun a second time beside itself.

The stand-in can be slow in taking a start, and unhealthy.

--- a/standins/instance.py
+++ b/standins/instance.py
@@ -20,6 +20,8 @@
 
 _STEP_S = 0.02
 LATE_ORDER_S = 4.0
+# So long a start may be on its way and still be answered in time.
+_SLOW_ORDER_S = 0.65
 _HEARTBEAT_S = 1.0
 _FAIL_AFTER_S = 0.1
 # What a task uses of its worker while it works.
@@ -97,6 +99,8 @@
         self.address = address
         self.unanswered_starts = 0
         self.late_starts = 0
+        self.slow_starts = 0
+        self.is_unhealthy = False
         self.is_dark = False
         self.sends_heartbeats = True
         self.is_draining = False
@@ -178,9 +182,14 @@
         if request.header_by_name.get("expect-instance") != f"i-{self.name}":
             return HttpResponse(status=421)
         body = msgspec.json.decode(request.body, type=dict[str, Any])
+        if request.path == "/v1/run-start" and self.slow_starts > 0:
+            self.slow_starts -= 1
+            await trio.sleep(_SLOW_ORDER_S)
         if body["fencingToken"] < self.fence:
             return self._answer({"reason": "fence"}, status=409)
         self.fence = body["fencingToken"]
+        if request.path == "/v1/run-start" and self.is_unhealthy:
+            return HttpResponse(status=503)
         if request.path == "/v1/run-start":
             return await self._take_start(body)
         if request.path == "/v1/run-stop":
--- a/tests/scheduler/ends.feature
+++ b/tests/scheduler/ends.feature
@@ -40,6 +40,50 @@
     And 520 tasks were started, each once
     And no task ran twice at a time or after its end
 
+  Scenario: More runs ended than a look lists, and none is acknowledged for a while
+    # As before, while the store is down: the same 500 ends are listed again and again,
+    # and what is missing among them was taken for what was never there.
+    Given two entries and 1 workers for jobs
+    When the job "a" of 520 small tasks of 4 s is handed in at entry-1
+    And 1 s pass
+    And worker-1 is killed and started anew after 4 s
+    And the store is down from worker-1's next look on
+    And 2 s pass
+    And 1 s pass with the store up again
+    Then the job "a" is "completed" within 15 s
+    And 520 tasks were started, each once
+    And no task ran twice at a time or after its end
+
+  Scenario: More runs ended than a look lists, and answers to starts are lost
+    # As before; the first starts of the new attendant are refused and the answers lost.
+    # It stops what it then finds refused, and looks for an end that is not listed yet.
+    Given two entries and 1 workers for jobs
+    When the job "a" of 520 small tasks of 4 s is handed in at entry-1
+    And 1 s pass
+    And the answers to the next 520 starts at worker-1 are lost
+    And worker-1 is killed and started anew after 4 s
+    And the store is down from worker-1's next look on
+    And 2 s pass
+    And 1 s pass with the store up again
+    Then the job "a" is "completed" within 15 s
+    And 520 tasks were started, each once
+    And no task ran twice at a time or after its end
+
+  Scenario: A run is done at a worker that then takes nothing new
+    # A task ends well after the new attendant's first look, and the next look is lost.
+    # The worker, unhealthy for a while, refuses the start without a look at what it had.
+    # The task was begun again after its end.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1 steps with 2 tasks of 4 s is handed in at entry-1
+    And 1 s pass
+    And worker-1 is killed and started anew after 1 s
+    And what runs on worker-1 ends right after its new attendant's first look
+    And the answer to worker-1's next look is lost
+    And worker-1's machine is unhealthy for 500 ms
+    Then the job "a" is "completed" within 15 s
+    And 2 tasks were started, each once
+    And no task ran twice at a time or after its end
+
   Scenario: An attendant starts anew beside a worker that drains
     # The worker says that it leaves while its attendant is dead; its tasks would end in
     # time. The new attendant refused their starts, since the worker takes nothing new,
@@ -52,3 +96,20 @@
     Then the job "a" is "completed" within 15 s
     And 4 tasks were started, each once
     And no task ran twice at a time or after its end
+
+  Scenario: A start that is slow on its way is overtaken by the next scheduler's
+    # A start is under way when the scheduler hands over. The next one has it asked for
+    # again, and the worker, which begins the task, shuts the slow start out. That refusal
+    # was taken for the task's end: it was begun a second time beside itself.
+    Given two entries and 2 workers for jobs
+    When the job "b" of 1 steps with 2 tasks of 60 s is handed in at entry-1
+    And 1 s pass
+    And the next 1 starts at worker-1 are slow on their way
+    And the job "a" of 1 steps with 2 tasks of 4 s is handed in at entry-1
+    And 50 ms pass
+    And the scheduler hands over, and worker-1 is in a session of the next one
+    And 60 ms pass
+    And what runs on worker-1 ends
+    Then the job "a" is "completed" within 15 s
+    And 4 tasks were started, each once
+    And no task ran twice at a time or after its end
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -102,6 +102,39 @@
     worker.finish_all()
 
 
+@when("the store is down from {name}'s next look on")
+def lose_store_at_look(context, name):
+    world = context.world
+    worker = world.cell.worker_by_name[name]
+    before = worker.looks
+    world.wait_until(lambda: worker.looks > before, step_s=0.001)
+    world.cell.rows.faults.is_down = True
+
+
+@when("what runs on {name} ends")
+def end_all(context, name):
+    context.world.cell.worker_by_name[name].finish_all()
+
+
+@when("{name}'s machine is unhealthy for {milliseconds:d} ms")
+def be_unhealthy(context, name, milliseconds):
+    worker = context.world.cell.worker_by_name[name]
+    worker.is_unhealthy = True
+    context.world.advance(milliseconds / 1000)
+    worker.is_unhealthy = False
+
+
+@when("the scheduler hands over, and {name} is in a session of the next one")
+def hand_over(context, name):
+    world = context.world
+    worker = world.cell.worker_by_name[name]
+    before = worker.fence
+    entry = world.cell.scheduler()
+    world.spawn(world.cell.entry_by_name[entry].shut_down)
+    world.cell.dead.add(entry)
+    world.wait_until(lambda: worker.fence > before, step_s=0.001)
+
+
 @when("the answer to {name}'s next look is lost")
 def lose_look(context, name):
     context.world.fabric.faults(f"{name}/vm").lost_replies = 1
@@ -207,7 +240,12 @@
     context.world.cell.worker_by_name[name].late_starts = count
 
 
-@given("the answers to the next {count:d} starts at {name} are lost")
+@step("the next {count:d} starts at {name} are slow on their way")
+def make_slow(context, count, name):
+    context.world.cell.worker_by_name[name].slow_starts = count
+
+
+@step("the answers to the next {count:d} starts at {name} are lost")
 def lose_start_answers(context, count, name):
     context.world.cell.worker_by_name[name].unanswered_starts = count
 
