A refused start is told only once a look has shown that the run is not there

Callers saw a task started a third time although it may be tried twice, a task that had ended well begun again, and tasks begun elsewhere beside themselves: each after an attendant had started anew, or a scheduler had handed over.

Cause: a new session's starts are repeats. The attendant told a refusal of one as "this run does not and will not exist here", and the scheduler counts that as an end without a failure. But a refusal, of whatever reason, proves only that this start began nothing: not that no earlier one did, nor how that one ended. With the run given up, its end, when it was listed, counted for nothing.

Now a refusal is told at once only where the start cannot be a repeat: the worker has shown in this session what it runs, the run was not among it, and the reason is not that the run is known there. Otherwise it waits for a look asked for after it. If that shows the run or its end, these are told and the refusal is dropped; if it shows neither, and lists all ends, the refusal is told. The look carries the session's token and so shuts out whatever earlier sessions have ordered. A list of 500 ends, the most that a worker gives at a time, is not taken as whole, for stops as little.

Ruled out: waiting with every refusal (a first start that finds a worker full or unhealthy would wait up to a second before it goes elsewhere); treating the refusal as a stop that is confirmed (a run at work on a worker that drains would be in that list for good, and a later order to stop it passed over); judging it at the scheduler (it cannot tell a look from before the refusal from one after it). A report with both the end and the refusal of a run is harmless: ends are taken first, and a refusal of what is not held changes nothing. So is a refusal after the end was acknowledged.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -269,7 +269,7 @@
             looked=self._looked,
             lapsed_life=self._lapsed_life,
             running=runs.running,
-            starting=[*runs.starting, *runs.started_by_ref],
+            starting=runs.open_starts(),
             ends=runs.ends,
             rejected=list(runs.rejected_by_ref.values()),
             stalled=self._stalled,
@@ -353,6 +353,9 @@
     def is_current(self, scope: OrderScope) -> bool:  # noqa: D102
         return scope.session == self._session and scope.runs is self._runs
 
+    def has_looked(self, scope: OrderScope) -> bool:  # noqa: D102
+        return self._looked == scope.session
+
     @property
     def is_draining(self) -> bool:  # noqa: D102
         return self._beat is None or self._beat.is_draining
--- a/coltsfoottray/agent/executor.py
+++ b/coltsfoottray/agent/executor.py
@@ -47,6 +47,10 @@
     def is_current(self, scope: OrderScope) -> bool:
         """Whether neither the session nor the worker's life has changed."""
 
+    @abc.abstractmethod
+    def has_looked(self, scope: OrderScope) -> bool:
+        """Whether the worker has shown in the session what it runs."""
+
     @property
     @abc.abstractmethod
     def is_draining(self) -> bool:
@@ -147,7 +151,7 @@
         *,
         is_open: bool,
     ) -> None:
-        """Report that a run does not and will not exist here.
+        """Report that a run does not and will not exist here, once that is certain.
 
         An earlier attempt without an answer may be carried out seconds later, when
         the run's successor is at work elsewhere: then the run is stopped first, which
@@ -164,9 +168,19 @@
             scope.runs.stopped_by_ref[order.ref] = None
             await self.stop(order.ref, scope)
             return
+        # Told as the run's end, the refusal of a start that was asked for again hid how
+        # the run had ended, or that it was at work. A later look shows either.
+        if self._may_be_repeat(order.ref, reason, scope):
+            scope.runs.refuse(order.ref, reason, self._clock.elapsed())
+            return
         scope.runs.reject(order.ref, reason)
         self._state.tell()
 
+    def _may_be_repeat(self, ref: RunRef, reason: Refusal, scope: OrderScope) -> bool:
+        """Whether the run may have been started here before, in another session."""
+        is_known_there = reason is Refusal.OLD or scope.runs.is_running(ref)
+        return is_known_there or not self._state.has_looked(scope)
+
     async def stop(self, ref: RunRef, scope: OrderScope) -> None:
         """Stop a run, asking again until the worker has answered."""
         runs = scope.runs
--- a/coltsfoottray/agent/runs.py
+++ b/coltsfoottray/agent/runs.py
@@ -9,7 +9,15 @@
 from coltsfoottray.jobs.model import RunRef
 from coltsfoottray.scheduler.messages import RejectedStart, StartOrder
 
-__all__ = ["Runs"]
+__all__ = ["RefusedStart", "Runs"]
+
+
+@dataclass(frozen=True, kw_only=True)
+class RefusedStart:
+    """A start that was not carried out, and when that was known."""
+
+    reason: Refusal
+    refused: timedelta
 
 
 @dataclass(kw_only=True)
@@ -27,12 +35,16 @@
     stopped_by_ref : dict
         When the worker confirmed a stop whose end no look has shown yet; none
         while it has not.
+    refused_by_ref : dict
+        Starts refused of runs that may have been there before: a later look shows
+        what became of them.
     """
 
     order_by_ref: dict[RunRef, StartOrder] = field(default_factory=dict)
     starting: set[RunRef] = field(default_factory=set)
     started_by_ref: dict[RunRef, timedelta] = field(default_factory=dict)
     stopped_by_ref: dict[RunRef, timedelta | None] = field(default_factory=dict)
+    refused_by_ref: dict[RunRef, RefusedStart] = field(default_factory=dict)
     running: list[RunStatus] = field(default_factory=list)
     ends: list[RunEnd] = field(default_factory=list)
     rejected_by_ref: dict[RunRef, RejectedStart] = field(default_factory=dict)
@@ -42,10 +54,24 @@
         return (
             ref in self.starting
             or ref in self.started_by_ref
-            or any(status.ref == ref for status in self.running)
+            or ref in self.refused_by_ref
+            or self.is_running(ref)
             or any(end.ref == ref for end in self.ends)
         )
 
+    def is_running(self, ref: RunRef) -> bool:
+        """Whether the last look showed the run at work."""
+        return any(status.ref == ref for status in self.running)
+
+    def open_starts(self) -> list[RunRef]:
+        """Return the starts of which no look has shown yet what became of them."""
+        return [*self.starting, *self.started_by_ref, *self.refused_by_ref]
+
+    def refuse(self, ref: RunRef, reason: Refusal, now: timedelta) -> None:
+        """Note that a start was refused, which leaves open what became of the run."""
+        self.starting.discard(ref)
+        self.refused_by_ref[ref] = RefusedStart(reason=reason, refused=now)
+
     def reject(self, ref: RunRef, reason: Refusal) -> None:
         """Note that a run does not and will not exist here."""
         self.starting.discard(ref)
@@ -64,6 +90,7 @@
             if ref in seen or confirmed < asked:
                 del self.started_by_ref[ref]
         news = self._settle_stops(look, asked) or news
+        news = self._settle_refusals(look, asked) or news
         there = {status.ref for status in look.running}
         there.update(self.starting, self.started_by_ref)
         for ref in [ref for ref in self.order_by_ref if ref not in there]:
@@ -78,9 +105,26 @@
         for ref, confirmed in list(self.stopped_by_ref.items()):
             if confirmed is None or confirmed >= asked or ref in running:
                 continue
+            if ref not in ended and not look.is_whole:
+                continue
             del self.stopped_by_ref[ref]
             if ref not in ended:
                 # The run was never there, so no end will ever be listed.
                 self.reject(ref, Refusal.OLD)
                 news = True
         return news
+
+    def _settle_refusals(self, look: Look, asked: timedelta) -> bool:
+        """Reject the starts whose runs are not there; return whether there are any."""
+        there = {status.ref for status in look.running}
+        there.update(end.ref for end in look.ends)
+        news = False
+        for ref, start in list(self.refused_by_ref.items()):
+            is_shown = start.refused < asked and (look.is_whole or ref in there)
+            if not is_shown:
+                continue
+            del self.refused_by_ref[ref]
+            if ref not in there:
+                self.reject(ref, start.reason)
+                news = True
+        return news
--- a/coltsfoottray/agent/worker.py
+++ b/coltsfoottray/agent/worker.py
@@ -93,11 +93,18 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Look:
-    """What a worker runs and what has ended there."""
+    """What a worker runs and what has ended there.
+
+    Parameters
+    ----------
+    is_whole : bool
+        Whether it lists all ends; where there are many the oldest come first.
+    """
 
     clock: WorkerClock
     running: list[RunStatus]
     ends: list[RunEnd]
+    is_whole: bool
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/coltsfoottray/platform/instance.py
+++ b/coltsfoottray/platform/instance.py
@@ -36,6 +36,7 @@
 _MILLI = 1000.0
 _REPLACED = 421
 _UNHEALTHY = (429, 503)
+_ENDS_AT_A_TIME = 500
 _REFUSAL_BY_REASON = {
     "fence": Refusal.FENCED,
     "old": Refusal.OLD,
@@ -106,6 +107,7 @@
             clock=WorkerClock(reading_ms=lists.clockMs, received=self._clock.elapsed()),
             running=[_as_status(beat, row) for row in lists.running],
             ends=[_as_end(beat, row) for row in lists.finished],
+            is_whole=len(lists.finished) < _ENDS_AT_A_TIME,
         )
 
     async def start(  # noqa: D102
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -113,7 +113,7 @@
     is_reachable : bool
         Whether the worker answered its last look.
     starting : list of RunRef
-        Starts without an answer so far.
+        Starts of which it is not known yet what became of them.
     stalled : list of RunRef
         Runs that make no progress.
     pressures : list of Pressure
