A start refused in a session that is over changes nothing in the next

Callers saw a cancelled task run on. A start without an answer was asked for again, overtaken by the next scheduler's start of the same run, and shut out. The attendant, which stops a run after such a refusal, noted it as being stopped; the stop itself was void, since its session was over, but the note stood in the new one. Orders to stop the run were passed over as carried out already.

What such a refusal says is of a start that no longer counts. The new session has the starts of all runs held asked for again, and what becomes of those is told; so a refusal that arrives after its session is dropped.

Ruled out: clearing the note later on (the new session may by then hold a stop of its own under the same run).

--- a/coltsfoottray/agent/executor.py
+++ b/coltsfoottray/agent/executor.py
@@ -164,6 +164,10 @@
             reason=reason.value,
             is_open=is_open,
         )
+        if not self._state.is_current(scope):
+            # The next session's start of it may have begun the run. Noted as being
+            # stopped there, the run was passed over by a later order to stop it.
+            return
         if is_open:
             scope.runs.stopped_by_ref[order.ref] = None
             await self.stop(order.ref, scope)
