--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -118,7 +118,7 @@
     is_replaced : bool
         Another life under its id answers in its place, which has not reported itself.
     starting : list of RunRef
-        Starts without an answer so far.
+        Starts of which it is not known yet what became of them.
     stalled : list of RunRef
         Runs that make no progress.
     pressures : list of Pressure
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -20,6 +20,8 @@
 
 _STEP_S = 0.02
 LATE_ORDER_S = 4.0
+# So long a start may be on its way and still be answered in time.
+_SLOW_ORDER_S = 0.65
 _HEARTBEAT_S = 1.0
 _FAIL_AFTER_S = 0.1
 # What a task uses of its worker while it works.
@@ -27,6 +29,7 @@
 _FOR_EVER_S = 1e9
 _SERVICE_START_S = 0.3
 _MAX_LEASE_MS = 10_000
+_LISTED_AT_A_TIME = 500
 
 
 @dataclass(kw_only=True)
@@ -96,10 +99,13 @@
         self.address = address
         self.unanswered_starts = 0
         self.late_starts = 0
+        self.slow_starts = 0
+        self.is_unhealthy = False
         self.is_dark = False
         self.sends_heartbeats = True
         self.is_draining = False
         self.is_hung = False
+        self.looks = 0
         self.refused_tickets = 0
         self.fails_everything = False
         self.processors = processors
@@ -161,6 +167,11 @@
             self._observer.end(run.task)
         self.run_by_task.clear()
 
+    def finish_all(self) -> None:
+        """Let all work that is there come to its end now."""
+        for run in self.run_by_task.values():
+            run.done_s = run.work_s
+
     def clock_ms(self) -> int:
         """Return the worker's own clock, which starts anew with each life."""
         if self._life_began is None:
@@ -174,9 +185,14 @@
         if request.header_by_name.get("expect-instance") != f"i-{self.name}":
             return HttpResponse(status=421)
         body = msgspec.json.decode(request.body, type=dict[str, Any])
+        if request.path == "/v1/run-start" and self.slow_starts > 0:
+            self.slow_starts -= 1
+            await trio.sleep(_SLOW_ORDER_S)
         if body["fencingToken"] < self.fence:
             return self._answer({"reason": "fence"}, status=409)
         self.fence = body["fencingToken"]
+        if request.path == "/v1/run-start" and self.is_unhealthy:
+            return HttpResponse(status=503)
         if request.path == "/v1/run-start":
             return await self._take_start(body)
         if request.path == "/v1/run-stop":
@@ -243,6 +259,7 @@
         return self._answer({})
 
     async def _hold(self, body: dict[str, Any]) -> HttpResponse:
+        self.looks += 1
         self._extend(body.get("untilMs", 0))
         seen = body["ackCursor"]
         self.ends = [end for end in self.ends if end[0] > seen]
@@ -258,7 +275,8 @@
             [run.task, run.number, self._saved(run), self._percent(run), run.figure]
             for run in self.run_by_task.values()
         ]
-        return self._answer({"running": rows, "finished": self.ends})
+        listed = self.ends[:_LISTED_AT_A_TIME]
+        return self._answer({"running": rows, "finished": listed})
 
     def _extend(self, until_ms: int) -> None:
         most = self.clock_ms() + _MAX_LEASE_MS
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -37,6 +37,16 @@
     assert status == 200, status
 
 
+@when(
+    'the job "{label}" of {tasks:d} small tasks of {seconds:d} s '
+    "is handed in at {entry}"
+)
+def submit_small(context, label, tasks, seconds, entry):
+    shape = make_steps(1, tasks, seconds, cpu=10)
+    status = context.world.submit_job(entry, label, shape, work_s=seconds)
+    assert status == 200, status
+
+
 @when(
     'the failing job "{label}" of {steps:d} steps with {tasks:d} tasks of '
     "{seconds:d} s is handed in at {entry}"
@@ -181,6 +191,8 @@
 
 @step('the job "{label}" is cancelled at {entry} with status {status:d}')
 def cancel(context, label, entry, status):
+    if entry == "the scheduler":
+        entry = context.world.cell.scheduler()
     answered = context.world.cancel_job(entry, label)
     assert answered == status, answered
 
