A new attendant has time to see its worker before that is listed as silent

Callers could see work of seconds thrown away: an attendant that was away for 4 s is back, and the store fails just as it sees its worker. Since a worker counts as silent by its own life and not by its attendant's reports, it was still in the lease row's list then, could get no lease before another row stood, and its lease ran out though it answered.

Change: the first report of a new attendant counts as one that shows life, for the list alone; it is granted nothing.

--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -75,7 +75,8 @@
     lease_end : timedelta
         Nothing runs here after it unless a lease is granted once more.
     answered : timedelta
-        When a report last showed that the worker answers its attendant.
+        When a report last showed that the worker answers its attendant, or a new
+        attendant began to look for it.
     report_number : int
         The latest report of this life of its attendant.
     replaced : timedelta, optional
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -128,7 +128,9 @@
         if self._is_late(worker, report):
             return ReportReply(scheduler=self.lease.address)
         worker.heard = now
-        if report.shows_life:
+        if report.shows_life or report.incarnation != worker.incarnation:
+            # A new attendant has yet to see its worker. Listed as silent until then, the
+            # worker got no lease if the table failed just as it was seen.
             worker.answered = now
         lease_ms = self._settle_lease(worker, report)
         self._grant_session(worker, report)
