A start is not asked for again once a look has shown its run

Callers could see a task begun again after it had ended well. The answer to a start is lost while the run is short: a look shows its end and that is stored before the start is taken for unanswered, after 700 ms. It was asked for again all the same; if the worker had crashed meanwhile, its new life began the task.

Change: what a look shows counts as started.

--- a/coltsfoottray/agent/runs.py
+++ b/coltsfoottray/agent/runs.py
@@ -86,6 +86,9 @@
         self.ends = look.ends
         seen = {status.ref for status in look.running}
         seen.update(end.ref for end in look.ends)
+        # What is seen has been started. Asked for again after its end, it would begin
+        # once more in a new life of the worker, which knows nothing of it.
+        self.starting -= seen
         for ref, confirmed in list(self.started_by_ref.items()):
             if ref in seen or confirmed < asked:
                 del self.started_by_ref[ref]
--- a/tests/scheduler/ends.feature
+++ b/tests/scheduler/ends.feature
@@ -135,3 +135,18 @@
     And 3 s pass
     Then nothing runs on worker-1
     And no task ran twice at a time or after its end
+
+  Scenario: The answer to a start is lost, and the run has ended before it is asked again
+    # The run was begun, ended well and was stored as done, all before its start was taken
+    # for unanswered. The start was asked for again all the same; by then the worker had
+    # crashed, and its new life, which knew of no such run, began the task again.
+    Given two entries and 1 workers for jobs
+    And the answers to the next 1 starts at worker-1 are lost
+    When the job "a" of 1 steps with 1 tasks of 0 s is handed in at entry-1
+    And 500 ms pass
+    And worker-1's machine crashes and sends no heartbeats
+    And 2 s pass
+    And worker-1's machine sends heartbeats again
+    Then the job "a" is "completed" within 10 s
+    And no task ran twice at a time or after its end
+    And 1 tasks were started in all
