What a worker's silence proves, and what reports are granted, stand in modules of their own

Who answers a worker's attendant, and what follows from that, is agent/reach.py; leases and sessions that reports are granted are all in scheduler/grants.py. Behaviour is meant to be the same: scheduler without the state machine, and jobs, 84 passed, 0 failed before and after.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -10,6 +10,7 @@
 
 from coltsfoottray.agent.executor import AttendantState, OrderExecutor, OrderScope
 from coltsfoottray.agent.lease import WorkerLease
+from coltsfoottray.agent.reach import WorkerReach
 from coltsfoottray.agent.runs import Runs
 from coltsfoottray.agent.speeds import SpeedControl
 from coltsfoottray.agent.stalls import StallWatch
@@ -38,9 +39,6 @@
 # second, and the lease is renewed as often.
 _LOOK_WAIT = timedelta(milliseconds=500)
 _RETRY = timedelta(milliseconds=100)
-# A worker that still answers so long after it said that it leaves has not meant it:
-# the word was a late one of an earlier life.
-_LEAVE_TIME = timedelta(seconds=2)
 
 
 class TaskAttendant(Service, AttendantState):
@@ -82,13 +80,7 @@
         # has been seen to be over.
         self._reports = 0
         self._has_lapsed = False
-        self._is_reachable = False
-        # When the worker said that it leaves, and whether this life is known to
-        # be over, by that word and its silence or by another life's answer.
-        self._left: timedelta | None = None
-        self._is_over = False
-        # Whether another life under its id has answered.
-        self._is_replaced = False
+        self._reach = WorkerReach()
         self._lease = WorkerLease(started=clock.elapsed())
         self._speeds = SpeedControl(link=link, clock=clock)
         self._paced = timedelta(0)
@@ -146,15 +138,10 @@
         self._begin_life(beat)
 
     def take_leave(self, life_id: str) -> None:
-        """Hear that the worker is about to end.
-
-        Its runs end with it; that nobody listens there any more confirms it. The word
-        alone may be a late one of an earlier life under the same id, and a worker that
-        runs on may be silent for a moment.
-        """
+        """Hear that the worker is about to end."""
         if self._beat is not None and self._beat.life.startswith(f"{life_id}/"):
             log_event("worker:leaves", life=self._beat.life)
-            self._left = self._clock.elapsed()
+            self._reach.note_leave(self._clock.elapsed())
 
     def _begin_life(self, beat: Heartbeat) -> None:
         self._beat = beat
@@ -163,11 +150,8 @@
         self._acknowledged = 0
         self._lease.begin_life()
         self._speeds.begin_life()
-        self._is_reachable = True
+        self._reach.begin_life()
         self._has_lapsed = False
-        self._left = None
-        self._is_over = False
-        self._is_replaced = False
         self.tell()
 
     async def _look(self, beat: Heartbeat) -> None:
@@ -182,31 +166,19 @@
                 wait=_LOOK_WAIT if self._lease.is_clock_known else timedelta(0),
             )
         except (CommunicationError, WorkerReplaced) as error:
-            if self._is_reachable:
+            if self._reach.note_failure(error, asked):
                 log_event("worker:lost", life=beat.life, reason=str(error))
-            self._is_reachable = False
             if isinstance(error, WorkerReplaced):
                 self.note_replaced(error)
-            is_refused = isinstance(error, CommunicationError) and error.is_refused
-            has_left = is_refused and self._left is not None and asked >= self._left
-            # A new life under the same id may have taken orders meant for this one:
-            # what became of them is settled once it has reported itself.
-            is_gone = isinstance(error, WorkerReplaced) and not error.takes_orders
-            self._is_over = has_left or is_gone
             await self._clock.sleep(_RETRY)
             return
         if self._beat is None or beat.life != self._beat.life:
             return
-        was_reachable = self._is_reachable
-        self._is_reachable = True
         self._has_lapsed = False
-        if not was_reachable:
+        if self._reach.note_answer(asked):
             log_event("worker:reached", life=beat.life)
             # While it did not answer, its lease was not renewed.
             self.tell()
-        self._is_replaced = False
-        if self._left is not None and asked - self._left > _LEAVE_TIME:
-            self._left = None
         self._lease.take_reading(look.clock)
         self._metrics.time("look", self._clock.elapsed() - asked)
         left = self._lease.left(self._clock.elapsed())
@@ -232,7 +204,7 @@
         nothing is forgotten by a look that may be the first to reach another life.
         """
         is_pending = any(e.number <= self._acknowledged for e in self._runs.ends)
-        return self._acknowledged if is_pending and self._is_reachable else 0
+        return self._acknowledged if is_pending and self._reach.is_answering else 0
 
     def _notice_lapse(self) -> None:
         """Let go of the runs of a worker that is silent past its lease.
@@ -240,12 +212,13 @@
         It is told at once, and again with each report: the scheduler that hears it
         first may be replaced before it has stored it.
         """
-        if self._is_reachable or self._has_lapsed:
+        if self._reach.is_answering or self._has_lapsed:
             return
-        if self._lease.left_to_run(self._clock.elapsed()) and not self._is_over:
+        is_over = self._reach.is_over
+        if self._lease.left_to_run(self._clock.elapsed()) and not is_over:
             return
         life = "" if self._beat is None else self._beat.life
-        log_event("worker:lease-lapsed", life=life, is_over=self._is_over)
+        log_event("worker:lease-lapsed", life=life, is_over=is_over)
         self._has_lapsed = True
         self._lease.end()
         self._runs = Runs()
@@ -281,7 +254,7 @@
         """
         runs = self._runs
         beat = self._beat
-        if beat is None or not self._is_reachable:
+        if beat is None or not self._reach.is_answering:
             self._lease.withdraw()
         left = self._lease.left_to_run(self._clock.elapsed())
         self._reports += 1
@@ -313,8 +286,8 @@
             rack=beat.rack,
             is_draining=beat.is_draining,
             remaining_ms=beat.remaining.total_seconds() * 1000,
-            is_reachable=self._is_reachable,
-            is_replaced=self._is_replaced,
+            is_reachable=self._reach.is_answering,
+            is_replaced=self._reach.is_replaced,
         )
 
     def take_reply(self, report: Report, reply: ReportReply, sent: timedelta) -> bool:
@@ -399,7 +372,7 @@
 
         Of a worker that does not answer the lease has to run out.
         """
-        return self._lease.tell(now) if self._is_reachable else 0
+        return self._lease.tell(now) if self._reach.is_answering else 0
 
     def note_replaced(self, error: WorkerReplaced) -> None:
         """Tell the scheduler of another life under the worker's id at once.
@@ -407,10 +380,8 @@
         What it has taken outlasts the lease of the one before. Were this attendant to
         die with the news, the scheduler would count that lease alone.
         """
-        if self._beat is None or error.life != self._beat.life or self._is_replaced:
-            return
-        self._is_replaced = error.takes_orders
-        if self._is_replaced:
+        is_current = self._beat is not None and self._beat.life == error.life
+        if is_current and self._reach.note_replaced(error):
             self.tell()
 
     def tell(self) -> None:  # noqa: D102
--- a/coltsfoottray/scheduler/grants.py
+++ b/coltsfoottray/scheduler/grants.py
@@ -10,8 +10,9 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.fleet import Fleet, Worker
 from coltsfoottray.scheduler.lease import AUTHORITY
+from coltsfoottray.scheduler.messages import Report
 
-__all__ = ["Grants"]
+__all__ = ["Grants", "is_late"]
 
 # How far ahead of a report a worker's lease may reach. A worker that is lost is
 # given up after it, and an attendant that restarts has this long to return
@@ -61,6 +62,30 @@
         self._clock = clock
         self._sessions = 0
 
+    def renew(self, worker: Worker, report: Report, confirmed: timedelta) -> int:
+        """Return a lease in milliseconds, none unless the worker is seen to live.
+
+        Attendants outlive their workers. Were their reports alone enough, the lease of
+        a worker that is gone for good would never end, and what it held would wait for
+        ever. Told to nobody, a grant extends nothing, so none is made.
+
+        Parameters
+        ----------
+        confirmed : timedelta
+            When the last write was sent that proved the scheduler's right.
+        """
+        worker.heard = self._clock.elapsed()
+        if report.shows_life or report.incarnation != worker.incarnation:
+            # A new attendant has yet to see its worker. Were that listed as silent
+            # till then, it would get no lease if the table fails just as it is seen.
+            worker.answered = worker.heard
+        if report.shows_life:
+            return self.grant(worker, confirmed)
+        if 0 < worker.session == report.session:
+            # Not of an attendant that another one may have replaced meanwhile.
+            self._shorten(worker, timedelta(milliseconds=report.lease_left_ms))
+        return 0
+
     def grant(self, worker: Worker, confirmed: timedelta) -> int:
         """Return a lease in milliseconds and remember when it surely ends.
 
@@ -80,14 +105,14 @@
         """Whether a worker gets a lease as soon as it is no longer listed as silent."""
         return worker.is_listed and self._clock.elapsed() < confirmed + AUTHORITY
 
-    def shorten(self, worker: Worker, left: timedelta) -> None:
+    def _shorten(self, worker: Worker, left: timedelta) -> None:
         """Note that a worker that does not answer may run for `left` at the most.
 
         Told with each report, it reaches every scheduler. A single word that the lease
-        was over got lost with the scheduler that heard it, and the next one waited for
-        a whole lease; one lost with its attendant was never said.
+        is over would be lost with the scheduler that heard it, and the next one would
+        wait for a whole lease.
         """
-        end = self._clock.elapsed() + left * _DRIFT
+        end = worker.heard + left * _DRIFT
         if worker.held_by_ref and worker.lease_end - end > _TELLING:
             log_event(
                 "scheduler:lease-shortened",
@@ -130,7 +155,47 @@
             for worker in self._fleet.worker_by_id.values()
         )
 
-    def next_session(self) -> int:
+    def grant_session(self, worker: Worker, report: Report) -> None:
+        """Grant an attendant a session of its own, and another to each life beside it.
+
+        So a look in it shuts out the orders that were meant for the life before.
+        """
+        is_known = (
+            worker.incarnation == report.incarnation
+            and worker.session == report.session
+            and worker.session_life == report.life
+            and worker.session > 0
+        )
+        if is_known:
+            return
+        if worker.incarnation != report.incarnation:
+            worker.report_number = report.number
+        worker.incarnation = report.incarnation
+        worker.session_life = report.life
+        worker.session = self._next_session()
+        log_event(
+            "scheduler:session",
+            worker=worker.id,
+            session=worker.session,
+            attendant=report.incarnation,
+            life=report.life,
+        )
+
+    def _next_session(self) -> int:
         """Return a fencing token above every earlier one, of any scheduler."""
         self._sessions += 1
         return self._epoch * _SESSIONS_PER_EPOCH + self._sessions
+
+
+def is_late(worker: Worker, report: Report) -> bool:
+    """Whether a later report of the same attendant has been taken in.
+
+    One that got no answer may still arrive, seconds later. What it says of the lease is
+    no longer true of a worker that has answered since.
+    """
+    if report.incarnation != worker.incarnation:
+        return False
+    if report.number <= worker.report_number:
+        return True
+    worker.report_number = report.number
+    return False
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -21,7 +21,7 @@
 from coltsfoottray.platform import WatchedTable
 from coltsfoottray.scheduler.board import Board
 from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
-from coltsfoottray.scheduler.grants import Grants
+from coltsfoottray.scheduler.grants import Grants, is_late
 from coltsfoottray.scheduler.lease import RENEWAL, LeaseRow
 from coltsfoottray.scheduler.ledger import Ledger
 from coltsfoottray.scheduler.live import LiveJob
@@ -121,19 +121,13 @@
 
     def answer_report(self, report: Report) -> ReportReply:
         """Take a report in and grant its worker what it may have."""
-        now = self._clock.elapsed()
         worker = self._fleet.get_or_add(
             report.worker, report.address, self._grants.first_lease_end(report.worker)
         )
-        if self._is_late(worker, report):
+        if is_late(worker, report):
             return ReportReply(scheduler=self.lease.address)
-        worker.heard = now
-        if report.shows_life or report.incarnation != worker.incarnation:
-            # A new attendant has yet to see its worker. Listed as silent until then, the
-            # worker got no lease if the table failed just as it was seen.
-            worker.answered = now
-        lease_ms = self._settle_lease(worker, report)
-        self._grant_session(worker, report)
+        lease_ms = self._grants.renew(worker, report, self._ledger.confirmed)
+        self._grants.grant_session(worker, report)
         self._inbox.reports.append(report)
         self._wake.set()
         orders = Orders(session=worker.session, life=report.life)
@@ -150,60 +144,6 @@
             pressures=self.board.pressures.all(),
         )
 
-    @staticmethod
-    def _is_late(worker: Worker, report: Report) -> bool:
-        """Whether a later report of the same attendant has been taken in.
-
-        One that got no answer may still arrive, seconds later. What it says of the
-        lease is no longer true of a worker that has answered since.
-        """
-        if report.incarnation != worker.incarnation:
-            return False
-        if report.number <= worker.report_number:
-            return True
-        worker.report_number = report.number
-        return False
-
-    def _settle_lease(self, worker: Worker, report: Report) -> int:
-        """Return a lease in milliseconds, none unless the worker is seen to live.
-
-        Attendants outlive their workers. Renewed by their reports alone, the lease of
-        a worker that was gone for good never ended, and what had run there was never
-        given up. Told to nobody, a grant extends nothing, so none is made.
-        """
-        if report.shows_life:
-            return self._grants.grant(worker, self._ledger.confirmed)
-        if 0 < worker.session == report.session:
-            # Not of an attendant that another one may have replaced meanwhile.
-            self._grants.shorten(worker, timedelta(milliseconds=report.lease_left_ms))
-        return 0
-
-    def _grant_session(self, worker: Worker, report: Report) -> None:
-        """Grant an attendant a session of its own, and another to each life beside it.
-
-        So a look in it shuts out the orders that were meant for the life before.
-        """
-        is_known = (
-            worker.incarnation == report.incarnation
-            and worker.session == report.session
-            and worker.session_life == report.life
-            and worker.session > 0
-        )
-        if is_known:
-            return
-        if worker.incarnation != report.incarnation:
-            worker.report_number = report.number
-        worker.incarnation = report.incarnation
-        worker.session_life = report.life
-        worker.session = self._grants.next_session()
-        log_event(
-            "scheduler:session",
-            worker=worker.id,
-            session=worker.session,
-            attendant=report.incarnation,
-            life=report.life,
-        )
-
     def tell_accepted(self, job: AcceptedJob) -> None:
         """Hear of a stored job."""
         self._inbox.accepted.append(job)
