A start that is never answered is given up, also where looks are answered

Callers could wait for ever for a task that a worker never starts: it answers looks, so that its lease is renewed and nothing is given up, and leaves each start without an answer. The attendant asked again without end, with another worker free.

Change: after five attempts without an answer, some 4 s, the run is stopped there, which shuts out what may still be carried out late, and the start is refused as by a worker that is not well, so that it takes nothing new for a while. Ruled out: fewer attempts (a share of orders going unanswered for some seconds is ordinary).

Before: the scenario fails (running after 60 s). After: 85 passed, 0 failed (scheduler without the state machine and advice, jobs).

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -334,6 +334,7 @@
         self._session_begun = trio.Event()
         self._runs.starting.clear()
         self._runs.stopped_by_ref.clear()
+        self._runs.reason_by_ref.clear()
 
     def _carry_out(self, orders: Orders) -> None:
         beat = self._beat
--- a/coltsfoottray/agent/executor.py
+++ b/coltsfoottray/agent/executor.py
@@ -29,6 +29,9 @@
 # A start that the worker would get with less lease than this is held back.
 _MIN_LEASE = timedelta(milliseconds=300)
 _MAX_LATE = 5
+# With the timeout of an order, some 4 s: the users take a job for lost of which nothing
+# runs for 3 s.
+_MAX_UNANSWERED = 5
 
 
 @dataclass(frozen=True, kw_only=True, eq=False)
@@ -101,11 +104,17 @@
         """Start a run, asking again until the worker has answered."""
         runs = scope.runs
         late = 0
-        is_open = False
+        unanswered = 0
         while self._state.is_current(scope) and order.ref in runs.starting:
             if self._state.is_draining:
                 reason = Refusal.DRAINING
-                await self._refuse(order, reason, scope, is_open=is_open)
+                await self._refuse(order, reason, scope, is_open=unanswered > 0)
+                return
+            if unanswered >= _MAX_UNANSWERED:
+                # Looks are answered, so that the lease is renewed: the task would wait
+                # for this worker for ever.
+                reason = Refusal.UNHEALTHY
+                await self._refuse(order, reason, scope, is_open=True)
                 return
             now = self._clock.elapsed()
             lease_end_ms = self._state.lease_ms(now)
@@ -126,12 +135,12 @@
                 late += error.reason is Refusal.LATE
                 if error.reason is not Refusal.LATE or late > _MAX_LATE:
                     reason = error.reason
-                    await self._refuse(order, reason, scope, is_open=is_open)
+                    await self._refuse(order, reason, scope, is_open=unanswered > 0)
                     return
             except (CommunicationError, WorkerReplaced) as error:
                 # It may have begun, or begin later; the same start asked for
                 # again finds out, and begins no second one.
-                is_open = True
+                unanswered += 1
                 if isinstance(error, WorkerReplaced):
                     self._state.note_replaced(error)
                 log_event(
@@ -176,6 +185,7 @@
             return
         if is_open:
             scope.runs.stopped_by_ref[order.ref] = None
+            scope.runs.reason_by_ref[order.ref] = reason
             await self.stop(order.ref, scope)
             return
         # Told as the run's end, the refusal of a start that was asked for again hid how
--- a/coltsfoottray/agent/runs.py
+++ b/coltsfoottray/agent/runs.py
@@ -35,6 +35,8 @@
     stopped_by_ref : dict
         When the worker confirmed a stop whose end no look has shown yet; none
         while it has not.
+    reason_by_ref : dict
+        Why starts were refused that are stopped first.
     refused_by_ref : dict
         Starts refused of runs that may have been there before: a later look shows
         what became of them.
@@ -44,6 +46,7 @@
     starting: set[RunRef] = field(default_factory=set)
     started_by_ref: dict[RunRef, timedelta] = field(default_factory=dict)
     stopped_by_ref: dict[RunRef, timedelta | None] = field(default_factory=dict)
+    reason_by_ref: dict[RunRef, Refusal] = field(default_factory=dict)
     refused_by_ref: dict[RunRef, RefusedStart] = field(default_factory=dict)
     running: list[RunStatus] = field(default_factory=list)
     ends: list[RunEnd] = field(default_factory=list)
@@ -111,9 +114,10 @@
             if ref not in ended and not look.is_whole:
                 continue
             del self.stopped_by_ref[ref]
+            reason = self.reason_by_ref.pop(ref, Refusal.OLD)
             if ref not in ended:
                 # The run was never there, so no end will ever be listed.
-                self.reject(ref, Refusal.OLD)
+                self.reject(ref, reason)
                 news = True
         return news
 
--- a/tests/scheduler/lost.feature
+++ b/tests/scheduler/lost.feature
@@ -89,3 +89,11 @@
     And worker-1's machine answers again
     And 2 s pass
     Then no task ran twice at a time or after its end
+
+  Scenario: A worker that answers looks takes no start
+    # Its starts go unanswered for ever and no look shows the run. The attendant asks
+    # again without end, and the task is never given to the other worker, which is free.
+    Given two entries and 2 workers for jobs
+    And worker-1's machine answers looks and never takes a start
+    When the job "a" of 1 steps with 2 tasks of 1 s is handed in at entry-1
+    Then the job "a" is "completed" within 60 s
