A worker's lease is renewed only while the worker answers

Callers saw a task stop in the middle and stay "running" for ever, with other workers free. Its VM was lost and the attendant lived on. The attendant renewed the lease row and only then turned to the worker; that failed, and the row was renewed again at the next tick. Nobody ever found it lapsed, and the task was never queued again.

Change: the worker is asked first, and a row is written only after it has answered. A renewal that failed, also for want of the worker's answer, is tried again after a tenth of a lease (until now only after a failure of the table): with a whole interval more, a silence of half a lease lets the worker's own lease lapse and the task stand still. Ends that the attendant has seen are stored whether or not the worker answers: now that the row lapses, an end not stored would be run again.

Ruled out: a lost row not being acted on (with VM and attendant lost together the task goes on elsewhere, before and after). Why it holds: the row's last renewal lies after an answer, and the worker's own lease never outlasts the row's, so what is given up runs no more.

--- a/coltsfoottray/leases/worker.py
+++ b/coltsfoottray/leases/worker.py
@@ -113,27 +113,31 @@
     async def run(  # noqa: D102
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        await self._try_renew()
+        is_renewed = await self._try_renew()
         task_status.started()
         while True:
-            # After a failure sooner: a renewal that comes back from an outage
-            # late by one interval and one time-out could be too late.
-            is_renewed = self._version is not None
+            # After a failure sooner: a renewal that comes back from an outage, or
+            # a moment's silence, late by an interval and a time-out is too late.
             await self._clock.sleep(self._lease / (3 if is_renewed else 10))
-            await self._try_renew()
+            is_renewed = await self._try_renew()
 
-    async def _try_renew(self) -> None:
+    async def _try_renew(self) -> bool:
         try:
             with trio.move_on_after((self._lease / 3).total_seconds()):
-                await self._renew()
+                return await self._renew()
         except TableUnavailable as error:
             log_event("lease:worker-not-renewed", error=str(error))
         except CommunicationError as error:
             log_event("lease:worker-unreachable", error=str(error))
+        return False
 
-    async def _renew(self) -> None:
-        if self._version is None and not await self._read():
-            return
+    async def _renew(self) -> bool:
+        """Renew the row, then the worker's own lease; return whether both are."""
+        # The worker is asked first: renewed for one that answers nobody, the row
+        # never lapses, and what ran there is held for ever.
+        description = await self._control.describe()
+        if self._version is None and not await self._read(description.boot):
+            return False
         assert self._version is not None
         sent_at = self._clock.elapsed()
         renewed = msgspec.structs.replace(self._row, renewals=self._row.renewals + 1)
@@ -142,21 +146,22 @@
         self._version = None
         outcome = await self._table.commit(Transaction(puts=[put]))
         if not isinstance(outcome, Success):
-            return
+            return False
         self._version = outcome.unwrap()[key]
         self._row = renewed
         self._valid_until = sent_at + self._usable
         left = self._valid_until - self._clock.elapsed()
-        if left > timedelta(0):
-            await self._control.renew(holder=self._incarnation, duration=left)
+        if left <= timedelta(0):
+            return False
+        await self._control.renew(holder=self._incarnation, duration=left)
+        return True
 
-    async def _read(self) -> bool:
+    async def _read(self, boot: str) -> bool:
         """Find out what the row says; return whether it may be written.
 
         After a lost answer the row tells whether the renewal took effect.
         """
-        description = await self._control.describe()
-        self._row = msgspec.structs.replace(self._row, boot=description.boot)
+        self._row = msgspec.structs.replace(self._row, boot=boot)
         row = await self._table.get(worker_key(self._row.worker))
         if row is None:
             self._version = ABSENT
--- a/coltsfoottray/worker/attendant.py
+++ b/coltsfoottray/worker/attendant.py
@@ -107,10 +107,10 @@
     ) -> None:
         task_status.started()
         while True:
-            try:
-                await self._tend()
-            except (CommunicationError, TableUnavailable) as error:
-                log_event("worker:untended", error=str(error))
+            # Apart: an end seen on a worker that answers no more is stored all the
+            # same. Else its task is queued again at the lapse and runs once more.
+            await self._try(self._keep_results)
+            await self._try(self._tend)
             await self._clock.sleep(self._interval)
 
     async def wait_idle(self) -> None:
@@ -238,6 +238,12 @@
     def _reply(self, verdict: Verdict) -> StartReply:
         return StartReply(verdict=verdict, term=self._lease.term, report=self.report())
 
+    async def _try(self, step: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await step()
+        except (CommunicationError, TableUnavailable) as error:
+            log_event("worker:untended", error=str(error))
+
     async def _tend(self) -> None:
         if self._lease.term != self._ledger_term or not self._is_ready:
             await self._rebuild()
@@ -245,7 +251,6 @@
         await self._take_checkpoints()
         if await self._take_reports():
             await self._on_change()
-        await self._keep_results()
 
     async def _rebuild(self) -> None:
         """Make the ledger anew from the worker and the table.
--- a/tests/steps/lost_steps.py
+++ b/tests/steps/lost_steps.py
@@ -5,9 +5,10 @@
 from datetime import timedelta
 
 import trio
-from behave import given, when
+from behave import given, then, when
 
 from coltsfoottray.http import HttpRequest
+from coltsfoottray.leases import worker_key
 from tests.support.job_world import make_steps
 
 
@@ -18,6 +19,45 @@
     world.kill(name)
 
 
+@when('the VM that runs "{task}" is silent for {ms:d} ms from just before a renewal')
+def silence_vm(context, task, ms):
+    world = context.world
+    worker = world.rows()[task].worker
+    rows = world.cell.table.row_by_key
+    before = rows[worker_key(worker)].version
+    world.wait_until(lambda: rows[worker_key(worker)].version != before)
+    # The interval of renewals is 1 s.
+    world.advance(0.95)
+    world.fabric.faults(f"{worker}/vm").pause()
+    world.advance(ms / 1000)
+    world.resume(f"{worker}/vm")
+
+
+@then('the task "{task}" runs on for {ms:d} ms')
+def check_runs_on(context, task, ms):
+    world = context.world
+    running = world.cell.observer.running_by_task
+    name = world.rows()[task].spec.task
+    for _ in range(ms // 10):
+        assert running[name] == 1, f"{task} stands still at {world.now()} s"
+        world.advance(0.01)
+
+
+@when("both entries are killed")
+def kill_entries(context):
+    for name in list(context.world.cell.entry_by_name):
+        context.world.kill(name)
+
+
+@when('both entries start anew, and do not reach the attendant beside "{task}"')
+def restart_entries_cut_off(context, task):
+    world = context.world
+    worker = world.rows()[task].worker
+    for name in ("entry-1", "entry-2"):
+        world.fabric.cut.add(frozenset((name, worker)))
+        world.run(world.cell.start_entry, name)
+
+
 @when('the task "{task}" is finished within {seconds:d} s')
 def wait_finished(context, task, seconds):
     world = context.world
