What ran before a worker's VM started anew is given up at the next renewal

Callers saw a task stop in the middle and stay "running" for ever. Its VM had crashed and was back at once, empty, and its attendant had lived on. The attendant asked for the VM's life only when it had lost its row, so the lease went on in the term of the life before; and it went on telling what it had last seen, so the owner never asked. An attempt that it had not seen yet was worse: the owner asked for the start again, and the new life, which knows nothing, ran the same attempt a second time.

Change: the boot is compared at each renewal, another one begins a new term, and what is bound to the old one is queued again. What the worker listed once and lists no more is told no more and is never started there again; the owner asks, is refused, stops it for good and queues it. An end that the attendant has seen stays told, and is stored before the ledger of the old term goes: with the new term it would be forgotten within its first second.

Ruled out: only dropping the reports (an attempt not seen yet runs twice); dropping them without refusing the start (the same attempt begins again there); dropping ends as well (the task that had ended begins again).

Open: a VM that crashes and is back between the attendant's question and its renewal of the worker's lease is noticed at the next renewal only.

--- a/coltsfoottray/leases/worker.py
+++ b/coltsfoottray/leases/worker.py
@@ -135,9 +135,14 @@
         """Renew the row, then the worker's own lease; return whether both are."""
         # The worker is asked first: renewed for one that answers nobody, the row
         # never lapses, and what ran there is held for ever.
-        description = await self._control.describe()
-        if self._version is None and not await self._read(description.boot):
-            return False
+        boot = (await self._control.describe()).boot
+        if self._version is None:
+            if not await self._read(boot):
+                return False
+        elif boot != self._row.boot:
+            # Renewed for the VM's next life, the term lets an attempt of the life
+            # before be started again there: nothing says that it has run already.
+            await self._begin_term(self._row.term + 1, boot)
         assert self._version is not None
         sent_at = self._clock.elapsed()
         renewed = msgspec.structs.replace(self._row, renewals=self._row.renewals + 1)
@@ -161,11 +166,10 @@
 
         After a lost answer the row tells whether the renewal took effect.
         """
-        self._row = msgspec.structs.replace(self._row, boot=boot)
         row = await self._table.get(worker_key(self._row.worker))
         if row is None:
             self._version = ABSENT
-            await self._begin_term(1)
+            await self._begin_term(1, boot)
             return True
         found = row.decode(WorkerLeaseRow)
         is_own = found.holder == self._incarnation and found.state is LeaseState.HELD
@@ -175,16 +179,16 @@
             log_event("lease:worker-superseded", holder=found.holder)
             return False
         self._version = row.version
-        if found.state is LeaseState.LOST or found.boot != self._row.boot:
-            await self._begin_term(found.term + 1)
+        if found.state is LeaseState.LOST or found.boot != boot:
+            await self._begin_term(found.term + 1, boot)
         else:
             # Same term: a restarted attendant keeps the worker's tasks.
             self._row = msgspec.structs.replace(
-                self._row, term=found.term, state=LeaseState.HELD
+                self._row, term=found.term, boot=boot, state=LeaseState.HELD
             )
         return True
 
-    async def _begin_term(self, term: int) -> None:
+    async def _begin_term(self, term: int, boot: str) -> None:
         """Start a term with an empty worker.
 
         The earlier term's tasks may already run elsewhere; they are stopped for
@@ -193,5 +197,7 @@
         for running in await self._control.tasks():
             await self._control.stop(task=running.task, attempt=running.attempt)
             await self._control.forget(task=running.task, attempt=running.attempt)
-        self._row = msgspec.structs.replace(self._row, term=term, state=LeaseState.HELD)
+        self._row = msgspec.structs.replace(
+            self._row, term=term, boot=boot, state=LeaseState.HELD
+        )
         log_event("lease:worker-term", worker=self._row.worker, term=term)
--- a/coltsfoottray/worker/attendant.py
+++ b/coltsfoottray/worker/attendant.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
 
 import msgspec
@@ -262,6 +262,9 @@
         term = self._lease.term
         if term == 0:
             return
+        # The ledger goes: an end that is not stored would go with it, and its task
+        # would be queued again and run once more.
+        await self._keep_results(after=timedelta(0))
         description = await self._control.describe()
         ledger = CapacityLedger(capacity=description.capacity)
         for row in await self._bound_rows(term):
@@ -318,13 +321,13 @@
             if not held.is_started and held.made_at < oldest:
                 self._ledger.drop(held.task, held.attempt)
 
-    async def _keep_results(self) -> None:
+    async def _keep_results(self, after: timedelta = RESULT_AFTER) -> None:
         """Store the exit codes that no owner has acknowledged for a while.
 
         If the lease lapses, or the VM vanishes, before the owner has written
         the end down, it finds the result there and does not run the task again.
         """
-        oldest = self._clock.elapsed() - RESULT_AFTER
+        oldest = self._clock.elapsed() - after
         for held in list(self._ledger.reservation_by_task.values()):
             is_due = held.ended_at is not None and held.ended_at <= oldest
             if is_due and not held.has_result:
@@ -335,7 +338,10 @@
     async def _take_reports(self) -> bool:
         """Read the worker's reports; return whether a task has newly ended."""
         has_ended = False
-        for running in await self._control.tasks():
+        told = list(self._report_by_task.values())
+        listed = await self._control.tasks()
+        self._drop_vanished(told, {(r.task, r.attempt) for r in listed})
+        for running in listed:
             held = self._ledger.reservation_by_task.get(running.task)
             if held is None or held.attempt != running.attempt:
                 continue
@@ -351,3 +357,16 @@
                 exit_code=running.exit_code,
             )
         return has_ended
+
+    def _drop_vanished(
+        self, told: Sequence[AttemptReport], listed: set[tuple[TaskId, int]]
+    ) -> None:
+        """Tell no more of what the worker has lost; an end stays told.
+
+        Told for ever, it counts as running and is never queued again. Its owner
+        asks for the start then, and is refused: the attempt has run already.
+        """
+        for report in told:
+            if report.exit_code is None and (report.task, report.attempt) not in listed:
+                self._ledger.stop(report.task, report.attempt)
+                self._report_by_task.pop(report.task, None)
--- a/tests/steps/lost_steps.py
+++ b/tests/steps/lost_steps.py
@@ -163,3 +163,23 @@
     worker._attempt_by_task.clear()
     worker._stopped.clear()
     worker.boot += "-anew"
+
+
+@when('the worker that runs "{task}" loses it')
+def lose_task(context, task):
+    row = context.world.rows()[task]
+    worker = context.world.cell.worker_stand_in_by_name[row.worker]
+    worker._suspend(worker._attempt_by_task.pop(row.spec.task))
+
+
+@when('the end of "{task}" is seen by its attendant')
+def wait_end_seen(context, task):
+    world = context.world
+    row = world.rows()[task]
+    attendant = world.cell.worker_by_name[row.worker].attendant
+
+    def is_seen():
+        reports = attendant.report().attempts
+        return any(r.exit_code == 0 for r in reports if r.task == row.spec.task)
+
+    world.wait_until(is_seen)
--- a/tests/tasks/lost.feature
+++ b/tests/tasks/lost.feature
@@ -49,3 +49,52 @@
     Then every task is finished
     And "b1" was started 1 times
     And no worker was ever overcommitted, and nothing ran twice
+
+  Scenario: A worker's VM starts anew beside its attendant
+    # A task stops in the middle and counts as running for ever. Its VM crashes and is
+    # back at once, empty, before the attendant has missed it. The lease goes on in the
+    # term of the VM's earlier life, and the attendant tells what it last saw there.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 10 s
+    And the task "b1" runs for 2000 ms
+    And the VM that runs "b1" starts anew, empty, beside its attendant
+    And the task "b1" is finished within 60 s
+    Then no worker was ever overcommitted, and nothing ran twice
+
+  Scenario: A worker's VM starts anew before its attendant has seen what runs there
+    # An attempt of a task runs twice. Its VM crashes right after the start and is back,
+    # empty. The attendant renews the lease of the new life in the old term, has seen
+    # nothing run, and starts the same attempt again when the owner asks.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 10 s
+    And the task "b1" runs for 1 ms
+    And the VM that runs "b1" starts anew, empty, beside its attendant
+    And the task "b1" is finished within 60 s
+    Then no worker was ever overcommitted, and nothing ran twice
+
+  Scenario: A worker loses a task and lives on
+    # A task stops in the middle and counts as running for ever. The worker no longer
+    # lists it; its VM and its lease are what they were, and the attendant tells what it
+    # last saw there. The same attempt must not begin again there either.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 10 s
+    And the task "b1" runs for 2000 ms
+    And the worker that runs "b1" loses it
+    And the task "b1" is finished within 60 s
+    Then no worker was ever overcommitted, and nothing ran twice
+
+  Scenario: A task ends while no entry is there, and its VM starts anew
+    # A task that has ended runs once more. The entries are down when it ends, and the VM
+    # crashes and is back a moment later. The attendant has seen the end and forgets it
+    # with all of the VM's earlier life, before it has stored it.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 4 s
+    And the task "b1" runs for 2000 ms
+    And both entries are killed
+    And the end of "b1" is seen by its attendant
+    And the VM that runs "b1" starts anew, empty, beside its attendant
+    And 5000 ms pass
+    And both entries start anew, and do not reach the attendant beside "b1"
+    Then every task is finished
+    And "b1" was started 1 times
+    And no worker was ever overcommitted, and nothing ran twice
