--- a/coltsfoottray/leases/worker.py
+++ b/coltsfoottray/leases/worker.py
@@ -113,27 +113,36 @@
     async def run(  # noqa: D102
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        await self._try_renew()
+        is_renewed = await self._try_renew()
         task_status.started()
         while True:
-            # After a failure sooner: a renewal that comes back from an outage
-            # late by one interval and one time-out could be too late.
-            is_renewed = self._version is not None
+            # After a failure sooner: a renewal that comes back from an outage, or
+            # a moment's silence, late by an interval and a time-out is too late.
             await self._clock.sleep(self._lease / (3 if is_renewed else 10))
-            await self._try_renew()
+            is_renewed = await self._try_renew()
 
-    async def _try_renew(self) -> None:
+    async def _try_renew(self) -> bool:
         try:
             with trio.move_on_after((self._lease / 3).total_seconds()):
-                await self._renew()
+                return await self._renew()
         except TableUnavailable as error:
             log_event("lease:worker-not-renewed", error=str(error))
         except CommunicationError as error:
             log_event("lease:worker-unreachable", error=str(error))
-
-    async def _renew(self) -> None:
-        if self._version is None and not await self._read():
-            return
+        return False
+
+    async def _renew(self) -> bool:
+        """Renew the row, then the worker's own lease; return whether both are."""
+        # The worker is asked first: renewed for one that answers nobody, the row
+        # never lapses, and what ran there is held for ever.
+        boot = (await self._control.describe()).boot
+        if self._version is None:
+            if not await self._read(boot):
+                return False
+        elif boot != self._row.boot:
+            # Renewed for the VM's next life, the term lets an attempt of the life
+            # before be started again there: nothing says that it has run already.
+            await self._begin_term(self._row.term + 1, boot)
         assert self._version is not None
         sent_at = self._clock.elapsed()
         renewed = msgspec.structs.replace(self._row, renewals=self._row.renewals + 1)
@@ -142,25 +151,25 @@
         self._version = None
         outcome = await self._table.commit(Transaction(puts=[put]))
         if not isinstance(outcome, Success):
-            return
+            return False
         self._version = outcome.unwrap()[key]
         self._row = renewed
         self._valid_until = sent_at + self._usable
         left = self._valid_until - self._clock.elapsed()
-        if left > timedelta(0):
-            await self._control.renew(holder=self._incarnation, duration=left)
+        if left <= timedelta(0):
+            return False
+        await self._control.renew(holder=self._incarnation, duration=left)
+        return True
 
-    async def _read(self) -> bool:
+    async def _read(self, boot: str) -> bool:
         """Find out what the row says; return whether it may be written.
 
         After a lost answer the row tells whether the renewal took effect.
         """
-        description = await self._control.describe()
-        self._row = msgspec.structs.replace(self._row, boot=description.boot)
         row = await self._table.get(worker_key(self._row.worker))
         if row is None:
             self._version = ABSENT
-            await self._begin_term(1)
+            await self._begin_term(1, boot)
             return True
         found = row.decode(WorkerLeaseRow)
         is_own = found.holder == self._incarnation and found.state is LeaseState.HELD
@@ -170,16 +179,16 @@
             log_event("lease:worker-superseded", holder=found.holder)
             return False
         self._version = row.version
-        if found.state is LeaseState.LOST or found.boot != self._row.boot:
-            await self._begin_term(found.term + 1)
+        if found.state is LeaseState.LOST or found.boot != boot:
+            await self._begin_term(found.term + 1, boot)
         else:
             # Same term: a restarted attendant keeps the worker's tasks.
             self._row = msgspec.structs.replace(
-                self._row, term=found.term, state=LeaseState.HELD
+                self._row, term=found.term, boot=boot, state=LeaseState.HELD
             )
         return True
 
-    async def _begin_term(self, term: int) -> None:
+    async def _begin_term(self, term: int, boot: str) -> None:
         """Start a term with an empty worker.
 
         The earlier term's tasks may already run elsewhere; they are stopped for
@@ -188,5 +197,7 @@
         for running in await self._control.tasks():
             await self._control.stop(task=running.task, attempt=running.attempt)
             await self._control.forget(task=running.task, attempt=running.attempt)
-        self._row = msgspec.structs.replace(self._row, term=term, state=LeaseState.HELD)
+        self._row = msgspec.structs.replace(
+            self._row, term=term, boot=boot, state=LeaseState.HELD
+        )
         log_event("lease:worker-term", worker=self._row.worker, term=term)
