A worker that is gone for good in the stand-ins answers and starts nothing

Cause: after InstanceStandIn.vanish a look that was under way was still answered, as another life without runs, and a start that was to be carried out late still ran there. The first tells an attendant what nobody can tell it, the second is a run on a machine that does not exist. Now neither happens once a worker is gone.

--- a/standins/instance.py
+++ b/standins/instance.py
@@ -97,6 +97,7 @@
         self.unanswered_starts = 0
         self.late_starts = 0
         self.is_dark = False
+        self.is_gone = False
         self.sends_heartbeats = True
         self.is_draining = False
         self.is_hung = False
@@ -146,6 +147,7 @@
         """Lose everything, never to come back; nobody is told."""
         self.crash()
         self.is_dark = True
+        self.is_gone = True
 
     async def leave(self) -> None:
         """Say that it leaves and be gone."""
@@ -168,6 +170,13 @@
         """Serve the worker's interface."""
         if self.is_dark:
             await trio.sleep_forever()
+        response = await self._carry_out(request)
+        if self.is_gone:
+            # Nor does it answer what it was asked before.
+            await trio.sleep_forever()
+        return response
+
+    async def _carry_out(self, request: HttpRequest) -> HttpResponse:
         if request.header_by_name.get("expect-instance") != f"i-{self.name}":
             return HttpResponse(status=421)
         body = msgspec.json.decode(request.body, type=dict[str, Any])
@@ -189,7 +198,8 @@
         if self.late_starts > 0:
             self.late_starts -= 1
             await trio.sleep(LATE_ORDER_S)
-            self._start(body)
+            if not self.is_gone:
+                self._start(body)
             await trio.sleep_forever()
         response = self._start(body)
         if self.unanswered_starts > 0:
