The machine for jobs has faults that never heal, and tasks that last

Cause: its teardown healed links, daemons and workers before it looked whether all accepted work ends, so work held for ever by something that stays away was never judged.

New rules, in the middle of a sequence and followed by any other: a worker is gone for good while its attendant lives, starts anew or dies too; a worker is silent or says that it leaves, for good; a daemon dies or freezes for good; an attendant never reaches an entry, the store or its worker again; an entry never reaches the store again. One worker and one entry stay sound, and the teardown heals only what is not for good. There are three workers now.

New too: jobs whose tasks last. At the end, once the leases of what is out of reach are over, each task of one that is not cancelled has a run on a worker, and of one whose cancellation was confirmed nothing runs. The bound is the machine's own, 120 s.

So that all work can be done by one sound worker of 8 tasks, at most 4 tasks last, and at most 240 s of other work are handed in.

--- a/properties/jobs.py
+++ b/properties/jobs.py
@@ -1,4 +1,7 @@
-"""Jobs under crashes, pauses, cuts, silent workers, late orders and outages."""
+"""Jobs under crashes, pauses, cuts, silent workers, late orders and outages.
+
+Some of it never heals: then what is left is to see all work to its end.
+"""
 
 from __future__ import annotations
 
@@ -7,18 +10,26 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from properties.losses import Loss, Losses
 from tests.support.job_world import JobWorld, job_id, make_steps
 
 __all__ = ["Jobs"]
 
 ENTRIES = st.sampled_from(["entry-1", "entry-2"])
-WORKERS = st.sampled_from(["worker-1", "worker-2"])
+WORKERS = st.sampled_from(["worker-1", "worker-2", "worker-3"])
 PROCESSES = st.one_of(ENTRIES, WORKERS)
+_WORKERS = 3
 # A lease of 9 s, a late order of some seconds, and the tasks that are left.
 SETTLE_S = 120.0
 _START_S = 3.0
 # A job's tasks are started within it.
 _PLACING_S = 0.3
+# What a worker that is out of reach still runs ends within it.
+_LEASE_S = 10.0
+# A single worker with room for 8 tasks does all that is handed in within half of
+# `SETTLE_S`, also beside all tasks that last.
+_MOST_WORK_S = 240.0
+_MOST_LASTING = 4
 _MILLI = 1000
 
 
@@ -27,19 +38,26 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.world = JobWorld(instances=1, workers=2)
-        # By then one entry schedules, and both workers have reported.
+        self.world = JobWorld(instances=1, workers=_WORKERS)
+        self.losses = Losses(world=self.world)
+        # By then one entry schedules, and all workers have reported.
         self.world.advance(_START_S)
         self._numbers = itertools.count()
         self._accepted: set[str] = set()
         self._count_by_label: dict[str, int] = {}
         self._refused: set[str] = set()
         self._cancelled: set[str] = set()
+        self._surely_cancelled: set[str] = set()
+        self._lasting: set[str] = set()
+        self._work_s = 0.0
+        self._lasting_tasks = 0
 
     def teardown(self) -> None:
-        """Heal everything, and see every accepted job to its end."""
+        """Heal what may heal, and see every accepted job to its end."""
         try:
-            self._heal_all()
+            self.losses.heal_rest()
+            # Until then tasks may run where nobody could tell for how long.
+            self.world.advance(_LEASE_S)
             self._wait_for_ends()
             self.judge()
             self._judge_refusals()
@@ -57,14 +75,32 @@
         self, entry: str, tasks: int, steps: int, work_s: float, saves: bool
     ) -> None:
         """A caller hands a job in."""
-        if not self._is_answering(entry):
+        more_s = steps * tasks * work_s
+        if not self._is_answering(entry) or self._work_s + more_s > _MOST_WORK_S:
             return
+        self._work_s += more_s
         label = f"j{next(self._numbers)}"
         shape = make_steps(steps, tasks, work_s, checkpointing=saves)
         status = self.world.submit_job(entry, label, shape, work_s=work_s, saves=saves)
+        self._note_answer(label, status, steps * tasks)
+
+    @rule(entry=ENTRIES, tasks=st.integers(min_value=1, max_value=2))
+    def submit_lasting(self, entry: str, tasks: int) -> None:
+        """A caller hands in a job whose tasks last until it is cancelled."""
+        is_too_much = self._lasting_tasks + tasks > _MOST_LASTING
+        if not self._is_answering(entry) or is_too_much:
+            return
+        self._lasting_tasks += tasks
+        label = f"j{next(self._numbers)}"
+        self._lasting.add(label)
+        shape = make_steps(1, tasks, 1.0, longRunning=True)
+        status = self.world.submit_job(entry, label, shape, lasts=True)
+        self._note_answer(label, status, tasks)
+
+    def _note_answer(self, label: str, status: int, count: int) -> None:
         if status == 200:
             self._accepted.add(label)
-            self._count_by_label[label] = steps * tasks
+            self._count_by_label[label] = count
         elif status == 503:
             self._refused.add(label)
         self.world.advance(_PLACING_S)
@@ -77,7 +113,8 @@
         label = data.draw(st.sampled_from(sorted(self._accepted)))
         # Without an answer the job may be cancelled all the same.
         self._cancelled.add(label)
-        self.world.cancel_job(entry, label)
+        if self.world.cancel_job(entry, label) == 200:
+            self._surely_cancelled.add(label)
 
     @rule(ms=st.sampled_from([20, 300, 2000, 7000]))
     def advance(self, ms: int) -> None:
@@ -87,6 +124,8 @@
     @rule(process=PROCESSES)
     def restart(self, process: str) -> None:
         """A daemon crashes and is started anew, with nothing in memory."""
+        if self.losses.is_ended(process):
+            return
         self.world.kill_daemon(process)
         self.world.resume(process)
         self.world.start_again(process)
@@ -94,12 +133,14 @@
     @rule(process=PROCESSES)
     def pause(self, process: str) -> None:
         """Freeze a daemon."""
-        self.world.fabric.faults(process).pause()
+        if not self.losses.is_ended(process):
+            self.world.fabric.faults(process).pause()
 
     @rule(process=PROCESSES)
     def resume(self, process: str) -> None:
         """Let it go on."""
-        self.world.resume(process)
+        if not self.losses.is_ended(process):
+            self.world.resume(process)
 
     @rule(process=PROCESSES, other=st.one_of(PROCESSES, st.just("store")))
     def cut(self, process: str, other: str) -> None:
@@ -115,17 +156,18 @@
         }
         self.world.fabric.cut |= links
         self.world.advance(ms / _MILLI)
-        self.world.fabric.cut -= links
+        self.losses.mend(links)
 
     @rule(worker=WORKERS, is_draining=st.booleans())
     def drain(self, worker: str, is_draining: bool) -> None:
         """A worker says that it leaves, or that it has thought better of it."""
-        self.world.cell.worker_by_name[worker].is_draining = is_draining
+        leaves = is_draining or self.losses.is_leaving(worker)
+        self.world.cell.worker_by_name[worker].is_draining = leaves
 
     @rule()
     def heal_cuts(self) -> None:
         """All reach each other again."""
-        self.world.fabric.cut.clear()
+        self.losses.mend(set(self.world.fabric.cut))
 
     @rule(worker=WORKERS)
     def crash(self, worker: str) -> None:
@@ -135,7 +177,8 @@
     @rule(worker=WORKERS, is_dark=st.booleans())
     def darken(self, worker: str, is_dark: bool) -> None:
         """A worker runs on and answers nobody, or answers again."""
-        self.world.cell.worker_by_name[worker].is_dark = is_dark
+        is_mute = is_dark or self.losses.is_mute(worker)
+        self.world.cell.worker_by_name[worker].is_dark = is_mute
 
     @rule(worker=WORKERS, count=st.integers(min_value=1, max_value=3))
     def delay_starts(self, worker: str, count: int) -> None:
@@ -167,6 +210,46 @@
         """The store forgets what changed."""
         self.world.cell.rows.drop_history()
 
+    @rule(
+        worker=WORKERS,
+        attendant=st.sampled_from(["lives", "starts anew", "dies"]),
+        ms=st.sampled_from([0, 300, 2000]),
+    )
+    def lose_machine(self, worker: str, attendant: str, ms: int) -> None:
+        """A worker is gone for good; its attendant lives, starts anew or dies too."""
+        if not self.losses.may_lose(worker):
+            return
+        self.losses.lose_worker(worker, Loss.GONE)
+        self.world.advance(ms / _MILLI)
+        if attendant == "starts anew":
+            self.restart(worker)
+        elif attendant == "dies" and not self.losses.is_ended(worker):
+            self.losses.end_daemon(worker, Loss.DEAD)
+
+    @rule(worker=WORKERS, loss=st.sampled_from([Loss.SILENT, Loss.DRAINING]))
+    def lose_worker(self, worker: str, loss: Loss) -> None:
+        """A worker answers nobody any more, or says for good that it leaves."""
+        if self.losses.may_lose(worker):
+            self.losses.lose_worker(worker, loss)
+
+    @rule(process=PROCESSES, loss=st.sampled_from([Loss.DEAD, Loss.FROZEN]))
+    def lose_daemon(self, process: str, loss: Loss) -> None:
+        """A daemon dies or freezes for good."""
+        if self.losses.may_lose(process) and not self.losses.is_ended(process):
+            self.losses.end_daemon(process, loss)
+
+    @rule(worker=WORKERS, other=st.one_of(ENTRIES, st.sampled_from(["store", "vm"])))
+    def lose_link(self, worker: str, other: str) -> None:
+        """An attendant never reaches an entry, the store or its worker again."""
+        if self.losses.may_lose(worker):
+            self.losses.cut(worker, f"{worker}/vm" if other == "vm" else other)
+
+    @rule(entry=ENTRIES)
+    def lose_store(self, entry: str) -> None:
+        """An entry never reaches the store again."""
+        if self.losses.may_lose(entry):
+            self.losses.cut(entry, "store")
+
     @invariant()
     def judge(self) -> None:
         """Nothing runs twice, or after its end; no worker is overcommitted."""
@@ -189,8 +272,10 @@
             self.world.advance(0.5)
 
     def _is_over(self, label: str) -> bool:
-        state = self.world.state_of("entry-1", label)
+        state = self.world.state_of(self.losses.sound_entry(), label)
         may_be_cancelled = label in self._cancelled
+        if label in self._lasting:
+            return self._is_settled(label, state)
         if state == "410":
             # What has ended is forgotten after a while.
             was_done = self._task_count(label) == self._count_by_label[label]
@@ -198,20 +283,26 @@
             return True
         return state == "completed" or (may_be_cancelled and state == "cancelled")
 
+    def _is_settled(self, label: str, state: str) -> bool:
+        """Whether all tasks of a job that lasts run, or none if it is cancelled."""
+        running = self._running_count(label)
+        if state in ("410", "cancelled"):
+            assert label in self._cancelled, f"{label} lasts and is {state}"
+            return running == 0
+        is_wanted = label not in self._surely_cancelled
+        return is_wanted and running == self._count_by_label[label]
+
+    def _running_count(self, label: str) -> int:
+        """Return how many tasks of a job have a run on any worker."""
+        workers = self.world.cell.worker_by_name.values()
+        tasks = {task for worker in workers for task in worker.run_by_task}
+        return sum(task.startswith(job_id(label)) for task in tasks)
+
     def _task_count(self, label: str) -> int:
         """Return how many tasks of a job have ended well."""
         done = self.world.cell.observer.done
         return sum(task.startswith(job_id(label)) for task in done)
 
     def _is_answering(self, entry: str) -> bool:
-        return self.world.fabric.faults(entry).running.is_set()
-
-    def _heal_all(self) -> None:
-        cell = self.world.cell
-        self.world.fabric.cut.clear()
-        cell.rows.faults.is_down = False
-        for process in list(self.world.fabric.faults_by_process):
-            self.world.resume(process)
-        for worker in cell.worker_by_name.values():
-            worker.is_dark = False
-            worker.is_draining = False
+        is_running = self.world.fabric.faults(entry).running.is_set()
+        return is_running and not self.losses.is_ended(entry)
