--- a/properties/jobs.py
+++ b/properties/jobs.py
@@ -48,6 +48,7 @@
         self._refused: set[str] = set()
         self._cancelled: set[str] = set()
         self._surely_cancelled: set[str] = set()
+        self._completed: set[str] = set()
         self._lasting: set[str] = set()
         self._work_s = 0.0
         self._lasting_tasks = 0
@@ -257,6 +258,16 @@
         assert not cell.observer.violations, cell.observer.violations
         for worker in cell.worker_by_name.values():
             assert worker.max_taken <= cell.processors, worker.name
+        self._note_completed()
+
+    def _note_completed(self) -> None:
+        """Note what the store says of jobs, long before it is forgotten there."""
+        for label in self._accepted - self._completed:
+            row = self.world.cell.rows.value_of(
+                "state", "scheduler", f"job.{job_id(label)}"
+            )
+            if isinstance(row, dict) and row.get("state") == "completed":
+                self._completed.add(label)
 
     def _judge_refusals(self) -> None:
         started = {task.split(".")[0] for task, _, _ in self.world.cell.observer.starts}
@@ -270,6 +281,7 @@
             open_labels = [each for each in open_labels if not self._is_over(each)]
             assert self.world.now() < give_up, f"not ended: {open_labels}"
             self.world.advance(0.5)
+            self._note_completed()
 
     def _is_over(self, label: str) -> bool:
         state = self.world.state_of(self.losses.sound_entry(), label)
@@ -278,10 +290,13 @@
             return self._is_settled(label, state)
         if state == "410":
             # What has ended is forgotten after a while.
-            was_done = self._task_count(label) == self._count_by_label[label]
+            was_done = label in self._completed and self._is_done(label)
             assert was_done or may_be_cancelled, f"{label} was accepted and is lost"
             return True
-        return state == "completed" or (may_be_cancelled and state == "cancelled")
+        if state == "completed":
+            assert self._is_done(label), f"{label} is completed, and not all was done"
+            return True
+        return may_be_cancelled and state == "cancelled"
 
     def _is_settled(self, label: str, state: str) -> bool:
         """Whether all tasks of a job that lasts run, or none if it is cancelled."""
@@ -298,10 +313,14 @@
         tasks = {task for worker in workers for task in worker.run_by_task}
         return sum(task.startswith(job_id(label)) for task in tasks)
 
-    def _task_count(self, label: str) -> int:
-        """Return how many tasks of a job have ended well."""
-        done = self.world.cell.observer.done
-        return sum(task.startswith(job_id(label)) for task in done)
+    def _is_done(self, label: str) -> bool:
+        """Whether each task of a job has ended well once.
+
+        An end that its worker has forgotten counts: it may have been told before.
+        """
+        done = self.world.cell.observer.ever_done
+        count = sum(task.startswith(job_id(label)) for task in done)
+        return count == self._count_by_label[label]
 
     def _is_answering(self, entry: str) -> bool:
         is_running = self.world.fabric.faults(entry).running.is_set()
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -37,10 +37,16 @@
     ----------
     violations : list of str
         Two runs of a task at once, and starts after a task has ended well.
+    done : set of str
+        Tasks that ended well, but for those whose end only a lost life knew; whether
+        another has heard of it is not asked.
+    ever_done : set of str
+        All that ever ended well.
     """
 
     running_by_task: Counter[str] = field(default_factory=Counter)
     done: set[str] = field(default_factory=set)
+    ever_done: set[str] = field(default_factory=set)
     starts: list[tuple[str, int, str]] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
 
@@ -295,6 +301,7 @@
         self._observer.end(run.task)
         if how == "done":
             self._observer.done.add(run.task)
+            self._observer.ever_done.add(run.task)
         self._highest_by_task[run.task] = run.number
         number = next(self._numbers)
         self.ends.append([number, run.task, run.number, how, self._saved(run)])
