Planted: leases renewed for workers out of reach

An attendant's report that its worker is out of reach, or that it knows of none, prolongs the time for which the scheduler counts on the worker's lease. It wraps the answer to the report, so that it stays a fault when the answer itself no longer does so.

--- a/properties/planted.py
+++ b/properties/planted.py
@@ -18,6 +18,8 @@
 from coltsfoottray.lists.editor import read_head
 from coltsfoottray.scheduler.fleet import Worker
 from coltsfoottray.scheduler.grants import Grants
+from coltsfoottray.scheduler.messages import Report, ReportReply
+from coltsfoottray.scheduler.reign import Reign
 from coltsfoottray.tasks import StoredTask, TaskStore
 from coltsfoottray.types import ListVersion, TaskState
 from coltsfoottray.upstream import ExecutionLedger
@@ -28,12 +30,16 @@
     "claims_without_asking",
     "edits_without_versions",
     "lapse_without_waiting",
+    "leases_renewed_out_of_reach",
     "ledger_without_bounds",
     "moves_without_attempts",
     "refusals_without_proof",
     "runs_given_up_early",
 ]
 
+# The longest lease that a scheduler grants a worker.
+_LEASE = timedelta(seconds=7)
+
 
 @contextmanager
 def claims_without_asking() -> Iterator[None]:
@@ -138,6 +144,23 @@
         yield
 
 
+@contextmanager
+def leases_renewed_out_of_reach() -> Iterator[None]:
+    """Let an attendant's word prolong the lease of a worker that it does not reach."""
+    answer = Reign.answer_report
+
+    def answer_and_prolong(self: Reign, report: Report) -> ReportReply:
+        reply = answer(self, report)
+        if not report.is_reachable or not report.life:
+            worker = self._fleet.worker_by_id[report.worker]
+            lease_end = self._clock.elapsed() + _LEASE
+            worker.lease_end = max(worker.lease_end, lease_end)
+        return reply
+
+    with mock.patch.object(Reign, "answer_report", answer_and_prolong):
+        yield
+
+
 @contextmanager
 def refusals_without_proof() -> Iterator[None]:
     """Let entries refuse a job whose row may stand, as one that will never run."""
--- a/tests/scheduler/fuzz.feature
+++ b/tests/scheduler/fuzz.feature
@@ -13,3 +13,8 @@
   Scenario: The oracle sees a refusal that is not true
     # Planted: a job whose acceptance is open is refused as one that will never run.
     Then with the planted fault "refusals without proof" the machine "jobs" fails
+
+  Scenario: The oracle sees runs that a lost worker holds for ever
+    # Planted: a worker's lease is prolonged by the word of an attendant that does not
+    # reach it, or has never seen it. A worker that never comes back keeps its runs.
+    Then with the planted fault "leases renewed for workers out of reach" the machine "jobs" fails
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -18,6 +18,7 @@
     "claims without asking": planted.claims_without_asking,
     "cancel without tombstone": planted.cancel_without_tombstone,
     "edits without versions": planted.edits_without_versions,
+    "leases renewed for workers out of reach": planted.leases_renewed_out_of_reach,
     "ledger without bounds": planted.ledger_without_bounds,
     "moves without attempts": planted.moves_without_attempts,
     "refusals without proof": planted.refusals_without_proof,
