--- a/standins/instance.py
+++ b/standins/instance.py
@@ -40,10 +40,16 @@
     ----------
     violations : list of str
         Two runs of a task at once, and starts after a task has ended well.
+    done : set of str
+        Tasks that ended well, but for those whose end only a lost life knew; whether
+        another has heard of it is not asked.
+    ever_done : set of str
+        All that ever ended well.
     """
 
     running_by_task: Counter[str] = field(default_factory=Counter)
     done: set[str] = field(default_factory=set)
+    ever_done: set[str] = field(default_factory=set)
     starts: list[tuple[str, int, str]] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
 
@@ -102,6 +108,7 @@
         self.slow_starts = 0
         self.is_unhealthy = False
         self.is_dark = False
+        self.is_gone = False
         self.sends_heartbeats = True
         self.is_draining = False
         self.is_hung = False
@@ -153,6 +160,7 @@
         """Lose everything, never to come back; nobody is told."""
         self.crash()
         self.is_dark = True
+        self.is_gone = True
 
     async def leave(self) -> None:
         """Say that it leaves and be gone."""
@@ -182,6 +190,13 @@
         """Serve the worker's interface."""
         if self.is_dark:
             await trio.sleep_forever()
+        response = await self._carry_out(request)
+        if self.is_gone:
+            # Nor does it answer what it was asked before.
+            await trio.sleep_forever()
+        return response
+
+    async def _carry_out(self, request: HttpRequest) -> HttpResponse:
         if request.header_by_name.get("expect-instance") != f"i-{self.name}":
             return HttpResponse(status=421)
         body = msgspec.json.decode(request.body, type=dict[str, Any])
@@ -208,7 +223,8 @@
         if self.late_starts > 0:
             self.late_starts -= 1
             await trio.sleep(LATE_ORDER_S)
-            self._start(body)
+            if not self.is_gone:
+                self._start(body)
             await trio.sleep_forever()
         response = self._start(body)
         if self.unanswered_starts > 0:
@@ -311,6 +327,7 @@
         self._observer.end(run.task)
         if how == "done":
             self._observer.done.add(run.task)
+            self._observer.ever_done.add(run.task)
         self._highest_by_task[run.task] = run.number
         number = next(self._numbers)
         self.ends.append([number, run.task, run.number, how, self._saved(run)])
