--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -132,8 +132,7 @@
             if not worker.held_by_ref or worker.surely_over >= now:
                 continue
             silent_s = (now - worker.heard).total_seconds()
-            gone_s = (now - worker.answered).total_seconds()
-            why = f"silent for {silent_s:.1f} s, its worker for {gone_s:.1f} s"
+            why = f"its lease is over, its attendant silent for {silent_s:.1f} s"
             held = list(worker.held_by_ref.values())
             self._lose(worker, held, now_ms, why=why)
             worker.is_reachable = False
