Steps that fit nowhere do not keep the ones behind them waiting

Callers saw accepted jobs stay queued for ever although workers had room. Some dozens of more urgent steps that nobody could run stood before them: services whose label no worker carries, or of which one task more is wanted than workers may hold. A round gave up after 61 steps without a place, began with the same ones each time, and never came to the rest.

Change: a step that needs more than any worker of its service and label has left is told by one comparison and not counted. A round then tries steps in urgency order until 61 have looked at the workers in vain, and after them the others, those first whose last try is the longest ago, until 61 more have. So a round looks at the workers in vain at most 122 times, and n steps that it does not come to are all tried within n / 61 rounds, and those for which others are added meanwhile. Urgency holds strictly for what the first part comes to, and in the second among steps last tried in the same round. What is only too large for the room left never uses a part up, so that in an ordinary queue the order is strict.

Ruled out: not counting alone (200 services with a task too many have room by that comparison and still starve the rest); going on in the next round alone (of 200 jobs for one worker some then begin before others handed in earlier); no bound.

--- a/coltsfoottray/scheduler/fit.py
+++ b/coltsfoottray/scheduler/fit.py
@@ -26,7 +26,14 @@
 from coltsfoottray.scheduler.strain import Outlook, foresee, speed_among
 from coltsfoottray.types import Resources
 
-__all__ = ["Patience", "choose_gang", "choose_worker", "find_faster", "list_candidates"]
+__all__ = [
+    "Openings",
+    "Patience",
+    "choose_gang",
+    "choose_worker",
+    "find_faster",
+    "list_candidates",
+]
 
 # A worker that has not reported for so long takes nothing new: two reports of one
 # second each, and half of one.
@@ -73,6 +80,41 @@
 _Cost = tuple[float, ...]
 
 
+class Openings:
+    """The most room that any worker has for new work, by service and label.
+
+    A task that needs more has no place anywhere; that is told without a look at each
+    worker. It holds for one round, in which room only shrinks.
+    """
+
+    def __init__(self, *, fleet: Fleet, now: timedelta) -> None:
+        self._fleet = fleet
+        self._now = now
+        self._most_by_pool: dict[tuple[str, str], Resources | None] = {}
+
+    def may_take(self, spec: StepSpec, *, service: str) -> bool:
+        """Whether some worker may have room for a task of a step."""
+        pool = service, spec.label
+        if pool not in self._most_by_pool:
+            self._most_by_pool[pool] = self._most(*pool)
+        most = self._most_by_pool[pool]
+        return most is not None and spec.reserved.fits_in(most)
+
+    def _most(self, service: str, label: str) -> Resources | None:
+        rooms = [
+            worker.room
+            for worker in self._fleet.worker_by_id.values()
+            if _takes_work(worker, service, self._now) and _carries(worker, label)
+        ]
+        if not rooms:
+            return None
+        return Resources(
+            processors=max(room.processors for room in rooms),
+            memory_gb=max(room.memory_gb for room in rooms),
+            accelerators=max(room.accelerators for room in rooms),
+        )
+
+
 def choose_worker(
     step: LiveStep,
     fleet: Fleet,
@@ -209,9 +251,11 @@
 
 
 def _suits(worker: Worker, spec: StepSpec, room: Resources) -> bool:
-    if spec.label and spec.label not in worker.labels:
-        return False
-    return spec.reserved.fits_in(room)
+    return _carries(worker, spec.label) and spec.reserved.fits_in(room)
+
+
+def _carries(worker: Worker, label: str) -> bool:
+    return not label or label in worker.labels
 
 
 def _keeps_apart(worker: Worker, step: LiveStep, *, extra: int) -> bool:
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -42,6 +42,8 @@
         By task, the workers on which it failed or stalled.
     ticket_by_life : dict
         By life of a worker, the ticket with which it may run the step.
+    tried : int
+        The round in which a place was last looked for, 0 for none.
     """
 
     job: LiveJob
@@ -54,6 +56,7 @@
     failed_runs: set[int] = field(default_factory=set)
     avoid_by_index: dict[int, set[str]] = field(default_factory=dict)
     ticket_by_life: dict[str, Ticket] = field(default_factory=dict)
+    tried: int = 0
 
     def __post_init__(self) -> None:
         self.recount()
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -10,6 +10,7 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.board import Board
 from coltsfoottray.scheduler.fit import (
+    Openings,
     Patience,
     choose_gang,
     choose_worker,
@@ -41,8 +42,8 @@
 # a second on a day on which the table is slow.
 _MAX_IDLE = timedelta(seconds=1)
 
-# After so many tasks in urgency order have found no room the rest wait for the next
-# round; it bounds a round's length when thousands wait.
+# So many steps in urgency order, and as many of the others, may look at the workers in
+# vain; it bounds a round's length when thousands wait.
 _MAX_MISSES = 60
 
 
@@ -54,26 +55,56 @@
         self._fleet = board.fleet
         self._holder = holder
         self._rebalanced = timedelta(0)
+        self._round = 0
         # The steps whose turn has come, the most urgent first, as of the last plan.
         self._ready: list[LiveStep] = []
 
     def plan(self, now: timedelta, now_ms: int) -> list[PlacedRun]:
         """Assign waiting tasks to workers; return the new runs."""
+        self._round += 1
+        self._ready = self._list_ready(now_ms)
+        openings = Openings(fleet=self._fleet, now=now)
+        placed, left = self._place_steps(self._ready, openings, now, now_ms)
+        # Some dozens of steps that fit nowhere keep all behind them waiting for ever, so
+        # of those not come to the ones go first whose last try is the longest ago.
+        left.sort(key=lambda step: step.tried)
+        more, _ = self._place_steps(left, openings, now, now_ms)
+        return placed + more
+
+    def _list_ready(self, now_ms: int) -> list[LiveStep]:
         ready: list[LiveStep] = []
         for job in self._board.active_by_id.values():
             job.open_occurrences(now_ms)
             ready += [step for step in job.steps() if step.can_start]
         ready.sort(key=lambda step: urgency(step, self._holder, now_ms))
-        self._ready = ready
+        return ready
+
+    def _place_steps(
+        self, steps: list[LiveStep], openings: Openings, now: timedelta, now_ms: int
+    ) -> tuple[list[PlacedRun], list[LiveStep]]:
+        """Place steps in turn; return the runs, and the steps not come to."""
         placed: list[PlacedRun] = []
         misses = 0
-        for step in ready:
+        for number, step in enumerate(steps):
+            if misses > _MAX_MISSES:
+                return placed, steps[number:]
+            # Counted as misses, these would end the turn, and less urgent steps get room
+            # before others that fit. They cost no look at each worker.
+            if self._has_no_place(step, openings, now):
+                continue
             new = self._place_step(step, now, now_ms)
+            step.tried = self._round
             placed += new
             misses += not new
-            if misses > _MAX_MISSES:
-                break
-        return placed
+        return placed, []
+
+    def _has_no_place(self, step: LiveStep, openings: Openings, now: timedelta) -> bool:
+        """Whether it is soon told that no worker can take a task of a step."""
+        if step.spec.is_filler:
+            self._note_idle(step.job, now)
+        return not openings.may_take(
+            step.spec, service=self._board.terms_of(step.job).service
+        )
 
     def _place_step(
         self, step: LiveStep, now: timedelta, now_ms: int
@@ -215,16 +246,20 @@
         A job of which nothing runs while workers have room is lost to its caller,
         however good the reason to wait: after a while any place will do.
         """
-        if not job.is_idle:
-            job.idle_since = None
-        elif job.idle_since is None:
-            job.idle_since = now
-        elif now - job.idle_since > _MAX_IDLE:
+        self._note_idle(job, now)
+        if job.idle_since is not None and now - job.idle_since > _MAX_IDLE:
             return Patience.NONE
         if is_half_over(job, self._holder, now_ms):
             return Patience.HALF
         return Patience.WHOLE
 
+    @staticmethod
+    def _note_idle(job: LiveJob, now: timedelta) -> None:
+        if not job.is_idle:
+            job.idle_since = None
+        elif job.idle_since is None:
+            job.idle_since = now
+
     def _allowed(self, step: LiveStep, now: timedelta) -> set[str] | None:
         """Return the lives that may run a step, none if all may."""
         if self._board.terms_of(step.job).advice is None:
--- a/tests/steps/job_placement_steps.py
+++ b/tests/steps/job_placement_steps.py
@@ -70,6 +70,36 @@
     assert status == 200, status
 
 
+@when("{count:d} lasting jobs of {tasks:d} tasks each run apart from one another")
+def submit_apart(context, count, tasks):
+    """Hand in small ones, of each of which a worker may run one task at a time."""
+    shape = make_steps(
+        1, tasks, 1, longRunning=True, antiAffinity=1, cpu=10, memoryLimitMb=1
+    )
+    for number in range(count):
+        status = context.world.submit_job("entry-1", f"p{number}", shape, lasts=True)
+        assert status == 200, status
+
+
+@when("{count:d} jobs that take a whole worker for {milliseconds:d} ms are handed in")
+def submit_wide(context, count, milliseconds):
+    shape = make_steps(1, 1, 60, cpu=8000)
+    context.wide = [f"w{number}" for number in range(count)]
+    for label in context.wide:
+        status = context.world.submit_job(
+            "entry-1", label, shape, work_s=milliseconds / 1000
+        )
+        assert status == 200, status
+
+
+@then("{count:d} or more of them have begun, in the order in which they came")
+def check_begun_in_order(context, count):
+    ids = [job_id(label) for label in context.wide]
+    begun = [each[0].split(".")[0] for each in context.world.cell.observer.starts]
+    assert len(begun) >= count, begun
+    assert begun == ids[: len(begun)], begun
+
+
 @then('a task of "{label}" was started')
 def check_some_start(context, label):
     starts = context.world.cell.observer.starts
