--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -65,8 +65,8 @@
         self._ready = self._list_ready(now_ms)
         openings = Openings(fleet=self._fleet, now=now)
         placed, left = self._place_steps(self._ready, openings, now, now_ms)
-        # Some dozens of steps that fit nowhere keep all behind them waiting for ever, so
-        # of those not come to the ones go first whose last try is the longest ago.
+        # Some dozens of steps that fit nowhere keep all behind them waiting for ever,
+        # so of those not come to the ones go first whose last try is longest ago.
         left.sort(key=lambda step: step.tried)
         more, _ = self._place_steps(left, openings, now, now_ms)
         return placed + more
@@ -88,8 +88,8 @@
         for number, step in enumerate(steps):
             if misses > _MAX_MISSES:
                 return placed, steps[number:]
-            # Counted as misses, these would end the turn, and less urgent steps get room
-            # before others that fit. They cost no look at each worker.
+            # Counted as misses, these would end the turn, and less urgent steps get
+            # room before others that fit. They cost no look at each worker.
             if self._has_no_place(step, openings, now):
                 continue
             new = self._place_step(step, now, now_ms)
