A worker whose lease is not valid is told as taking no tasks

Callers saw a new task wait for ever though a sound worker was free: where four of five VMs were lost and their attendants lived on, a task handed in 20 s later was never placed. The attendants went on announcing the room of the lost VMs and the term of a lease that had lapsed. A round makes three proposals; all went to them and were refused for want of a lease, and the next round began with the same ones.

Change: a report's term is 0, "nothing may be placed there", while the lease is not valid.

Ruled out: the proposals not being made (they are, and refused); more proposals in a round (as many lost VMs more, and it is the same again). Why it holds: an attendant that would refuse for want of a lease no longer stands among the choices. That term is read by the choice of a place alone; running tasks are given up by the lease row, ends are taken from the report's attempts, so a term of 0 makes nobody give up what still runs.

--- a/coltsfoottray/worker/attendant.py
+++ b/coltsfoottray/worker/attendant.py
@@ -95,10 +95,13 @@
 
     def report(self) -> WorkerReport:
         """Return what entries are told of this worker."""
+        # Told of room on a lost VM, owners spend all their proposals on refusals.
+        # Only placing reads this term: what runs here is given up by the row alone.
+        takes_tasks = self._is_ready and self._lease.is_valid
         return WorkerReport(
             capacity=self._ledger.capacity,
             reserved=self._ledger.committed,
-            term=self._lease.term if self._is_ready else 0,
+            term=self._lease.term if takes_tasks else 0,
             attempts=list(self._report_by_task.values()),
         )
 
--- a/tests/steps/lost_steps.py
+++ b/tests/steps/lost_steps.py
@@ -183,3 +183,9 @@
         return any(r.exit_code == 0 for r in reports if r.task == row.spec.task)
 
     world.wait_until(is_seen)
+
+
+@when("the VMs of {count:d} workers are lost and their attendants live on")
+def lose_vms_only(context, count):
+    for name in sorted(context.world.cell.worker_by_name)[:count]:
+        context.world.kill(f"{name}/vm")
--- a/tests/tasks/lost.feature
+++ b/tests/tasks/lost.feature
@@ -98,3 +98,14 @@
     Then every task is finished
     And "b1" was started 1 times
     And no worker was ever overcommitted, and nothing ran twice
+
+  Scenario: Most VMs are lost, and their attendants live on
+    # A task handed in later waits for ever though a sound worker is free. The attendants
+    # of the lost VMs go on telling of room there. The three proposals of each round go to
+    # them and are refused for want of a lease; the sound worker is never asked.
+    Given two entries and 5 workers in memory
+    When the VMs of 4 workers are lost and their attendants live on
+    And 20000 ms pass
+    And "arolwg" submits the task "b1" which runs for 1 s
+    And the task "b1" is finished within 10 s
+    Then no worker was ever overcommitted, and nothing ran twice
