A worker's row is written only once the worker has taken the last renewal

Callers saw a task stop in the middle and stay "running" for ever, with another worker free. Its worker answered questions and refused, or never answered, the renewal of its own lease, and so suspended the task. The attendant asks whether the worker is there, writes the row and only then renews the worker's lease; the row was written again at the next trial, never lapsed, and nobody might take the task.

Change: a renewal that the worker has not taken is handed over again, for what is left of the row, before the row is written any further; the row is read first, so that an attendant that has a successor leaves the worker alone. A worker is given tasks only once it has taken the renewal, so a new term after the lapse draws none back. A new term is logged once, not at each trial.

Ruled out: writing nothing more after a failed renewal (one lost answer loses the tasks); asking with a renewal for no time (it suspends what runs). Why it holds: what is handed over never outlasts the row as last written, and a row that is written lies after a renewal taken.

--- a/coltsfoottray/leases/worker.py
+++ b/coltsfoottray/leases/worker.py
@@ -98,7 +98,9 @@
             state=LeaseState.LOST,
         )
         self._version: int | None = None
+        self._row_until = clock.elapsed()
         self._valid_until = clock.elapsed()
+        self._is_taken = True
 
     @property
     def term(self) -> int:
@@ -136,13 +138,17 @@
         # The worker is asked first: renewed for one that answers nobody, the row
         # never lapses, and what ran there is held for ever.
         boot = (await self._control.describe()).boot
-        if self._version is None:
+        if self._version is None or not self._is_taken:
             if not await self._read(boot):
                 return False
         elif boot != self._row.boot:
             # Renewed for the VM's next life, the term lets an attempt of the life
             # before be started again there: nothing says that it has run already.
             await self._begin_term(self._row.term + 1, boot)
+        if not self._is_taken:
+            # Written for a worker that takes no renewal, the row never lapses, and
+            # what stands still there is held for ever.
+            await self._hand_over()
         assert self._version is not None
         sent_at = self._clock.elapsed()
         renewed = msgspec.structs.replace(self._row, renewals=self._row.renewals + 1)
@@ -154,13 +160,24 @@
             return False
         self._version = outcome.unwrap()[key]
         self._row = renewed
-        self._valid_until = sent_at + self._usable
-        left = self._valid_until - self._clock.elapsed()
-        if left <= timedelta(0):
+        self._row_until = sent_at + self._usable
+        self._is_taken = False
+        if self._row_until <= self._clock.elapsed():
             return False
-        await self._control.renew(holder=self._incarnation, duration=left)
+        await self._hand_over()
         return True
 
+    async def _hand_over(self) -> None:
+        """Renew the worker's own lease for what is left of the row's.
+
+        With nothing left the worker still shows whether it takes renewals. Only
+        one that has taken it is given tasks: elsewhere they would stand still.
+        """
+        left = max(self._row_until - self._clock.elapsed(), timedelta(0))
+        await self._control.renew(holder=self._incarnation, duration=left)
+        self._is_taken = True
+        self._valid_until = self._row_until
+
     async def _read(self, boot: str) -> bool:
         """Find out what the row says; return whether it may be written.
 
@@ -197,7 +214,8 @@
         for running in await self._control.tasks():
             await self._control.stop(task=running.task, attempt=running.attempt)
             await self._control.forget(task=running.task, attempt=running.attempt)
+        if term != self._row.term:
+            log_event("lease:worker-term", worker=self._row.worker, term=term)
         self._row = msgspec.structs.replace(
             self._row, term=term, boot=boot, state=LeaseState.HELD
         )
-        log_event("lease:worker-term", worker=self._row.worker, term=term)
--- a/tests/steps/lost_steps.py
+++ b/tests/steps/lost_steps.py
@@ -7,7 +7,7 @@
 import trio
 from behave import given, then, when
 
-from coltsfoottray.http import HttpRequest
+from coltsfoottray.http import HttpRequest, HttpResponse
 from coltsfoottray.leases import worker_key
 from tests.support.job_world import make_steps
 
@@ -155,14 +155,7 @@
 
 @when('the VM that runs "{task}" starts anew, empty, beside its attendant')
 def restart_vm_only(context, task):
-    world = context.world
-    worker = world.cell.worker_stand_in_by_name[world.rows()[task].worker]
-    for attempt in worker._attempts():
-        worker._suspend(attempt)
-        worker._lose_result(attempt)
-    worker._attempt_by_task.clear()
-    worker._stopped.clear()
-    worker.boot += "-anew"
+    _restart_vm(_stand_in(context.world, task))
 
 
 @when('the worker that runs "{task}" loses it')
@@ -189,3 +182,94 @@
 def lose_vms_only(context, count):
     for name in sorted(context.world.cell.worker_by_name)[:count]:
         context.world.kill(f"{name}/vm")
+
+
+@when('the VM that runs "{task}" answers and refuses every renewal')
+def refuse_renewals(context, task):
+    worker = _stand_in(context.world, task)
+    worker._renew = lambda query: HttpResponse(status=500, body=b"no renewal")
+
+
+@when('the VM that runs "{task}" answers all but renewals')
+def ignore_renewals(context, task):
+    worker = _stand_in(context.world, task)
+    handle = worker.handle
+
+    async def serve(request):
+        if request.path == "/renew":
+            await trio.sleep_forever()
+        return await handle(request)
+
+    _serve_by(context.world, task, serve)
+
+
+@when('the VM that runs "{task}" takes the next renewal and does not say so')
+def lose_renewal_answer(context, task):
+    worker = _stand_in(context.world, task)
+    handle = worker.handle
+    context.renewals = []
+
+    async def serve(request):
+        answer = await handle(request)
+        if request.path == "/renew":
+            context.renewals.append(request.query)
+            if len(context.renewals) == 1:
+                await trio.sleep_forever()
+        return answer
+
+    _serve_by(context.world, task, serve)
+
+
+@when('a renewal of the VM that runs "{task}" is on its way')
+def wait_renewal(context, task):
+    context.world.wait_until(lambda: context.renewals)
+
+
+@when('a second attendant is started beside "{task}"')
+def start_second_attendant(context, task):
+    world = context.world
+    world.run(world.cell.start_attendant, world.rows()[task].worker)
+
+
+@when("{name} refuses every renewal, and its attendant is started anew")
+def refuse_from_start(context, name):
+    world = context.world
+    worker = world.cell.worker_stand_in_by_name[name]
+    worker._renew = lambda query: HttpResponse(status=500, body=b"no renewal")
+    world.kill(name)
+    world.run(world.cell.start_attendant, name)
+
+
+@then("no renewal was for no time")
+def check_durations(context):
+    assert len(context.renewals) > 2, context.renewals
+    assert all(float(r["seconds"]) > 0 for r in context.renewals), context.renewals
+
+
+@then("the first attendant renews nothing any more")
+def check_holders(context):
+    holders = [renewal["holder"] for renewal in context.renewals]
+    later = holders.index(next(h for h in holders if h != holders[0]))
+    assert len(holders) > later + 2, holders
+    assert holders[0] not in holders[later:], holders
+
+
+def _restart_vm(worker):
+    """Empty it, but for the lease: renewed again before its next life was seen."""
+    for attempt in worker._attempts():
+        worker._suspend(attempt)
+        worker._lose_result(attempt)
+    worker._attempt_by_task.clear()
+    worker._stopped.clear()
+    worker.boot += "-anew"
+
+
+def _stand_in(world, task):
+    return world.cell.worker_stand_in_by_name[world.rows()[task].worker]
+
+
+def _serve_by(world, task, serve):
+    name = f"{world.rows()[task].worker}/vm"
+    for listener in world.fabric.listener_by_address.values():
+        if listener.process == name:
+            listener._serve = serve
--- a/tests/tasks/lost.feature
+++ b/tests/tasks/lost.feature
@@ -109,3 +109,63 @@
     And "arolwg" submits the task "b1" which runs for 1 s
     And the task "b1" is finished within 10 s
     Then no worker was ever overcommitted, and nothing ran twice
+
+  Scenario: A worker answers, and refuses every renewal
+    # A task stops in the middle and is never heard of again, though other workers are
+    # free. Its worker answers questions and refuses to have its lease renewed, so it
+    # suspends the task. The lease row is written before that shows, again and again, and
+    # never lapses.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 10 s
+    And the task "b1" runs for 2000 ms
+    And the VM that runs "b1" answers and refuses every renewal
+    And the task "b1" is finished within 60 s
+    Then no worker was ever overcommitted, and nothing ran twice
+
+  Scenario: A worker answers all but renewals
+    # As above, but the renewal is never answered. Nor may the task go back and forth:
+    # in the term after the lapse the attendant has a row again, and must not take a
+    # task for a worker that has not taken the renewal.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 10 s
+    And the task "b1" runs for 2000 ms
+    And the VM that runs "b1" answers all but renewals
+    And the task "b1" is finished within 60 s
+    Then "b1" was started 2 times
+    And no worker was ever overcommitted, and nothing ran twice
+
+  Scenario: A worker takes a renewal, and its answer is lost
+    # A control to the two above: one lost answer must cost nothing. The renewal is handed
+    # over again, and the row is written on.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 10 s
+    And the task "b1" runs for 2000 ms
+    And the VM that runs "b1" takes the next renewal and does not say so
+    Then the task "b1" runs on for 6000 ms
+    And the task "b1" is finished
+    And "b1" was started 1 times
+    And no renewal was for no time
+
+  Scenario: An attendant whose renewal is not answered has a successor
+    # Starts are refused for a moment on a sound worker. An attendant waits for the answer
+    # to a renewal while another takes its place; it must look at the row before it hands
+    # that renewal over again, or the worker takes it for the holder.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 10 s
+    And the task "b1" runs for 2000 ms
+    And the VM that runs "b1" takes the next renewal and does not say so
+    And a renewal of the VM that runs "b1" is on its way
+    And a second attendant is started beside "b1"
+    And 5000 ms pass
+    Then the first attendant renews nothing any more
+
+  Scenario: A worker refuses renewals from its attendant's start on
+    # A task waits for seconds on a worker that cannot run it, though another is free. The
+    # row has been written, and the attendant takes tasks before the worker has taken the
+    # renewal.
+    Given two entries and 2 workers in memory
+    When worker-01 refuses every renewal, and its attendant is started anew
+    And 1000 ms pass
+    And "arolwg" submits the task "b1" which runs for 1 s
+    And the task "b1" is finished within 3 s
+    Then "b1" was started 1 times
