A term takes no task before a row grants it

Callers may see a task "running" for ever that never runs. Its worker's VM has started anew; its attendant begins the next term, cannot write the row, and for a moment, still by the validity of the term before, takes a task in the new one. Started anew, the attendant begins the same term, as no row names it, and stops for good what runs there. The task's row is bound to that term, so it does not lapse; each start asked for is granted and does nothing.

Change: with a new term the lease is not valid until its row is written and taken.

Ruled out: the table's outage alone (the attendant has to be restarted too); a VM that has lost its lease with its life (it refuses the start; the scenario's was renewed once more before its next life was seen). Why it holds: an attempt is bound only to a term that a row names, and a restarted attendant begins a later one or goes on in it.

--- a/coltsfoottray/leases/worker.py
+++ b/coltsfoottray/leases/worker.py
@@ -219,3 +219,6 @@
         self._row = msgspec.structs.replace(
             self._row, term=term, boot=boot, state=LeaseState.HELD
         )
+        # No row grants the term yet. A task taken in it is held for ever: a restarted
+        # attendant begins it anew, and stops for good what runs there.
+        self._row_until = self._valid_until = self._clock.elapsed()
--- a/tests/steps/lost_steps.py
+++ b/tests/steps/lost_steps.py
@@ -254,6 +254,22 @@
     assert holders[0] not in holders[later:], holders
 
 
+@when("{name} is cut off from the table, and its VM starts anew just after a renewal")
+def restart_vm_unwritten(context, name):
+    world = context.world
+    rows = world.cell.table.row_by_key
+    before = rows[worker_key(name)].version
+    world.wait_until(lambda: rows[worker_key(name)].version != before)
+    world.advance(0.01)
+    world.fabric.cut.add(frozenset((name, "table")))
+    _restart_vm(world.cell.worker_stand_in_by_name[name])
+
+
+@when("{name} reaches the table again")
+def reach_table(context, name):
+    context.world.fabric.cut.discard(frozenset((name, "table")))
+
+
 def _restart_vm(worker):
     """Empty it, but for the lease: renewed again before its next life was seen."""
     for attempt in worker._attempts():
--- a/tests/tasks/lost.feature
+++ b/tests/tasks/lost.feature
@@ -169,3 +169,17 @@
     And "arolwg" submits the task "b1" which runs for 1 s
     And the task "b1" is finished within 3 s
     Then "b1" was started 1 times
+
+  Scenario: A term that no row grants yet takes no task
+    # A task counts as running for ever and never runs. Its VM has started anew; the
+    # attendant begins the next term, cannot write it, and takes the task in it. Started
+    # anew, the attendant begins that same term, and stops for good what runs there.
+    Given two entries and 1 workers in memory
+    When worker-01 is cut off from the table, and its VM starts anew just after a renewal
+    And 995 ms pass
+    And "arolwg" submits the task "b1" which runs for 4 s
+    And 300 ms pass
+    And the attendant of worker-01 is killed and started anew
+    And worker-01 reaches the table again
+    And the task "b1" is finished within 60 s
+    Then no worker was ever overcommitted, and nothing ran twice
