--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -76,9 +76,9 @@
         self._session = 0
         self._looked = 0
         self._acknowledged = 0
-        # How many reports were made; whether the lease of a worker that does not answer
-        # has been seen to be over.
+        # How many reports were made.
         self._reports = 0
+        # Whether the lease of a worker that does not answer was seen to be over.
         self._has_lapsed = False
         self._reach = WorkerReach()
         self._lease = WorkerLease(started=clock.elapsed())
@@ -301,7 +301,7 @@
             lease was due.
 
             A lease that is only pending is no reason to leave: other entries may be
-            dead, and asking them left the worker idle for seconds.
+            dead, and asking them leaves the worker idle for seconds.
         """
         if reply.epoch < self._epoch:
             log_event("scheduler:outdated", epoch=reply.epoch, known=self._epoch)
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -285,8 +285,8 @@
     async def _read_members(self) -> list[MemberRow]:
         """Return the members, asking until the table answers.
 
-        Schedulers change when the table has just failed. Asked once only, it left the
-        attendants to find the new one with their next reports.
+        Schedulers change when the table has just failed. Asked once only, it would
+        leave the attendants to find the new one with their next reports.
         """
         while True:
             try:
