--- a/tests/scheduler/store.feature
+++ b/tests/scheduler/store.feature
@@ -139,7 +139,7 @@
     # store again by itself. A config is to be in force within 2 s; here the question is
     # waited for, and callers are refused by an older config for longer.
     Given two entries and 1 workers for jobs
-    And 12 s pass
+    And 9 s pass
     And the scheduler is cut off from the store
     When 5 s pass
     And the other entry is cut off from the store in its place
