--- a/tests/scheduler/ends.feature
+++ b/tests/scheduler/ends.feature
@@ -150,3 +150,15 @@
     Then the job "a" is "completed" within 10 s
     And no task ran twice at a time or after its end
     And 1 tasks were started in all
+
+  Scenario: A start is refused because its run has just ended
+    # A new attendant sends the start of a run again that it has seen there. The run ends
+    # well first and the start is refused as old, before any look has shown the end: the
+    # refusal counts as an end that was not good, and the task begins again.
+    Given two entries and 1 workers for jobs
+    When the job "a" of 1 steps with 1 tasks of 3 s is handed in at entry-1
+    And 1 s pass
+    And worker-1 starts anew just before its task ends, and one look goes unanswered
+    And 3 s pass
+    Then no task ran twice at a time or after its end
+    And 1 tasks were started in all
