--- a/coltsfoottray/peers/relay.py
+++ b/coltsfoottray/peers/relay.py
@@ -8,11 +8,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
+from functools import partial
 from random import Random
 
 import msgspec
+import trio
 
 from coltsfoottray.clock import Clock
 from coltsfoottray.errors import CommunicationError, Step
@@ -119,6 +121,8 @@
         timeout: timedelta = DEFAULT_TIMEOUT,
     ) -> HttpResponse:
         if self._clock.elapsed() < self._detour_until:
+            if request.method == "GET":
+                return await self._read_both_ways(address, request, timeout)
             response = await self._send_round(request, timeout)
             if response is not None:
                 return response
@@ -137,6 +141,47 @@
         self._take_detour(f"status {response.status}")
         return await self._send_round(request, timeout) or response
 
+    async def _read_both_ways(
+        self, address: Address, request: HttpRequest, timeout: timedelta
+    ) -> HttpResponse:
+        """Send a read directly and through an entry; return the first good answer.
+
+        By way of one entry alone it would wait with that entry, were it cut off in
+        turn, though the direct way may be open again.
+        """
+        answers: list[HttpResponse] = []
+        errors: list[CommunicationError] = []
+
+        async def ask(way: Callable[[], Awaitable[HttpResponse | None]]) -> None:
+            try:
+                response = await way()
+            except CommunicationError as error:
+                errors.append(error)
+                return
+            if response is None:
+                return
+            answers.append(response)
+            if response.status not in _TURNED_AWAY:
+                nursery.cancel_scope.cancel()
+
+        async def ask_directly() -> HttpResponse:
+            response = await self._direct.send(address, request, timeout=timeout)
+            if response.status not in _TURNED_AWAY:
+                self._end_detour()
+            return response
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, ask_directly)
+            nursery.start_soon(ask, partial(self._send_round, request, timeout))
+        if answers:
+            return answers[-1]
+        self._take_detour(str(errors[0]))
+        raise errors[0]
+
+    def _end_detour(self) -> None:
+        log_event("table:detour-over")
+        self._detour_until = self._clock.elapsed()
+
     def _take_detour(self, reason: str) -> None:
         now = self._clock.elapsed()
         if now >= self._detour_until:
--- a/coltsfoottray/platform/rows.py
+++ b/coltsfoottray/platform/rows.py
@@ -37,6 +37,9 @@
 # for costs a round of the scheduler, so that the wait begins short and is doubled
 # with each miss; a write asked for again is harmless by its conditions.
 _MIN_TIMEOUT = timedelta(milliseconds=300)
+# A question that the store holds is asked again so long after the store was to answer,
+# or a config written meanwhile would come into force too late.
+_MIN_HELD_SLACK = timedelta(milliseconds=500)
 _USUAL_FACTOR = 8
 _SMOOTHING = 0.3
 # The store's own limit on the conditions and writes of one transaction.
@@ -176,7 +179,9 @@
     ) -> HttpResponse:
         """Send `request`, which the store may hold for `held` before it answers."""
         begun = self._clock.elapsed()
-        timeout = _MAX_TIMEOUT + held if held else self._timeout()
+        timeout = self._timeout()
+        if held:
+            timeout = held + max(timeout, _MIN_HELD_SLACK)
         try:
             response = await self._transport.send(
                 self._address, request, timeout=timeout
