Services are packed onto workers that have some, and leave whole ones to fillers

Hypothesis: builds wait and crawl since every worker has services of two or three images, and of seven pairs in ten the filler presses; what services reserve would fit on eight of eleven workers. An empty worker was taken before one with services of another image.

Change: among workers with room, those that have services go first; then as before.

The scenario fails without it. Ruled out: nothing.

--- a/coltsfoottray/scheduler/fit.py
+++ b/coltsfoottray/scheduler/fit.py
@@ -4,8 +4,9 @@
 the task declares. Of those that are fit the task goes to the one where it is
 likely to end soonest and to disturb least:
 
-- services with a latency target are packed, those of one image together: fillers
-  then find workers without services, or with few images that they might disturb;
+- services with a latency target are packed onto workers that have some, those of one
+  image together where there is a choice: fillers that press on services then find
+  whole workers without any;
 - fillers go where they can work fastest, given the processors that are left and
   how strongly their image presses on the services there; where they could only
   crawl, they wait;
@@ -274,7 +275,8 @@
         if spec.target_latency_ms:
             others = [image for image in worker.service_images if image != spec.image]
             left = worker.room.processors / max(worker.capacity.processors, 1e-9)
-            return is_far, float(len(others)), left
+            is_first = float(not worker.service_images)
+            return is_far, is_first, float(len(others)), left
         if spec.is_filler:
             outlook = foresee(worker, spec, pressures)
             risk = float(not outlook.is_safe)
--- a/tests/scheduler/fillers.feature
+++ b/tests/scheduler/fillers.feature
@@ -31,3 +31,14 @@
     And every daemon is killed and started anew
     And 2 s pass
     Then the scheduler knows how "fill" presses on "svc"
+
+  Scenario: Services of several images leave whole workers to fillers
+    # Guards against services spread over all workers by image, beside which builds crawl.
+    Given two entries and 4 workers for jobs
+    When the service "p" of image "one" that takes 3000 of 8000 is handed in
+    And the service "q" of image "two" that takes 3000 of 8000 is handed in
+    And 2 s pass
+    Then 3 workers run no service
+    When the filling job "f" of image "new" with 8 tasks of 20 s is handed in
+    And 2 s pass
+    Then the tasks of "f" run where no service does
