Fillers that do services no harm leave the workers without services to others

Hypothesis: light builds took the free workers, since most processors are left there, and those that press waited for them.

Change: attendants tell the least margin of services' recent seconds, at the peaks of their load, beside the usual one. Of places as fast, those go first where light fillers, this one among them, leave 1.1 of that; then workers without services; last the others.

The scenario fails without it.

--- a/coltsfoottray/agent/learning.py
+++ b/coltsfoottray/agent/learning.py
@@ -78,6 +78,9 @@
 # Weight of a look in the usual margin: a swing of 10 s and more is averaged out.
 _USUAL_SMOOTHING = 0.04
 
+# At each look the least margin comes so much nearer to the usual one.
+_LEAST_RECOVERED = 0.02
+
 _FILLER = "filler:"
 _MARGIN = "margin:"
 _SLOPE = "slope:"
@@ -134,6 +137,7 @@
         self._filter_by_image: dict[str, MarginFilter] = {}
         self._service_by_run: dict[str, _Service] = {}
         self._usual_by_job: dict[str, float] = {}
+        self._least_by_job: dict[str, float] = {}
         self._shared_by_pair: dict[ImagePair, Estimate] = {}
         # The certainty with which a pair was begun here: it is not our own finding.
         self._first_weight_by_pair: dict[ImagePair, float] = {}
@@ -192,6 +196,10 @@
         """Return the margin a service has without fillers most of the time."""
         return self._usual_by_job.get(observation.job, observation.margin)
 
+    def least(self, observation: Observation) -> float:
+        """Return the margin a service has without fillers at the peaks of its load."""
+        return self._least_by_job.get(observation.job, observation.margin)
+
     def learn(
         self,
         observations: list[Observation],
@@ -224,6 +232,7 @@
                     known.remove(state)
         for job in [job for job in self._usual_by_job if job not in jobs]:
             del self._usual_by_job[job]
+            self._least_by_job.pop(job, None)
 
     def _pass_time(self, now: timedelta, share_by_image: Mapping[str, float]) -> None:
         """Let margins go on along their slopes, and all become less certain."""
@@ -301,6 +310,9 @@
         margin = known.mean[_MARGIN + observation.job]
         usual = self._usual_by_job.setdefault(observation.job, margin)
         self._usual_by_job[observation.job] += (margin - usual) * _USUAL_SMOOTHING
+        least = self._least_by_job.get(observation.job, margin)
+        least = min(margin, least + max(usual - least, 0.0) * _LEAST_RECOVERED)
+        self._least_by_job[observation.job] = least
 
     def _first(self, pair: ImagePair) -> Estimate:
         """Return with what a pair begins here."""
--- a/coltsfoottray/agent/pacing.py
+++ b/coltsfoottray/agent/pacing.py
@@ -102,11 +102,13 @@
         for each in observations:
             now = self._learner.undisturbed(each)
             usual = self._learner.usual(each)
-            least = margin_by_image.get(each.image)
-            if least is not None:
-                now, usual = min(now, least.now), min(usual, least.usual)
+            least = self._learner.least(each)
+            other = margin_by_image.get(each.image)
+            if other is not None:
+                now, usual = min(now, other.now), min(usual, other.usual)
+                least = min(least, other.least)
             margin_by_image[each.image] = ServiceMargin(
-                now=round(now, 2), usual=round(usual, 2)
+                now=round(now, 2), usual=round(usual, 2), least=round(least, 2)
             )
         return margin_by_image
 
--- a/coltsfoottray/agent/pressure.py
+++ b/coltsfoottray/agent/pressure.py
@@ -69,10 +69,13 @@
         Until the next look.
     usual : float
         Over some ten seconds.
+    least : float
+        At the peaks of their load.
     """
 
     now: float
     usual: float
+    least: float = 0.0
 
 
 class Estimate(msgspec.Struct, frozen=True, kw_only=True):
--- a/coltsfoottray/scheduler/fit.py
+++ b/coltsfoottray/scheduler/fit.py
@@ -9,7 +9,8 @@
   whole workers without any;
 - fillers go where they can work fastest, given the processors that are left and
   how strongly their image presses on the services there; where they could only
-  crawl, they wait;
+  crawl, they wait. Of places as fast those beside services that they do no harm go
+  first: workers without services are left to fillers that press harder;
 - all others go where most is left.
 """
 
@@ -280,12 +281,25 @@
         if spec.is_filler:
             outlook = foresee(worker, spec, pressures)
             risk = float(not outlook.is_safe)
-            return is_far, risk, -round(outlook.speed, 1), -worker.processors_left
+            return (
+                is_far,
+                risk,
+                -round(outlook.speed, 1),
+                _scarcity(worker, outlook),
+                -worker.processors_left,
+            )
         return is_far, worker.busy / max(worker.capacity.processors, 1e-9)
 
     return cost
 
 
+def _scarcity(worker: Worker, outlook: Outlook) -> float:
+    """Return how much a place is to be saved for others; the least is taken first."""
+    if not worker.service_images:
+        return 1.0
+    return 0.0 if outlook.is_harmless else 2.0
+
+
 def find_faster(
     placed: PlacedRun,
     fleet: Fleet,
--- a/coltsfoottray/scheduler/strain.py
+++ b/coltsfoottray/scheduler/strain.py
@@ -21,7 +21,11 @@
 
 # Taken for the margin of a service until its attendant has told it: a target of 4.5
 # times the unloaded latency leaves 2.6 at a load of 0.42, and 1.7 at its peaks.
-_UNKNOWN_MARGIN = ServiceMargin(now=1.9, usual=2.4)
+_UNKNOWN_MARGIN = ServiceMargin(now=1.9, usual=2.4, least=1.5)
+
+# What light fillers leave to services at the peaks of their load: less is within the
+# noise of their target.
+_PEAK_MARGIN = 1.1
 
 # The margin that services must have left when a filler starts, which works at full
 # speed for some 150 ms before it can be slowed.
@@ -55,11 +59,14 @@
         How fast it could work for the sake of the services there.
     is_safe : bool
         Whether the services can bear its start, whatever it may turn out to be.
+    is_harmless : bool
+        Whether it is known to press so little that they bear it at all times.
     """
 
     alone: float
     beside: float
     is_safe: bool
+    is_harmless: bool
 
     @property
     def speed(self) -> float:
@@ -77,6 +84,11 @@
         is_safe=all(
             strain.margin.now - strain.worst >= _START_MARGIN for strain in strains
         ),
+        is_harmless=all(
+            strain.is_light
+            and strain.margin.least - strain.light - strain.own >= _PEAK_MARGIN
+            for strain in strains
+        ),
     )
 
 
--- a/tests/scheduler/fillers.feature
+++ b/tests/scheduler/fillers.feature
@@ -42,3 +42,20 @@
     When the filling job "f" of image "new" with 8 tasks of 20 s is handed in
     And 2 s pass
     Then the tasks of "f" run where no service does
+
+  Scenario: A filler known as harmless leaves the worker without services to others
+    # Guards against light builds on the only places where those that press can work.
+    Given two entries and 2 workers for jobs
+    When the service "p" of image "one" that takes 5000 of 8000 is handed in
+    And the service "q" of image "one" that takes 5000 of 8000 is handed in
+    And 4 s pass
+    And the filling job "a" of image "mild" with 2 tasks of 6 s is handed in
+    And 15 s pass
+    And the job "q" is cancelled at entry-1 with status 200
+    And 1 s pass
+    And the filling job "b" of image "mild" with 2 tasks of 30 s is handed in
+    And 2 s pass
+    Then the tasks of "b" run beside services
+    When the filling job "c" of image "new" with 3 tasks of 30 s is handed in
+    And 2 s pass
+    Then the tasks of "c" run where no service does
