Services move together while fillers wait for a worker without any

Change: once a second, while fillers wait, the services of the worker that is cleared with the fewest moves (four at most) are stopped, to start beside others that have room for all of them; one of a step at a time, only while all tasks of the step say that they are at work. So no step has two away, and moves come to an end: they go to workers with as many.

The scenario fails without it.

--- a/coltsfoottray/scheduler/fit.py
+++ b/coltsfoottray/scheduler/fit.py
@@ -35,6 +35,8 @@
     "choose_worker",
     "find_faster",
     "list_candidates",
+    "may_hold",
+    "takes_work",
 ]
 
 # A worker that has not reported for so long takes nothing new: two reports of one
@@ -106,7 +108,7 @@
         rooms = [
             worker.room
             for worker in self._fleet.worker_by_id.values()
-            if _takes_work(worker, service, self._now) and _carries(worker, label)
+            if takes_work(worker, service, self._now) and _carries(worker, label)
         ]
         if not rooms:
             return None
@@ -143,10 +145,9 @@
     fit = [
         worker
         for worker in fleet.worker_by_id.values()
-        if _takes_work(worker, service, now)
+        if takes_work(worker, service, now)
         and (allowed is None or worker.life in allowed)
-        and _suits(worker, step.spec, worker.room)
-        and _keeps_apart(worker, step, extra=0)
+        and may_hold(worker, step, room=worker.room, extra=0)
     ]
     if step.spec.is_filler:
         fit = [
@@ -187,7 +188,7 @@
     workers = [
         worker
         for worker in fleet.worker_by_id.values()
-        if _takes_work(worker, service, now)
+        if takes_work(worker, service, now)
         and (allowed is None or worker.life in allowed)
     ]
     if step.spec.is_one_rack:
@@ -211,7 +212,7 @@
     fit = [
         worker
         for worker in fleet.worker_by_id.values()
-        if _takes_work(worker, service, now) and _suits(worker, step.spec, worker.room)
+        if takes_work(worker, service, now) and _suits(worker, step.spec, worker.room)
     ]
     return sorted(fit, key=lambda worker: (cost(worker), worker.id))
 
@@ -227,8 +228,12 @@
         fit = [
             worker
             for worker in workers
-            if _suits(worker, step.spec, room_by_id[worker.id])
-            and _keeps_apart(worker, step, extra=count_by_id[worker.id])
+            if may_hold(
+                worker,
+                step,
+                room=room_by_id[worker.id],
+                extra=count_by_id[worker.id],
+            )
         ]
         if not fit:
             return None
@@ -239,7 +244,8 @@
     return chosen
 
 
-def _takes_work(worker: Worker, service: str, now: timedelta) -> bool:
+def takes_work(worker: Worker, service: str, now: timedelta) -> bool:
+    """Whether a worker of a service's pool is known to live and takes new work."""
     return (
         worker.service == service
         and worker.is_reachable
@@ -252,6 +258,19 @@
     )
 
 
+def may_hold(worker: Worker, step: LiveStep, *, room: Resources, extra: int) -> bool:
+    """Whether a worker suits one more task of a step.
+
+    Parameters
+    ----------
+    room : Resources
+        What is left there.
+    extra : int
+        Tasks of the step that are meant to go there before this one.
+    """
+    return _suits(worker, step.spec, room) and _keeps_apart(worker, step, extra=extra)
+
+
 def _suits(worker: Worker, spec: StepSpec, room: Resources) -> bool:
     return _carries(worker, spec.label) and spec.reserved.fits_in(room)
 
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -16,10 +16,12 @@
     choose_worker,
     find_faster,
     list_candidates,
+    takes_work,
 )
 from coltsfoottray.scheduler.fleet import PlacedRun, Worker
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
 from coltsfoottray.scheduler.order import is_half_over, urgency
+from coltsfoottray.scheduler.packing import choose_moves, is_steady
 
 __all__ = ["Planner"]
 
@@ -32,6 +34,9 @@
 # Two moves a second are far more than crawling tasks come up.
 _REBALANCE_PERIOD = timedelta(milliseconds=500)
 
+# A service that moves is back within a second.
+_PACKING_PERIOD = timedelta(seconds=1)
+
 # A run is left alone for so long: what its image does is learned in two looks.
 _SETTLING = timedelta(seconds=1.5)
 
@@ -55,6 +60,7 @@
         self._fleet = board.fleet
         self._holder = holder
         self._rebalanced = timedelta(0)
+        self._packed = timedelta(0)
         self._round = 0
         # The steps whose turn has come, the most urgent first, as of the last plan.
         self._ready: list[LiveStep] = []
@@ -192,12 +198,40 @@
                 to=place.id,
                 percent=placed.percent,
             )
-            placed.is_stopping = True
-            index = placed.ref.task.index
-            placed.step.avoid_by_index.setdefault(index, set()).add(placed.worker)
+            self._stop_to_move(placed)
             # One at a time: the place found may be full with it.
             return
 
+    def pack_services(self, now: timedelta) -> None:
+        """Move services together while fillers wait for a place without any."""
+        if now - self._packed < _PACKING_PERIOD:
+            return
+        self._packed = now
+        if not any(step.spec.is_filler and step.waiting for step in self._ready):
+            return
+        for service in {worker.service for worker in self._fleet.worker_by_id.values()}:
+            workers = [
+                worker
+                for worker in self._fleet.worker_by_id.values()
+                if takes_work(worker, service, now)
+            ]
+            for placed in choose_moves(workers):
+                self._move_service(placed)
+
+    def _move_service(self, placed: PlacedRun) -> None:
+        runs = [run for run in self._fleet.placed_runs() if run.step is placed.step]
+        if not is_steady(runs):
+            return
+        log_event("decision:pack", run=str(placed.ref), worker=placed.worker)
+        self._stop_to_move(placed)
+
+    @staticmethod
+    def _stop_to_move(placed: PlacedRun) -> None:
+        """Stop a run, to start it anew on another worker."""
+        placed.is_stopping = True
+        avoided = placed.step.avoid_by_index.setdefault(placed.ref.task.index, set())
+        avoided.add(placed.worker)
+
     def evacuate(self, now: timedelta) -> None:
         """Stop what would not end in time on workers that leave.
 
--- a/coltsfoottray/scheduler/reign.py
+++ b/coltsfoottray/scheduler/reign.py
@@ -305,6 +305,7 @@
         self.board.expire(now, now_ms)
         self.planner.evacuate(now)
         self.planner.rebalance(now)
+        self.planner.pack_services(now)
         if self._is_gathering():
             return [], last_end_by_worker
         return self.planner.plan(now, now_ms), last_end_by_worker
--- a/tests/scheduler/fillers.feature
+++ b/tests/scheduler/fillers.feature
@@ -59,3 +59,18 @@
     When the filling job "c" of image "new" with 3 tasks of 30 s is handed in
     And 2 s pass
     Then the tasks of "c" run where no service does
+
+  Scenario: Services that are left on two workers move together for waiting fillers
+    # Guards against builds that wait while each worker has one of few services left.
+    Given two entries and 2 workers for jobs
+    When the service "p" of image "one" that takes 6000 of 8000 is handed in
+    And the service "q" of image "two" that takes 1000 of 8000 is handed in
+    And the service "r" of image "one" that takes 4000 of 8000 is handed in
+    And 3 s pass
+    And the job "p" is cancelled at entry-1 with status 200
+    And 1 s pass
+    Then 0 workers run no service
+    When the filling job "f" of image "new" with 24 tasks of 20 s is handed in
+    And 5 s pass
+    Then 1 workers run no service
+    And no task ran twice at a time or after its end
