--- a/coltsfoottray/agent/learning.py
+++ b/coltsfoottray/agent/learning.py
@@ -40,8 +40,8 @@
 # Slopes turn within some seconds: this part of one is left after a second.
 _SLOPE_KEPT = 0.8
 
-# Standard deviation of a margin seen: load that only one task of a job has, measured
-# at 0.045 of the margin at no load; and the rounding of latencies to whole ms.
+# Standard deviation of a margin seen, for the load that only one task of a job has, and
+# for the rounding of latencies to whole ms.
 _MARGIN_NOISE = 0.2
 _ROUNDING_MS = 0.3
 # While a latency far over the usual one falls again, what is recovered is mostly noise.
--- a/coltsfoottray/agent/pacing.py
+++ b/coltsfoottray/agent/pacing.py
@@ -22,17 +22,14 @@
 
 FULL = 100
 
-# The margin that services keep: what is expected of one is off by 0.3 (standard
-# deviation, over four calm days).
+# The margin that services keep: what is expected of one is never quite right.
 KEPT_MARGIN = 1.4
 # What light fillers leave to a service that has been over its target, until its load
 # has fallen: several of them, each too weak to be noticed, took a whole margin together
-# at a peak of the load. A second over the target of one service costs its users what
-# five seconds of a filler are worth.
+# at a peak of the load.
 _LEAST_MARGIN = 1.1
-# How many standard deviations a filler is slowed beyond what is thought of it. With a
-# whole one services lost nothing to speak of (0.96 of their worth was earned) but
-# builds nearly all (0.05); with none 0.82 and 0.38.
+# How many standard deviations a filler is slowed beyond what is thought of it: more
+# would leave builds next to nothing, less would leave services to their mercy.
 _CAUTION = 0.4
 # Fillers are stopped altogether once a service has been over its target for so
 # long: the users allow 4 s, of which a look and an order take up to 0.7 s.
--- a/coltsfoottray/agent/pressure.py
+++ b/coltsfoottray/agent/pressure.py
@@ -5,8 +5,7 @@
 fillers use beside it. What is measured here is therefore the *margin*, the
 target divided by the latency (1 when the target is just met), and for each pair of
 images the *pressure*: by how much the margin falls for each whole worker's
-processors that the filler uses. Most pairs are light (2 at most), few are heavy
-(7 to 20), and there is little between: so fitted over four calm days.
+processors that the filler uses. Pairs are light or heavy, with little between.
 """
 
 from __future__ import annotations
@@ -27,8 +26,8 @@
     "ServiceMargin",
 ]
 
-# A service with a latency target reserves for its peaks; measured over a day it uses
-# 0.42 of that, and half as much again at its peaks.
+# The part of what a service with a latency target reserves that it uses outside of the
+# peaks of its load.
 SERVICE_USE = 0.5
 
 # A pair that presses less is light: slowing such fillers would gain services little.
--- a/coltsfoottray/platform/rows.py
+++ b/coltsfoottray/platform/rows.py
@@ -30,12 +30,11 @@
 
 __all__ = ["MAX_ENTRIES", "RowsTable"]
 
-# An answer of the store when it is 70 times slower than usual (4 ms, and 8 ms for
-# the transaction) takes 0.84 s; what takes longer is taken for lost.
+# What takes longer is taken for lost, also while the store is slow.
 _MAX_TIMEOUT = timedelta(seconds=1.5)
-# An answer usually takes 12 ms. While a third of them is lost, each that is waited
-# for costs a round of the scheduler, so that the wait begins short and is doubled
-# with each miss; a write asked for again is harmless by its conditions.
+# While the store loses answers, each that is waited for costs a round of the scheduler,
+# so that the wait begins short and is doubled with each miss; a write asked for again
+# is harmless by its conditions.
 _MIN_TIMEOUT = timedelta(milliseconds=300)
 # A question that the store holds is asked again so long after the store was to answer,
 # or a config written meanwhile would come into force too late.
--- a/coltsfoottray/scheduler/board.py
+++ b/coltsfoottray/scheduler/board.py
@@ -101,8 +101,7 @@
             )
         for run, kind in ended:
             if kind is EndKind.DONE:
-                length_ms = run.progress.length_at_end(now, speed=run.speed)
-                self._note_length(run, length_ms)
+                run.note_done(now)
         for end in report.ends:
             self._take_end(worker, end.ref, end.kind, end.checkpoint, now_ms)
         self._note_health(worker, ended, now)
@@ -116,19 +115,11 @@
             if placed is None:
                 worker.strays.add(status.ref)
                 continue
-            placed.percent = status.percent
-            placed.progress.note(status.percent, speed=placed.speed, now=now)
-            placed.figure = status.figure
-            self._note_length(placed, placed.progress.length_ms())
+            placed.note_status(status.percent, status.figure, now)
             self._take_checkpoint(placed, status)
         worker.note_use()
         return max((end.number for end in report.ends), default=0)
 
-    @staticmethod
-    def _note_length(placed: PlacedRun, length_ms: float | None) -> None:
-        if length_ms is not None and not placed.step.spec.is_service:
-            placed.step.job.note_length(placed.step.number, length_ms)
-
     @staticmethod
     def _take_checkpoint(placed: PlacedRun, status: RunStatus) -> None:
         index = status.ref.task.index
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -66,6 +66,21 @@
             return 1.0
         return min(self.figure / _MILLI / wanted, 1.0)
 
+    def note_status(self, percent: float, figure: float, now: timedelta) -> None:
+        """Take in how far it is and what it uses."""
+        self.progress.note(percent, speed=self.speed, now=now)
+        self.percent = percent
+        self.figure = figure
+        self._tell_length(self.progress.length_ms())
+
+    def note_done(self, now: timedelta) -> None:
+        """Take in that it has ended well."""
+        self._tell_length(self.progress.length_at_end(now, speed=self.speed))
+
+    def _tell_length(self, length_ms: float | None) -> None:
+        if length_ms is not None and not self.step.spec.is_service:
+            self.step.job.note_length(self.step.number, length_ms)
+
     @property
     def reserved(self) -> Resources:
         """What it takes from the worker's capacity."""
@@ -173,8 +188,7 @@
     def is_being_tried(self, now: timedelta) -> bool:
         """Whether a first task after a block is yet to show if the worker is sound.
 
-        Of the tasks placed together after a block all failed on a worker that was
-        still bad, five to nine at a time.
+        Tasks placed together after a block would all fail where it is still bad.
         """
         return self.health.is_on_trial and any(
             self.blocked_until <= placed.placed and now - placed.placed < _TRIAL
--- a/coltsfoottray/scheduler/health.py
+++ b/coltsfoottray/scheduler/health.py
@@ -25,9 +25,8 @@
 # Some 5% of tasks fail by themselves: two of different jobs in a row, on one worker,
 # are more likely the worker's fault.
 _SUSPECT_JOBS = 2
-# More than so many failures to each task that is sound at the same age. Without it 36
-# blocks of 2 to 8 s fell upon sound workers within a minute, with it one; workers that
-# fail all they start were found out at the same failure.
+# More than so many failures to each task that is sound at the same age: fewer fall upon
+# sound workers, too.
 _FAILURES_TO_SURVIVORS = 2
 # Troubles longer ago than this are not of one cause: workers that go bad stay so for
 # some six seconds.
@@ -66,8 +65,7 @@
         """Note that a task ended well that was placed at `placed`.
 
         It clears the worker only of trouble with tasks placed no later: a worker that
-        fails all it starts still ends well what it started earlier, and such ends hid
-        up to 30 failures in a row.
+        fails all it starts still ends well what it started earlier.
         """
         self._last_good = max(self._last_good, placed)
         self._troubles = [each for each in self._troubles if each.placed > placed]
--- a/coltsfoottray/scheduler/strain.py
+++ b/coltsfoottray/scheduler/strain.py
@@ -19,8 +19,7 @@
 
 __all__ = ["Outlook", "foresee", "speed_among"]
 
-# Taken for the margin of a service until its attendant has told it: a target of 4.5
-# times the unloaded latency leaves 2.6 at a load of 0.42, and 1.7 at its peaks.
+# Taken for the margin of a service until its attendant has told it.
 _UNKNOWN_MARGIN = ServiceMargin(now=1.9, usual=2.4, least=1.5)
 
 # What light fillers leave to services at the peaks of their load: less is within the
