A service moves only where it may start: with tickets it stays

Found by reading the change: a queue under an outside policy lets only some workers run a step. A service stopped to move had no ticket for the others and was away until it got one. Now a move asks first for the worker it would start on, as an evacuation does: it has to be another one that has services.

The scenario fails without it (started 2 times in place of 1); 7 of 7 in tests/scheduler/fillers.

--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -209,22 +209,35 @@
         self._packed = now
         if not any(step.spec.is_filler and step.waiting for step in self._ready):
             return
-        for service in {worker.service for worker in self._fleet.worker_by_id.values()}:
+        services = {worker.service for worker in self._fleet.worker_by_id.values()}
+        for service in sorted(services):
             workers = [
                 worker
                 for worker in self._fleet.worker_by_id.values()
                 if takes_work(worker, service, now)
             ]
             for placed in choose_moves(workers):
-                self._move_service(placed)
+                self._move_service(placed, now)
 
-    def _move_service(self, placed: PlacedRun) -> None:
+    def _move_service(self, placed: PlacedRun, now: timedelta) -> None:
         runs = [run for run in self._fleet.placed_runs() if run.step is placed.step]
-        if not is_steady(runs):
+        if not is_steady(runs) or not self._has_place_elsewhere(placed, now):
             return
         log_event("decision:pack", run=str(placed.ref), worker=placed.worker)
         self._stop_to_move(placed)
 
+    def _has_place_elsewhere(self, placed: PlacedRun, now: timedelta) -> bool:
+        """Whether a run would start anew beside services on another worker.
+
+        With tickets, few workers may run its step: once stopped it would wait for one.
+        """
+        place = self._choose_worker(placed.step, now, {placed.worker}, Patience.WHOLE)
+        return (
+            place is not None
+            and place.id != placed.worker
+            and bool(place.service_images)
+        )
+
     @staticmethod
     def _stop_to_move(placed: PlacedRun) -> None:
         """Stop a run, to start it anew on another worker."""
@@ -265,6 +278,11 @@
         patience: Patience = Patience.WHOLE,
     ) -> Worker | None:
         avoid = set() if index is None else step.avoid_by_index.get(index, set())
+        return self._choose_worker(step, now, avoid, patience)
+
+    def _choose_worker(
+        self, step: LiveStep, now: timedelta, avoid: set[str], patience: Patience
+    ) -> Worker | None:
         return choose_worker(
             step,
             self._fleet,
--- a/tests/scheduler/fillers.feature
+++ b/tests/scheduler/fillers.feature
@@ -74,3 +74,17 @@
     And 5 s pass
     Then 1 workers run no service
     And no task ran twice at a time or after its end
+
+  Scenario: A service that only its worker may run stays there
+    # Guards against a service stopped to move that then has no ticket for elsewhere.
+    Given two entries and 2 workers for jobs
+    When the service "p" of image "one" that takes 6000 of 8000 is handed in
+    And the service "q" of image "two" that takes 1000 of 8000 is handed in
+    And the service "r" of image "one" that takes 4000 of 8000 is handed in
+    And 3 s pass
+    And the job "p" is cancelled at entry-1 with status 200
+    And the policy comes to allow only worker-1
+    And the filling job "f" of image "new" with 24 tasks of 20 s is handed in
+    And 5 s pass
+    Then the task of "q" was started 1 times
+    And the task of "r" was started 1 times
--- a/tests/steps/job_placement_steps.py
+++ b/tests/steps/job_placement_steps.py
@@ -19,6 +19,7 @@
 
 
 @given("the queue's policy allows only {name}")
+@when("the policy comes to allow only {name}")
 def restrict_queue(context, name):
     context.world.cell.advice.allowed = {f"i-{name}"}
     terms = {"decisionMs": 100, "periodMs": 20, "validityMs": 3000}
