A worker is opened for services that fill half of it, and others share workers

Hypothesis: packing everything mixes images. Where services fill all workers no worker is left free by it, and hardly a place is left where a filler presses on none of the images.

Change: a worker without services is taken by a step whose waiting tasks would fill half of it (as many as may share a worker); less than that goes to workers that have some.

The scenario fails without it.

--- a/coltsfoottray/scheduler/fit.py
+++ b/coltsfoottray/scheduler/fit.py
@@ -4,9 +4,10 @@
 the task declares. Of those that are fit the task goes to the one where it is
 likely to end soonest and to disturb least:
 
-- services with a latency target are packed onto workers that have some, those of one
-  image together where there is a choice: fillers that press on services then find
-  whole workers without any;
+- services with a latency target go to workers that have some, those of one image
+  together where there is a choice; a worker without any is taken only by what fills
+  half of it. Fillers that press on services then find whole workers without any, and
+  others with few images;
 - fillers go where they can work fastest, given the processors that are left and
   how strongly their image presses on the services there; where they could only
   crawl, they wait. Of places as fast those beside services that they do no harm go
@@ -81,6 +82,8 @@
 _CRAWL = 0.3
 _FAST = 0.8
 
+_HALF = 0.5
+
 _Cost = tuple[float, ...]
 
 
@@ -295,8 +298,8 @@
         if spec.target_latency_ms:
             others = [image for image in worker.service_images if image != spec.image]
             left = worker.room.processors / max(worker.capacity.processors, 1e-9)
-            is_first = float(not worker.service_images)
-            return is_far, is_first, float(len(others)), left
+            opens = not worker.service_images and not _fills_half(worker, step)
+            return is_far, float(opens), float(len(others)), left
         if spec.is_filler:
             outlook = foresee(worker, spec, pressures)
             risk = float(not outlook.is_safe)
@@ -312,6 +315,17 @@
     return cost
 
 
+def _fills_half(worker: Worker, step: LiveStep) -> bool:
+    """Whether what waits of a step would take half of a worker by itself.
+
+    Less than that does not merit a worker of its own, which fillers would lose.
+    """
+    count = len(step.waiting)
+    if step.spec.max_per_worker:
+        count = min(count, step.spec.max_per_worker)
+    return worker.share_of(count * step.spec.demand.processors) >= _HALF
+
+
 def _scarcity(worker: Worker, outlook: Outlook) -> float:
     """Return how much a place is to be saved for others; the least is taken first."""
     if not worker.service_images:
--- a/tests/scheduler/fillers.feature
+++ b/tests/scheduler/fillers.feature
@@ -88,3 +88,11 @@
     And 5 s pass
     Then the task of "q" was started 1 times
     And the task of "r" was started 1 times
+
+  Scenario: Services that fill half of a worker are not mixed with those of other images
+    # Guards against workers with services of many images, some of which each filler presses on.
+    Given two entries and 3 workers for jobs
+    When the service "p" of image "one" that takes 3000 of 8000 is handed in
+    And the service "q" of image "two" that takes 5000 of 8000 is handed in
+    And 2 s pass
+    Then 1 workers run no service
