An answer that is broken off is told from one that never came

Now an error says how many bytes of the answer had come; `table_answer_bytes` counts them by call and outcome, so that what was received for nothing shows; the gauges `config_version` and `copy_age_seconds` (by group) show an entry that falls behind while it answers; and `config:in-force` names the config's size. No decision changes.

--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -84,6 +84,7 @@
             prefixes=[f"{OPERATOR_GROUP}//"],
             on_row=self._take_operator_row,
             clock=self.clock,
+            metrics=self.metrics,
             pause=_CONFIG_PAUSE,
         )
         self._jobs_mirror = Mirror(
@@ -92,6 +93,7 @@
             prefixes=job_shards(),
             on_row=self._take_job_row,
             clock=self.clock,
+            metrics=self.metrics,
             pause=_JOBS_PAUSE,
         )
         self.scheduler = Scheduler(
@@ -177,10 +179,12 @@
             log_event("config:unreadable", version=row.version, reason=config.failure())
             return
         if self.holder.offer(config.unwrap()):
+            self.metrics.gauge("config_version", self.holder.current.version)
             log_event(
                 "config:in-force",
                 version=self.holder.current.version,
                 queues=len(self.holder.current.queues),
+                size_bytes=len(bytes(row.value)),
             )
             self.scheduler.look_again()
 
--- a/coltsfoottray/errors.py
+++ b/coltsfoottray/errors.py
@@ -36,15 +36,21 @@
         What the library underneath said.
     is_refused : bool
         The peer's VM answered, and nobody listens there.
+    received_bytes : int
+        How much of the answer had come.
     """
 
     step: Step
     peer: str
     detail: str
     is_refused: bool = False
+    received_bytes: int = 0
 
     def __str__(self) -> str:
-        return f"{self.step.value} to {self.peer} failed: {self.detail}"
+        text = f"{self.step.value} to {self.peer} failed: {self.detail}"
+        if self.received_bytes:
+            text += f" after {self.received_bytes} bytes of the answer"
+        return text
 
     @property
     def is_unseen(self) -> bool:
--- a/coltsfoottray/http/client.py
+++ b/coltsfoottray/http/client.py
@@ -29,12 +29,21 @@
 MAX_IDLE_PER_PEER = 32
 
 
-class _Link:
-    """One open connection and its h11 state."""
+class _Link(trio.abc.ReceiveStream):
+    """One open connection, its h11 state, and how much of the answer has come."""
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self.stream = stream
         self.connection = h11.Connection(h11.CLIENT)
+        self.received_bytes = 0
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes | bytearray:
+        data = await self.stream.receive_some(max_bytes)
+        self.received_bytes += len(data)
+        return data
+
+    async def aclose(self) -> None:
+        await self.stream.aclose()
 
     def is_closed_by_peer(self) -> bool:
         """Whether an idle link has become readable, which means end of file."""
@@ -61,6 +70,7 @@
         timeout: timedelta = DEFAULT_TIMEOUT,
     ) -> HttpResponse:
         link = await self._open(address)
+        link.received_bytes = 0
         step = Step.SEND
         try:
             with trio.fail_after(timeout.total_seconds()):
@@ -75,7 +85,10 @@
         ) as error:
             detail = str(error) or type(error).__name__
             raise CommunicationError(
-                step=step, peer=str(address), detail=detail
+                step=step,
+                peer=str(address),
+                detail=detail,
+                received_bytes=link.received_bytes,
             ) from error
         finally:
             self._give_back(address, link)
@@ -137,12 +150,12 @@
 
 
 async def _read_response(link: _Link) -> HttpResponse:
-    event = await read_event(link.stream, link.connection)
+    event = await read_event(link, link.connection)
     while isinstance(event, h11.InformationalResponse):
-        event = await read_event(link.stream, link.connection)
+        event = await read_event(link, link.connection)
     if not isinstance(event, h11.Response):
         raise h11.RemoteProtocolError(f"connection ended before a response: {event!r}")
-    body = await read_body(link.stream, link.connection)
+    body = await read_body(link, link.connection)
     return HttpResponse(
         status=event.status_code,
         header_by_name=as_header_by_name(event.headers),
--- a/coltsfoottray/http/common.py
+++ b/coltsfoottray/http/common.py
@@ -114,7 +114,7 @@
 
 
 async def read_event(
-    stream: trio.abc.Stream, connection: h11.Connection
+    stream: trio.abc.ReceiveStream, connection: h11.Connection
 ) -> h11.Event | type[h11.PAUSED]:
     """Return the next event, reading from `stream` for as long as h11 needs."""
     while True:
@@ -132,7 +132,9 @@
     await stream.send_all(b"".join(parts))
 
 
-async def read_body(stream: trio.abc.Stream, connection: h11.Connection) -> bytes:
+async def read_body(
+    stream: trio.abc.ReceiveStream, connection: h11.Connection
+) -> bytes:
     """Return the whole body.
 
     Raises
--- a/coltsfoottray/jobs/mirror.py
+++ b/coltsfoottray/jobs/mirror.py
@@ -11,6 +11,7 @@
 from coltsfoottray.clock import Clock
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
+from coltsfoottray.metrics import Metrics
 from coltsfoottray.platform import HistoryLost, Row, TableUnavailable, WatchedTable
 
 __all__ = ["Mirror"]
@@ -42,6 +43,7 @@
         prefixes: Sequence[str],
         on_row: Callable[[Row], None],
         clock: Clock,
+        metrics: Metrics,
         pause: timedelta,
     ) -> None:
         self._table = table
@@ -49,6 +51,7 @@
         self._prefixes = prefixes
         self._on_row = on_row
         self._clock = clock
+        self._metrics = metrics
         self._pause = pause
         self._version_by_key: dict[str, int] = {}
         self._version = 0
@@ -135,11 +138,16 @@
 
     def _note_success(self, asked: timedelta) -> None:
         self.fresh = asked
+        self._note_age()
         if self._failing_since is not None:
             self._failing_since = None
             log_event("table:regained", group=self._group, version=self._version)
 
+    def _note_age(self) -> None:
+        self._metrics.gauge("copy_age_seconds", self.age_s(), group=self._group)
+
     def _note_failure(self, error: TableUnavailable) -> None:
+        self._note_age()
         if self._failing_since is None:
             self._failing_since = self._clock.elapsed()
             log_event("table:lost", group=self._group, reason=str(error))
--- a/coltsfoottray/metrics.py
+++ b/coltsfoottray/metrics.py
@@ -33,7 +33,7 @@
 
     def __init__(self) -> None:
         self._counts: dict[str, Counter[_Labels]] = {}
-        self._gauges: dict[str, float] = {}
+        self._gauges: dict[str, dict[_Labels, float]] = {}
         self._histograms: dict[str, dict[_Labels, HdrHistogram]] = {}
 
     def count(self, name: str, by: int = 1, **labels: str) -> None:
@@ -41,9 +41,10 @@
         key = tuple(sorted(labels.items()))
         self._counts.setdefault(name, Counter())[key] += by
 
-    def gauge(self, name: str, value: float) -> None:
+    def gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a value that goes up and down."""
-        self._gauges[name] = value
+        key = tuple(sorted(labels.items()))
+        self._gauges.setdefault(name, {})[key] = value
 
     def time(self, name: str, duration: timedelta, **labels: str) -> None:
         """Add a duration to a histogram."""
@@ -77,8 +78,12 @@
             for labels, value in sorted(counts.items()):
                 counter.add_metric([each for _, each in labels], value)
             yield counter
-        for name, level in sorted(self._gauges.items()):
-            yield GaugeMetricFamily(_PREFIX + name, name, value=level)
+        for name, levels in sorted(self._gauges.items()):
+            names = [label for label, _ in next(iter(levels))]
+            gauge = GaugeMetricFamily(_PREFIX + name, name, labels=names)
+            for labels, level in sorted(levels.items()):
+                gauge.add_metric([each for _, each in labels], level)
+            yield gauge
         for name, by_labels in sorted(self._histograms.items()):
             names = [label for label, _ in next(iter(by_labels))]
             seconds = GaugeMetricFamily(
--- a/coltsfoottray/platform/rows.py
+++ b/coltsfoottray/platform/rows.py
@@ -187,12 +187,12 @@
             )
         except CommunicationError as error:
             self._misses += 1
-            self._count(request, error.step.value)
+            self._count(request, error.step.value, error.received_bytes)
             raise TableUnavailable(
                 detail=str(error), is_unwritten=error.is_unseen
             ) from error
         self._misses = 0
-        self._count(request, str(response.status))
+        self._count(request, str(response.status), len(response.body))
         if not held:
             taken = self._clock.elapsed() - begun
             self._metrics.time("table_call", taken, call=request.path[4:])
@@ -204,8 +204,10 @@
             )
         return response
 
-    def _count(self, request: HttpRequest, outcome: str) -> None:
-        self._metrics.count("table_calls", call=request.path[4:], outcome=outcome)
+    def _count(self, request: HttpRequest, outcome: str, size: int) -> None:
+        call = request.path[4:]
+        self._metrics.count("table_calls", call=call, outcome=outcome)
+        self._metrics.count("table_answer_bytes", size, call=call, outcome=outcome)
 
     def _timeout(self) -> timedelta:
         """Return how long to wait for an answer, by the last ones."""
