Failing: an answer that is on its way is given up, and a config never comes

What callers saw (docs/incidents/config.md): entries on links of 5 Mbit/s kept an old config for 20 s and more after a large one had been confirmed.

The stand-in for the network gets links that carry so much a second, shared by the answers on them.

--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -32,6 +32,8 @@
 
 _LATENCY_S = 0.0005
 LATE_S = 3.0
+# What travels at once of an answer; answers on one link take turns after it.
+_PIECE_BYTES = 16_384
 _VIRTUAL_START = datetime(2026, 1, 1, tzinfo=UTC)
 
 
@@ -78,12 +80,19 @@
     late_requests : int
         For so many exchanges: the request arrives after `LATE_S`, when its
         sender has long given it up.
+    bytes_per_s : float, optional
+        What its link carries of the answers to it, without a limit if not given.
+    received_bytes : int
+        What has come of answers, also of those given up on their way.
     """
 
     lost_replies: int = 0
     lost_requests: int = 0
     late_requests: int = 0
     running: trio.Event = field(default_factory=trio.Event)
+    bytes_per_s: float | None = None
+    received_bytes: int = 0
+    inbound: trio.Lock = field(default_factory=trio.Lock)
 
     def __post_init__(self) -> None:
         self.running.set()
@@ -199,6 +208,7 @@
                 is_refused=True,
             )
         pending = _Pending()
+        is_whole = False
         with trio.move_on_after(timeout.total_seconds()):
             is_cut = frozenset((sender, listener.process)) in self.cut
             if is_cut or link in self.silent:
@@ -207,13 +217,27 @@
             await pending.done.wait()
             if link in self.silent:
                 await trio.sleep_forever()
+            await self._carry(sender, pending.reply)
+            is_whole = True
             await self.faults(sender).running.wait()
         if pending.error is not None:
             raise _error(Step.RECEIVE, address, pending.error)
-        if link in self.silent or not pending.done.is_set():
+        if link in self.silent or not is_whole:
             raise _error(Step.RECEIVE, address, "timeout")
         return pending.reply
 
+    async def _carry(self, receiver: str, reply: Any) -> None:
+        """Let a reply come in over the receiver's link."""
+        faults = self.faults(receiver)
+        left = len(reply.body) if isinstance(reply, HttpResponse) else 0
+        while left > 0:
+            piece = min(left, _PIECE_BYTES)
+            if faults.bytes_per_s is not None:
+                async with faults.inbound:
+                    await trio.sleep(piece / faults.bytes_per_s)
+            faults.received_bytes += piece
+            left -= piece
+
 
 class _Link:
     """One open connection, known by its identity."""
--- a/standins/job_cell.py
+++ b/standins/job_cell.py
@@ -74,8 +74,14 @@
         for number in range(1, self.workers + 1):
             await self._start_worker(f"worker-{number}")
 
-    def write_config(self, **changes: object) -> None:
-        """Write a new version of the config, as the operator does."""
+    def write_config(self, more_routes: int = 0, **changes: object) -> None:
+        """Write a new version of the config, as the operator does.
+
+        Parameters
+        ----------
+        more_routes : int
+            Routes that nobody uses, beside the one in use.
+        """
         route = {
             "name": "r-rebuild",
             "host": HOST,
@@ -86,7 +92,12 @@
             "timeoutMs": 3000,
             **changes,
         }
-        config = {"version": next(self._versions), "routes": [route], "services": []}
+        unused = [
+            {**route, "name": f"r-unused-{n}", "pathPrefix": f"/unused-{n}/"}
+            for n in range(more_routes)
+        ]
+        routes = [route, *unused]
+        config = {"version": next(self._versions), "routes": routes, "services": []}
         self.rows.put("op", "", "config", config)
 
     def callers(self, entry: str) -> Address:
--- /dev/null
+++ b/tests/jobs/slow_links.feature
@@ -0,0 +1,18 @@
+Feature: An entry behind a slow link keeps up
+
+  Scenario: A config that takes an entry's link 2 s
+    # An answer on its way was given up after a fixed time and asked for again, for ever.
+    Given two entries and 1 workers for jobs
+    And the link of entry-2 carries 250 kB a second
+    When the operator adds 2500 routes
+    Then the config is in force at entry-2 within 3 s
+    And entry-2 has received less than 750 kB
+
+  Scenario: An entry catches up with many jobs after it was cut off
+    # What had changed meanwhile did not come within the time for an answer, and grew.
+    Given two entries and 1 workers for jobs
+    And the link of entry-2 carries 60 kB a second
+    When entry-2 is cut off from everything
+    And 40 jobs of 4000 bytes are handed in at entry-1
+    And entry-2 is reached again
+    Then entry-2 is ready within 10 s, and knows all 40 jobs
--- /dev/null
+++ b/tests/steps/slow_answer_steps.py
@@ -0,0 +1,75 @@
+"""Steps on answers that come slowly, over real connections."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import trio
+from behave import given, then, when
+
+from coltsfoottray.errors import CommunicationError, Step
+from coltsfoottray.http import HttpClient, HttpRequest
+from coltsfoottray.types import Address
+
+_PIECE = b"x" * 1000
+# Far longer than any client is to wait for the rest of an answer.
+_FOR_EVER_S = 30.0
+
+
+@given("a peer that sends {count:d} pieces of an answer, one every {pause:d} ms")
+def send_slowly(context, count, pause):
+    context.plan = (count, count, pause / 1000)
+
+
+@given("a peer that sends {sent:d} pieces of {count:d} of an answer, then nothing")
+def stop_midway(context, sent, count):
+    context.plan = (sent, count, 0.0)
+
+
+@when("the peer is asked for an answer that is to begin within {milliseconds:d} ms")
+def ask(context, milliseconds):
+    context.outcome = trio.run(
+        _exchange, *context.plan, timedelta(milliseconds=milliseconds)
+    )
+
+
+@then("all {count:d} pieces are returned")
+def check_whole(context, count):
+    assert context.outcome == _PIECE * count, context.outcome
+
+
+@then("the exchange fails, and the error names {count:d} pieces as received")
+def check_error(context, count):
+    error = context.outcome
+    assert isinstance(error, CommunicationError), error
+    assert error.step is Step.RECEIVE, error
+    assert count * len(_PIECE) <= error.received_bytes < (count + 1) * len(_PIECE)
+
+
+async def _exchange(sent, count, pause_s, timeout):
+    async def serve(stream):
+        async with stream:
+            await stream.receive_some()
+            size = count * len(_PIECE)
+            await stream.send_all(
+                f"HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n".encode()
+            )
+            for _ in range(sent):
+                await stream.send_all(_PIECE)
+                await trio.sleep(pause_s)
+            if sent < count:
+                await trio.sleep(_FOR_EVER_S)
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        address = Address(host="127.0.0.1", port=port)
+        request = HttpRequest(method="GET", target="/")
+        try:
+            response = await HttpClient().send(address, request, timeout=timeout)
+            return response.body
+        except CommunicationError as error:
+            return error
+        finally:
+            nursery.cancel_scope.cancel()
