An answer that has begun directly is not fetched by another way too

What callers would see: an entry that the store has just let in again, on a slow link, takes a large config in twice the time.

A transport now tells when an answer has begun; as soon as the direct one has, with a good status, the other is given up. Which way is open is still found by asking both.

What the other entry reads meanwhile for the one that no longer waits is still read to its end there.

The end of a detour is logged once, not by each read that notices it.

--- a/coltsfoottray/http/client.py
+++ b/coltsfoottray/http/client.py
@@ -14,6 +14,7 @@
     HttpRequest,
     HttpResponse,
     HttpTransport,
+    OnBegun,
     as_header_by_name,
     as_header_pairs,
     extend,
@@ -71,6 +72,7 @@
         request: HttpRequest,
         *,
         timeout: timedelta = DEFAULT_TIMEOUT,
+        on_begun: OnBegun | None = None,
     ) -> HttpResponse:
         link = await self._open(address)
         link.received_bytes = 0
@@ -79,7 +81,7 @@
             with trio.fail_after(timeout.total_seconds()) as link.limit:
                 await _send_request(link, address, request)
                 step = Step.RECEIVE
-                response = await _read_response(link)
+                response = await _read_response(link, on_begun)
         except (
             trio.TooSlowError,
             trio.BrokenResourceError,
@@ -152,12 +154,14 @@
     )
 
 
-async def _read_response(link: _Link) -> HttpResponse:
+async def _read_response(link: _Link, on_begun: OnBegun | None) -> HttpResponse:
     event = await read_event(link, link.connection)
     while isinstance(event, h11.InformationalResponse):
         event = await read_event(link, link.connection)
     if not isinstance(event, h11.Response):
         raise h11.RemoteProtocolError(f"connection ended before a response: {event!r}")
+    if on_begun is not None:
+        on_begun(event.status_code)
     body = await read_body(link, link.connection)
     return HttpResponse(
         status=event.status_code,
--- a/coltsfoottray/http/common.py
+++ b/coltsfoottray/http/common.py
@@ -23,6 +23,7 @@
     "HttpRequest",
     "HttpResponse",
     "HttpTransport",
+    "OnBegun",
     "extend",
     "read_event",
     "send_all",
@@ -93,6 +94,7 @@
 
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+OnBegun = Callable[[int], None]
 
 
 class HttpTransport(abc.ABC):
@@ -105,6 +107,7 @@
         request: HttpRequest,
         *,
         timeout: timedelta = DEFAULT_TIMEOUT,
+        on_begun: OnBegun | None = None,
     ) -> HttpResponse:
         """Send `request` and return the whole response.
 
@@ -114,6 +117,8 @@
             How long to wait for the response to begin. One that has begun is
             waited for as long as it keeps coming: given up at a fixed time, one
             that is large for its link would not arrive at any attempt.
+        on_begun : callable, optional
+            Called with the status as soon as the response has begun.
 
         Raises
         ------
--- a/coltsfoottray/peers/relay.py
+++ b/coltsfoottray/peers/relay.py
@@ -19,7 +19,7 @@
 from coltsfoottray.clock import Clock
 from coltsfoottray.errors import CommunicationError, Step
 from coltsfoottray.http import HttpRequest, HttpResponse, HttpTransport
-from coltsfoottray.http.common import DEFAULT_TIMEOUT
+from coltsfoottray.http.common import DEFAULT_TIMEOUT, OnBegun
 from coltsfoottray.logs import log_event
 from coltsfoottray.peers.common import Call, PeerClient
 from coltsfoottray.types import Address
@@ -119,6 +119,16 @@
         request: HttpRequest,
         *,
         timeout: timedelta = DEFAULT_TIMEOUT,
+        on_begun: OnBegun | None = None,
+    ) -> HttpResponse:
+        response = await self._send_any_way(address, request, timeout)
+        if on_begun is not None:
+            # Only a whole answer has come by one way for certain.
+            on_begun(response.status)
+        return response
+
+    async def _send_any_way(
+        self, address: Address, request: HttpRequest, timeout: timedelta
     ) -> HttpResponse:
         if self._clock.elapsed() < self._detour_until:
             if request.method == "GET":
@@ -147,7 +157,9 @@
         """Send a read directly and through an entry; return the first good answer.
 
         By way of one entry alone it would wait with that entry, were it cut off in
-        turn, though the direct way may be open again.
+        turn, though the direct way may be open again. Once the direct answer has
+        begun the other one is not waited for: it would come over the same link, and
+        delay both.
         """
         answers: list[HttpResponse] = []
         errors: list[CommunicationError] = []
@@ -164,23 +176,32 @@
             if response.status not in _TURNED_AWAY:
                 nursery.cancel_scope.cancel()
 
-        async def ask_directly() -> HttpResponse:
-            response = await self._direct.send(address, request, timeout=timeout)
-            if response.status not in _TURNED_AWAY:
+        def end_detour(status: int) -> None:
+            if status not in _TURNED_AWAY:
                 self._end_detour()
-            return response
+                round_about.cancel()
+
+        async def ask_round() -> None:
+            with round_about:
+                await ask(partial(self._send_round, request, timeout))
 
+        round_about = trio.CancelScope()
+        ask_directly = partial(
+            self._direct.send, address, request, timeout=timeout, on_begun=end_detour
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ask, ask_directly)
-            nursery.start_soon(ask, partial(self._send_round, request, timeout))
+            nursery.start_soon(ask_round)
         if answers:
             return answers[-1]
         self._take_detour(str(errors[0]))
         raise errors[0]
 
     def _end_detour(self) -> None:
-        log_event("table:detour-over")
-        self._detour_until = self._clock.elapsed()
+        now = self._clock.elapsed()
+        if now < self._detour_until:
+            log_event("table:detour-over")
+        self._detour_until = now
 
     def _take_detour(self, reason: str) -> None:
         now = self._clock.elapsed()
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -22,18 +22,17 @@
     HttpResponse,
     HttpTransport,
 )
-from coltsfoottray.http.common import DEFAULT_TIMEOUT, extend
+from coltsfoottray.http.common import DEFAULT_TIMEOUT, OnBegun
 from coltsfoottray.http.problem import answer_or_refuse
 from coltsfoottray.kernel import Kernel, Listener
 from coltsfoottray.peers import Call, CallHandlers, PeerClient
 from coltsfoottray.types import Address
+from standins.links import AccessLink
 
 __all__ = ["Fabric", "LoopbackFabric", "MemoryFabric"]
 
 _LATENCY_S = 0.0005
 LATE_S = 3.0
-# What travels at once of an answer; answers on one link take turns after it.
-_PIECE_BYTES = 1500
 _VIRTUAL_START = datetime(2026, 1, 1, tzinfo=UTC)
 
 
@@ -80,19 +79,15 @@
     late_requests : int
         For so many exchanges: the request arrives after `LATE_S`, when its
         sender has long given it up.
-    bytes_per_s : float, optional
-        What its link carries of the answers to it, without a limit if not given.
-    received_bytes : int
-        What has come of answers, also of those given up on their way.
+    link : AccessLink
+        Carries what the process is answered.
     """
 
     lost_replies: int = 0
     lost_requests: int = 0
     late_requests: int = 0
     running: trio.Event = field(default_factory=trio.Event)
-    bytes_per_s: float | None = None
-    received_bytes: int = 0
-    inbound: trio.Lock = field(default_factory=trio.Lock)
+    link: AccessLink = field(default_factory=AccessLink)
 
     def __post_init__(self) -> None:
         self.running.set()
@@ -174,7 +169,12 @@
                 self.silent.add(link)
 
     async def exchange(
-        self, sender: str, address: Address, message: Any, timeout: timedelta
+        self,
+        sender: str,
+        address: Address,
+        message: Any,
+        timeout: timedelta,
+        on_begun: OnBegun | None = None,
     ) -> Any:
         """Carry `message` to `address` and its reply back, over one connection.
 
@@ -183,7 +183,9 @@
         """
         link = self._link_by_ends.setdefault((sender, address), _Link())
         try:
-            return await self._exchange_on(link, sender, address, message, timeout)
+            return await self._exchange_on(
+                link, sender, address, message, timeout, on_begun
+            )
         except CommunicationError:
             if self._link_by_ends.get((sender, address)) is link:
                 del self._link_by_ends[sender, address]
@@ -196,6 +198,7 @@
         address: Address,
         message: Any,
         timeout: timedelta,
+        on_begun: OnBegun | None,
     ) -> Any:
         await self.faults(sender).running.wait()
         await trio.sleep(_LATENCY_S)
@@ -217,7 +220,9 @@
             await pending.done.wait()
             if link in self.silent:
                 await trio.sleep_forever()
-            await self._carry(sender, pending.reply, limit)
+            if on_begun is not None and isinstance(pending.reply, HttpResponse):
+                on_begun(pending.reply.status)
+            await self.faults(sender).link.receive(_size(pending.reply), limit)
             is_whole = True
             await self.faults(sender).running.wait()
         if pending.error is not None:
@@ -226,18 +231,10 @@
             raise _error(Step.RECEIVE, address, "timeout")
         return pending.reply
 
-    async def _carry(self, receiver: str, reply: Any, limit: trio.CancelScope) -> None:
-        """Let a reply come in over the receiver's link."""
-        faults = self.faults(receiver)
-        left = len(reply.body) if isinstance(reply, HttpResponse) else 0
-        while left > 0:
-            piece = min(left, _PIECE_BYTES)
-            if faults.bytes_per_s is not None:
-                async with faults.inbound:
-                    await trio.sleep(piece / faults.bytes_per_s)
-            faults.received_bytes += piece
-            extend(limit)
-            left -= piece
+
+def _size(reply: Any) -> int:
+    """Return what a reply weighs on a link; one that is no bytes weighs nothing."""
+    return len(reply.body) if isinstance(reply, HttpResponse) else 0
 
 
 class _Link:
@@ -351,8 +348,11 @@
         request: HttpRequest,
         *,
         timeout: timedelta = DEFAULT_TIMEOUT,
+        on_begun: OnBegun | None = None,
     ) -> HttpResponse:
-        reply = await self._fabric.exchange(self._process, address, request, timeout)
+        reply = await self._fabric.exchange(
+            self._process, address, request, timeout, on_begun
+        )
         assert isinstance(reply, HttpResponse)
         return reply
 
--- a/tests/jobs/slow_links.feature
+++ b/tests/jobs/slow_links.feature
@@ -24,3 +24,13 @@
     And the link of entry-2 carries 10 kB a second
     When entry-2 is killed and started anew after 1 s
     Then entry-2 is ready within 30 s, and knows all 40 jobs
+
+  Scenario: A config comes while an entry asks both ways
+    # The answer came twice over the same link, and so in twice the time.
+    Given two entries and 1 workers for jobs
+    And the link of entry-2 carries 250 kB a second
+    When entry-2 is cut off from the store for 3 s
+    And 1 s pass
+    And the operator adds 2500 routes
+    Then the config is in force at entry-2 within 3 s
+    And entry-2 has received less than 750 kB
--- a/tests/steps/slow_link_steps.py
+++ b/tests/steps/slow_link_steps.py
@@ -12,7 +12,7 @@
 
 @step("the link of {name} carries {kilobytes:d} kB a second")
 def limit_link(context, name, kilobytes):
-    context.world.fabric.faults(name).bytes_per_s = kilobytes * _KB
+    context.world.fabric.faults(name).link.bytes_per_s = kilobytes * _KB
 
 
 @when("the operator adds {count:d} routes")
@@ -20,7 +20,7 @@
     async def write():
         context.world.cell.write_config(more_routes=count)
 
-    context.world.fabric.faults("entry-2").received_bytes = 0
+    context.world.fabric.faults("entry-2").link.received_bytes = 0
     context.world.run(write)
 
 
@@ -36,7 +36,7 @@
 
 @then("{name} has received less than {kilobytes:d} kB")
 def check_received(context, name, kilobytes):
-    received = context.world.fabric.faults(name).received_bytes
+    received = context.world.fabric.faults(name).link.received_bytes
     assert received < kilobytes * _KB, received
 
 
@@ -77,3 +77,11 @@
     while (seen := world.run(look)) != (True, count):
         assert world.now() < give_up, f"ready, jobs known: {seen}"
         world.advance(0.1)
+
+
+@when("{name} is cut off from the store for {seconds:d} s")
+def cut_off_from_store(context, name, seconds):
+    ends = frozenset((name, "store"))
+    context.world.fabric.cut.add(ends)
+    context.world.advance(seconds)
+    context.world.fabric.cut.discard(ends)
