An entry whose config may be old says that it is not ready

Both copies count now, by the same 4 s. It doesn't make a config come sooner; callers get to entries that have it. An outage of the store ages both alike, so that nothing else changes.

--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -51,7 +51,7 @@
 # A config is to be in force within 2 s.
 _CONFIG_PAUSE = timedelta(milliseconds=100)
 
-# A view older than this cannot tell callers the truth any more.
+# Copies older than this cannot tell callers the truth any more.
 _MAX_AGE = timedelta(seconds=4)
 
 # The balancer asks once a second and reacts to the second refusal.
@@ -166,6 +166,7 @@
             not self._is_draining
             and self.holder.current.version > 0
             and self._jobs_mirror.age() < _MAX_AGE
+            and self._config_mirror.age() < _MAX_AGE
         )
 
     async def _answer_readiness(self, request: HttpRequest) -> HttpResponse:
--- a/tests/jobs/slow_links.feature
+++ b/tests/jobs/slow_links.feature
@@ -34,3 +34,12 @@
     And the operator adds 2500 routes
     Then the config is in force at entry-2 within 3 s
     And entry-2 has received less than 750 kB
+
+  Scenario: An entry that falls behind the config sends new callers elsewhere
+    # It told the balancer that it was ready while it answered by an old config.
+    Given two entries and 1 workers for jobs
+    And the link of entry-2 carries 50 kB a second
+    When the operator adds 2500 routes
+    Then entry-2 is not ready 6 s later
+    And the config is in force at entry-2 within 8 s
+    And entry-2 is ready within 2 s, and knows all 0 jobs
--- a/tests/steps/slow_link_steps.py
+++ b/tests/steps/slow_link_steps.py
@@ -64,6 +64,16 @@
         assert answer.status == 200, answer.status
 
 
+@then("{name} is not ready {seconds:d} s later")
+def check_not_ready(context, name, seconds):
+    context.world.advance(seconds)
+
+    async def look():
+        return context.world.cell.entry_by_name[name].is_ready
+
+    assert not context.world.run(look)
+
+
 @then("{name} is ready within {seconds:d} s, and knows all {count:d} jobs")
 def wait_until_ready(context, name, seconds, count):
     world = context.world
