What tasks wait for is logged when it changes

`losses` is to tell from logs alone where jobs' time goes. Waiting for room, for a place where a filler neither crawls nor harms, and for a queue's policy looked alike: nothing was written between a step's turn and its `decision:place`.

`decision:wait` names the step and what it lacks, once a change, so a few lines a step at most; a new scheduler says it anew, within the bounds of the log.

--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -13,6 +13,7 @@
     TaskPhase,
     TaskRecord,
 )
+from coltsfoottray.scheduler.hindrance import Hindrance
 from coltsfoottray.scheduler.lengths import LengthBook
 
 __all__ = ["Inquiry", "LiveJob", "LiveStep", "Ticket"]
@@ -67,6 +68,8 @@
         By life of a worker, the ticket with which it may run the step.
     tried : int
         The round in which a place was last looked for, 0 for none.
+    hindrance : Hindrance, optional
+        Why it waits, as last told.
     """
 
     job: LiveJob
@@ -81,6 +84,7 @@
     ticket_by_life: dict[str, Ticket] = field(default_factory=dict)
     inquiry: Inquiry = field(default_factory=Inquiry)
     tried: int = 0
+    hindrance: Hindrance | None = None
 
     def __post_init__(self) -> None:
         self.recount()
