`coltsfoottray losses` tells from logs alone where jobs' time went

The command attributes each moment of a job between acceptance and end to one part, by queue and by 2 s: a job ends with its last task, which waited for the last one of the step before. The parts add up to the whole (checked on every scenario); what no line tells is a part of its own, with its share.

`decision:place` says whether a task lasts: what a service served before it was moved is no loss. No decision changes.

Not there: for whose sake a filler was slowed, and `--plot`.

Five scenarios, two of them on logs that the stand-ins write: a full worker, a dead scheduler.

--- a/coltsfoottray/cli/main.py
+++ b/coltsfoottray/cli/main.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from coltsfoottray.cli import daemons, demo, lists, queries, run
+from coltsfoottray.cli import daemons, demo, lists, losses, queries, run
 
 __all__ = ["app"]
 
@@ -19,6 +19,7 @@
 app.command("check")(daemons.check)
 app.command("demo")(demo.demo)
 app.command("explain")(queries.explain)
+app.command("losses")(losses.losses)
 app.command("status")(queries.status)
 app.add_typer(lists.app, name="lists")
 
--- a/coltsfoottray/explain/logfiles.py
+++ b/coltsfoottray/explain/logfiles.py
@@ -1,21 +1,22 @@
-"""What log files tell of one request, after every process is gone."""
+"""What log files tell, after every process is gone."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 from datetime import UTC, datetime
 from pathlib import Path
 
 import msgspec
 
-__all__ = ["LogLine", "read_about"]
+__all__ = ["LogLine", "LogLines", "read_about", "read_lines"]
 
 # What eliot adds to find its own messages again.
 _LIBRARY_FIELDS = ("timestamp", "task_uuid", "task_level", "message_type")
 
 
 class LogLine(msgspec.Struct, frozen=True, kw_only=True):
-    """One line that names the request.
+    """One line.
 
     Parameters
     ----------
@@ -29,31 +30,62 @@
     fields: dict[str, object]
 
 
-def read_about(subject: str, files: Iterable[Path]) -> list[LogLine]:
-    """Return the lines that name `subject` in any field, oldest first.
+@dataclass(kw_only=True)
+class LogLines:
+    """Lines of several files, oldest first.
 
-    Lines that are not JSON objects, cut off by a crash perhaps, are left out.
+    Parameters
+    ----------
+    skipped : int
+        Lines that are no JSON objects, cut off by a crash perhaps.
+    dropped : int
+        Lines that the processes say they did not write, for their number.
     """
-    lines = [line for path in files for line in _read(subject, path)]
-    return sorted(lines, key=lambda line: line.at)
-
-
-def _read(subject: str, path: Path) -> Iterator[LogLine]:
-    for text in path.read_text(errors="replace").splitlines():
-        if subject not in text:
-            continue
-        try:
-            message = msgspec.json.decode(text, type=dict[str, object])
-        except msgspec.DecodeError:
-            continue
-        stamp = message.get("timestamp")
-        yield LogLine(
-            at=datetime.fromtimestamp(_as_seconds(stamp), UTC),
-            source=path.name,
-            event=str(message.get("message_type", "")),
+
+    lines: list[LogLine] = field(default_factory=list)
+    skipped: int = 0
+    dropped: int = 0
+
+
+def read_lines(files: Iterable[Path], *, naming: str = "") -> LogLines:
+    """Return the lines that hold the text `naming`, all if it is empty."""
+    found = LogLines()
+    for path in files:
+        for text in path.read_text(errors="replace").splitlines():
+            if text and naming in text:
+                _take(found, path.name, text)
+    found.lines.sort(key=lambda line: line.at)
+    return found
+
+
+def read_about(subject: str, files: Iterable[Path]) -> list[LogLine]:
+    """Return the lines that name `subject` in any field, oldest first."""
+    return read_lines(files, naming=subject).lines
+
+
+def _take(found: LogLines, source: str, text: str) -> None:
+    try:
+        message = msgspec.json.decode(text, type=dict[str, object])
+    except msgspec.DecodeError:
+        found.skipped += 1
+        return
+    event = str(message.get("message_type", ""))
+    if event == "log:dropped":
+        found.dropped += _as_number(message.get("lines"))
+        return
+    found.lines.append(
+        LogLine(
+            at=datetime.fromtimestamp(_as_seconds(message.get("timestamp")), UTC),
+            source=source,
+            event=event,
             fields={k: v for k, v in message.items() if k not in _LIBRARY_FIELDS},
         )
+    )
 
 
 def _as_seconds(stamp: object) -> float:
     return float(stamp) if isinstance(stamp, int | float) else 0.0
+
+
+def _as_number(count: object) -> int:
+    return count if isinstance(count, int) else 0
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -160,6 +160,7 @@
                 step=f"{step.job.id}.{step.occurrence}.{step.number}",
                 workers=[f"{each.ref.task.index}@{each.worker}" for each in placed],
                 waiting=len(step.waiting),
+                lasts=step.spec.is_service,
                 config=self._holder.current.version,
             )
         return placed
