--- a/coltsfoottray/agent/learning.py
+++ b/coltsfoottray/agent/learning.py
@@ -30,8 +30,7 @@
 _MAX_PRESSURE = 30.0
 _MAX_MARGIN = 6.0
 
-# Variances that states gain in a second. A load that swings by half within 10 s has
-# slopes of up to 0.6 a second, which change by up to 0.4 in a second.
+# Variances that states gain in a second, for a load that may swing by half within 10 s.
 _MARGIN_DRIFT = 0.01
 _SLOPE_DRIFT = 0.1
 _MAX_SLOPE_VARIANCE = 0.5
@@ -52,16 +51,16 @@
 
 # A service that has just started is not yet disturbed as it will be.
 _WARM_UP_LOOKS = 4
-# With what its undisturbed margin begins, which a look beside fillers cannot show: a
-# target of 4.5 times the latency at no load leaves this at a load of 0.42.
+# With what its undisturbed margin begins, which a look beside fillers cannot show; its
+# spread lets the first looks without them replace it.
 _FIRST_MARGIN = 2.6
 _FIRST_MARGIN_SPREAD = 0.8
 _FIRST_SLOPE_SPREAD = 0.4
 
 # The figure of a latency is smoothed: half a second later this part of it is left. What
-# fillers use is smoothed likewise before the two are compared; compared as they are,
-# heavy pairs seemed to press a quarter less than they do. Undoing the smoothing would
-# add noise: that is done only where a latency was far higher before.
+# fillers use is smoothed likewise before the two are compared, or heavy pairs would
+# seem to press less than they do. Undoing the smoothing would add noise: that is done
+# only where a latency was far higher before.
 _KEPT_IN_HALF_SECOND = 0.35
 _HALF_SECOND = timedelta(milliseconds=500)
 _MUCH_HIGHER = 1.5
--- a/coltsfoottray/agent/stalls.py
+++ b/coltsfoottray/agent/stalls.py
@@ -18,8 +18,8 @@
 
 # Three looks; a task of a second shows progress at each of them.
 _MIN_PATIENCE = timedelta(seconds=1.5)
-# A percent of a task takes a hundredth of its time, which is up to twice the estimate,
-# and on a slow worker up to 6.5 times as long: 0.13 of the estimate.
+# Of the estimate. A percent of a task takes a hundredth of its time, which may be some
+# times the estimate, and some times that on a slow worker.
 _PATIENCE_SHARE = 0.15
 # A service is at work some tenths of a second after its start.
 _SERVICE_PATIENCE = timedelta(seconds=4)
--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -48,7 +48,7 @@
 # The scheduler is told of jobs directly, so that this only bounds how old another
 # entry's answers are, and how late news that was not told arrives.
 _JOBS_PAUSE = timedelta(milliseconds=300)
-# A config is to be in force within 2 s.
+# A config is to be in force within seconds of its confirmation.
 _CONFIG_PAUSE = timedelta(milliseconds=100)
 
 # Copies older than this cannot tell callers the truth any more.
--- a/coltsfoottray/routing/two_choices.py
+++ b/coltsfoottray/routing/two_choices.py
@@ -3,8 +3,7 @@
 Load reports are late. Taking the least loaded of all sends every entry to the
 same instance until the next report; drawing two at random keeps the entries
 apart, and comparing the two still avoids the loaded one (M. Mitzenmacher, "The
-power of two choices in randomized load balancing", IEEE TPDS 12(10), 2001;
-measured here by `benchmarks/policies.py`).
+power of two choices in randomized load balancing", IEEE TPDS 12(10), 2001).
 """
 
 from __future__ import annotations
