--- a/tests/explain/logfiles.feature
+++ b/tests/explain/logfiles.feature
@@ -1,8 +1,7 @@
 Feature: A request can be explained from log files alone
 
   Scenario: Lines of two processes about one job
-    # Every process is gone and only their log files are left, one of them cut off
-    # in the middle of a line. The lines that name the job come in the order of time.
+    # Guards against a file cut off in the middle of a line that hides what others tell.
     Given a log file "entry.log" with lines about the jobs "aa" and "bb"
     And a log file "worker.log" with an earlier line about "aa" and half a line
     When "aa" is looked for in both
@@ -14,8 +13,7 @@
     Then there are no events
 
   Scenario: A reader that stops reading
-    # Nobody empties the pipe. The process must not wait for it: lines are dropped,
-    # and how many is said once there is room again.
+    # Guards against a process that waits for whoever reads its lines.
     Given a pipe that nobody reads
     When 20000 log lines are written to it
     Then lines were dropped and nothing waited
--- a/tests/jobs/callers.feature
+++ b/tests/jobs/callers.feature
@@ -1,8 +1,7 @@
 Feature: Callers learn the truth about their jobs
 
   Scenario: A job is cancelled while it runs
-    # Its tasks are stopped within the time that callers are promised, at whichever
-    # entry it was cancelled.
+    # Guards against tasks that run on after their job was cancelled at any entry.
     Given two entries and 2 workers for jobs
     When the job "a" of 1 steps with 4 tasks of 60 s is handed in at entry-1
     And 1 s pass
@@ -18,23 +17,21 @@
     And the job "nobody" is cancelled at entry-1 with status 410
 
   Scenario: A job whose tasks fail
-    # After the attempts that the queue allows the job is shown as failed, and no
-    # further attempt begins.
+    # Guards against attempts beyond those that the queue allows.
     Given two entries and 2 workers for jobs
     When the failing job "a" of 1 steps with 1 tasks of 1 s is handed in at entry-1
     Then the job "a" is "failed" within 10 s
     And the task of "a" was started 2 times
 
   Scenario: A job is handed in with little time left
-    # A caller's last attempt has 150 ms left. That is enough to store the job; it was
-    # answered as an internal error, and the caller did not learn what became of it.
+    # Guards against an internal error for a caller with 150 ms left, enough to store a job.
     Given two entries and 2 workers for jobs
     And 1 s pass
     Then the job "a" handed in at entry-1 with 150 ms left is answered 200
     And the job "a" is "completed" within 5 s
 
   Scenario: A queue is dropped from the config
-    # From then on there is no such queue, at any entry.
+    # Guards against an entry that goes on serving a dropped queue.
     Given two entries and 1 workers for jobs
     And 1 s pass
     And the operator moves the queue to the path "/other/"
@@ -43,14 +40,13 @@
     And the job "a" of 1 steps with 1 tasks of 1 s is not found at entry-2
 
   Scenario: A description that cannot be run
-    # The field at fault is named, and nothing is stored.
+    # Guards against bad input that is stored, or refused without naming its field.
     Given two entries and 1 workers for jobs
     And 1 s pass
     Then a job whose step comes after itself is rejected naming "steps[0].after"
 
   Scenario: Tasks that last are started again however they end
-    # The worker crashes; the service must be back without its caller doing
-    # anything, and stop when it is cancelled.
+    # Guards against a service that stays away after its worker crashed.
     Given two entries and 2 workers for jobs
     When the lasting job "a" of 1 steps with 2 tasks of 1 s is handed in at entry-1
     And 2 s pass
@@ -60,8 +56,7 @@
     And the job "a" is cancelled at entry-1 with status 200
 
   Scenario: A gang waits until all of it has room
-    # Seven of eight slots are taken for some seconds. A gang of two must not be
-    # started by halves.
+    # Guards against a gang that is started by halves.
     Given two entries and 1 workers for jobs
     When the job "a" of 1 steps with 7 tasks of 3 s is handed in at entry-1
     And 500 ms pass
@@ -71,8 +66,7 @@
     And the job "g" is "completed" within 10 s
 
   Scenario: A job with occurrences
-    # Each occurrence starts at its own time: not before, and not only when the
-    # scheduler has something else to do.
+    # Guards against occurrences that start early, or only when something else happens.
     Given two entries and 1 workers for jobs
     And 1 s pass
     When the job "a" is handed in at entry-1 to run 3 times, every 2 s
@@ -80,8 +74,7 @@
     And each occurrence of "a" began at its time
 
   Scenario: A job that ended long ago is forgotten
-    # It is remembered for 30 s here. Then all its rows go, the acceptance first,
-    # or a crash in between would leave a job that looks new and runs again.
+    # Guards against rows removed in an order in which a crash makes an old job look new.
     Given two entries and 1 workers for jobs
     When the job "a" of 1 steps with 1 tasks of 1 s is handed in at entry-1
     Then the job "a" is "completed" within 10 s
--- a/tests/scheduler/advice.feature
+++ b/tests/scheduler/advice.feature
@@ -1,8 +1,7 @@
 Feature: Queues whose steps only some workers may run
 
   Scenario: A step goes only where the policy allows
-    # Only an outside service knows which workers may run it. It answers slowly and
-    # one question at a time; a start without its ticket is refused by the worker.
+    # Guards against a start without the ticket of the service that says where a step may run.
     Given two entries and 3 workers for jobs
     And the queue's policy allows only worker-2
     When the job "a" of 4 tasks of 1 s that need tickets is handed in at entry-1
@@ -12,8 +11,7 @@
     And no start was refused for want of a ticket
 
   Scenario: Tickets expire before all tasks have had room
-    # More tasks than the allowed worker can hold: the later ones start seconds after
-    # the first answer, whose tickets hold no more. The service is asked again.
+    # Guards against tasks that start late and find the first answer's tickets expired.
     Given two entries and 2 workers for jobs
     And the queue's policy allows only worker-1
     When the job "a" of 20 tasks of 2 s that need tickets is handed in at entry-1
--- a/tests/scheduler/fillers.feature
+++ b/tests/scheduler/fillers.feature
@@ -1,9 +1,7 @@
 Feature: Fillers beside services with a latency target
 
   Scenario: A filler finds no worker where it would not press
-    # Every worker runs a service that has no latency to spare. A filler waits for a
-    # better place, but not for ever: a job of which nothing runs while room is free
-    # is lost to its caller.
+    # Guards against a filler that waits for a better place until its caller takes it for lost.
     Given two entries and 2 workers for jobs
     When a service of 2 tasks near its latency target is handed in at entry-1
     And 3 s pass
@@ -12,8 +10,7 @@
     Then a task of "f" was started
 
   Scenario: A service over its target has all fillers stopped in time
-    # Whatever was thought of the images, fillers do not work on for long beside a
-    # service that is over its target.
+    # Guards against fillers that work on beside a service over its target, thought harmless.
     Given two entries and 1 workers for jobs
     When a service of 1 tasks over its latency target is handed in at entry-1
     And the filling job "f" of 2 tasks of 30 s is handed in at entry-1
@@ -21,8 +18,7 @@
     Then every filler of "f" works at 0 percent
 
   Scenario: What was learned outlasts a loss of power
-    # All processes lose power at once. Builds then waited until each pair of images had
-    # been tried anew, for ten seconds and more.
+    # Guards against builds that wait until each pair of images has been tried anew.
     Given two entries and 1 workers for jobs
     When a service of 1 tasks far below its latency target is handed in at entry-1
     And 4 s pass
--- a/tests/scheduler/gone.feature
+++ b/tests/scheduler/gone.feature
@@ -4,11 +4,7 @@
   # for 4 s, it has no run for 3 s: 7 s after the last trouble all tasks run.
 
   Scenario: A worker is gone, and the scheduler that heard so is replaced
-    # A worker dies for good; its lease ends while the store is down. The scheduler hears so
-    # and is replaced before it could store it. Each report of the attendant, which lived
-    # on, was granted a lease, so for the next scheduler that of the dead worker never ended:
-    # 56 s later "runs_held" was 77, of which 45 were at the other ten workers ("runs_there")
-    # and 32 at the dead one, all that it ever had. No "decision:runs-lost" named them.
+    # Guards against a dead worker's lease renewed by its attendant's reports.
     Given two entries and 2 workers for jobs
     When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
     And 2 s pass
@@ -22,10 +18,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A worker is gone, and its attendant starts anew
-    # A worker dies for good. Its attendant is killed before the lease is over and starts
-    # anew beside nothing. It reports, as attendants do that have yet to see their worker,
-    # and each report ("life":"" in "scheduler:session") was granted a lease: that of the
-    # dead worker never ended, and its tasks never ran again.
+    # Guards against a lease granted to an attendant that has no worker to see.
     Given two entries and 2 workers for jobs
     When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
     And 2 s pass
@@ -36,10 +29,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A worker is gone, and every process loses power
-    # A worker dies for good, and every daemon is killed. The next scheduler knows from its
-    # rows that the tasks were there; the attendant that starts anew beside nothing could
-    # not say that no lease of before its start can have lasted, so that the scheduler held
-    # them, first for ever, then for a whole lease of its predecessor.
+    # Guards against runs held for a lease that began before the attendant's predecessor died.
     Given two entries and 2 workers for jobs
     When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
     And 2 s pass
@@ -50,10 +40,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A worker is gone, and the store fails as it goes
-    # As the worker dies the store goes down, so that no scheduler can store that it is
-    # silent. The one at work hears that its lease is over ("worker:lease-lapsed" at
-    # 18.542 s, said once) and is replaced ("scheduler:deposed" at 22.817 s, nothing decided
-    # since 18.083 s). The next one never heard it and waited for a whole lease.
+    # Guards against news of a lapse that is said once, to a scheduler that is replaced.
     Given two entries and 2 workers for jobs
     When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
     And 2 s pass
@@ -66,10 +53,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A word that a worker does not answer arrives seconds late
-    # A worker is silent for some seconds, and its attendant says how long it may still run.
-    # That report arrives when the worker has long answered again and been granted more.
-    # Then the attendant is cut off. Had the old word counted, the tasks would have begun
-    # elsewhere while they ran on.
+    # Guards against an old report that shortens a lease granted since.
     Given two entries and 2 workers for jobs
     When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
     And 2 s pass
@@ -84,9 +68,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A worker answers again as its attendant is cut off
-    # A worker is silent for some seconds, and its attendant says how long it may still run.
-    # It answers again while the attendant reaches nobody. Had the attendant then told it
-    # all that had once been granted, the tasks would have run beside their successors.
+    # Guards against a worker told of a lease that the scheduler has taken back.
     Given two entries and 2 workers for jobs
     When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
     And 2 s pass
@@ -99,9 +81,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A word that a worker does not answer arrives after its attendant has died
-    # A worker is silent for some seconds, its attendant says how long it may still run, and
-    # dies. The next attendant finds the worker answering, and it is granted more; then the
-    # old word arrives. Had it counted, the tasks would have run beside their successors.
+    # Guards against a dead attendant's report that shortens its successor's lease.
     Given two entries and 2 workers for jobs
     When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
     And 2 s pass
