--- a/tests/lists/edits.feature
+++ b/tests/lists/edits.feature
@@ -1,8 +1,7 @@
 Feature: An accepted edit is in force everywhere within seconds and never reverts
 
   Scenario: Two operators race
-    # Both read version 2 and edit. Only one may be accepted, and the other must
-    # hear who won, so that nothing is overwritten unseen.
+    # Guards against an edit that overwrites another unseen.
     Given two entries and 1 workers in memory
     When "ann" sets the processors of "surveys" to 128, having read version 2
     And "ben" sets the processors of "surveys" to 256, having read version 2
@@ -11,8 +10,7 @@
     And within 3 s every daemon has version 3 with 128 processors
 
   Scenario: The answer to the write is lost
-    # The table took the edit and its answer never came. The entry reads back by
-    # the edit's token: applied once, and the operator hears that it was.
+    # Guards against an edit applied twice, or whose operator never hears of it.
     Given two entries and 1 workers in memory
     And the answer to each of the next 1 writes is lost
     When "ann" sets the processors of "surveys" to 128, having read version 2
@@ -20,8 +18,7 @@
     And the history holds 1 edit by "ann"
 
   Scenario: The operator sends the same edit again
-    # The entry died before it answered, so the operator's tool sends the edit
-    # again, with its token, to the other entry.
+    # Guards against an edit sent again with its token that is applied twice.
     Given two entries and 1 workers in memory
     When "ann" sets the processors of "surveys" to 128, having read version 2
     And "ann" sends the same edit again to entry-2
@@ -29,22 +26,21 @@
     And the history holds 1 edit by "ann"
 
   Scenario: The table goes down right after the edit was accepted
-    # No daemon can poll it. The entry that accepted it pushes it to all.
+    # Guards against an accepted edit that waits for daemons to poll the table.
     Given two entries and 1 workers in memory
     When "ann" sets the processors of "surveys" to 128, having read version 2
     And the table goes down
     Then within 3 s every daemon has version 3 with 128 processors
 
   Scenario: The entry that accepted the edit dies at once
-    # It pushed nothing. The others poll the table.
+    # Guards against an accepted edit that only its entry knew of.
     Given two entries and 1 workers in memory
     When "ann" sets the processors of "surveys" to 128, having read version 2
     And entry-1 is killed
     Then within 3 s every daemon has version 3 with 128 processors
 
   Scenario: An old push arrives late
-    # A reply with version 3 is held back by the network until version 4 is in
-    # force. It must not bring version 3 back.
+    # Guards against an older version that replaces a newer one.
     Given two entries and 1 workers in memory
     When "ann" sets the processors of "surveys" to 128, having read version 2
     And "ann" sets the processors of "surveys" to 256, having read version 3
@@ -53,15 +49,14 @@
     Then within 3 s every daemon has version 4 with 256 processors
 
   Scenario: A fresh entry while the table is down
-    # It cannot read the lists. It takes them from the entries it was told of in
-    # its settings, and until then it is not healthy.
+    # Guards against an entry that takes callers without lists.
     Given two entries and 1 workers in memory
     And the table is down
     When entry-3 is started and told of entry-1
     Then entry-3 has version 2 in force, and is not healthy
 
   Scenario: An edit changes the next decision
-    # The plan shrinks below what the customer asks for next.
+    # Guards against decisions by the lists of before an edit.
     Given two entries and 1 workers in memory
     When "ann" sets the processors of "surveys" to 2, having read version 2
     And within 3 s every daemon has version 3 with 2 processors
@@ -69,7 +64,7 @@
     Then it is refused with status 403
 
   Scenario: A malformed edit
-    # The field and the value are named, and nothing changes.
+    # Guards against bad input that is applied, or refused without naming its field.
     Given two entries and 1 workers in memory
     When "ann" sets the processors of "surveys" to -1, having read version 2
     Then "ann" hears that "processors: got -1" is wrong
@@ -77,7 +72,6 @@
 
   Scenario: No order of faults loses, doubles or reverts an edit
     # Operators race, answers are lost, the table goes down, tools send again.
-    # The oracle is the list of accepted edits and one integer.
     Then the machine "list edits" finds nothing in 100 runs of 40 steps
 
   Scenario: The oracle sees an edit that overwrites another
--- a/tests/processes/whole_path.feature
+++ b/tests/processes/whole_path.feature
@@ -1,9 +1,7 @@
 Feature: The whole path as separate processes
 
   Scenario: A request, a task and an edit go through, and two processes die
-    # A caller sends a Quote Check from outside, an operator edits by the
-    # command line, and then one attendant and one entry are killed. The caller
-    # must still get the whole answer to its own request from what is left.
+    # Guards against an answer that is lost though a process that can give it is left.
     Given a table, two entries, two upstreams and one worker as processes
     When the operator gives customer "arolwg" the plan "surveys"
     Then every daemon has lists version 2 in force
--- a/tests/requests/at_most_once.feature
+++ b/tests/requests/at_most_once.feature
@@ -1,9 +1,7 @@
 Feature: A keyed request runs in one place, and a non-idempotent one at most once
 
   Scenario: The caller asks again at the other entry while the first attempt runs
-    # A collector's tablet gets no answer in time and sends the same quote again;
-    # the balancer gives it to the other entry. Without a claim that both entries
-    # know, the second would send it to another instance: a doubled quote.
+    # Guards against a request run twice by way of two entries.
     Given two entries and three instances in memory
     When "first" sends key "q1" to entry-1, which takes 500 ms to run
     And 100 ms pass
@@ -12,8 +10,7 @@
     And "q1" has run 1 time
 
   Scenario: The same key reaches both entries at the same moment
-    # Two copies of one quote arrive together. Each entry claims the key, meets
-    # the other's claim, and one of them must give way for good.
+    # Guards against two claims of one key that both stand.
     Given two entries and three instances in memory
     When "first" sends key "q1" to entry-1, which takes 50 ms to run
     And "again" sends key "q1" to entry-2, which takes 50 ms to run
@@ -21,8 +18,7 @@
     And "q1" has run 1 time
 
   Scenario: The first entry dies while the request runs
-    # The entry dies, the balancer sends the caller's retry to the other one.
-    # Where the request runs is in that entry's memory: it fetches the answer.
+    # Guards against an answer lost with the entry that knew where it runs.
     Given two entries and three instances in memory
     When "first" sends key "q1" to entry-1, which takes 500 ms to run
     And 100 ms pass
@@ -32,9 +28,7 @@
     And "q1" has run 1 time
 
   Scenario: The first entry dies after its claim and before the request has left
-    # The claim names a place that has never seen the request. The other entry
-    # may not run it before the claimant is certainly gone and the place has
-    # promised not to start a message that may still be under way.
+    # Guards against a request run elsewhere while its message is under way.
     Given two entries and three instances in memory
     And the next message to each instance is lost
     When "first" sends key "q1" to entry-1, which takes 50 ms to run
@@ -45,10 +39,7 @@
     And "q1" has run 1 time
 
   Scenario: Messages arrive after they were given up and the request refused
-    # The network holds the messages back. The entry hears nothing, cancels the
-    # id at one instance after the other and refuses the request as not run.
-    # Then the messages arrive: they must not make the refusal a lie, nor keep
-    # the caller's next attempt from running.
+    # Guards against late messages that make a refusal untrue.
     Given two entries and three instances in memory
     And the next message to each instance is late
     When "first" sends key "q1" to entry-1, which takes 50 ms to run
@@ -60,8 +51,7 @@
     And "q1" has run 1 time
 
   Scenario: The attendant's answer is lost
-    # The request ran, and the connection broke before the answer came. The
-    # entry asks for the answer by id over a new connection.
+    # Guards against an answer lost with its connection.
     Given two entries and three instances in memory
     And the next reply of each instance is lost
     When "first" sends key "q1" to entry-1, which takes 50 ms to run
@@ -69,8 +59,7 @@
     And "q1" has run 1 time
 
   Scenario: The attendant dies while the request runs
-    # Nobody can tell whether the upstream finished it. The caller hears that
-    # the outcome is unknown, now and when it asks again; never "not run".
+    # Guards against 'not run' said of a request that may have run.
     Given two entries and three instances in memory
     When "first" sends key "q1" to entry-1, which takes 500 ms to run
     And 100 ms pass
@@ -81,8 +70,7 @@
     And "q1" has run 1 time
 
   Scenario: The entries cannot reach each other
-    # The link between the entries is cut, and the same quote comes to both. The
-    # table decides between them.
+    # Guards against a key run twice by entries that are cut off from each other.
     Given two entries and three instances in memory
     And entry-1 and entry-2 cannot reach each other
     When "first" sends key "q1" to entry-1, which takes 50 ms to run
@@ -91,7 +79,7 @@
     And "q1" has run 1 time
 
   Scenario: The table is down and the entries reach each other
-    # An outage of the platform's store must not stop quote submissions.
+    # Guards against requests refused for an outage of the table.
     Given two entries and three instances in memory
     And the table is down
     When "first" sends key "q1" to entry-1, which takes 50 ms to run
@@ -101,8 +89,7 @@
     And "q1" has run 1 time
 
   Scenario: The table is down and the entries cannot reach each other
-    # Neither entry can know whether the other has run the quote. It says so at
-    # once and tells the caller when to come back; it runs nothing.
+    # Guards against a key run where nobody can know whether another has run it.
     Given two entries and three instances in memory
     And entry-1 and entry-2 cannot reach each other
     And the table is down
@@ -111,8 +98,7 @@
     And "q1" has run 0 times
 
   Scenario: An entry is paused in mid-request and wakes after it was replaced
-    # entry-1 freezes just after its claim. Its lease lapses, entry-2 takes the
-    # request over. When entry-1 wakes, its message must not start a second run.
+    # Guards against a message of a replaced entry that starts a second run.
     Given two entries and three instances in memory
     And the next message to each instance is lost
     When "first" sends key "q1" to entry-1, which takes 50 ms to run
@@ -125,8 +111,7 @@
     Then "q1" has run 1 time
 
   Scenario: Both entries die, and the caller asks the new ones
-    # What ran is in nobody's memory any more. A key the new entry does not know
-    # may have run, so it must not run it.
+    # Guards against a key run again that new entries do not know.
     Given two entries and three instances in memory
     When "first" sends key "q1" to entry-1, which takes 50 ms to run
     Then "first" gets the whole answer of "q1"
@@ -138,9 +123,7 @@
     And "q1" has run 1 time
 
   Scenario: Entries cut off from the table, and a new one that has it
-    # The region with both entries and an instance loses the table for long; an
-    # entry started elsewhere finds their leases lapsed and joins alone. Callers
-    # can reach both sides. Each side on its own would run the same quote.
+    # Guards against a key run on both sides of a cut.
     Given two entries and three instances in memory
     And entry-1, entry-2 and instance-01 are cut off from all else
     When 5000 ms pass
@@ -153,8 +136,7 @@
     And "q1" has run 1 time
 
   Scenario: A refusal is true, and the caller may then ask anywhere
-    # Every instance drains. The refusal says "not run"; the claim is given up,
-    # so that the same key runs once the caller asks again elsewhere.
+    # Guards against a refused key that is kept from running elsewhere.
     Given two entries and three instances in memory
     And every instance refuses as if it drained
     When "first" sends key "q1" to entry-1, which takes 50 ms to run
@@ -166,9 +148,7 @@
     And "q1" has run 1 time
 
   Scenario: The entries start before the table is up
-    # Their first write of a lease fails and is tried again a second later; they
-    # join at the next tenth. An entry that joined without its lease was taken for
-    # one that is gone, and the other refused all new keys for over an hour.
+    # Guards against an entry that joins without its lease and is taken for gone.
     Given two entries and three instances that start before the table is up
     When "first" sends key "q1" to entry-1, which takes 50 ms to run
     And "second" sends key "q2" to entry-2, which takes 50 ms to run
--- a/tests/scheduler/ends.feature
+++ b/tests/scheduler/ends.feature
@@ -1,10 +1,7 @@
 Feature: How a run ended counts, also where its start is asked for again
 
   Scenario: A run fails while its start is asked for again, and a look is lost
-    # An attendant dies and starts anew beside a task at work, whose start is asked for
-    # again. The task fails before that start arrives; the look that shows so is lost, and
-    # the start is refused as known. The failure was not counted: a task that may be tried
-    # twice was started three times.
+    # Guards against a failure that isn't counted, and an attempt too many.
     Given two entries and 1 workers for jobs
     When the failing job "a" of 1 steps with 1 tasks of 4 s is handed in at entry-1
     And 1 s pass
@@ -16,8 +13,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A run is done while its start is asked for again, and a look is lost
-    # As before, but the task ends well. The scheduler took the refusal for a stop and
-    # began the task again after its end.
+    # Guards against a refused start taken for a stop, and a task begun after its end.
     Given two entries and 1 workers for jobs
     When the job "a" of 1 steps with 1 tasks of 4 s is handed in at entry-1
     And 1 s pass
@@ -29,9 +25,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: More runs ended beside a dead attendant than a look lists
-    # A worker lists its oldest 500 ends; of more, the others only once those are
-    # acknowledged. The new attendant's starts of them were refused, and tasks that had
-    # ended well were begun again.
+    # Guards against ends beyond the 500 listed that are taken for runs never there.
     Given two entries and 1 workers for jobs
     When the job "a" of 520 small tasks of 4 s is handed in at entry-1
     And 1 s pass
@@ -41,8 +35,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: More runs ended than a look lists, and none is acknowledged for a while
-    # As before, while the store is down: the same 500 ends are listed again and again,
-    # and what is missing among them was taken for what was never there.
+    # Guards against the same, while the store is down and the same ends come again.
     Given two entries and 1 workers for jobs
     When the job "a" of 520 small tasks of 4 s is handed in at entry-1
     And 1 s pass
@@ -55,8 +48,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: More runs ended than a look lists, and answers to starts are lost
-    # As before; the first starts of the new attendant are refused and the answers lost.
-    # It stops what it then finds refused, and looks for an end that is not listed yet.
+    # Guards against the same, where refusals were lost and runs are stopped first.
     Given two entries and 1 workers for jobs
     When the job "a" of 520 small tasks of 4 s is handed in at entry-1
     And 1 s pass
@@ -70,9 +62,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A run is done at a worker that then takes nothing new
-    # A task ends well after the new attendant's first look, and the next look is lost.
-    # The worker, unhealthy for a while, refuses the start without a look at what it had.
-    # The task was begun again after its end.
+    # Guards against a refusal by an unhealthy worker that hides an end.
     Given two entries and 2 workers for jobs
     When the job "a" of 1 steps with 2 tasks of 4 s is handed in at entry-1
     And 1 s pass
@@ -85,9 +75,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: An attendant starts anew beside a worker that drains
-    # The worker says that it leaves while its attendant is dead; its tasks would end in
-    # time. The new attendant refused their starts, since the worker takes nothing new,
-    # and the tasks were begun elsewhere beside those at work.
+    # Guards against starts refused for draining of runs that are at work.
     Given two entries and 2 workers for jobs
     When the job "a" of 1 steps with 4 tasks of 4 s is handed in at entry-1
     And 1 s pass
@@ -98,9 +86,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A start that is slow on its way is overtaken by the next scheduler's
-    # A start is under way when the scheduler hands over. The next one has it asked for
-    # again, and the worker, which begins the task, shuts the slow start out. That refusal
-    # was taken for the task's end: it was begun a second time beside itself.
+    # Guards against a start shut out by a newer session taken for its task's end.
     Given two entries and 2 workers for jobs
     When the job "b" of 1 steps with 2 tasks of 60 s is handed in at entry-1
     And 1 s pass
@@ -115,9 +101,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A start asked for twice is refused in a session that is over
-    # A start gets no answer. Asked for again, it is overtaken by the next scheduler's and
-    # shut out; the attendant took the run for one that it was stopping, in the new session
-    # too, and passed over the order to stop it: a cancelled task ran on.
+    # Guards against a cancelled task whose stop is passed over in the next session.
     Given two entries and 2 workers for jobs
     When the job "b" of 1 steps with 2 tasks of 60 s is handed in at entry-1
     And 1 s pass
@@ -137,9 +121,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: The answer to a start is lost, and the run has ended before it is asked again
-    # The run was begun, ended well and was stored as done, all before its start was taken
-    # for unanswered. The start was asked for again all the same; by then the worker had
-    # crashed, and its new life, which knew of no such run, began the task again.
+    # Guards against a start asked for again after its run was stored as done.
     Given two entries and 1 workers for jobs
     And the answers to the next 1 starts at worker-1 are lost
     When the job "a" of 1 steps with 1 tasks of 0 s is handed in at entry-1
@@ -152,9 +134,7 @@
     And 1 tasks were started in all
 
   Scenario: A start is refused because its run has just ended
-    # A new attendant sends the start of a run again that it has seen there. The run ends
-    # well first and the start is refused as old, before any look has shown the end: the
-    # refusal counts as an end that was not good, and the task begins again.
+    # Guards against an end, not shown yet, that a refusal stands in for.
     Given two entries and 1 workers for jobs
     When the job "a" of 1 steps with 1 tasks of 3 s is handed in at entry-1
     And 1 s pass
--- a/tests/scheduler/fuzz.feature
+++ b/tests/scheduler/fuzz.feature
@@ -1,9 +1,7 @@
 Feature: Jobs under every fault at once
 
   Scenario: No order of faults loses or doubles a task of a job
-    # Entries and attendants die, freeze and come back, links are cut, workers crash,
-    # fall silent and carry orders out late, the store is down, late or loses answers.
-    # The oracle knows what runs where, what has ended, and what callers were told.
+    # Daemons, workers, links and the store fail in any order; the oracle knows what runs.
     Then the machine "jobs" finds nothing in 25 runs of 20 steps
 
   Scenario: The oracle sees a run that is given up too early
@@ -15,6 +13,5 @@
     Then with the planted fault "refusals without proof" the machine "jobs" fails
 
   Scenario: The oracle sees runs that a lost worker holds for ever
-    # Planted: a worker's lease is prolonged by the word of an attendant that does not
-    # reach it, or has never seen it. A worker that never comes back keeps its runs.
+    # Planted: a worker's lease is prolonged by an attendant that does not reach it.
     Then with the planted fault "leases renewed for workers out of reach" the machine "jobs" fails
--- a/tests/scheduler/one_run.feature
+++ b/tests/scheduler/one_run.feature
@@ -1,8 +1,7 @@
 Feature: A job's tasks run once, whatever fails around the scheduler
 
   Scenario: A job of two steps
-    # The second step begins only when the first has ended well, and each task
-    # is started once.
+    # Guards against a step begun before the one it waits for, and tasks started twice.
     Given two entries and 2 workers for jobs
     When the job "a" of 2 steps with 3 tasks of 1 s is handed in at entry-1
     Then the job "a" is "completed" within 10 s
@@ -10,8 +9,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: The scheduler dies while tasks run
-    # The entry that schedules is killed. The other one takes the lease row over,
-    # reads what is stored and finds the tasks where they run; it starts none anew.
+    # Guards against a next scheduler that starts anew what runs.
     Given two entries and 2 workers for jobs
     When the job "a" of 2 steps with 3 tasks of 4 s is handed in at entry-1
     And 2 s pass
@@ -21,8 +19,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: Every process loses power right after a job was accepted
-    # The caller has its answer and nothing has begun. All come back; the job's
-    # row is the only trace of it, and it must be done.
+    # Guards against a job forgotten of which only the acceptance is stored.
     Given two entries and 2 workers for jobs
     When the job "a" of 1 steps with 2 tasks of 1 s is handed in at entry-1
     And every daemon is killed and started anew
@@ -30,8 +27,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: Every process loses power while tasks run
-    # The workers go on under their leases. The new scheduler must not start the
-    # tasks elsewhere, although it has heard of no worker yet.
+    # Guards against tasks started elsewhere while their workers go on under leases.
     Given two entries and 3 workers for jobs
     When the job "a" of 1 steps with 4 tasks of 5 s is handed in at entry-1
     And 1 s pass
@@ -41,9 +37,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: The scheduler freezes and wakes
-    # It stops for longer than the others wait. They take over. When it wakes it
-    # still believes that it schedules; its writes fail, its orders are of a
-    # session that no attendant is in any more.
+    # Guards against orders and writes of a scheduler that has been replaced.
     Given two entries and 2 workers for jobs
     When the job "a" of 3 steps with 3 tasks of 2 s is handed in at entry-1
     And 1 s pass
@@ -52,8 +46,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: An attendant dies and comes back within the lease
-    # Its worker goes on. The new attendant knows nothing, takes the tasks over
-    # from the worker's lists and reports them; none is started again.
+    # Guards against tasks started again because a new attendant knows nothing of them.
     Given two entries and 1 workers for jobs
     When the job "a" of 1 steps with 3 tasks of 5 s is handed in at entry-1
     And 1 s pass
@@ -63,8 +56,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A worker crashes and comes back empty
-    # Its new life runs nothing. The attendant hears of it by a heartbeat and the
-    # scheduler starts the tasks again, without waiting for any lease.
+    # Guards against waiting for the lease of a life that has surely ended.
     Given two entries and 2 workers for jobs
     When the job "a" of 1 steps with 4 tasks of 3 s is handed in at entry-1
     And 1 s pass
@@ -73,9 +65,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A worker crashes, and its new life takes a start meant for the old one
-    # The worker comes back at once under its id and carries out the starts that reach
-    # it before it has reported. Its attendant then hears of the new life; the runs were
-    # given up with the old one and begun elsewhere, beside those in the new life.
+    # Guards against runs given up with the old life that the new one has taken.
     Given two entries and 2 workers for jobs
     When worker-1's machine crashes
     And the job "a" of 1 steps with 6 tasks of 4 s is handed in at entry-1
@@ -83,8 +73,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A worker's new life answers before it has reported itself
-    # A look is answered by the new life: the old one is over. But starts meant for it
-    # have been carried out meanwhile, and giving all up at once began them twice.
+    # Guards against the same, where a look is the first to show the new life.
     Given two entries and 2 workers for jobs
     When 250 ms pass
     And worker-1's machine crashes and sends no heartbeats
@@ -95,10 +84,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A worker's new life takes a late start and is not heard of
-    # A worker crashes and is back at once; its heartbeats get lost. Starts meant for the
-    # life before reach it seconds late. The lease end that they carry is on the clock of
-    # that life, so that they run longer than it, up to the most that a worker allows.
-    # Given up when that lease was over, the tasks ran beside their successors.
+    # Guards against a lease counted by the old life's clock for a start that came late.
     Given two entries and 2 workers for jobs
     And the next 3 starts at worker-1 are carried out late
     When 30 s pass
@@ -110,9 +96,7 @@
     And the job "a" is "completed" within 60 s
 
   Scenario: A worker's new life has ended a task before it has reported itself
-    # The look meant for the old life still acknowledged that one's first end, also when
-    # the connection to it had just broken. The new life forgot its own first end by it, a
-    # task done, which nobody had seen: the task was begun again.
+    # Guards against an acknowledgement of the old life's ends that reaches the new one.
     Given two entries and 1 workers for jobs
     When the job "a" of 1 steps with 1 tasks of 1 s is handed in at entry-1
     And 2 s pass
@@ -125,8 +109,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A worker is back that the scheduler lists as silent
-    # What is listed gets no lease before the list has been stored anew; the worker
-    # stood idle until the next renewal was due, up to half a second.
+    # Guards against a worker that is back and idle until the next renewal.
     Given two entries and 1 workers for jobs
     When the job "a" of 1 steps with 1 tasks of 60 s is handed in at entry-1
     And 1 s pass
@@ -137,9 +120,7 @@
     Then 1 tasks run
 
   Scenario: A worker is back that the scheduler lists as silent, beside a dead entry
-    # The scheduler grants a listed worker nothing until its list is stored anew. Its
-    # attendant took the answer without a lease for one of a scheduler that is no longer
-    # one, asked the entry that does not answer instead, and its worker stood idle.
+    # Guards against an attendant that leaves a scheduler which has yet to grant it a lease.
     Given two entries and 1 workers for jobs
     When the job "a" of 1 steps with 1 tasks of 60 s is handed in at entry-1
     And 1 s pass
@@ -151,9 +132,7 @@
     Then 1 tasks run
 
   Scenario: A worker's new life says that it is there and then answers nobody
-    # Its attendant cannot look at it, so what became of the runs of its earlier life
-    # is never shown. They must not wait for ever: no start that it may have taken
-    # outlasts a lease.
+    # Guards against runs that wait for ever to be shown by a new life.
     Given two entries and 2 workers for jobs
     When the job "a" of 1 steps with 4 tasks of 4 s is handed in at entry-1
     And 500 ms pass
@@ -163,9 +142,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A start is refused after an earlier attempt went unanswered
-    # The first attempt gets no answer, and the worker carries it out seconds later.
-    # Meanwhile the worker says that it leaves; the attendant gave the start up, the
-    # task began elsewhere, and the late order ran it a second time.
+    # Guards against a start given up that the worker carries out late.
     Given two entries and 2 workers for jobs
     And the next 3 starts at worker-1 are carried out late
     When the job "a" of 1 steps with 6 tasks of 4 s is handed in at entry-1
@@ -175,9 +152,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A worker crashes before anybody has noted how its tasks ended
-    # The store is down, so that the ends cannot be stored and the worker goes on
-    # listing them. Then it loses power with all daemons, and nobody will ever know of
-    # them: the tasks have to run again, which is no second run by the users' count.
+    # Guards against tasks lost whose ends were listed and never stored.
     Given two entries and 2 workers for jobs
     When the job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
     And 500 ms pass
@@ -191,9 +166,7 @@
     And 6 tasks were started in all
 
   Scenario: A worker that crashed is used again at once
-    # After a loss of power all workers come back empty within a second. Each was
-    # left without orders until its attendant's next report a second later, since
-    # what ran there had to be given up first.
+    # Guards against a worker that is back and waits for its attendant's next report.
     Given two entries and 1 workers for jobs
     When the job "a" of 1 steps with 1 tasks of 60 s is handed in at entry-1
     And 1 s pass
@@ -202,8 +175,7 @@
     Then 1 tasks run
 
   Scenario: All machines lose power while tasks save their progress
-    # Nobody remembers what the workers saved but the store. A build that had worked
-    # for 6 of 8 s began anew, with that work thrown away.
+    # Guards against saved work thrown away since only memory knew of it.
     Given two entries and 1 workers for jobs
     When the saving job "a" of 1 steps with 2 tasks of 8 s is handed in at entry-1
     And 6 s pass
@@ -213,9 +185,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: After a loss of power the workers are back before the entries
-    # The attendant asks an entry that has no power yet and waits for an answer that
-    # never comes, while the scheduler is up and has introduced itself: each loss of
-    # power cost all workers half a second more than it had to.
+    # Guards against attendants that wait for an entry without power while another is up.
     Given two entries and 1 workers for jobs
     When the job "a" of 1 steps with 1 tasks of 60 s is handed in at entry-1
     And 1 s pass
@@ -224,8 +194,7 @@
     Then 1 tasks run
 
   Scenario: After a loss of power tasks are spread over all workers
-    # The first worker to come back was given all that waited, up to its room, some
-    # hundredths of a second before the others were there.
+    # Guards against all that waits placed on the first worker to come back.
     Given two entries and 3 workers for jobs
     When the job "a" of 1 steps with 6 tasks of 60 s is handed in at entry-1
     And 1 s pass
@@ -236,8 +205,7 @@
     And at most 4 tasks run on any worker
 
   Scenario: A worker falls silent and runs on
-    # No answer comes from it, yet its tasks go on until its lease is over. Only
-    # then may they be started elsewhere.
+    # Guards against tasks started elsewhere before the silent worker's lease is over.
     Given two entries and 2 workers for jobs
     When the job "a" of 1 steps with 4 tasks of 4 s is handed in at entry-1
     And 500 ms pass
@@ -246,8 +214,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: An attendant is cut off from everything while its worker runs on
-    # The scheduler hears nothing and cannot know whether the tasks run. It waits
-    # until the lease that it granted has surely ended.
+    # Guards against the same, where nothing at all is heard of the worker.
     Given two entries and 2 workers for jobs
     When the job "a" of 1 steps with 4 tasks of 4 s is handed in at entry-1
     And 500 ms pass
@@ -256,8 +223,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A start gets no answer and is carried out seconds later
-    # The attendant asks again and the worker starts the run. The late order then
-    # finds it there, or ended, and must not start it a second time.
+    # Guards against a late order that starts a run a second time.
     Given two entries and 1 workers for jobs
     And the next 2 starts at worker-1 are carried out late
     When the job "a" of 2 steps with 2 tasks of 1 s is handed in at entry-1
@@ -274,7 +240,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A worker that drains gets nothing new
-    # It says that it leaves. From then on tasks go to the other one.
+    # Guards against tasks placed on a worker that is about to leave.
     Given two entries and 2 workers for jobs
     And worker-1's machine drains
     When 3 s pass
@@ -283,7 +249,7 @@
     And nothing was started on worker-1
 
   Scenario: More tasks than the workers can hold
-    # Nothing is started beyond what a worker has; the rest waits for room.
+    # Guards against starts beyond what a worker has.
     Given two entries and 2 workers for jobs
     When the job "a" of 1 steps with 40 tasks of 1 s is handed in at entry-1
     Then the job "a" is "completed" within 20 s
@@ -291,8 +257,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: A worker leaves for good and takes its attendant along
-    # It drains, says that it leaves and is gone a moment later, with its VM. A
-    # service that ran there must run elsewhere at once, not after a lease.
+    # Guards against a service that waits for the lease of a worker that said it leaves.
     Given two entries and 2 workers for jobs
     When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
     And 2 s pass
@@ -302,8 +267,7 @@
     And nothing runs on worker-1
 
   Scenario: A worker says that it leaves and is gone before it was emptied
-    # Its word and its silence together are proof that nothing runs there, well
-    # before its lease would have ended.
+    # Guards against the same, where its attendant lives on.
     Given two entries and 2 workers for jobs
     When the lasting job "a" of 1 steps with 4 tasks of 1 s is handed in at entry-1
     And 2 s pass
@@ -313,9 +277,7 @@
     And no task ran twice at a time or after its end
 
   Scenario: The scheduler changes again and again while a worker is gone
-    # Each new scheduler knows only that its predecessors may have granted a lease.
-    # If each waited a whole one anew, the tasks of the lost worker would wait for
-    # as long as schedulers change.
+    # Guards against a lost worker's lease waited for anew by each scheduler.
     Given two entries and 2 workers for jobs
     When the job "a" of 1 steps with 4 tasks of 3 s is handed in at entry-1
     And 1 s pass
--- a/tests/tasks/fuzz.feature
+++ b/tests/tasks/fuzz.feature
@@ -1,9 +1,7 @@
 Feature: Batch tasks under every fault at once
 
   Scenario: No order of faults loses, doubles or overcommits
-    # Entries, attendants and VMs die, freeze and come back, links are cut,
-    # messages are lost or late, the table is down or loses answers. The oracle
-    # knows where each task runs, how often it ended, and the sums.
+    # Daemons and VMs die, freeze and come back, links and messages fail, the table too.
     Then the machine "batch tasks" finds nothing in 40 runs of 25 steps
 
   Scenario: The oracle sees a VM that is overcommitted
--- a/tests/tasks/lost.feature
+++ b/tests/tasks/lost.feature
@@ -1,10 +1,7 @@
 Feature: A worker that is gone, and what its attendant may still tell of it
 
   Scenario: A worker's VM is lost, and its attendant lives on
-    # A task stops in the middle and is never heard of again, though other workers
-    # are free. Its VM vanishes; the attendant, which runs elsewhere, lives on and
-    # renews the lease row for a worker that answers nobody. The row never lapses,
-    # so nobody may take the task.
+    # Guards against a lease row renewed for a worker that answers nobody.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 2000 ms
@@ -13,8 +10,7 @@
     Then no worker was ever overcommitted, and nothing ran twice
 
   Scenario: A worker's VM and its attendant are lost together
-    # The control to the one above: nobody is left to renew the lease row, it lapses,
-    # and the task begins again elsewhere.
+    # The control to the one above: nobody is left to renew the row.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 2000 ms
@@ -23,9 +19,7 @@
     Then no worker was ever overcommitted, and nothing ran twice
 
   Scenario: A worker is silent for half a lease
-    # A task stands still for a while though its worker never failed. The worker does
-    # not answer its attendant just as the lease is renewed. The renewal waits for its
-    # time-out; a whole interval more, and the worker's own lease has lapsed.
+    # Guards against a sound worker whose lease lapses behind one lost renewal.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 2000 ms
@@ -35,10 +29,7 @@
     And "b1" was started 1 times
 
   Scenario: A task ends while no entry is there, and its VM alone is lost
-    # A task that has ended runs once more. The entries are down when it ends, and the
-    # VM is lost a moment later. The new entries do not reach its attendant. At the lapse
-    # the owner looks for a result; the attendant has seen the end, and has not stored it
-    # because the worker answers no more.
+    # Guards against an end that its attendant has seen and nobody stored.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 4 s
     And the task "b1" runs for 2000 ms
@@ -51,9 +42,7 @@
     And no worker was ever overcommitted, and nothing ran twice
 
   Scenario: A worker's VM starts anew beside its attendant
-    # A task stops in the middle and counts as running for ever. Its VM crashes and is
-    # back at once, empty, before the attendant has missed it. The lease goes on in the
-    # term of the VM's earlier life, and the attendant tells what it last saw there.
+    # Guards against a lease that goes on in the term of the VM's earlier life.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 2000 ms
@@ -62,9 +51,7 @@
     Then no worker was ever overcommitted, and nothing ran twice
 
   Scenario: A worker's VM starts anew before its attendant has seen what runs there
-    # An attempt of a task runs twice. Its VM crashes right after the start and is back,
-    # empty. The attendant renews the lease of the new life in the old term, has seen
-    # nothing run, and starts the same attempt again when the owner asks.
+    # Guards against an attempt started again in the new life's old term.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 1 ms
@@ -73,9 +60,7 @@
     Then no worker was ever overcommitted, and nothing ran twice
 
   Scenario: A worker loses a task and lives on
-    # A task stops in the middle and counts as running for ever. The worker no longer
-    # lists it; its VM and its lease are what they were, and the attendant tells what it
-    # last saw there. The same attempt must not begin again there either.
+    # Guards against a task that counts as running though its worker lists it no more.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 2000 ms
@@ -84,9 +69,7 @@
     Then no worker was ever overcommitted, and nothing ran twice
 
   Scenario: A task ends while no entry is there, and its VM starts anew
-    # A task that has ended runs once more. The entries are down when it ends, and the VM
-    # crashes and is back a moment later. The attendant has seen the end and forgets it
-    # with all of the VM's earlier life, before it has stored it.
+    # Guards against an end forgotten with the VM's earlier life before it is stored.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 4 s
     And the task "b1" runs for 2000 ms
@@ -100,9 +83,7 @@
     And no worker was ever overcommitted, and nothing ran twice
 
   Scenario: Most VMs are lost, and their attendants live on
-    # A task handed in later waits for ever though a sound worker is free. The attendants
-    # of the lost VMs go on telling of room there. The three proposals of each round go to
-    # them and are refused for want of a lease; the sound worker is never asked.
+    # Guards against proposals used up by attendants of lost VMs.
     Given two entries and 5 workers in memory
     When the VMs of 4 workers are lost and their attendants live on
     And 20000 ms pass
@@ -111,10 +92,7 @@
     Then no worker was ever overcommitted, and nothing ran twice
 
   Scenario: A worker answers, and refuses every renewal
-    # A task stops in the middle and is never heard of again, though other workers are
-    # free. Its worker answers questions and refuses to have its lease renewed, so it
-    # suspends the task. The lease row is written before that shows, again and again, and
-    # never lapses.
+    # Guards against a row renewed for a worker that refuses its lease.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 2000 ms
@@ -123,9 +101,7 @@
     Then no worker was ever overcommitted, and nothing ran twice
 
   Scenario: A worker answers all but renewals
-    # As above, but the renewal is never answered. Nor may the task go back and forth:
-    # in the term after the lapse the attendant has a row again, and must not take a
-    # task for a worker that has not taken the renewal.
+    # Guards against the same, where renewals are never answered.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 2000 ms
@@ -135,8 +111,7 @@
     And no worker was ever overcommitted, and nothing ran twice
 
   Scenario: A worker takes a renewal, and its answer is lost
-    # A control to the two above: one lost answer must cost nothing. The renewal is handed
-    # over again, and the row is written on.
+    # A control to the two above: one lost answer must cost nothing.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 2000 ms
@@ -147,9 +122,7 @@
     And no renewal was for no time
 
   Scenario: An attendant whose renewal is not answered has a successor
-    # Starts are refused for a moment on a sound worker. An attendant waits for the answer
-    # to a renewal while another takes its place; it must look at the row before it hands
-    # that renewal over again, or the worker takes it for the holder.
+    # Guards against a renewal handed over again by an attendant that was replaced.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 2000 ms
@@ -160,9 +133,7 @@
     Then the first attendant renews nothing any more
 
   Scenario: A worker refuses renewals from its attendant's start on
-    # A task waits for seconds on a worker that cannot run it, though another is free. The
-    # row has been written, and the attendant takes tasks before the worker has taken the
-    # renewal.
+    # Guards against tasks taken for a worker before it has taken the first renewal.
     Given two entries and 2 workers in memory
     When worker-01 refuses every renewal, and its attendant is started anew
     And 1000 ms pass
@@ -171,9 +142,7 @@
     Then "b1" was started 1 times
 
   Scenario: A term that no row grants yet takes no task
-    # A task counts as running for ever and never runs. Its VM has started anew; the
-    # attendant begins the next term, cannot write it, and takes the task in it. Started
-    # anew, the attendant begins that same term, and stops for good what runs there.
+    # Guards against a task taken in a term that was never written.
     Given two entries and 1 workers in memory
     When worker-01 is cut off from the table, and its VM starts anew just after a renewal
     And 995 ms pass
--- a/tests/tasks/one_place.feature
+++ b/tests/tasks/one_place.feature
@@ -1,16 +1,14 @@
 Feature: A task runs in one place, is never lost, and no VM is overcommitted
 
   Scenario: Two entries place on one worker by views that are both right and stale
-    # Each entry sees a free worker and proposes as many tasks as fit. Together
-    # that is twice what the VM has. Only the worker's attendant can know.
+    # Guards against a VM overcommitted by two entries at once.
     Given two entries and 1 workers in memory
     When 4 customers each submit 3 tasks of 4 processors
     Then every task is finished
     And no worker was ever overcommitted, and nothing ran twice
 
   Scenario: A worker's VM is lost
-    # The VM vanishes with all it runs. Its lease lapses, the owner queues the
-    # task again, and the next attempt resumes from the last checkpoint.
+    # Guards against a task that stays lost, or begins without its checkpoint.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 7000 ms
@@ -20,9 +18,7 @@
     And no worker was ever overcommitted, and nothing ran twice
 
   Scenario: An attendant dies and its worker goes on
-    # Only the small process is gone. The worker's tasks go on under the lease;
-    # the new attendant takes them over and counts their room before it admits
-    # anything.
+    # Guards against a new attendant that admits tasks beside those it has not counted.
     Given two entries and 1 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 2000 ms
@@ -33,9 +29,7 @@
     And no worker was ever overcommitted, and nothing ran twice
 
   Scenario: An attendant is paused past its lease and wakes
-    # The attendant freezes, so the lease lapses and the worker suspends its
-    # tasks. The owner starts them elsewhere. When the attendant wakes it must
-    # not let the old attempt go on.
+    # Guards against an old attempt that goes on beside its successor.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 2000 ms
@@ -45,9 +39,7 @@
     And no worker was ever overcommitted, and nothing ran twice
 
   Scenario: The table is down for a minute, twenty leases long
-    # Nobody can renew. The workers suspend their tasks at the lapse, for their
-    # attendants cannot know whether anybody took them. When the table is back
-    # everybody gets a whole lease to renew before anybody is declared lost.
+    # Guards against workers declared lost when the table is just back.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 2000 ms
@@ -57,8 +49,7 @@
     And no worker was ever overcommitted, and nothing ran twice
 
   Scenario: The owner dies between writing the row and starting the task
-    # The table says that the task runs on a worker that has never been told to
-    # start it. Whoever owns the partition next must notice, and start it once.
+    # Guards against a task that counts as running and was never started.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 1 s
     And the owner of "b1" is killed as soon as its row says that it runs
@@ -67,8 +58,7 @@
     And no worker was ever overcommitted, and nothing ran twice
 
   Scenario: The answer to the owner's write is lost
-    # The row says that the task runs, and the owner does not know it. It sends
-    # the same conditional write again and meets its own row.
+    # Guards against an owner that takes its own row for another's.
     Given two entries and 2 workers in memory
     And the answer to each of the next 3 writes is lost
     When "arolwg" submits the task "b1" until it is told the outcome
@@ -77,8 +67,7 @@
     And no worker was ever overcommitted, and nothing ran twice
 
   Scenario: An owner is paused past its lease and wakes among its old plans
-    # The other entry has taken the partition over. What the first writes when
-    # it wakes is conditional on an epoch that has passed.
+    # Guards against writes of an owner that has been replaced.
     Given two entries and 2 workers in memory
     When the owner of customer "arolwg" is paused
     And "arolwg" submits the task "b1" which runs for 3 s at the other entry
@@ -89,8 +78,7 @@
     And no worker was ever overcommitted, and nothing ran twice
 
   Scenario: One worker fails everything it starts
-    # It is always free, so everything is sent there and fails. After a few
-    # different tasks it is passed over.
+    # Guards against a failing worker that is always free, and so always chosen.
     Given two entries and 3 workers in memory
     And worker-01 fails everything it starts
     When 4 customers each submit 3 tasks of 4 processors
@@ -98,8 +86,7 @@
     And at most 8 attempts failed
 
   Scenario: A wave of cancellations
-    # A customer cancels everything, queued and running. Nothing of it may run
-    # on, and the room is free for others.
+    # Guards against cancelled tasks that run on, or keep their room.
     Given two entries and 1 workers in memory
     When "arolwg" submits 5 tasks which run for 100 s
     And 2000 ms pass
@@ -109,25 +96,20 @@
     Then the task "b9" is finished
 
   Scenario: A job that can never run under its plan
-    # It asks for more than the plan allows at all. Queued, it would wait for
-    # ever; the customer hears so at once, against the lines of the lists.
+    # Guards against a job that waits for ever in place of a refusal.
     Given two entries and 1 workers in memory
     When "arolwg" submits the task "huge" of 65 processors
     Then it is refused with status 403
 
   Scenario: A task accepted while its partition changes hands
-    # The entries have just started and are spreading the partitions. The entry
-    # that accepts a task takes itself for the owner, and is not any more; the
-    # owner has read the partition before. Nobody looked for ten seconds.
+    # Guards against a task accepted by an entry that no longer owns its partition.
     Given two entries and 2 workers in memory
     When 4 customers each submit 1 tasks of 4 processors
     And 1500 ms pass
     Then every task has been started
 
   Scenario: A task ends while its owner cannot hear of it, and the lease lapses
-    # The build is done, but the attendant reaches no entry, and then its VM is
-    # lost. Run again, it would burn its licences twice. The attendant has
-    # stored the result where the owner looks before it queues the task again.
+    # Guards against a task run again whose result was stored.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 4 s
     And the task "b1" runs for 2000 ms
@@ -139,17 +121,14 @@
     And no worker was ever overcommitted, and nothing ran twice
 
   Scenario: An entry that has seen many tasks end
-    # It remembers what runs, to know which kinds share a worker. Remembering
-    # what has ended too, it would grow with every task until it is killed.
+    # Guards against a memory of ended tasks that grows until the entry is killed.
     Given two entries and 2 workers in memory
     When 4 customers each submit 3 tasks of 1 processors
     Then every task is finished
     And no entry remembers any task
 
   Scenario: A start arrives for an attempt that is long over
-    # An owner that was replaced without knowing it finds its task in no report
-    # and asks for the start again. The task has ended under the next owner, and
-    # the attendant has forgotten it; only the table knows.
+    # Guards against a start asked for by an owner that was replaced unaware.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 1 s
     Then the task "b1" is finished
@@ -160,8 +139,7 @@
     And no worker was ever overcommitted, and nothing ran twice
 
   Scenario: The table comes back to the entries before it does to the workers
-    # After an outage the entries read rows that nobody could renew. The workers
-    # need a moment more; they must not be declared lost meanwhile.
+    # Guards against workers declared lost by rows that nobody could renew.
     Given two entries and 2 workers in memory
     When "arolwg" submits the task "b1" which runs for 10 s
     And the task "b1" runs for 2000 ms
--- a/tests/upstream/drain.feature
+++ b/tests/upstream/drain.feature
@@ -1,9 +1,7 @@
 Feature: Graceful shutdown
 
   Scenario: An upstream drains under load
-    # An operator stops one instance while requests run and wait there. They must
-    # finish whole, and nothing new may come there, whoever still believes in it.
-    # Those that wait for longer than a probe must not be cancelled for it.
+    # Guards against requests cut off, or sent to an instance that drains.
     Given two entries and three instances in memory
     When 9 callers send keys to both entries, which take 3000 ms to run
     And 100 ms pass
@@ -16,8 +14,7 @@
     And instance-01 has gone
 
   Scenario: An upstream drains while an entry cannot hear of it
-    # The announcement is lost. The entry sends on to the instance, which refuses
-    # truthfully, and the request runs elsewhere.
+    # Guards against a request lost that a draining instance refuses.
     Given two entries and three instances in memory
     And entry-1 hears nothing from instance-01
     When instance-01 is told to drain
@@ -27,8 +24,7 @@
     And instance-01 has begun no run since
 
   Scenario: An entry drains
-    # Its health turns bad at once, what is in flight finishes, and only then it
-    # goes. Its claims are with the other entry.
+    # Guards against an entry that goes before what is in flight, or with its claims.
     Given two entries and three instances in memory
     When "first" sends key "q1" to entry-1, which takes 2000 ms to run
     And 100 ms pass
--- a/tests/upstream/silence.feature
+++ b/tests/upstream/silence.feature
@@ -1,9 +1,7 @@
 Feature: Connections that go silent for good while new ones work
 
   Scenario: A request is under way when every connection goes silent
-    # Something between the two ends has lost track of the connection. The
-    # upstream answers, and the answer never arrives; nothing errors. The entry
-    # asks over a new connection, and the request must not run again.
+    # Guards against a request run again because its answer came over a dead connection.
     Given two entries and three instances in memory
     When "first" sends key "q1" to entry-1, which takes 500 ms to run
     And 100 ms pass
@@ -12,8 +10,7 @@
     And "q1" has run 1 time
 
   Scenario: Attendants are found again after their connections went silent
-    # The announcements held open at the entries hang. Each end notices within
-    # the hold and a second, and announces itself over a new connection.
+    # Guards against announcements that hang on a dead connection.
     Given two entries and three instances in memory
     When every connection that instance opened goes silent
     And 4000 ms pass
