--- a/tests/explain/losses.feature
+++ b/tests/explain/losses.feature
@@ -36,3 +36,20 @@
     When the time of jobs is told from them
     Then the job "aa" spent 5.0 s on "unknown"
     And the parts of every job add up to its time
+
+  Scenario: The command tells what it skipped and what no line tells
+    Given log lines of a job without those of its worker
+    And half a line behind them
+    When "losses" is called with their file
+    Then it prints "4 lines, 1 skipped, 0 dropped"
+    And it prints "not told by these logs: 100.0% of the time"
+    And it prints "are files missing?"
+
+  Scenario: The command is given a file that is not there
+    When "losses" is called with the file "gone.log"
+    Then it fails with "--logs: got 'gone.log', expected a log file"
+
+  Scenario: The command prints for machines
+    Given log lines of a job whose task failed after 2 s and then took 3 s at half speed
+    When "losses" is called with their file and "--json"
+    Then its object says that the job "aa" spent 2.0 s on "failed"
--- a/tests/steps/losses_steps.py
+++ b/tests/steps/losses_steps.py
@@ -9,7 +9,9 @@
 
 import eliot
 from behave import given, then, when
+from typer.testing import CliRunner
 
+from coltsfoottray.cli.main import app
 from coltsfoottray.explain.history import History
 from coltsfoottray.explain.logfiles import read_lines
 from coltsfoottray.explain.losses import Part, find_losses
@@ -78,12 +80,60 @@
     ]
 
 
+@given("half a line behind them")
+def add_half_line(context):
+    context.half = '{"timestamp": 15.1, "message_'
+
+
 @when("the time of jobs is told from them")
 def tell(context):
+    lines = read_lines([_write_file(context)]).lines
+    context.losses = find_losses(History(lines))
+
+
+def _write_file(context):
     path = Path(tempfile.mkdtemp()) / "process.log"
     lines = [json.dumps(message, default=str) for message in context.kept]
-    path.write_text("\n".join(lines) + "\n")
-    context.losses = find_losses(History(read_lines([path]).lines))
+    path.write_text("\n".join([*lines, getattr(context, "half", "")]))
+    return path
+
+
+@when('"losses" is called with their file')
+def call_command(context):
+    _call(context, str(_write_file(context)))
+
+
+@when('"losses" is called with their file and "--json"')
+def call_for_machines(context):
+    _call(context, str(_write_file(context)), "--json")
+
+
+@when('"losses" is called with the file "{name}"')
+def call_with_file(context, name):
+    _call(context, name)
+
+
+def _call(context, file, *options):
+    context.result = CliRunner().invoke(app, ["losses", "--logs", file, *options])
+
+
+@then('it prints "{text}"')
+def check_printed(context, text):
+    assert context.result.exit_code == 0, context.result.output
+    assert text in context.result.output, context.result.output
+
+
+@then('it fails with "{text}"')
+def check_failed(context, text):
+    assert context.result.exit_code == 2, context.result.exit_code
+    assert text in context.result.output, context.result.output
+
+
+@then('its object says that the job "{name}" spent {seconds:g} s on "{part}"')
+def check_object(context, name, seconds, part):
+    told = json.loads(context.result.output)
+    job = next(job for job in told["jobs"] if job["id"] == name)
+    assert job["seconds_by_part"][part] == seconds, job
 
 
 @then(
