--- a/coltsfoottray/cli/losses.py
+++ b/coltsfoottray/cli/losses.py
@@ -25,6 +25,10 @@
     as_json: Annotated[
         bool, typer.Option("--json", help="Print one JSON object.")
     ] = False,
+    plot: Annotated[
+        Path | None,
+        typer.Option(help="Draw it too, as SVG; needs the extra 'plot'."),
+    ] = None,
 ) -> None:
     """Show where the time of jobs went between acceptance and end."""
     for path in logs:
@@ -34,6 +38,8 @@
     found = find_losses(History(read.lines))
     if not found.jobs:
         fail("no line of these files tells of a job that was accepted")
+    if plot is not None:
+        _draw(found, plot)
     if as_json:
         typer.echo(msgspec.json.encode(_as_object(found, read)).decode())
         return
@@ -41,6 +47,16 @@
         typer.echo(text)
 
 
+def _draw(found: Losses, path: Path) -> None:
+    if path.suffix != ".svg":
+        fail(f"--plot: got {str(path)!r}, expected a name that ends in .svg", code=2)
+    try:
+        from coltsfoottray.explain.plot import draw_losses
+    except ImportError:
+        fail("--plot needs a library: pip install 'coltsfoottray[plot]'")
+    draw_losses(found, path)
+
+
 def _as_text(found: Losses, read: LogLines) -> list[str]:
     parts = [
         part for part in Part if any(part in job.seconds_by_part for job in found.jobs)
--- a/tests/explain/losses.feature
+++ b/tests/explain/losses.feature
@@ -53,3 +53,8 @@
     Given log lines of a job whose task failed after 2 s and then took 3 s at half speed
     When "losses" is called with their file and "--json"
     Then its object says that the job "aa" spent 2.0 s on "failed"
+
+  Scenario: The command draws what it tells
+    Given log lines of a job whose task failed after 2 s and then took 3 s at half speed
+    When "losses" is called with their file and a picture to draw
+    Then the picture names the queue "q" and the parts "failed" and "slowed"
--- a/tests/steps/losses_steps.py
+++ b/tests/steps/losses_steps.py
@@ -108,6 +108,22 @@
     _call(context, str(_write_file(context)), "--json")
 
 
+@when('"losses" is called with their file and a picture to draw')
+def call_to_draw(context):
+    file = _write_file(context)
+    context.picture = file.with_suffix(".svg")
+    _call(context, str(file), "--plot", str(context.picture))
+
+
+@then('the picture names the queue "{queue}" and the parts "{one}" and "{two}"')
+def check_picture(context, queue, one, two):
+    assert context.result.exit_code == 0, context.result.output
+    # The letters are drawn as outlines; each text stands beside them as a comment.
+    texts = context.picture.read_text()
+    for text in (queue, one, two):
+        assert f"<!-- {text} -->" in texts, text
+
+
 @when('"losses" is called with the file "{name}"')
 def call_with_file(context, name):
     _call(context, name)
