A state machine for configs on the jobs' path

The new one writes configs of up to 1,500 routes while links carry 50 to 300 kB a second, entries are cut off, freeze and start anew, and the store is down or loses its history; it expects a config in force 2 s, and what the link takes for it, after it was written in a calm, and none that goes back.

--- a/properties/__main__.py
+++ b/properties/__main__.py
@@ -9,12 +9,14 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from properties.batch_tasks import BatchTasks
+from properties.configs import Configs
 from properties.jobs import Jobs
 from properties.keyed_requests import KeyedRequests
 from properties.list_edits import ListEdits
 
 MACHINE_BY_NAME = {
     "jobs": Jobs,
+    "configs": Configs,
     "keyed": KeyedRequests,
     "tasks": BatchTasks,
     "lists": ListEdits,
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -24,8 +24,10 @@
 from coltsfoottray.types import ListVersion, TaskState
 from coltsfoottray.upstream import ExecutionLedger
 from coltsfoottray.worker import CapacityLedger, Reservation
+from standins import links
 
 __all__ = [
+    "answers_given_up_on_their_way",
     "cancel_without_tombstone",
     "claims_without_asking",
     "edits_without_versions",
@@ -174,3 +176,10 @@
 
     with mock.patch.object(Intake, "_mind_earlier", refuse):
         yield
+
+
+@contextmanager
+def answers_given_up_on_their_way() -> Iterator[None]:
+    """Let the time for an answer to begin bound the whole of it."""
+    with mock.patch.object(links, "extend", lambda limit: None):
+        yield
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -6,15 +6,24 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from properties import batch_tasks, jobs, keyed_requests, list_edits, planted
+from properties import (
+    batch_tasks,
+    configs,
+    jobs,
+    keyed_requests,
+    list_edits,
+    planted,
+)
 
 MACHINE_BY_NAME = {
     "keyed requests": keyed_requests.KeyedRequests,
     "batch tasks": batch_tasks.BatchTasks,
     "jobs": jobs.Jobs,
+    "configs": configs.Configs,
     "list edits": list_edits.ListEdits,
 }
 PLANTED_BY_NAME = {
+    "answers given up on their way": planted.answers_given_up_on_their_way,
     "claims without asking": planted.claims_without_asking,
     "cancel without tombstone": planted.cancel_without_tombstone,
     "edits without versions": planted.edits_without_versions,
