A channel that another call has given up is closed by whoever connects it again

Cause: calls to a peer share a channel. One whose time is over drops the channel and closes it; another, which waits to connect, then connects it after all. Nobody knows the connection any more; once the channel is collected its library reports it as unclosed, and the event loop raises that in a task of the process. It needs a connection that takes longer than one of two calls waits for it, so a busy machine or a lost packet.

Each call now closes its channel at its end if the channel is no longer kept.

--- a/coltsfoottray/peers/grpc.py
+++ b/coltsfoottray/peers/grpc.py
@@ -140,6 +140,10 @@
                 step=step, peer=str(address), detail=str(error) or type(error).__name__
             ) from error
         finally:
+            if self._channel_by_address.get(address) is not channel:
+                # Dropped by another call while this one connected it. A connection
+                # that nobody closes ends the process when it is collected.
+                channel.close()
             trio_asyncio.current_loop.reset(token)
 
     def _channel(self, address: Address) -> Channel:
