`losses` has one type for a stretch of time, and no default for lines it does not read

A last reading found the same three values twice, as a bare tuple and as `_Segment`, copied from one to the other; and a dictionary with a do-nothing default in place of a look whether a line is read at all. Now segments go through unchanged.

No daemon imports what changed.

--- a/coltsfoottray/explain/history.py
+++ b/coltsfoottray/explain/history.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-from collections import defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
@@ -104,29 +103,27 @@
         self._scheduler = ""
         self._seen_by_source: dict[str, datetime] = {}
         self._vacant_since: datetime | None = None
-        takers: dict[str, Callable[[LogLine], None]] = defaultdict(
-            lambda: _ignore,
-            {
-                "decision:submit": self._take_submit,
-                "decision:place": self._take_place,
-                "decision:wait": self._take_wait,
-                "decision:pace": self._take_pace,
-                "decision:ends": self._take_ends,
-                "decision:runs-lost": self._take_lost,
-                "decision:start-rejected": self._take_rejected,
-                "decision:completed": self._take_end_of_job,
-                "decision:failed": self._take_end_of_job,
-                "decision:cancel": self._take_end_of_job,
-                "worker:started": self._take_started,
-                "scheduler:claimed": self._take_claimed,
-                "scheduler:loaded": self._take_loaded,
-                "scheduler:deposed": self._take_vacant,
-                "scheduler:resigned": self._take_vacant,
-                "scheduler:table-unavailable": self._take_outage,
-            },
-        )
+        takers: dict[str, Callable[[LogLine], None]] = {
+            "decision:submit": self._take_submit,
+            "decision:place": self._take_place,
+            "decision:wait": self._take_wait,
+            "decision:pace": self._take_pace,
+            "decision:ends": self._take_ends,
+            "decision:runs-lost": self._take_lost,
+            "decision:start-rejected": self._take_rejected,
+            "decision:completed": self._take_end_of_job,
+            "decision:failed": self._take_end_of_job,
+            "decision:cancel": self._take_end_of_job,
+            "worker:started": self._take_started,
+            "scheduler:claimed": self._take_claimed,
+            "scheduler:loaded": self._take_loaded,
+            "scheduler:deposed": self._take_vacant,
+            "scheduler:resigned": self._take_vacant,
+            "scheduler:table-unavailable": self._take_outage,
+        }
         for line in lines:
-            takers[line.event](line)
+            if line.event in takers:
+                takers[line.event](line)
             self._seen_by_source[line.source] = line.at
 
     def _job(self, job_id: str) -> JobHistory:
@@ -221,10 +218,6 @@
             spans.append((line.at, line.at))
 
 
-def _ignore(line: LogLine) -> None:
-    return
-
-
 def _texts(line: LogLine, name: str) -> list[str]:
     value = line.fields.get(name)
     return [str(each) for each in value] if isinstance(value, list) else []
--- a/coltsfoottray/explain/losses.py
+++ b/coltsfoottray/explain/losses.py
@@ -11,7 +11,7 @@
 import itertools
 from collections import defaultdict
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import datetime, timedelta
 
 from coltsfoottray.explain.history import (
@@ -143,16 +143,15 @@
     end = job.ended or history.last
     at = accepted
     for key in _chain(job):
-        stages = _stages(job, key, at, history)
-        for begin, until, share_by_part in _clip(stages, at, end):
-            yield _Segment(begin=begin, end=until, share_by_part=share_by_part)
-            at = until
+        for segment in _clip(_stages(job, key, at, history), at, end):
+            yield segment
+            at = segment.end
     if at < end:
         # All tasks that are told of have ended: what is left is storing that.
         part = Part.STORE if job.attempts_by_task else Part.SCHEDULER
         if job.ended is None:
             part = Part.UNKNOWN
-        yield _Segment(begin=at, end=end, share_by_part={part: 1.0})
+        yield _whole(at, end, part)
 
 
 def _chain(job: JobHistory) -> list[TaskKey]:
@@ -174,12 +173,9 @@
     return last.ended is None, last.ended or last.placed
 
 
-_Stage = tuple[datetime, datetime, dict[Part, float]]
-
-
 def _stages(
     job: JobHistory, key: TaskKey, ready: datetime, history: History
-) -> Iterator[_Stage]:
+) -> Iterator[_Segment]:
     """Yield what a task went through from its step's turn on."""
     notes = job.waits_by_step.get(key[:2], [])
     # Of a later occurrence it isn't told when it was due.
@@ -200,7 +196,7 @@
     notes: Sequence[WaitNote],
     unseen: Part,
     history: History,
-) -> Iterator[_Stage]:
+) -> Iterator[_Segment]:
     """Yield what a task waited for between its turn and its placement."""
     if begin >= end:
         return
@@ -218,41 +214,50 @@
             part = Part.STORE
         elif _covers(history.without_scheduler, here, there):
             part = Part.SCHEDULER
-        yield here, there, {part: 1.0}
+        yield _whole(here, there, part)
 
 
-def _trying(attempt: Attempt, last: datetime) -> Iterator[_Stage]:
+def _trying(attempt: Attempt, last: datetime) -> Iterator[_Segment]:
     """Yield what an attempt went through."""
     end = attempt.ended or last
     if attempt.outcome in _PART_BY_OUTCOME and not attempt.lasts:
         begin = attempt.started or attempt.placed
-        yield attempt.placed, begin, {Part.START: 1.0}
-        yield begin, end, {_PART_BY_OUTCOME[attempt.outcome]: 1.0}
+        yield _whole(attempt.placed, begin, Part.START)
+        yield _whole(begin, end, _PART_BY_OUTCOME[attempt.outcome])
         return
     if attempt.started is None:
         part = Part.UNKNOWN if attempt.ended else Part.START
-        yield attempt.placed, end, {part: 1.0}
+        yield _whole(attempt.placed, end, part)
         return
-    yield attempt.placed, attempt.started, {Part.START: 1.0}
+    yield _whole(attempt.placed, attempt.started, Part.START)
     paces = [(attempt.started, _FULL_PERCENT), *attempt.paces]
     ends = [at for at, _ in paces[1:]] + [end]
     for (begin, percent), until in zip(paces, ends, strict=True):
         speed = percent / _FULL_PERCENT
-        yield begin, until, {Part.RUNNING: speed, Part.SLOWED: 1.0 - speed}
+        shares = {Part.RUNNING: speed, Part.SLOWED: 1.0 - speed}
+        yield _Segment(begin=begin, end=until, share_by_part=shares)
 
 
-def _clip(stages: Iterable[_Stage], at: datetime, end: datetime) -> Iterator[_Stage]:
-    """Yield the stages in order, each from where the one before ended."""
-    for begin, until, share_by_part in stages:
-        until = min(until, end)
-        if max(begin, at) > at:
-            yield at, min(begin, end), {Part.UNKNOWN: 1.0}
-            at = min(begin, end)
+def _clip(
+    segments: Iterable[_Segment], at: datetime, end: datetime
+) -> Iterator[_Segment]:
+    """Yield the segments in order, each from where the one before ended."""
+    for segment in segments:
+        if segment.begin > at:
+            begin = min(segment.begin, end)
+            yield _whole(at, begin, Part.UNKNOWN)
+            at = begin
+        until = min(segment.end, end)
         if until > at:
-            yield at, until, share_by_part
+            yield replace(segment, begin=at, end=until)
             at = until
 
 
+def _whole(begin: datetime, end: datetime, part: Part) -> _Segment:
+    """Return a segment that was spent on one part."""
+    return _Segment(begin=begin, end=end, share_by_part={part: 1.0})
+
+
 def _covers(spans: Iterable[Span], begin: datetime, end: datetime) -> bool:
     return any(first <= begin and end <= last for first, last in spans)
 
