Failing: 200 daemons that start together don't find one another

The stand-in of the table executes transactions of a part one after another, at a rate, and turns away what would wait for over a second, as the platform says of its own. 40 entries and 160 workers start in one instant on it: 3 s later most entries know no other one.

Cells for jobs can have any number of entries, and the scheduler's state is readable as Scheduler.active, for this and the scenarios to come.

--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -95,7 +95,7 @@
         self._retention = retention
         self._metrics = metrics
         self._adviser = adviser
-        self._active: ActiveScheduler | None = None
+        self.active: ActiveScheduler | None = None
         self._is_stopping = False
 
     def add_handlers(self, handlers: CallHandlers) -> None:
@@ -118,38 +118,38 @@
                 reason = str(next(iter(_flatten(group))))
                 log_event("scheduler:deposed", name=self._name, reason=reason)
             finally:
-                self._active = None
+                self.active = None
 
     async def stop(self) -> None:
         """Release the lease row, so that another entry can take over at once."""
         self._is_stopping = True
-        if self._active is None:
+        if self.active is None:
             return
-        self._active.resign()
+        self.active.resign()
         with trio.move_on_after(_RESIGN_TIMEOUT.total_seconds()):
-            while self._active is not None:
+            while self.active is not None:
                 await self._clock.sleep(_RESIGN_POLL_INTERVAL)
 
     # Calls from this entry.
 
     async def notify_accepted(self, job: AcceptedJob) -> None:
         """Notify the scheduler of a job that has just been stored."""
-        if self._active is not None:
-            self._active.notify_accepted(job)
+        if self.active is not None:
+            self.active.notify_accepted(job)
             return
         await self._notify(JobNotification(accepted=[job]))
 
     async def notify_cancelled(self, job: JobId) -> None:
         """Notify the scheduler of a cancellation that has just been stored."""
-        if self._active is not None:
-            self._active.notify_cancelled(job)
+        if self.active is not None:
+            self.active.notify_cancelled(job)
             return
         await self._notify(JobNotification(cancelled=[job]))
 
     async def query_state(self, job: JobId) -> JobState | None:
         """Return the state of a job from the scheduler, None if unavailable."""
-        if self._active is not None:
-            return self._active.state_of(job)
+        if self.active is not None:
+            return self.active.state_of(job)
         row = self._watch.row
         if row is None or row.is_resigned:
             return None
@@ -164,22 +164,22 @@
 
     def known_pressures(self) -> list[Pressure]:
         """Return the interference between images; empty if not the scheduler."""
-        return [] if self._active is None else self._active.cluster.pressures.all()
+        return [] if self.active is None else self.active.cluster.pressures.all()
 
     def replan(self) -> None:
         """Start a new round, because the config has changed."""
-        if self._active is not None:
-            self._active.wake()
+        if self.active is not None:
+            self.active.wake()
 
     def observe_cancelled(self, job: JobId) -> None:
         """Process a cancellation read from the table."""
-        if self._active is not None:
-            self._active.notify_cancelled(job)
+        if self.active is not None:
+            self.active.notify_cancelled(job)
 
     def observe_accepted(self, job: AcceptedJob) -> None:
         """Process a job read from the table."""
-        if self._active is not None:
-            self._active.notify_accepted(job)
+        if self.active is not None:
+            self.active.notify_accepted(job)
 
     # Takeover.
 
@@ -244,7 +244,7 @@
         )
 
     async def _run_active(self, active: ActiveScheduler) -> None:
-        self._active = active
+        self.active = active
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._announce, active.lease)
             active.load(await read_stored_state(self._table, clock=self._clock))
@@ -321,26 +321,26 @@
     # Handlers of calls.
 
     async def _handle_ping(self, ping: Ping) -> PingReply:
-        epoch = 0 if self._active is None else self._active.lease.epoch
+        epoch = 0 if self.active is None else self.active.lease.epoch
         return PingReply(incarnation=self._incarnation, epoch=epoch)
 
     async def _handle_report(self, report: Report) -> ReportReply:
-        if self._active is not None:
-            return self._active.handle_report(report)
+        if self.active is not None:
+            return self.active.handle_report(report)
         row = self._watch.row
         return ReportReply(scheduler=None if row is None else row.address)
 
     async def _handle_notification(self, notification: JobNotification) -> Acknowledged:
-        if self._active is None:
+        if self.active is None:
             return Acknowledged(is_scheduler=False)
         for job in notification.accepted:
-            self._active.notify_accepted(job)
+            self.active.notify_accepted(job)
         for job_id in notification.cancelled:
-            self._active.notify_cancelled(job_id)
+            self.active.notify_cancelled(job_id)
         return Acknowledged()
 
     async def _handle_state(self, query: StateQuery) -> StateReply:
-        state = None if self._active is None else self._active.state_of(query.job)
+        state = None if self.active is None else self.active.state_of(query.job)
         return StateReply(state=state)
 
     async def _notify(self, notification: JobNotification) -> None:
--- a/properties/configs.py
+++ b/properties/configs.py
@@ -33,7 +33,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.world = JobWorld(instances=1, workers=1)
+        self.world = JobWorld(workers=1)
         self.world.advance(_STARTUP_S)
         self._last_version_by_daemon: dict[JobEntryDaemon, int] = {}
 
--- a/properties/jobs.py
+++ b/properties/jobs.py
@@ -38,7 +38,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.world = JobWorld(instances=1, workers=_WORKERS)
+        self.world = JobWorld(workers=_WORKERS)
         self.permanent_faults = PermanentFaults(world=self.world)
         # By now one entry is the active scheduler, and all workers have reported.
         self.world.advance(_STARTUP_S)
--- a/standins/metadata_table.py
+++ b/standins/metadata_table.py
@@ -15,6 +15,7 @@
 __all__ = ["MetadataTableStandIn"]
 
 WRITE_DELAY_S = 3.0
+MAX_QUEUE_S = 1.0
 
 
 class _Ref(msgspec.Struct, frozen=True):
@@ -65,6 +66,11 @@
         By table, the number of reads that will fail as unavailable.
     version : int
         Version of the latest change.
+    transactions_per_s : float, optional
+        Rate at which one part executes transactions, one after another; unlimited if
+        None. While more than `MAX_QUEUE_S` of them wait, further ones are rejected.
+    calls_by_table : Counter
+        Number of transactions and reads by table.
     current_by_ref : dict
         Latest change of each row that exists.
     changes : list
@@ -78,12 +84,15 @@
     failed_reads_by_table: Counter[str] = field(default_factory=Counter)
     version: int = 0
     calls: int = 0
+    transactions_per_s: float | None = None
+    calls_by_table: Counter[str] = field(default_factory=Counter)
     current_by_ref: dict[_Ref, _Change] = field(default_factory=dict)
     changes: list[_Change] = field(default_factory=list)
     dropped_up_to: int = 0
 
     def __post_init__(self) -> None:
         self._changed = trio.Event()
+        self._busy_until_by_part: dict[str, float] = {}
 
     def put(self, table: str, part: str, key: str, value: object) -> None:
         """Write a row with `value`, as an operator does."""
@@ -111,6 +120,7 @@
         if request.path == "/v1/rows-tx":
             return await self._transact(msgspec.json.decode(request.body, type=_Tx))
         if request.path == "/v1/rows-get":
+            self.calls_by_table[request.query["table"]] += 1
             if self.failed_reads_by_table[request.query["table"]] > 0:
                 self.failed_reads_by_table[request.query["table"]] -= 1
                 return HttpResponse(status=503)
@@ -124,6 +134,9 @@
         is_valid = len(items) <= 100 and len({item.part for item in items}) == 1
         if not is_valid:
             return HttpResponse(status=400)
+        self.calls_by_table.update({item.table for item in items})
+        if not await self._wait_for_turn(items[0].part):
+            return HttpResponse(status=429)
         if self.late_writes > 0:
             self.late_writes -= 1
             await trio.sleep(WRITE_DELAY_S)
@@ -133,6 +146,18 @@
         await self.faults.after_write()
         return response
 
+    async def _wait_for_turn(self, part: str) -> bool:
+        """Wait until the part executes a transaction; return False if it is busy."""
+        if self.transactions_per_s is None:
+            return True
+        now = trio.current_time()
+        turn = max(self._busy_until_by_part.get(part, now), now)
+        if turn - now > MAX_QUEUE_S:
+            return False
+        self._busy_until_by_part[part] = turn + 1 / self.transactions_per_s
+        await trio.sleep_until(self._busy_until_by_part[part])
+        return True
+
     def _apply(self, tx: _Tx) -> HttpResponse:
         conflicts = [
             item.ref
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -15,7 +15,7 @@
 
 @given("two entries and {count:d} workers for jobs")
 def make_world(context, count):
-    context.world = JobWorld(instances=1, workers=count)
+    context.world = JobWorld(workers=count)
     context.closers.append(context.world.close)
     context.world.wait_until(lambda: context.world.cell.scheduler() != "")
     context.world.advance(3)
--- a/tests/support/job_world.py
+++ b/tests/support/job_world.py
@@ -10,6 +10,7 @@
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.http import HttpRequest, HttpResponse
 from standins.job_cell import HOST, PATH_PREFIX, JobCell
+from standins.metadata_table import MetadataTableStandIn
 from tests.support.world import World
 
 __all__ = ["JobWorld", "job_id", "make_steps"]
@@ -44,6 +45,16 @@
 
     cell: JobCell  # type: ignore[assignment]
 
+    def __init__(
+        self,
+        *,
+        entries: int = 2,
+        workers: int = 0,
+        metadata_table: MetadataTableStandIn | None = None,
+    ) -> None:
+        self._metadata_table = metadata_table or MetadataTableStandIn()
+        super().__init__(entries=entries, instances=1, workers=workers)
+
     def submit_job(self, entry: str, label: str, steps: list[Any], **spec: Any) -> int:
         """Submit a job; return the status, 0 if no response arrived."""
         body = {"spec": msgspec.json.encode(spec).decode(), "steps": steps}
@@ -113,5 +124,6 @@
             entries=self._deployment.entries,
             workers=self._deployment.workers.count,
             processors=int(self._deployment.workers.processors),
+            metadata_table=self._metadata_table,
         )
         await self.cell.start()
