Daemons that start together find one another: only entries write rows, and never in step

A part executes some 150 transactions a second, one after another, so that the last waits over a second; the call was given up after 0.3 s, though it was still executed, and written again half a second later, in step with all others. The count of failures was shared by all calls of a process, so that this queue lengthened every timeout and sent healthy calls by way of entries with thin links.

Changed: - attendants write no row: nobody but a new scheduler looked for them. The scheduler stores the addresses of those that report, one row for each data centre, at most once a second, and introduces its successor with them; a few introductions at a time, each until the report that it causes has come; - entries write their row at a random moment of the first second, without reading it before: a conflict returns what stands, and a row that says the same is left. A write without an answer shows in the next conflict. Retries back off with jitter; - the directory is read after that, spread over a second, and every 10 to 14 s; - an attendant without a scheduler asks three entries and then the lease row, with back-off and jitter; before, it read the row and asked all entries ten times a second; - timeouts are learned for each part and kind of call; one that times out while the table has answered another call of the process starts no relaying.

A build from before this change finds no rows of new attendants to introduce itself to; they then find it by themselves, as when an introduction is lost.

--- a/coltsfoottray/agent/reporter.py
+++ b/coltsfoottray/agent/reporter.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
+from random import Random
 
 import trio
 
 from coltsfoottray.agent.attendant import TaskAttendant
+from coltsfoottray.backoff import Backoff
 from coltsfoottray.clock import Clock
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.kernel import Service
@@ -26,7 +28,12 @@
 # Short enough to renew a lease of 7 s in time and to detect a lost scheduler early.
 _REPORT_INTERVAL = timedelta(seconds=1)
 _TIMEOUT = timedelta(milliseconds=800)
-_RETRY_DELAY = timedelta(milliseconds=100)
+_LEASE_RETRY_DELAY = timedelta(milliseconds=100)
+# While there is no scheduler, all attendants look for one at the same time. A new one
+# announces itself, so that a long delay does not make them find it later.
+_FIRST_SEARCH_DELAY = timedelta(milliseconds=150)
+_LONGEST_SEARCH_DELAY = timedelta(seconds=2)
+_ENTRIES_PER_SEARCH = 3
 
 
 class Reporter(Service):
@@ -34,8 +41,10 @@
 
     Parameters
     ----------
-    candidates : callable
-        Returns the addresses of entries that may be the scheduler or know it.
+    entries : callable
+        Returns the addresses of the entries, any of which knows the scheduler.
+    read_holder : callable
+        Returns the scheduler's address according to the table, None if unknown.
     """
 
     def __init__(
@@ -44,12 +53,19 @@
         attendant: TaskAttendant,
         peers: PeerClient,
         clock: Clock,
-        candidates: Callable[[], Awaitable[list[Address]]],
+        random: Random,
+        entries: Callable[[], Sequence[Address]],
+        read_holder: Callable[[], Awaitable[Address | None]],
     ) -> None:
         self._attendant = attendant
         self._peers = peers
         self._clock = clock
-        self._candidates = candidates
+        self._random = random
+        self._entries = entries
+        self._read_holder = read_holder
+        self._backoff = Backoff(
+            first=_FIRST_SEARCH_DELAY, longest=_LONGEST_SEARCH_DELAY, random=random
+        )
         self._scheduler: Address | None = None
         self._epoch = 0
         self._attempt = trio.CancelScope()
@@ -80,18 +96,25 @@
                 is_answered = await self._report()
             if self._attempt.cancelled_caught:
                 continue
-            if not is_answered or self._attendant.is_lease_pending:
-                with trio.move_on_after(_RETRY_DELAY.total_seconds()):
-                    await self._attendant.report_requested.wait()
-                continue
-            with trio.move_on_after(_REPORT_INTERVAL.total_seconds()):
+            with trio.move_on_after(self._delay(is_answered).total_seconds()):
                 await self._attendant.report_requested.wait()
 
+    def _delay(self, is_answered: bool) -> timedelta:
+        """Return the time until the next report."""
+        if not is_answered:
+            return self._backoff.next_delay()
+        self._backoff.reset()
+        if self._attendant.is_lease_pending:
+            return _LEASE_RETRY_DELAY
+        return _REPORT_INTERVAL
+
     async def _report(self) -> bool:
         """Send one report; return whether the scheduler has answered."""
         current = self._scheduler
+        # Entries may refer to a lost scheduler for a while; it is asked only once.
+        tried: set[Address] = set()
         if current is not None:
-            found = await self._report_to(current)
+            found = await self._report_to(current, tried)
             if self._scheduler is not current:
                 # A new scheduler has announced itself in the meantime.
                 return True
@@ -99,26 +122,40 @@
             if found is not None:
                 return True
             log_event("scheduler:lost", address=str(current))
-        for address in await self._candidates():
-            self._scheduler = await self._report_to(address)
-            if self._scheduler is not None:
-                log_event("scheduler:found", address=str(self._scheduler))
+        entries = list(self._entries())
+        for address in self._random.sample(
+            entries, min(_ENTRIES_PER_SEARCH, len(entries))
+        ):
+            if await self._find_through(address, tried):
                 return True
-        return False
+        holder = await self._read_holder()
+        return holder is not None and await self._find_through(holder, tried)
 
-    async def _report_to(self, address: Address) -> Address | None:
-        """Report to `address`, following one redirect.
+    async def _find_through(self, address: Address, tried: set[Address]) -> bool:
+        """Report to `address`; return whether it is or knows the scheduler."""
+        self._scheduler = await self._report_to(address, tried)
+        if self._scheduler is None:
+            return False
+        log_event("scheduler:found", address=str(self._scheduler))
+        return True
+
+    async def _report_to(self, address: Address, tried: set[Address]) -> Address | None:
+        """Report to `address`, following one redirect, except to what was `tried`.
 
         Returns
         -------
         Address or None
             The address of the scheduler, None if it has not answered.
         """
+        if address in tried:
+            return None
+        tried.add(address)
         reply = await self._send_report(address)
         if reply is None or reply.is_scheduler:
             return None if reply is None else address
-        if reply.scheduler is None or reply.scheduler == address:
+        if reply.scheduler is None or reply.scheduler in tried:
             return None
+        tried.add(reply.scheduler)
         redirected = await self._send_report(reply.scheduler)
         if redirected is None or not redirected.is_scheduler:
             return None
--- a/coltsfoottray/daemons/job_attendant.py
+++ b/coltsfoottray/daemons/job_attendant.py
@@ -49,7 +49,9 @@
             attendant=self.attendant,
             peers=self.peers,
             clock=self.clock,
-            candidates=self._find_entries,
+            random=self.random,
+            entries=self.members.entries,
+            read_holder=self._read_holder,
         )
         self.handlers.add(ORDERS, self.attendant.handle_orders)
         self.handlers.add(SCHEDULER_ANNOUNCEMENT, reporter.handle_announcement)
@@ -60,7 +62,7 @@
         self.kernel.register(_ATTENDANT, self.attendant)
         self.kernel.register(_REPORTER, reporter)
         self.register_metrics()
-        self.register_member()
+        self.register_directory()
 
     async def shut_down(self) -> None:
         """Stop without draining, because the worker's lease outlasts a restart."""
@@ -69,15 +71,11 @@
             await self.kernel.stop()
         self.kernel.cancel()
 
-    async def _find_entries(self) -> list[Address]:
-        """Return the addresses of entries, the most likely scheduler first."""
-        holder_addresses: list[Address] = []
+    async def _read_holder(self) -> Address | None:
+        """Return the address of the scheduler according to the lease row."""
         try:
             row = await self.table.get(LEASE_KEY)
-            if row is not None:
-                holder_addresses.append(row.decode(LeaseRow).address)
         except TableUnavailable as error:
             log_event("table:unavailable", reason=str(error))
-        others = self.members.entries()
-        self.random.shuffle(others)
-        return list(dict.fromkeys([*holder_addresses, *others]))
+            return None
+        return None if row is None else row.decode(LeaseRow).address
--- a/coltsfoottray/daemons/job_common.py
+++ b/coltsfoottray/daemons/job_common.py
@@ -20,7 +20,12 @@
 )
 from coltsfoottray.daemons.listeners import ListenerFactory, SocketListeners
 from coltsfoottray.http import HttpClient, HttpTransport
-from coltsfoottray.jobs.members import MemberDirectory, MemberRow, Registration
+from coltsfoottray.jobs.members import (
+    DirectoryRefresh,
+    MemberDirectory,
+    MemberRow,
+    Registration,
+)
 from coltsfoottray.kernel import Kernel, ServiceName
 from coltsfoottray.logs import log_event
 from coltsfoottray.membership import make_incarnation
@@ -37,6 +42,7 @@
 
 _METRICS_SERVER = ServiceName("metrics-server")
 _REGISTRATION = ServiceName("registration")
+_DIRECTORY = ServiceName("directory")
 
 
 class JobDaemon(abc.ABC):
@@ -122,8 +128,18 @@
             server = self.listeners.http(self._metrics_address, self.metrics.handle)
             self.kernel.register(_METRICS_SERVER, server)
 
+    def register_directory(self) -> None:
+        """Register the service that reads the directory of entries."""
+        service = DirectoryRefresh(
+            table=self.table,
+            directory=self.members,
+            clock=self.clock,
+            random=self.random,
+        )
+        self.kernel.register(_DIRECTORY, service)
+
     def register_member(self) -> None:
-        """Register the service that writes the member row of this daemon."""
+        """Register the service that writes this daemon's row of the directory."""
         member = MemberRow(
             name=self.name,
             role=self.role,
@@ -131,6 +147,6 @@
             incarnation=self.incarnation,
         )
         service = Registration(
-            member=member, table=self.table, directory=self.members, clock=self.clock
+            member=member, table=self.table, clock=self.clock, random=self.random
         )
         self.kernel.register(_REGISTRATION, service)
--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -149,6 +149,7 @@
         self.kernel.register(_SCHEDULER, self.scheduler)
         self.register_metrics()
         self.register_member()
+        self.register_directory()
 
     async def shut_down(self) -> None:
         """Resign as scheduler, wait for the load balancer, and finish open requests."""
--- a/coltsfoottray/jobs/keys.py
+++ b/coltsfoottray/jobs/keys.py
@@ -13,6 +13,7 @@
 from coltsfoottray.jobs.model import JobId
 
 __all__ = [
+    "ATTENDANTS_PREFIX",
     "CONFIG_KEY",
     "JOBS_GROUP",
     "LEASE_KEY",
@@ -21,7 +22,9 @@
     "PRESSURES_KEY",
     "RECORDS_PREFIX",
     "accepted_key",
+    "attendants_key",
     "cancel_key",
+    "data_centre_of",
     "is_scheduler_key",
     "job_of",
     "job_shard_prefixes",
@@ -47,6 +50,7 @@
 LEASE_KEY = f"{JOBS_GROUP}/scheduler/lease"
 RECORDS_PREFIX = f"{_RECORDS_GROUP}/scheduler/"
 PRESSURES_KEY = f"{RECORDS_PREFIX}pressures"
+ATTENDANTS_PREFIX = "attendants/scheduler/"
 
 
 def accepted_key(job: JobId) -> str:
@@ -69,8 +73,18 @@
     return f"{JOBS_GROUP}/scheduler/job.{job}"
 
 
+def attendants_key(data_centre: str) -> str:
+    """Return the key of the row with the addresses of a data centre's attendants."""
+    return f"{ATTENDANTS_PREFIX}{data_centre}"
+
+
+def data_centre_of(key: str) -> str:
+    """Return the data centre of a row with the addresses of attendants."""
+    return key.removeprefix(ATTENDANTS_PREFIX)
+
+
 def member_key(name: str) -> str:
-    """Return the key of the row that holds a daemon's peer address."""
+    """Return the key of the row that holds an entry's peer address."""
     return f"{MEMBERS_GROUP}//{name}"
 
 
--- a/coltsfoottray/jobs/members.py
+++ b/coltsfoottray/jobs/members.py
@@ -1,13 +1,20 @@
-"""The directory of daemons and their peer addresses, one row per daemon."""
+"""The directory of entries and their peer addresses, one row per entry.
+
+All processes of a fleet can start in the same instant. Only entries therefore write a
+row, at a random moment, and the directory is read after that, once by each process.
+Attendants are known to the scheduler from their reports.
+"""
 
 from __future__ import annotations
 
 from datetime import timedelta
+from random import Random
 
 import msgspec
 import trio
 from returns.result import Failure
 
+from coltsfoottray.backoff import Backoff
 from coltsfoottray.clock import Clock
 from coltsfoottray.jobs.keys import MEMBERS_GROUP, member_key
 from coltsfoottray.kernel import Service
@@ -15,25 +22,47 @@
 from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
 from coltsfoottray.types import Address, Role
 
-__all__ = ["MemberDirectory", "MemberRow", "Registration", "read_members"]
-
-_RETRY_INTERVAL = timedelta(milliseconds=500)
-# Members join and leave with their VMs, about 50 a day at the design size. The only
-# effect of a late refresh is that no requests are sent to a new member yet.
+__all__ = ["DirectoryRefresh", "MemberDirectory", "MemberRow", "Registration"]
+
+# Entries write their rows within this time after a start, which keeps 40 of them far
+# below the rate at which one part of the table executes transactions.
+_REGISTRATION_SPREAD = timedelta(seconds=1)
+_FIRST_RETRY = timedelta(milliseconds=500)
+_LONGEST_RETRY = timedelta(seconds=8)
+# The first read follows the writes, and is spread over the same time.
+_FIRST_READ_DELAY = timedelta(seconds=1.5)
+_FIRST_READ_SPREAD = timedelta(seconds=1)
+# Entries join and leave with their VMs, about 50 a day at the design size. The only
+# effect of a late refresh is that no requests are sent to a new entry yet.
 _REFRESH_INTERVAL = timedelta(seconds=10)
+_REFRESH_SPREAD = timedelta(seconds=4)
 
 
 class MemberRow(msgspec.Struct, frozen=True, kw_only=True):
-    """A daemon and the address at which its peers reach it."""
+    """An entry and the address at which its peers reach it.
+
+    Parameters
+    ----------
+    incarnation : str
+        The process that wrote the row. A later one at the same address keeps it.
+    """
 
     name: str
     role: Role
     address: Address
     incarnation: str
 
+    def stands_for(self, other: MemberRow) -> bool:
+        """Return whether peers learn the same from both rows."""
+        return (self.name, self.role, self.address) == (
+            other.name,
+            other.role,
+            other.address,
+        )
+
 
 class MemberDirectory:
-    """The members as last read from the table.
+    """The entries as last read from the table.
 
     Parameters
     ----------
@@ -59,49 +88,80 @@
 
 
 class Registration(Service):
-    """Writes the daemon's member row and refreshes the directory periodically."""
+    """Writes an entry's row unless an equal one is stored."""
+
+    def __init__(
+        self, *, member: MemberRow, table: WatchedTable, clock: Clock, random: Random
+    ) -> None:
+        self._member = member
+        self._table = table
+        self._clock = clock
+        self._random = random
+        self._backoff = Backoff(
+            first=_FIRST_RETRY, longest=_LONGEST_RETRY, random=random
+        )
+        self._version = 0
+
+    async def run(  # noqa: D102
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        task_status.started()
+        await self._clock.sleep(_REGISTRATION_SPREAD * self._random.random())
+        while not await self._write():
+            await self._clock.sleep(self._backoff.next_delay())
+
+    async def _write(self) -> bool:
+        """Write the row; return whether it, or one that says the same, is stored.
+
+        A write without an answer may still be executed. The next attempt then finds
+        the row in the conflict and does not write it again.
+        """
+        put = Put.of(member_key(self._member.name), self._version, self._member)
+        try:
+            outcome = await self._table.commit(Transaction(puts=[put]))
+        except TableUnavailable as error:
+            log_event("members:unwritten", reason=str(error))
+            return False
+        if not isinstance(outcome, Failure):
+            return True
+        rows = outcome.failure().rows
+        self._version = rows[0].version if rows else 0
+        return any(row.decode(MemberRow).stands_for(self._member) for row in rows)
+
+
+class DirectoryRefresh(Service):
+    """Reads the directory from the table periodically."""
 
     def __init__(
         self,
         *,
-        member: MemberRow,
         table: WatchedTable,
         directory: MemberDirectory,
         clock: Clock,
+        random: Random,
     ) -> None:
-        self._member = member
         self._table = table
         self._directory = directory
         self._clock = clock
+        self._random = random
 
     async def run(  # noqa: D102
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         task_status.started()
-        while not await self._write():
-            await self._clock.sleep(_RETRY_INTERVAL)
+        await self._sleep(_FIRST_READ_DELAY, _FIRST_READ_SPREAD)
         while True:
             try:
-                self._directory.update(await read_members(self._table))
+                self._directory.update(await _read_members(self._table))
             except TableUnavailable as error:
                 log_event("members:unread", reason=str(error))
-            await self._clock.sleep(_REFRESH_INTERVAL)
+            await self._sleep(_REFRESH_INTERVAL, _REFRESH_SPREAD)
 
-    async def _write(self) -> bool:
-        """Write the row; return whether it was stored."""
-        key = member_key(self._member.name)
-        try:
-            row = await self._table.get(key)
-            version = 0 if row is None else row.version
-            put = Put.of(key, version, self._member)
-            outcome = await self._table.commit(Transaction(puts=[put]))
-        except TableUnavailable as error:
-            log_event("members:unwritten", reason=str(error))
-            return False
-        return not isinstance(outcome, Failure)
+    async def _sleep(self, shortest: timedelta, spread: timedelta) -> None:
+        await self._clock.sleep(shortest + spread * self._random.random())
 
 
-async def read_members(table: WatchedTable) -> list[MemberRow]:
+async def _read_members(table: WatchedTable) -> list[MemberRow]:
     """Return the members stored in the table.
 
     Raises
--- a/coltsfoottray/peers/relay.py
+++ b/coltsfoottray/peers/relay.py
@@ -114,6 +114,7 @@
         self._random = random
         self._relay_until = timedelta(0)
         self._relay_paused_until = timedelta(0)
+        self._answered_at = timedelta(days=-1)
 
     async def send(  # noqa: D102
         self,
@@ -139,10 +140,14 @@
             response = await self._send_relayed(request, timeout)
             if response is not None:
                 return response
+        sent_at = self._clock.elapsed()
         try:
             response = await self._direct.send(address, request, timeout=timeout)
         except CommunicationError as error:
-            self._start_relaying(str(error))
+            # If the table has answered another request in the meantime, only this
+            # kind of request is slow, and others need not be relayed.
+            if self._answered_at <= sent_at:
+                self._start_relaying(str(error))
             if not error.is_unseen:
                 raise
             response = await self._send_relayed(request, timeout)
@@ -150,6 +155,7 @@
                 raise
             return response
         if response.status not in _REJECTED_STATUSES:
+            self._answered_at = self._clock.elapsed()
             return response
         self._start_relaying(f"status {response.status}")
         return await self._send_relayed(request, timeout) or response
--- a/coltsfoottray/platform/metadata_table.py
+++ b/coltsfoottray/platform/metadata_table.py
@@ -81,6 +81,40 @@
     hasMore: bool = False  # noqa: N815
 
 
+class _CallHistory:
+    """Latency and failures of one kind of call.
+
+    Parts execute transactions one after another. A queue at one of them must not
+    change the timeout of calls to others.
+
+    Parameters
+    ----------
+    reads : _CallHistory, optional
+        History of reads, which no part delays: no call is expected to be faster.
+    """
+
+    def __init__(self, reads: _CallHistory | None = None) -> None:
+        self.smoothed_latency = timedelta(0)
+        self._reads = reads or self
+        self._failures = 0
+
+    def record_failure(self) -> None:
+        self._failures += 1
+
+    def record_response(self, latency: timedelta | None) -> None:
+        """Record a response, without its latency if the store has held the call."""
+        self._failures = 0
+        if latency is not None:
+            difference = latency - self.smoothed_latency
+            self.smoothed_latency += difference * _SMOOTHING
+
+    def timeout(self) -> timedelta:
+        """Return the timeout of the next call."""
+        latency = max(self.smoothed_latency, self._reads.smoothed_latency)
+        expected = max(latency * _LATENCY_FACTOR, _MIN_TIMEOUT)
+        return min(expected * (1 << min(self._failures, 8)), _MAX_TIMEOUT)
+
+
 class MetadataTable(WatchedTable):
     """Translates `group/shard/name` into the store's table, part and key."""
 
@@ -96,8 +130,8 @@
         self._transport = transport
         self._clock = clock
         self._metrics = metrics
-        self._smoothed_latency = timedelta(0)
-        self._failures = 0
+        self._reads = _CallHistory()
+        self._history_by_target: dict[str, _CallHistory] = {}
 
     async def commit(  # noqa: D102
         self, transaction: Transaction
@@ -118,7 +152,8 @@
                 target="/v1/rows-tx",
                 header_by_name={"content-type": "application/json"},
                 body=msgspec.json.encode(body),
-            )
+            ),
+            history=self._history(f"transaction {conditions[0].key.split('/')[1]}"),
         )
         answer = _decode(response)
         if response.status == _CONFLICT:
@@ -161,7 +196,11 @@
             "waitMs": str(int(wait.total_seconds() * 1000)),
         }
         target = f"/v1/rows-feed?{urlencode(query)}"
-        response = await self._send(HttpRequest(method="GET", target=target), held=wait)
+        response = await self._send(
+            HttpRequest(method="GET", target=target),
+            history=self._history(f"changes {group}"),
+            held=wait,
+        )
         if response.status == _HISTORY_LOST:
             raise HistoryLost(f"{group}: changes after {after} are no longer kept")
         answer = _decode(response)
@@ -171,14 +210,23 @@
     async def _read(self, query: dict[str, str]) -> _Answer:
         target = f"/v1/rows-get?{urlencode(query)}"
         request = HttpRequest(method="GET", target=target)
-        return _decode(await self._send(request))
+        return _decode(await self._send(request, history=self._reads))
+
+    def _history(self, target: str) -> _CallHistory:
+        if target not in self._history_by_target:
+            self._history_by_target[target] = _CallHistory(self._reads)
+        return self._history_by_target[target]
 
     async def _send(
-        self, request: HttpRequest, held: timedelta = timedelta(0)
+        self,
+        request: HttpRequest,
+        *,
+        history: _CallHistory,
+        held: timedelta = timedelta(0),
     ) -> HttpResponse:
         """Send `request`, which the store may hold for `held` before it answers."""
         started = self._clock.elapsed()
-        timeout = self._timeout()
+        timeout = history.timeout()
         if held:
             timeout = held + max(timeout, _MIN_HELD_SLACK)
         try:
@@ -186,17 +234,16 @@
                 self._address, request, timeout=timeout
             )
         except CommunicationError as error:
-            self._failures += 1
+            history.record_failure()
             self._count_call(request, error.step.value, error.received_bytes)
             raise TableUnavailable(
                 detail=str(error), is_unwritten=error.is_unseen
             ) from error
-        self._failures = 0
+        latency = self._clock.elapsed() - started
+        history.record_response(None if held else latency)
         self._count_call(request, str(response.status), len(response.body))
         if not held:
-            latency = self._clock.elapsed() - started
             self._metrics.time("table_call", latency, call=request.path[4:])
-            self._smoothed_latency += (latency - self._smoothed_latency) * _SMOOTHING
         if response.status not in (200, _CONFLICT, _HISTORY_LOST):
             # The store returns an error status only before it writes anything.
             raise TableUnavailable(
@@ -209,11 +256,6 @@
         self._metrics.count("table_calls", call=call, outcome=outcome)
         self._metrics.count("table_answer_bytes", size, call=call, outcome=outcome)
 
-    def _timeout(self) -> timedelta:
-        """Return the timeout of the next call, based on the latency of earlier ones."""
-        expected = max(self._smoothed_latency * _LATENCY_FACTOR, _MIN_TIMEOUT)
-        return min(expected * (1 << min(self._failures, 8)), _MAX_TIMEOUT)
-
 
 def _split_key(key: str) -> tuple[str, str, str]:
     table, part, name = key.split("/", 2)
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -5,13 +5,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 import trio
 
-from coltsfoottray.agent.pressure import Pressure
 from coltsfoottray.clock import Clock, as_milliseconds
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.jobs.config import ConfigHolder
@@ -21,7 +20,7 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.metrics import Metrics
 from coltsfoottray.peers import PeerClient
-from coltsfoottray.platform import WatchedTable
+from coltsfoottray.platform import Row, WatchedTable
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
 from coltsfoottray.scheduler.grants import Grants, is_out_of_order
@@ -36,7 +35,9 @@
 from coltsfoottray.scheduler.orders import make_start_order, missing_orders
 from coltsfoottray.scheduler.planner import Planner
 from coltsfoottray.scheduler.restore import StoredState
+from coltsfoottray.scheduler.side_rows import AttendantRows, PressureRow
 from coltsfoottray.scheduler.writer import StateWriter
+from coltsfoottray.types import Address
 
 __all__ = ["ActiveScheduler"]
 
@@ -104,15 +105,19 @@
             fleet=self._fleet,
             clock=clock,
         )
+        self._pressure_row = PressureRow(table=self.cluster.pressures, now=acquired_at)
+        self._attendant_rows = AttendantRows(fleet=self._fleet, now=acquired_at)
         self._writer = StateWriter(
             lease=lease,
             version=version,
             acquired_at=acquired_at,
             grants=self._grants,
+            side_rows=[self._pressure_row, self._attendant_rows],
             table=table,
             clock=clock,
         )
         self._inbox = Inbox()
+        self._reported_by_worker: dict[str, trio.Event] = {}
         self._wake = trio.Event()
         self._is_resigning = False
         self._loaded_at = timedelta(0)
@@ -133,6 +138,7 @@
             return ReportReply(scheduler=self.lease.address)
         lease_ms = self._grants.renew(worker, report, self._writer.confirmed_at)
         self._grants.ensure_session(worker, report)
+        self._report_event(report.worker).set()
         self._inbox.reports.append(report)
         self._wake.set()
         orders = Orders(session=worker.session, life=report.life)
@@ -149,6 +155,13 @@
             pressures=self.cluster.pressures.all(),
         )
 
+    async def wait_for_report(self, worker: str) -> None:
+        """Wait until a worker's attendant has reported to this scheduler."""
+        await self._report_event(worker).wait()
+
+    def _report_event(self, worker: str) -> trio.Event:
+        return self._reported_by_worker.setdefault(worker, trio.Event())
+
     def notify_accepted(self, job: AcceptedJob) -> None:
         """Queue a job whose acceptance is stored."""
         self._inbox.accepted.append(job)
@@ -186,6 +199,10 @@
 
     # Rounds.
 
+    def restore_attendants(self, rows: Iterable[Row]) -> dict[str, Address]:
+        """Restore the addresses of attendants; return them by worker."""
+        return self._attendant_rows.restore(rows)
+
     def load(self, stored: StoredState) -> None:
         """Restore the state that earlier schedulers stored."""
         now = self._clock.elapsed()
@@ -194,9 +211,7 @@
             if is_scheduler_key(orphan.key):
                 self._writer.discard(orphan.key, orphan.version)
         if stored.pressures is not None:
-            pressures = stored.pressures.decode(list[Pressure])
-            self._writer.restore_pressures(stored.pressures.version, pressures)
-            self.cluster.pressures.restore(pressures)
+            self._pressure_row.restore(stored.pressures)
         for stored_job in stored.jobs:
             job = LiveJob(
                 accepted=stored_job.accepted,
@@ -241,9 +256,7 @@
                 await self._wait_for_changes()
                 started_at = self._clock.elapsed()
                 placed, last_end_by_worker = self._decide()
-                await self._writer.store(
-                    self.cluster.job_by_id.values(), self.cluster.pressures
-                )
+                await self._writer.store(self.cluster.job_by_id.values())
                 self._send_orders(placed, last_end_by_worker, nursery)
                 self._record_metrics(started_at, placed)
         await self._writer.resign()
--- a/coltsfoottray/scheduler/restore.py
+++ b/coltsfoottray/scheduler/restore.py
@@ -9,6 +9,7 @@
 
 from coltsfoottray.clock import Clock
 from coltsfoottray.jobs.keys import (
+    ATTENDANTS_PREFIX,
     PRESSURES_KEY,
     RECORDS_PREFIX,
     is_scheduler_key,
@@ -20,7 +21,7 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.platform import Row, TableUnavailable, WatchedTable
 
-__all__ = ["StoredJob", "StoredState", "read_stored_state"]
+__all__ = ["StoredJob", "StoredState", "read_attendant_rows", "read_stored_state"]
 
 _RETRY_INTERVAL = timedelta(milliseconds=200)
 
@@ -54,18 +55,17 @@
     pressures: Row | None = None
 
 
+async def read_attendant_rows(table: WatchedTable, *, clock: Clock) -> list[Row]:
+    """Return the rows with the attendants' addresses, retrying until they arrive."""
+    return await _read(table, ATTENDANTS_PREFIX, clock=clock)
+
+
 async def read_stored_state(table: WatchedTable, *, clock: Clock) -> StoredState:
     """Return the stored state of all jobs, retrying until the table answers."""
     rows: list[Row] = []
 
     async def read(prefix: str) -> None:
-        while True:
-            try:
-                rows.extend((await table.snapshot(prefix)).rows)
-                return
-            except TableUnavailable as error:
-                log_event("scheduler:load-retried", prefix=prefix, reason=str(error))
-                await clock.sleep(_RETRY_INTERVAL)
+        rows.extend(await _read(table, prefix, clock=clock))
 
     async with trio.open_nursery() as nursery:
         for prefix in [*job_shard_prefixes(), RECORDS_PREFIX]:
@@ -73,6 +73,15 @@
     return _assemble(rows)
 
 
+async def _read(table: WatchedTable, prefix: str, *, clock: Clock) -> list[Row]:
+    while True:
+        try:
+            return list((await table.snapshot(prefix)).rows)
+        except TableUnavailable as error:
+            log_event("scheduler:load-retried", prefix=prefix, reason=str(error))
+            await clock.sleep(_RETRY_INTERVAL)
+
+
 def _assemble(rows: list[Row]) -> StoredState:
     stored_by_id: dict[JobId, StoredJob] = {}
     orphan_rows: list[Row] = []
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from datetime import timedelta
 from functools import partial
 from random import Random
@@ -14,7 +15,6 @@
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.jobs.keys import LEASE_KEY
-from coltsfoottray.jobs.members import MemberRow, read_members
 from coltsfoottray.jobs.mirror import Mirror
 from coltsfoottray.jobs.model import AcceptedJob, JobId
 from coltsfoottray.jobs.records import JobState
@@ -25,12 +25,12 @@
 from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
 from coltsfoottray.scheduler.active import ActiveScheduler
 from coltsfoottray.scheduler.advice import Adviser, run_advice_loop
+from coltsfoottray.scheduler.introductions import Introductions
 from coltsfoottray.scheduler.lease import LeaseRow, LeaseWatch
 from coltsfoottray.scheduler.messages import (
     JOB_NOTIFICATION,
     PING,
     REPORT,
-    SCHEDULER_ANNOUNCEMENT,
     STATE,
     Acknowledged,
     JobNotification,
@@ -42,10 +42,10 @@
     StateQuery,
     StateReply,
 )
-from coltsfoottray.scheduler.restore import read_stored_state
+from coltsfoottray.scheduler.restore import read_attendant_rows, read_stored_state
 from coltsfoottray.scheduler.sweep import run_sweep_loop
 from coltsfoottray.scheduler.writer import LeaseLost
-from coltsfoottray.types import Address, Role
+from coltsfoottray.types import Address
 
 __all__ = ["Scheduler"]
 
@@ -53,11 +53,6 @@
 # Random delay that keeps two entries that find the row free at once from both writing.
 _MAX_STAGGER_S = 0.05
 _CALL_TIMEOUT = timedelta(milliseconds=400)
-# After a power loss, daemons restart within a second of each other. Announcements are
-# repeated for at least that long.
-_MAX_ANNOUNCEMENTS = 10
-_ANNOUNCEMENT_TIMEOUT = timedelta(milliseconds=200)
-_ANNOUNCEMENT_INTERVAL = timedelta(milliseconds=100)
 _RESIGN_POLL_INTERVAL = timedelta(milliseconds=20)
 _RESIGN_TIMEOUT = timedelta(seconds=1)
 
@@ -246,7 +241,9 @@
     async def _run_active(self, active: ActiveScheduler) -> None:
         self.active = active
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._announce, active.lease)
+            rows = await read_attendant_rows(self._table, clock=self._clock)
+            address_by_worker = active.restore_attendants(rows)
+            nursery.start_soon(self._introduce, active, address_by_worker)
             active.load(await read_stored_state(self._table, clock=self._clock))
             nursery.start_soon(
                 partial(
@@ -271,52 +268,19 @@
             await active.run()
             nursery.cancel_scope.cancel()
 
-    async def _announce(self, lease: LeaseRow) -> None:
-        """Announce the scheduler to the attendants.
-
-        They find a new scheduler by themselves when the previous one is silent, but
-        not when that one is only cut off from the table and still answers them.
-        """
-        announcement = SchedulerAnnouncement(epoch=lease.epoch, scheduler=lease.address)
-        async with trio.open_nursery() as nursery:
-            for member in await self._read_members():
-                if member.role is Role.WORKER:
-                    nursery.start_soon(
-                        self._send_announcement, member.address, announcement
-                    )
-
-    async def _read_members(self) -> list[MemberRow]:
-        """Return the members, retrying until the table answers.
-
-        The scheduler often changes just after the table has failed. Without retries,
-        attendants would find the new scheduler only with their next reports.
-        """
-        while True:
-            try:
-                return await read_members(self._table)
-            except TableUnavailable as error:
-                log_event("scheduler:not-introduced", reason=str(error))
-                await self._clock.sleep(_ANNOUNCEMENT_INTERVAL)
-
-    async def _send_announcement(
-        self, address: Address, announcement: SchedulerAnnouncement
+    async def _introduce(
+        self, active: ActiveScheduler, address_by_worker: Mapping[str, Address]
     ) -> None:
-        for _ in range(_MAX_ANNOUNCEMENTS):
-            try:
-                await self._peers.call(
-                    address,
-                    SCHEDULER_ANNOUNCEMENT,
-                    announcement,
-                    timeout=_ANNOUNCEMENT_TIMEOUT,
-                )
-                return
-            except CommunicationError as error:
-                # The attendant may be starting or may have ended. It finds the
-                # scheduler by itself later.
-                log_event(
-                    "scheduler:greeting-failed", peer=str(address), reason=str(error)
-                )
-            await self._clock.sleep(_ANNOUNCEMENT_INTERVAL)
+        introductions = Introductions(
+            peers=self._peers,
+            clock=self._clock,
+            random=self._random,
+            wait_for_report=active.wait_for_report,
+        )
+        announcement = SchedulerAnnouncement(
+            epoch=active.lease.epoch, scheduler=active.lease.address
+        )
+        await introductions.run(announcement, address_by_worker)
 
     # Handlers of calls.
 
--- /dev/null
+++ b/coltsfoottray/scheduler/side_rows.py
@@ -0,0 +1,157 @@
+"""Rows that the scheduler stores beside those of jobs, for its successors."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+
+import msgspec
+
+from coltsfoottray.agent.pressure import Pressure, PressureTable
+from coltsfoottray.jobs.keys import (
+    PRESSURES_KEY,
+    attendants_key,
+    data_centre_of,
+)
+from coltsfoottray.platform import Put, Row
+from coltsfoottray.scheduler.fleet import Fleet
+from coltsfoottray.types import Address
+
+__all__ = ["AttendantRows", "PressureRow", "SideRows"]
+
+# Interference between images is measured within seconds and changes little.
+_PRESSURES_PERIOD = timedelta(seconds=4)
+# At 40 bytes per pair, the row stays below a quarter of the store's limit.
+_MAX_PRESSURES = 400
+
+# All attendants of a fleet can start in the same instant; those that report within
+# this time are stored together.
+_ATTENDANTS_PERIOD = timedelta(seconds=1)
+# An attendant that has been silent for this long has left with its VM, or finds the
+# next scheduler by itself.
+_ATTENDANT_RETENTION = timedelta(minutes=1)
+
+
+class SideRows(abc.ABC):
+    """Rows that are compared at an interval with what they were last stored as."""
+
+    @abc.abstractmethod
+    def due_puts(self, now: timedelta) -> list[Put]:
+        """Return the writes that are due."""
+
+    @abc.abstractmethod
+    def mark_stored(self, version_by_key: Mapping[str, int]) -> None:
+        """Record the versions of rows that have been written."""
+
+
+class PressureRow(SideRows):
+    """The measured interference between images.
+
+    If it were not stored, fillers such as builds would wait after a power loss until
+    every pair of images has been measured again.
+    """
+
+    def __init__(self, *, table: PressureTable, now: timedelta) -> None:
+        self._table = table
+        self._checked_at = now
+        self._version = 0
+        self._stored: list[Pressure] = []
+
+    def restore(self, row: Row) -> None:
+        """Continue from the row that an earlier scheduler wrote."""
+        self._version = row.version
+        self._stored = row.decode(list[Pressure])
+        self._table.restore(self._stored)
+
+    def due_puts(self, now: timedelta) -> list[Put]:  # noqa: D102
+        if now - self._checked_at < _PRESSURES_PERIOD:
+            return []
+        self._checked_at = now
+        by_weight = sorted(self._table.all(), key=lambda each: -each.weight)
+        pressures = by_weight[:_MAX_PRESSURES]
+        if not pressures or pressures == self._stored:
+            return []
+        self._stored = pressures
+        return [Put.of(PRESSURES_KEY, self._version, pressures)]
+
+    def mark_stored(self, version_by_key: Mapping[str, int]) -> None:  # noqa: D102
+        self._version = version_by_key.get(PRESSURES_KEY, self._version)
+
+
+class _Attendant(msgspec.Struct, frozen=True):
+    data_centre: str
+    address: Address
+
+
+class AttendantRows(SideRows):
+    """The addresses of all attendants, one row per data centre.
+
+    The next scheduler introduces itself to them. It could not wait for their reports:
+    a scheduler that is only cut off from the table goes on answering these.
+    """
+
+    def __init__(self, *, fleet: Fleet, now: timedelta) -> None:
+        self._fleet = fleet
+        self._checked_at = now
+        self._restored_at = now
+        self._restored: dict[str, _Attendant] = {}
+        self._stored_by_key: dict[str, dict[str, Address]] = {}
+        self._version_by_key: dict[str, int] = {}
+
+    def restore(self, rows: Iterable[Row]) -> dict[str, Address]:
+        """Continue from the rows of an earlier scheduler.
+
+        Returns
+        -------
+        dict
+            The address of each worker's attendant.
+        """
+        address_by_worker: dict[str, Address] = {}
+        for row in rows:
+            stored = row.decode(dict[str, Address])
+            self._version_by_key[row.key] = row.version
+            self._stored_by_key[row.key] = stored
+            centre = data_centre_of(row.key)
+            for worker, address in stored.items():
+                self._restored[worker] = _Attendant(centre, address)
+            address_by_worker.update(stored)
+        return address_by_worker
+
+    def due_puts(self, now: timedelta) -> list[Put]:  # noqa: D102
+        if now - self._checked_at < _ATTENDANTS_PERIOD:
+            return []
+        self._checked_at = now
+        current = self._current_by_key(now)
+        changed = [
+            key
+            for key in current.keys() | self._stored_by_key.keys()
+            if current.get(key, {}) != self._stored_by_key.get(key, {})
+        ]
+        for key in changed:
+            self._stored_by_key[key] = current.get(key, {})
+        return [
+            Put.of(key, self._version_by_key.get(key, 0), self._stored_by_key[key])
+            for key in sorted(changed)
+        ]
+
+    def mark_stored(self, version_by_key: Mapping[str, int]) -> None:  # noqa: D102
+        for key, version in version_by_key.items():
+            if key in self._stored_by_key:
+                self._version_by_key[key] = version
+
+    def _current_by_key(self, now: timedelta) -> dict[str, dict[str, Address]]:
+        """Return the addresses by the key of their row, and then by worker."""
+        attendants: dict[str, _Attendant] = {}
+        if now - self._restored_at < _ATTENDANT_RETENTION:
+            attendants.update(self._restored)
+        for worker in self._fleet.worker_by_id.values():
+            is_recent = now - worker.last_heard < _ATTENDANT_RETENTION
+            if worker.address is not None and worker.data_centre and is_recent:
+                attendants[worker.id] = _Attendant(worker.data_centre, worker.address)
+        by_key: dict[str, dict[str, Address]] = {}
+        for name in sorted(attendants):
+            attendant = attendants[name]
+            row = by_key.setdefault(attendants_key(attendant.data_centre), {})
+            row[name] = attendant.address
+        return by_key
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from datetime import timedelta
 
 import msgspec
 from returns.result import Failure
 
-from coltsfoottray.agent.pressure import Pressure, PressureTable
 from coltsfoottray.clock import Clock
 from coltsfoottray.errors import ColtsfoottrayError
-from coltsfoottray.jobs.keys import LEASE_KEY, PRESSURES_KEY, record_key, summary_key
+from coltsfoottray.jobs.keys import LEASE_KEY, record_key, summary_key
 from coltsfoottray.logs import log_event
 from coltsfoottray.platform import (
     Check,
@@ -24,13 +23,14 @@
 from coltsfoottray.scheduler.grants import Grants
 from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL, LeaseRow
 from coltsfoottray.scheduler.live import LiveJob
+from coltsfoottray.scheduler.side_rows import SideRows
 
 __all__ = ["LeaseLost", "StateWriter"]
 
 _RETRY_INTERVAL = timedelta(milliseconds=100)
 
 # The store allows 100 conditions and writes in a transaction, and each row takes one of
-# both. Two rows are reserved for the lease and the pressures.
+# both. One row is reserved for the lease.
 _ROWS_PER_COMMIT = 48
 # The store's limit is 1 MB, and base64 adds a third.
 _BYTES_PER_COMMIT = 500_000
@@ -40,11 +40,6 @@
 # write per second.
 _CHECKPOINT_PERIOD = timedelta(seconds=1)
 
-# Interference between images is measured within seconds and changes little.
-_PRESSURES_PERIOD = timedelta(seconds=4)
-# At 40 bytes per pair, the row stays below a quarter of the store's limit.
-_MAX_PRESSURES = 400
-
 
 class LeaseLost(ColtsfoottrayError):
     """Another entry has taken the lease row over."""
@@ -61,6 +56,8 @@
         Version of the lease row after that write.
     acquired_at : timedelta
         When that write was sent.
+    side_rows : sequence of SideRows
+        What is stored beside the rows of jobs.
     """
 
     def __init__(
@@ -70,6 +67,7 @@
         version: int,
         acquired_at: timedelta,
         grants: Grants,
+        side_rows: Sequence[SideRows],
         table: WatchedTable,
         clock: Clock,
     ) -> None:
@@ -85,14 +83,7 @@
         # Versions of the rows to delete with one of the next commits, by key.
         self._garbage: dict[str, int] = {}
         self._checkpoints_stored_at = acquired_at
-        self._pressures_checked_at = acquired_at
-        self._pressures_version = 0
-        self._pressures: list[Pressure] = []
-
-    def restore_pressures(self, version: int, pressures: list[Pressure]) -> None:
-        """Continue from the pressures row that an earlier scheduler wrote."""
-        self._pressures_version = version
-        self._pressures = pressures
+        self._side_rows = side_rows
 
     def discard(self, key: str, version: int) -> None:
         """Delete a row with the next commit."""
@@ -105,7 +96,7 @@
         if job.summary_version:
             self.discard(summary_key(job.id), job.summary_version)
 
-    async def store(self, jobs: Iterable[LiveJob], pressures: PressureTable) -> None:
+    async def store(self, jobs: Iterable[LiveJob]) -> None:
         """Store all changes, and renew the lease row if a renewal is due.
 
         Raises
@@ -114,17 +105,20 @@
             If another entry has taken the lease row over.
         """
         dirty = self._jobs_to_store(jobs)
-        extra = self._put_pressures(pressures)
         for batch in _split_batches(dirty):
-            await self._commit(batch, extra, renews=self._is_renewal_due())
-            extra = []
-        if self._garbage or extra or (not dirty and self._is_renewal_due()):
-            await self._commit([], extra, renews=True)
+            await self._commit(batch, renews=self._is_renewal_due())
+        now = self._clock.elapsed()
+        extra = [put for rows in self._side_rows for put in rows.due_puts(now)]
+        for start in range(0, len(extra), _ROWS_PER_COMMIT):
+            chunk = extra[start : start + _ROWS_PER_COMMIT]
+            await self._commit([], chunk, renews=self._is_renewal_due())
+        if self._garbage or (not dirty and self._is_renewal_due()):
+            await self._commit([], renews=True)
 
     async def resign(self) -> None:
         """Release the lease row, so that another entry can take it over at once."""
         self.lease = msgspec.structs.replace(self.lease, is_resigned=True)
-        await self._commit([], [], renews=True)
+        await self._commit([], renews=True)
         log_event("scheduler:resigned", epoch=self.lease.epoch)
 
     def _jobs_to_store(self, jobs: Iterable[LiveJob]) -> list[LiveJob]:
@@ -147,29 +141,12 @@
             dirty += with_checkpoints[:_ROWS_PER_COMMIT]
         return dirty
 
-    def _put_pressures(self, table: PressureTable) -> list[Put]:
-        """Return a write of the measured pressures if one is due.
-
-        If they were not stored, fillers such as builds would wait after a power loss
-        until every pair of images has been measured again.
-        """
-        now = self._clock.elapsed()
-        if now - self._pressures_checked_at < _PRESSURES_PERIOD:
-            return []
-        self._pressures_checked_at = now
-        pressures = sorted(table.all(), key=lambda each: -each.weight)[:_MAX_PRESSURES]
-        if not pressures or pressures == self._pressures:
-            return []
-        self._pressures = pressures
-        return [Put.of(PRESSURES_KEY, self._pressures_version, pressures)]
-
     async def _commit(
-        self, jobs: list[LiveJob], extra: list[Put], *, renews: bool
+        self, jobs: list[LiveJob], extra: Sequence[Put] = (), *, renews: bool
     ) -> None:
         sent = self._clock.elapsed()
-        puts = [put for job in jobs for put in _job_puts(job)]
+        puts = [*extra, *(put for job in jobs for put in _job_puts(job))]
         garbage = list(self._garbage)[: _ROWS_PER_COMMIT - len(puts)]
-        puts += extra
         puts += [Put(key=key, version=self._garbage.pop(key)) for key in garbage]
         checks: list[Check] = []
         if renews:
@@ -186,7 +163,8 @@
         )
         self.confirmed_at = sent
         self._version = versions.get(LEASE_KEY, self._version)
-        self._pressures_version = versions.get(PRESSURES_KEY, self._pressures_version)
+        for rows in self._side_rows:
+            rows.mark_stored(versions)
         if renews:
             self.renewed_at = sent
             self._grants.unlist(self.lease.silent_ms)
