Failing: a holder that reads the stored state is replaced before it has read it

The stand-in's links carry requests to a process too, and let each connection have a window in transit, so that a ping waits behind bulk, as on the users' machines.

--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -82,7 +82,7 @@
     running : trio.Event
         Set unless the process is paused.
     link : AccessLink
-        Carries the replies that the process receives.
+        Carries the requests and responses that the process receives.
     """
 
     lost_replies: int = 0
@@ -229,6 +229,7 @@
             is_cut = frozenset((sender, listener.process)) in self.cut
             if is_cut or link in self.silent:
                 await trio.sleep_forever()
+            await self.faults(listener.process).link.receive_request(_size(message))
             listener.accept(message, pending)
             await pending.done.wait()
             if link in self.silent:
@@ -247,9 +248,10 @@
         return pending.reply
 
 
-def _size(reply: Any) -> int:
-    """Return the size of a reply on a link in bytes; peer replies count as 0."""
-    return len(reply.body) if isinstance(reply, HttpResponse) else 0
+def _size(message: Any) -> int:
+    """Return the size of a message on a link in bytes; peer calls count as 0."""
+    is_http = isinstance(message, HttpRequest | HttpResponse)
+    return len(message.body) if is_http else 0
 
 
 class _Link:
