A scheduler that reads the stored state is not replaced while it makes progress

Others gave it up after 1.3 s, since a ping waited behind that bulk, and began the same read.

Changed: - the holder renews while it reads, as long as something has arrived since the last renewal; one that is stuck stops renewing and is replaced as before. The row says that it is loading; - where holders were replaced while loading, others wait twice as long each time (the row counts them), up to eight times; - acceptances, cancellations and summaries come from the copy that each entry keeps, which is brought up to the version of the new lease row; only the records are read; - the record of a job that has ended is deleted with the write that says so (the summary says when it ended), unless an entry that reads only the former format is registered: it would take the job for a new one.

Ruled out: a longer time before a holder is given up (a larger state brings it back); placing before all records are read (room that unread runs hold would be given away).

A job whose acceptance is uncertain: the scenario relied on the entry's copy being between two questions when the answer was lost; with other phases the copy shows the job, and 200 is true.

--- a/coltsfoottray/daemons/job_common.py
+++ b/coltsfoottray/daemons/job_common.py
@@ -26,6 +26,7 @@
     MemberRow,
     Registration,
 )
+from coltsfoottray.jobs.records import STATE_FORMAT
 from coltsfoottray.kernel import Kernel, ServiceName
 from coltsfoottray.logs import log_event
 from coltsfoottray.membership import make_incarnation
@@ -145,6 +146,7 @@
             role=self.role,
             address=self.address,
             incarnation=self.incarnation,
+            state_format=STATE_FORMAT,
         )
         service = Registration(
             member=member, table=self.table, clock=self.clock, random=self.random
--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from functools import partial
 
 import trio
 from returns.result import Failure
@@ -23,6 +24,7 @@
     job_shard_prefixes,
 )
 from coltsfoottray.jobs.mirror import Mirror
+from coltsfoottray.jobs.records import STATE_FORMAT
 from coltsfoottray.jobs.view import JobsView
 from coltsfoottray.kernel import Kernel, Service, ServiceName
 from coltsfoottray.logs import log_event
@@ -104,6 +106,8 @@
             address=settings.peers,
             table=self.table,
             mirror=self._jobs_mirror,
+            view=self.view,
+            drops_records=partial(self.members.can_all_read, STATE_FORMAT),
             watch=self._lease_watch,
             peers=self.peers,
             holder=self.holder,
--- a/coltsfoottray/jobs/members.py
+++ b/coltsfoottray/jobs/members.py
@@ -45,19 +45,23 @@
     ----------
     incarnation : str
         The process that wrote the row. A later one at the same address keeps it.
+    state_format : int
+        The newest format of the scheduler's rows that it can read.
     """
 
     name: str
     role: Role
     address: Address
     incarnation: str
+    state_format: int = 0
 
     def stands_for(self, other: MemberRow) -> bool:
         """Return whether peers learn the same from both rows."""
-        return (self.name, self.role, self.address) == (
+        return (self.name, self.role, self.address, self.state_format) == (
             other.name,
             other.role,
             other.address,
+            other.state_format,
         )
 
 
@@ -81,6 +85,13 @@
         """Replace the known members."""
         self._members = members
 
+    def can_all_read(self, state_format: int) -> bool:
+        """Return whether all entries are known to read a format of stored state."""
+        entries = [each for each in self._members if each.role is Role.ENTRY]
+        return bool(entries) and all(
+            each.state_format >= state_format for each in entries
+        )
+
     def entries(self) -> list[Address]:
         """Return the peer addresses of the other entries."""
         known = [each.address for each in self._members if each.role is Role.ENTRY]
--- a/coltsfoottray/jobs/mirror.py
+++ b/coltsfoottray/jobs/mirror.py
@@ -9,6 +9,7 @@
 import trio
 
 from coltsfoottray.clock import Clock
+from coltsfoottray.jobs.paging import RowReader
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
 from coltsfoottray.metrics import Metrics
@@ -33,8 +34,13 @@
     on_row : callable
         Receives each new version of a row, or its deletion.
     pause : timedelta
-        Time between two requests for changes. Each request is billed, and changes
-        made in the meantime arrive in one answer.
+        Longest time between two requests for changes. Each request is billed, and
+        changes made in the meantime arrive in one answer.
+
+    Attributes
+    ----------
+    version : int
+        The copy contains all changes up to this version.
     """
 
     def __init__(
@@ -55,12 +61,23 @@
         self._clock = clock
         self._metrics = metrics
         self._pause = pause
+        self._reader = RowReader(
+            table=table, clock=clock, on_failure=self._record_failure
+        )
+        self._advanced = trio.Event()
+        self._is_wanted = trio.Event()
         self._version_by_key: dict[str, int] = {}
-        self._version = 0
+        self.version = 0
         self.loaded = trio.Event()
         self.as_of: timedelta | None = None
         self._failing_since: timedelta | None = None
 
+    async def wait_for(self, version: int) -> None:
+        """Wait until the copy contains all changes up to `version`."""
+        while self.version < version:
+            self._is_wanted.set()
+            await self._advanced.wait()
+
     def version_of(self, key: str) -> int:
         """Return the version of a row in the copy, 0 if the copy has no such row."""
         return self._version_by_key.get(key, 0)
@@ -90,7 +107,8 @@
                 await self._load()
                 while True:
                     await self._follow()
-                    await self._clock.sleep(self._pause)
+                    with trio.move_on_after(self._pause.total_seconds()):
+                        await self._is_wanted.wait()
             except HistoryLost as error:
                 log_event("mirror:history-lost", group=self._group, reason=str(error))
             except TableUnavailable as error:
@@ -102,7 +120,7 @@
         if self.loaded.is_set() and await self._can_resume():
             return
         requested_at = self._clock.elapsed()
-        snapshots = [await self._table.snapshot(each) for each in self._prefixes]
+        snapshots = [await self._reader.read(each) for each in self._prefixes]
         row_by_key = {row.key: row for each in snapshots for row in each.rows}
         for key in [key for key in self._version_by_key if key not in row_by_key]:
             # The deletion was not observed. Its version is unknown, but is newer.
@@ -110,7 +128,7 @@
             self._apply(Row(key=key, value=_NULL, version=version, is_deleted=True))
         for row in sorted(row_by_key.values(), key=lambda row: row.version):
             self._apply(row)
-        self._version = min(each.version for each in snapshots)
+        self._advance(min(each.version for each in snapshots))
         self._record_success(requested_at)
         self.loaded.set()
 
@@ -123,12 +141,18 @@
 
     async def _follow(self, wait: timedelta = _CHANGES_WAIT) -> None:
         requested_at = self._clock.elapsed()
-        changes = await self._table.changes(self._group, after=self._version, wait=wait)
+        changes = await self._table.changes(self._group, after=self.version, wait=wait)
         for row in changes.rows:
             self._apply(row)
-        self._version = changes.version
+        self._advance(changes.version)
         self._record_success(requested_at)
 
+    def _advance(self, version: int) -> None:
+        self.version = version
+        self._is_wanted = trio.Event()
+        advanced, self._advanced = self._advanced, trio.Event()
+        advanced.set()
+
     def _apply(self, row: Row) -> None:
         if self._version_by_key.get(row.key, 0) >= row.version:
             return
@@ -143,7 +167,7 @@
         self._record_age()
         if self._failing_since is not None:
             self._failing_since = None
-            log_event("table:regained", group=self._group, version=self._version)
+            log_event("table:regained", group=self._group, version=self.version)
 
     def _record_age(self) -> None:
         self._metrics.gauge("copy_age_seconds", self.age_s(), group=self._group)
--- a/coltsfoottray/jobs/records.py
+++ b/coltsfoottray/jobs/records.py
@@ -1,7 +1,8 @@
 """Stored progress of a job, written by the scheduler.
 
 Each job has two rows, which are written together: a record with the progress of each
-task, and a short summary of what callers can query.
+task, and a short summary of what callers can query. Once it has ended and none of its
+runs is left, the record is deleted, so that a new scheduler reads only active jobs.
 """
 
 from __future__ import annotations
@@ -10,7 +11,17 @@
 
 import msgspec
 
-__all__ = ["JobRecord", "JobState", "JobSummary", "TaskPhase", "TaskRecord"]
+__all__ = [
+    "STATE_FORMAT",
+    "JobRecord",
+    "JobState",
+    "JobSummary",
+    "TaskPhase",
+    "TaskRecord",
+]
+
+STATE_FORMAT = 1
+"""Since 1, a job that has ended needs no record: its summary says when it ended."""
 
 
 class JobState(enum.Enum):
@@ -35,10 +46,13 @@
     ----------
     has_started : bool
         Whether any of its tasks was ever assigned.
+    ended_ms : int
+        Time at which it reached its final state, in milliseconds since 1970.
     """
 
     state: JobState = JobState.QUEUED
     has_started: bool = False
+    ended_ms: int = 0
 
 
 class TaskPhase(enum.IntEnum):
@@ -60,7 +74,8 @@
     failures : int
         Number of runs that ended with a failure of the task.
     worker, life : str
-        Worker that the run is assigned to, and the worker's incarnation.
+        Worker that the run is assigned to, and the worker's incarnation; empty unless
+        it is assigned.
     checkpoint : str
         Checkpoint that the next run resumes from; empty to start from the beginning.
     """
@@ -72,6 +87,12 @@
     life: str = ""
     checkpoint: str = ""
 
+    def unassign(self, phase: TaskPhase) -> None:
+        """End the assignment of its latest run."""
+        self.phase = phase
+        self.worker = ""
+        self.life = ""
+
 
 class JobRecord(msgspec.Struct, kw_only=True, omit_defaults=True):
     """Progress of one job.
@@ -97,4 +118,15 @@
     @property
     def summary(self) -> JobSummary:
         """The part of the record that callers can query."""
-        return JobSummary(state=self.state, has_started=self.has_started)
+        return JobSummary(
+            state=self.state, has_started=self.has_started, ended_ms=self.ended_ms
+        )
+
+    @classmethod
+    def of_ended(cls, summary: JobSummary) -> JobRecord:
+        """Return the record of an ended job, of which only a summary is left."""
+        return cls(
+            state=summary.state,
+            has_started=summary.has_started,
+            ended_ms=summary.ended_ms,
+        )
--- a/coltsfoottray/jobs/view.py
+++ b/coltsfoottray/jobs/view.py
@@ -50,6 +50,18 @@
         else:
             self.job_by_id[job_id] = row.decode(AcceptedJob)
 
+    def jobs(self) -> list[AcceptedJob]:
+        """Return all accepted jobs."""
+        return list(self.job_by_id.values())
+
+    def summarized_jobs(self) -> list[JobId]:
+        """Return the jobs that have a summary, also without an acceptance."""
+        return list(self._summary_by_id)
+
+    def summary_of(self, job_id: JobId) -> JobSummary | None:
+        """Return a job's stored summary, None if there is none."""
+        return self._summary_by_id.get(job_id)
+
     def state_of(self, job_id: JobId) -> JobState:
         """Return the state of an accepted job."""
         state = self._summary_by_id.get(job_id, _NOT_STARTED).state
--- a/coltsfoottray/platform/common.py
+++ b/coltsfoottray/platform/common.py
@@ -145,6 +145,23 @@
     version: int
 
 
+class Page(msgspec.Struct, frozen=True, kw_only=True):
+    """Some of the rows under a prefix, as of a single moment.
+
+    Parameters
+    ----------
+    next_first : str, optional
+        Name from which to continue, None after the last page.
+    size_bytes : int
+        Size of the answer.
+    """
+
+    rows: list[Row]
+    version: int
+    next_first: str | None = None
+    size_bytes: int = 0
+
+
 class Changes(msgspec.Struct, frozen=True, kw_only=True):
     """Changed rows, in order; pass `version` to `changes` for what follows."""
 
@@ -164,8 +181,14 @@
     """
 
     @abc.abstractmethod
-    async def snapshot(self, prefix: str) -> Snapshot:
-        """Return the rows under `group/shard/`, raising `TableUnavailable`."""
+    async def page(self, prefix: str, *, first: str, limit: int) -> Page:
+        """Return up to `limit` rows under `group/shard/`, from the name `first` on.
+
+        Raises
+        ------
+        TableUnavailable
+            If the table did not answer.
+        """
 
     @abc.abstractmethod
     async def changes(self, group: str, *, after: int, wait: timedelta) -> Changes:
--- a/coltsfoottray/platform/metadata_table.py
+++ b/coltsfoottray/platform/metadata_table.py
@@ -18,9 +18,9 @@
     Changes,
     Check,
     HistoryLost,
+    Page,
     Put,
     Row,
-    Snapshot,
     TableConflict,
     TableUnavailable,
     Transaction,
@@ -163,29 +163,33 @@
     async def get(self, key: str) -> Row | None:  # noqa: D102
         table, part, name = _split_key(key)
         query = {"table": table, "part": part, "from": name, "limit": "1"}
-        answer = await self._read(query)
+        answer = _decode(await self._read(query))
         rows = [_as_row(row) for row in answer.rows if row.key == name]
         return rows[0] if rows else None
 
     async def scan(self, prefix: str) -> Sequence[Row]:  # noqa: D102
-        return (await self.snapshot(prefix)).rows
-
-    async def snapshot(self, prefix: str) -> Snapshot:  # noqa: D102
-        table, part, first = _split_key(prefix)
         rows: list[Row] = []
-        version: int | None = None
-        while True:
-            query = {"table": table, "part": part, "limit": str(_PAGE_ROWS)}
-            if first:
-                query["from"] = first
-            answer = await self._read(query)
-            # Later pages may contain later writes. Changes since the first page's
-            # version include those writes again, which is harmless.
-            version = answer.schemaVersion if version is None else version
-            rows.extend(_as_row(row) for row in answer.rows)
-            if not answer.hasMore or not answer.rows:
-                return Snapshot(rows=rows, version=version)
-            first = answer.rows[-1].key + "\0"
+        first: str | None = ""
+        while first is not None:
+            page = await self.page(prefix, first=first, limit=_PAGE_ROWS)
+            rows.extend(page.rows)
+            first = page.next_first
+        return rows
+
+    async def page(self, prefix: str, *, first: str, limit: int) -> Page:  # noqa: D102
+        table, part, _ = _split_key(prefix)
+        query = {"table": table, "part": part, "limit": str(limit)}
+        if first:
+            query["from"] = first
+        response = await self._read(query)
+        answer = _decode(response)
+        has_more = answer.hasMore and bool(answer.rows)
+        return Page(
+            rows=[_as_row(row) for row in answer.rows],
+            version=answer.schemaVersion,
+            next_first=answer.rows[-1].key + "\0" if has_more else None,
+            size_bytes=len(response.body),
+        )
 
     async def changes(  # noqa: D102
         self, group: str, *, after: int, wait: timedelta
@@ -207,10 +211,10 @@
         rows = [_as_row(row) for row in answer.rows]
         return Changes(rows=rows, version=max(after, answer.schemaVersion))
 
-    async def _read(self, query: dict[str, str]) -> _Answer:
+    async def _read(self, query: dict[str, str]) -> HttpResponse:
         target = f"/v1/rows-get?{urlencode(query)}"
         request = HttpRequest(method="GET", target=target)
-        return _decode(await self._send(request, history=self._reads))
+        return await self._send(request, history=self._reads)
 
     def _history(self, target: str) -> _CallHistory:
         if target not in self._history_by_target:
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -14,7 +14,6 @@
 from coltsfoottray.clock import Clock, as_milliseconds
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.jobs.config import ConfigHolder
-from coltsfoottray.jobs.keys import is_scheduler_key
 from coltsfoottray.jobs.model import AcceptedJob, JobId
 from coltsfoottray.jobs.records import JobState
 from coltsfoottray.logs import log_event
@@ -85,6 +84,7 @@
         version: int,
         acquired_at: timedelta,
         silent_until: Mapping[str, timedelta],
+        drops_records: Callable[[], bool],
         table: WatchedTable,
         peers: PeerClient,
         holder: ConfigHolder,
@@ -113,6 +113,7 @@
             acquired_at=acquired_at,
             grants=self._grants,
             side_rows=[self._pressure_row, self._attendant_rows],
+            drops_records=drops_records,
             table=table,
             clock=clock,
         )
@@ -122,6 +123,11 @@
         self._is_resigning = False
         self._loaded_at = timedelta(0)
 
+    @property
+    def version(self) -> int:
+        """The version of the lease row as last written."""
+        return self._writer.version
+
     @property
     def lease(self) -> LeaseRow:
         """The lease row as last written."""
@@ -203,13 +209,34 @@
         """Restore the addresses of attendants; return them by worker."""
         return self._attendant_rows.restore(rows)
 
-    def load(self, stored: StoredState) -> None:
+    async def renew_until(
+        self, loaded: trio.Event, progress: Callable[[], int]
+    ) -> None:
+        """Renew the lease row until all is loaded, as long as that makes progress.
+
+        Other entries replace a holder that is stuck, but not one that is only slow:
+        the next one would have to read the same.
+
+        Raises
+        ------
+        LeaseLost
+            If another entry has taken the lease row over.
+        """
+        last = progress()
+        while True:
+            with trio.move_on_after(RENEWAL_INTERVAL.total_seconds() / 2):
+                await loaded.wait()
+                return
+            if progress() != last:
+                last = progress()
+                await self._writer.renew()
+
+    def load(self, stored: StoredState, **cost: float) -> None:
         """Restore the state that earlier schedulers stored."""
         now = self._clock.elapsed()
         now_ms = as_milliseconds(self._clock.now())
-        for orphan in stored.orphan_rows:
-            if is_scheduler_key(orphan.key):
-                self._writer.discard(orphan.key, orphan.version)
+        for key, version in stored.orphan_version_by_key.items():
+            self._writer.discard(key, version)
         if stored.pressures is not None:
             self._pressure_row.restore(stored.pressures)
         for stored_job in stored.jobs:
@@ -230,12 +257,14 @@
                 self.cluster.cancel(stored_job.accepted.id, now_ms)
         self.is_loaded = True
         self._loaded_at = now
+        self._writer.mark_loaded()
         log_event(
             "scheduler:loaded",
             epoch=self.lease.epoch,
             jobs=len(self.cluster.job_by_id),
             active=len(self.cluster.active_by_id),
             workers=len(self._fleet.worker_by_id),
+            **cost,
             held_by_worker={
                 worker.id: len(worker.held_by_ref)
                 for worker in self._fleet.worker_by_id.values()
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -329,7 +329,7 @@
         if kind is EndKind.DONE and not step.spec.is_service:
             self._complete_task(step, ref, now_ms)
             return
-        record.phase = TaskPhase.WAITING
+        record.unassign(TaskPhase.WAITING)
         step.recount()
         if kind is EndKind.FAILED and not step.spec.is_service:
             self._count_failure(step, ref, now_ms)
@@ -342,7 +342,7 @@
             # A gang completes as a whole, so the end of one member completes all.
             ended = step.records
         for record in ended:
-            record.phase = TaskPhase.DONE
+            record.unassign(TaskPhase.DONE)
             record.checkpoint = ""
         step.recount()
         job = step.job
--- a/coltsfoottray/scheduler/lease.py
+++ b/coltsfoottray/scheduler/lease.py
@@ -41,6 +41,9 @@
 # others can. Six renewals, since with a table 70 times slower than usual one renewal
 # takes almost two intervals.
 _CUT_OFF_AFTER = timedelta(seconds=3)
+# Both times double with each take-over that was replaced before it had loaded: what
+# was too slow for one entry may be too slow for the next.
+_MAX_DOUBLINGS = 3
 _PING_TIMEOUT = timedelta(milliseconds=400)
 
 
@@ -55,6 +58,11 @@
         Increases with each renewal, so that each one changes the row.
     is_resigned : bool
         The holder has resigned; any entry may take over at once.
+    is_loading : bool
+        The holder is reading the stored state. It renews the row only while it makes
+        progress.
+    failed_takeovers : int
+        Number of holders in a row, before this one, that were replaced while loading.
     silent_ms : dict
         For each silent worker that holds runs, how long its lease may last from the
         time of this write. The holder grants no lease to a listed worker, so that the
@@ -67,8 +75,15 @@
     address: Address
     renewals: int = 0
     is_resigned: bool = False
+    is_loading: bool = False
+    failed_takeovers: int = 0
     silent_ms: dict[str, int] = msgspec.field(default_factory=dict)
 
+    @property
+    def patience(self) -> int:
+        """Factor by which others wait longer before they replace the holder."""
+        return 1 << min(self.failed_takeovers, _MAX_DOUBLINGS)
+
 
 class HolderStatus(enum.Enum):
     """The state of the holder, as another entry sees it."""
@@ -138,14 +153,14 @@
             # The row may have changed during the call.
             return (
                 HolderStatus.STALE
-                if self._row_age() > _STALE_AFTER
+                if self._row_age() > _STALE_AFTER * row.patience
                 else HolderStatus.HELD
             )
         if reply.incarnation != row.incarnation:
             return HolderStatus.REPLACED
         return (
             HolderStatus.CUT_OFF
-            if self._row_age() > _CUT_OFF_AFTER
+            if self._row_age() > _CUT_OFF_AFTER * row.patience
             else HolderStatus.HELD
         )
 
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -323,8 +323,19 @@
         """Whether the summary has changed since it was stored."""
         return self.record.summary != self.stored_summary
 
+    @property
+    def needs_record(self) -> bool:
+        """Whether a new scheduler needs more than its summary."""
+        return not self.record.state.is_final or not self.is_idle
+
     def mark_stored(self, version: int, summary_version: int, sent: timedelta) -> None:
-        """Record that both rows are up to date, by a write sent at `sent`."""
+        """Record that its rows are up to date, by a write sent at `sent`.
+
+        Parameters
+        ----------
+        version, summary_version : int
+            Versions of the record and of the summary, 0 for a row that is deleted.
+        """
         self.version = version
         self.summary_version = summary_version
         self.stored_summary = self.record.summary
--- a/coltsfoottray/scheduler/restore.py
+++ b/coltsfoottray/scheduler/restore.py
@@ -1,29 +1,32 @@
-"""Reads the stored state of all jobs when a scheduler takes over."""
+"""Reads the stored state of all jobs when a scheduler takes over.
+
+Load pattern: the previous scheduler has died, nothing is placed meanwhile, and the
+state is larger the larger the fleet. Acceptances, cancellations and summaries are
+taken from the entry's copy, which it keeps anyway. Only the records are read, of which
+there is one for each job that has not ended.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
-from datetime import timedelta
-
-import trio
 
 from coltsfoottray.clock import Clock
 from coltsfoottray.jobs.keys import (
     ATTENDANTS_PREFIX,
     PRESSURES_KEY,
     RECORDS_PREFIX,
-    is_scheduler_key,
     job_of,
-    job_shard_prefixes,
+    summary_key,
 )
-from coltsfoottray.jobs.model import AcceptedJob, JobId
+from coltsfoottray.jobs.mirror import Mirror
+from coltsfoottray.jobs.model import AcceptedJob
+from coltsfoottray.jobs.paging import RowReader
 from coltsfoottray.jobs.records import JobRecord, JobSummary
+from coltsfoottray.jobs.view import JobsView
 from coltsfoottray.logs import log_event
 from coltsfoottray.platform import Row, TableUnavailable, WatchedTable
 
-__all__ = ["StoredJob", "StoredState", "read_attendant_rows", "read_stored_state"]
-
-_RETRY_INTERVAL = timedelta(milliseconds=200)
+__all__ = ["StateReader", "StoredJob", "StoredState"]
 
 
 @dataclass(kw_only=True)
@@ -44,67 +47,107 @@
 
     Parameters
     ----------
-    orphan_rows : list of Row
-        Rows of jobs whose acceptance has been deleted.
+    orphan_version_by_key : dict
+        Versions of the scheduler's rows for jobs whose acceptance has been deleted.
     pressures : Row, optional
         The measured interference between images.
     """
 
     jobs: list[StoredJob]
-    orphan_rows: list[Row]
+    orphan_version_by_key: dict[str, int]
     pressures: Row | None = None
 
 
-async def read_attendant_rows(table: WatchedTable, *, clock: Clock) -> list[Row]:
-    """Return the rows with the attendants' addresses, retrying until they arrive."""
-    return await _read(table, ATTENDANTS_PREFIX, clock=clock)
-
-
-async def read_stored_state(table: WatchedTable, *, clock: Clock) -> StoredState:
-    """Return the stored state of all jobs, retrying until the table answers."""
-    rows: list[Row] = []
-
-    async def read(prefix: str) -> None:
-        rows.extend(await _read(table, prefix, clock=clock))
-
-    async with trio.open_nursery() as nursery:
-        for prefix in [*job_shard_prefixes(), RECORDS_PREFIX]:
-            nursery.start_soon(read, prefix)
-    return _assemble(rows)
-
-
-async def _read(table: WatchedTable, prefix: str, *, clock: Clock) -> list[Row]:
-    while True:
-        try:
-            return list((await table.snapshot(prefix)).rows)
-        except TableUnavailable as error:
-            log_event("scheduler:load-retried", prefix=prefix, reason=str(error))
-            await clock.sleep(_RETRY_INTERVAL)
-
-
-def _assemble(rows: list[Row]) -> StoredState:
-    stored_by_id: dict[JobId, StoredJob] = {}
-    orphan_rows: list[Row] = []
-    pressures = next((row for row in rows if row.key == PRESSURES_KEY), None)
-    for row in rows:
-        if "/job." in row.key and not is_scheduler_key(row.key):
-            accepted = row.decode(AcceptedJob)
-            stored_by_id[accepted.id] = StoredJob(accepted=accepted)
-    for row in rows:
-        if "." not in row.key.rsplit("/", 1)[1]:
-            continue
-        stored = stored_by_id.get(job_of(row.key))
-        if stored is None:
-            orphan_rows.append(row)
-            continue
-        if "/cancel." in row.key:
-            stored.is_cancelled = True
-        elif row.key.startswith(RECORDS_PREFIX):
+class StateReader:
+    """Reads what earlier schedulers have stored.
+
+    Parameters
+    ----------
+    mirror, view : Mirror, JobsView
+        This entry's copy of acceptances, cancellations and summaries.
+    """
+
+    def __init__(
+        self, *, table: WatchedTable, mirror: Mirror, view: JobsView, clock: Clock
+    ) -> None:
+        self._mirror = mirror
+        self._view = view
+        self._clock = clock
+        self._started_at = clock.elapsed()
+        # The version up to which the copy is complete, once that is far enough.
+        self._copied: int | None = None
+        self._reader = RowReader(
+            table=table, clock=clock, on_failure=self._record_failure
+        )
+
+    def progress(self) -> int:
+        """Return a number that changes whenever anything has arrived."""
+        copied = self._mirror.version if self._copied is None else self._copied
+        return copied + self._reader.bytes_read
+
+    def cost(self) -> dict[str, float]:
+        """Return the bytes and rows read and the time that it took, for logs."""
+        elapsed = self._clock.elapsed() - self._started_at
+        return {
+            "read_bytes": self._reader.bytes_read,
+            "read_rows": self._reader.rows_read,
+            "read_s": round(elapsed.total_seconds(), 3),
+        }
+
+    async def read_attendants(self) -> list[Row]:
+        """Return the rows with the addresses of attendants."""
+        return (await self._reader.read(ATTENDANTS_PREFIX)).rows
+
+    async def read_jobs(self, version: int) -> StoredState:
+        """Return the state of all jobs.
+
+        Parameters
+        ----------
+        version : int
+            Version of the lease row as this scheduler has written it. No other
+            scheduler has written any of the rows since.
+        """
+        await self._mirror.wait_for(version)
+        self._copied = version
+        rows = (await self._reader.read(RECORDS_PREFIX)).rows
+        return self._assemble(rows)
+
+    def _assemble(self, rows: list[Row]) -> StoredState:
+        stored_by_id = {job.id: self._stored_job(job) for job in self._view.jobs()}
+        orphans = {
+            summary_key(job): self._mirror.version_of(summary_key(job))
+            for job in self._view.summarized_jobs()
+            if job not in stored_by_id
+        }
+        pressures = None
+        for row in rows:
+            if row.key == PRESSURES_KEY:
+                pressures = row
+                continue
+            stored = stored_by_id.get(job_of(row.key))
+            if stored is None:
+                orphans[row.key] = row.version
+                continue
             stored.record = row.decode(JobRecord)
             stored.version = row.version
-        elif is_scheduler_key(row.key):
-            stored.summary = row.decode(JobSummary)
-            stored.summary_version = row.version
-    return StoredState(
-        jobs=list(stored_by_id.values()), orphan_rows=orphan_rows, pressures=pressures
-    )
+        return StoredState(
+            jobs=list(stored_by_id.values()),
+            orphan_version_by_key=orphans,
+            pressures=pressures,
+        )
+
+    def _stored_job(self, accepted: AcceptedJob) -> StoredJob:
+        stored = StoredJob(
+            accepted=accepted, is_cancelled=accepted.id in self._view.cancelled
+        )
+        summary = self._view.summary_of(accepted.id)
+        if summary is not None:
+            stored.summary = summary
+            stored.summary_version = self._mirror.version_of(summary_key(accepted.id))
+            if summary.state.is_final:
+                stored.record = JobRecord.of_ended(summary)
+        return stored
+
+    @staticmethod
+    def _record_failure(error: TableUnavailable) -> None:
+        log_event("scheduler:load-retried", reason=str(error))
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -2,31 +2,30 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from functools import partial
 from random import Random
 
 import trio
-from returns.result import Failure
 
 from coltsfoottray.agent.pressure import Pressure
 from coltsfoottray.clock import Clock
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.jobs.config import ConfigHolder
-from coltsfoottray.jobs.keys import LEASE_KEY
 from coltsfoottray.jobs.mirror import Mirror
 from coltsfoottray.jobs.model import AcceptedJob, JobId
 from coltsfoottray.jobs.records import JobState
+from coltsfoottray.jobs.view import JobsView
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
 from coltsfoottray.metrics import Metrics
 from coltsfoottray.peers import CallHandlers, PeerClient
-from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
+from coltsfoottray.platform import WatchedTable
 from coltsfoottray.scheduler.active import ActiveScheduler
 from coltsfoottray.scheduler.advice import Adviser, run_advice_loop
 from coltsfoottray.scheduler.introductions import Introductions
-from coltsfoottray.scheduler.lease import LeaseRow, LeaseWatch
+from coltsfoottray.scheduler.lease import LeaseWatch
 from coltsfoottray.scheduler.messages import (
     JOB_NOTIFICATION,
     PING,
@@ -42,16 +41,15 @@
     StateQuery,
     StateReply,
 )
-from coltsfoottray.scheduler.restore import read_attendant_rows, read_stored_state
+from coltsfoottray.scheduler.restore import StateReader
 from coltsfoottray.scheduler.sweep import run_sweep_loop
+from coltsfoottray.scheduler.takeover import Claim, LeaseClaimer
 from coltsfoottray.scheduler.writer import LeaseLost
 from coltsfoottray.types import Address
 
 __all__ = ["Scheduler"]
 
 _POLL_INTERVAL = timedelta(milliseconds=200)
-# Random delay that keeps two entries that find the row free at once from both writing.
-_MAX_STAGGER_S = 0.05
 _CALL_TIMEOUT = timedelta(milliseconds=400)
 _RESIGN_POLL_INTERVAL = timedelta(milliseconds=20)
 _RESIGN_TIMEOUT = timedelta(seconds=1)
@@ -68,6 +66,8 @@
         address: Address,
         table: WatchedTable,
         mirror: Mirror,
+        view: JobsView,
+        drops_records: Callable[[], bool],
         watch: LeaseWatch,
         peers: PeerClient,
         holder: ConfigHolder,
@@ -79,9 +79,10 @@
     ) -> None:
         self._name = name
         self._incarnation = incarnation
-        self._address = address
         self._table = table
         self._mirror = mirror
+        self._view = view
+        self._drops_records = drops_records
         self._watch = watch
         self._peers = peers
         self._holder = holder
@@ -90,6 +91,15 @@
         self._retention = retention
         self._metrics = metrics
         self._adviser = adviser
+        self._claimer = LeaseClaimer(
+            name=name,
+            incarnation=incarnation,
+            address=address,
+            table=table,
+            watch=watch,
+            clock=clock,
+            random=random,
+        )
         self.active: ActiveScheduler | None = None
         self._is_stopping = False
 
@@ -176,61 +186,24 @@
         if self.active is not None:
             self.active.notify_accepted(job)
 
-    # Takeover.
+    # Take-over.
 
     async def _acquire(self) -> ActiveScheduler:
         """Take the lease row over as soon as it is free."""
         while True:
             if not self._is_stopping and self._holder.current.version:
-                # Take over the version that was checked: another entry may write the
-                # row during the check, and must then be checked in turn.
-                row, version = self._watch.row, self._watch.version
-                status = await self._watch.check_holder()
-                if status.is_free:
-                    active = await self._try_take_over(row, version, status.value)
-                    if active is not None:
-                        return active
+                claim = await self._claimer.try_claim()
+                if claim is not None:
+                    return self._make_active(claim)
             await self._clock.sleep(_POLL_INTERVAL)
 
-    async def _try_take_over(
-        self, previous: LeaseRow | None, version: int, why: str
-    ) -> ActiveScheduler | None:
-        await self._clock.sleep(
-            timedelta(seconds=self._random.uniform(0, _MAX_STAGGER_S))
-        )
-        lease = LeaseRow(
-            epoch=1 if previous is None else previous.epoch + 1,
-            holder=self._name,
-            incarnation=self._incarnation,
-            address=self._address,
-        )
-        silent_until = {}
-        if previous is not None:
-            silent_until = {
-                worker: self._watch.changed_at + timedelta(milliseconds=remaining_ms)
-                for worker, remaining_ms in previous.silent_ms.items()
-            }
-        put = Put.of(LEASE_KEY, version, lease)
-        sent = self._clock.elapsed()
-        try:
-            outcome = await self._table.commit(Transaction(puts=[put]))
-        except TableUnavailable as error:
-            # If the write succeeded after all, the row names this process as holder,
-            # and the next check finds it abandoned.
-            log_event("scheduler:claim-failed", reason=str(error))
-            return None
-        if isinstance(outcome, Failure):
-            for row in outcome.failure().rows:
-                self._watch.observe(row.decode(LeaseRow), row.version)
-            return None
-        new_version = outcome.unwrap()[LEASE_KEY]
-        self._watch.observe(lease, new_version)
-        log_event("scheduler:claimed", epoch=lease.epoch, name=self._name, why=why)
+    def _make_active(self, claim: Claim) -> ActiveScheduler:
         return ActiveScheduler(
-            lease=lease,
-            version=new_version,
-            acquired_at=sent,
-            silent_until=silent_until,
+            lease=claim.lease,
+            version=claim.version,
+            acquired_at=claim.acquired_at,
+            silent_until=claim.silent_until,
+            drops_records=self._drops_records,
             table=self._table,
             peers=self._peers,
             holder=self._holder,
@@ -241,10 +214,7 @@
     async def _run_active(self, active: ActiveScheduler) -> None:
         self.active = active
         async with trio.open_nursery() as nursery:
-            rows = await read_attendant_rows(self._table, clock=self._clock)
-            address_by_worker = active.restore_attendants(rows)
-            nursery.start_soon(self._introduce, active, address_by_worker)
-            active.load(await read_stored_state(self._table, clock=self._clock))
+            await self._load(active, nursery)
             nursery.start_soon(
                 partial(
                     run_sweep_loop,
@@ -268,6 +238,23 @@
             await active.run()
             nursery.cancel_scope.cancel()
 
+    async def _load(self, active: ActiveScheduler, nursery: trio.Nursery) -> None:
+        """Load the stored state, and introduce the scheduler to attendants."""
+        reader = StateReader(
+            table=self._table, mirror=self._mirror, view=self._view, clock=self._clock
+        )
+        loaded = trio.Event()
+        async with trio.open_nursery() as renewals:
+            renewals.start_soon(active.renew_until, loaded, reader.progress)
+            rows = await reader.read_attendants()
+            address_by_worker = active.restore_attendants(rows)
+            nursery.start_soon(self._introduce, active, address_by_worker)
+            stored = await reader.read_jobs(active.version)
+            loaded.set()
+        active.load(stored, **reader.cost())
+        self._metrics.time("takeover_read", timedelta(seconds=reader.cost()["read_s"]))
+        self._metrics.count("takeover_read_bytes", int(reader.cost()["read_bytes"]))
+
     async def _introduce(
         self, active: ActiveScheduler, address_by_worker: Mapping[str, Address]
     ) -> None:
--- /dev/null
+++ b/coltsfoottray/scheduler/takeover.py
@@ -0,0 +1,146 @@
+"""Takes the lease row over when its holder is gone.
+
+Load pattern: the holder of a large fleet has died, all entries see it within moments of
+one another, and the one that takes over needs a while to read what is stored, over a
+link that may be thin. One take-over is in progress at a time: its holder renews the row
+while it makes progress, and where take-overs have failed, others wait longer.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from returns.result import Failure
+
+from coltsfoottray.clock import Clock
+from coltsfoottray.jobs.keys import LEASE_KEY
+from coltsfoottray.logs import log_event
+from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
+from coltsfoottray.scheduler.lease import HolderStatus, LeaseRow, LeaseWatch
+from coltsfoottray.types import Address
+
+__all__ = ["Claim", "LeaseClaimer"]
+
+# Random delay that keeps two entries that find the row free at once from both writing.
+_MAX_STAGGER_S = 0.05
+
+
+@dataclass(frozen=True, kw_only=True)
+class Claim:
+    """The lease row, held by this process.
+
+    Parameters
+    ----------
+    version : int
+        Version of the row.
+    acquired_at : timedelta
+        When the write that took it over was sent.
+    silent_until : dict
+        For each worker that the previous holder listed as silent, when its lease is
+        certain to have expired.
+    """
+
+    lease: LeaseRow
+    version: int
+    acquired_at: timedelta
+    silent_until: dict[str, timedelta]
+
+
+class LeaseClaimer:
+    """Writes the lease row for this process if it is free.
+
+    Parameters
+    ----------
+    name, incarnation, address
+        This process, as the row names it.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        incarnation: str,
+        address: Address,
+        table: WatchedTable,
+        watch: LeaseWatch,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._address = address
+        self._table = table
+        self._watch = watch
+        self._clock = clock
+        self._random = random
+
+    async def try_claim(self) -> Claim | None:
+        """Take the row over if its holder is gone; return None if it is not."""
+        # Take over the version that was checked: another entry may write the row
+        # during the check, and must then be checked in turn.
+        row, version = self._watch.row, self._watch.version
+        status = await self._watch.check_holder()
+        if not status.is_free:
+            return None
+        stagger = timedelta(seconds=self._random.uniform(0, _MAX_STAGGER_S))
+        await self._clock.sleep(stagger)
+        return await self._write(row, version, status)
+
+    async def _write(
+        self, previous: LeaseRow | None, version: int, status: HolderStatus
+    ) -> Claim | None:
+        lease = LeaseRow(
+            epoch=1 if previous is None else previous.epoch + 1,
+            holder=self._name,
+            incarnation=self._incarnation,
+            address=self._address,
+            is_loading=True,
+            failed_takeovers=_count_failed_takeovers(previous, status),
+        )
+        sent = self._clock.elapsed()
+        put = Put.of(LEASE_KEY, version, lease)
+        try:
+            outcome = await self._table.commit(Transaction(puts=[put]))
+        except TableUnavailable as error:
+            # If the write succeeded after all, the row names this process as holder,
+            # and the next check finds it abandoned.
+            log_event("scheduler:claim-failed", reason=str(error))
+            return None
+        if isinstance(outcome, Failure):
+            for row in outcome.failure().rows:
+                self._watch.observe(row.decode(LeaseRow), row.version)
+            return None
+        new_version = outcome.unwrap()[LEASE_KEY]
+        silent_until = self._silent_until(previous)
+        self._watch.observe(lease, new_version)
+        log_event(
+            "scheduler:claimed",
+            epoch=lease.epoch,
+            name=self._name,
+            why=status.value,
+            failed_takeovers=lease.failed_takeovers,
+        )
+        return Claim(
+            lease=lease,
+            version=new_version,
+            acquired_at=sent,
+            silent_until=silent_until,
+        )
+
+    def _silent_until(self, previous: LeaseRow | None) -> dict[str, timedelta]:
+        if previous is None:
+            return {}
+        return {
+            worker: self._watch.changed_at + timedelta(milliseconds=remaining_ms)
+            for worker, remaining_ms in previous.silent_ms.items()
+        }
+
+
+def _count_failed_takeovers(previous: LeaseRow | None, status: HolderStatus) -> int:
+    """Return how many take-overs in a row were replaced before they had loaded."""
+    was_given_up = status in (HolderStatus.STALE, HolderStatus.CUT_OFF)
+    if previous is None or not previous.is_loading or not was_given_up:
+        return 0
+    return previous.failed_takeovers + 1
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 
 import msgspec
@@ -58,6 +58,9 @@
         When that write was sent.
     side_rows : sequence of SideRows
         What is stored beside the rows of jobs.
+    drops_records : callable
+        Returns whether the records of ended jobs may be deleted. An entry of an
+        earlier version would take a job without a record for a new one.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         acquired_at: timedelta,
         grants: Grants,
         side_rows: Sequence[SideRows],
+        drops_records: Callable[[], bool],
         table: WatchedTable,
         clock: Clock,
     ) -> None:
@@ -76,7 +80,9 @@
         # lease row. Other entries judge the holder by its renewals only.
         self.confirmed_at = acquired_at
         self.renewed_at = acquired_at
-        self._version = version
+        self._must_renew = False
+        self.version = version
+        self._drops_records = drops_records
         self._grants = grants
         self._table = table
         self._clock = clock
@@ -115,6 +121,17 @@
         if self._garbage or (not dirty and self._is_renewal_due()):
             await self._commit([], renews=True)
 
+    async def renew(self) -> None:
+        """Renew the lease row."""
+        await self._commit([], renews=True)
+
+    def mark_loaded(self) -> None:
+        """Show in the lease row that the state is loaded, with the next commit."""
+        self.lease = msgspec.structs.replace(
+            self.lease, is_loading=False, failed_takeovers=0
+        )
+        self._must_renew = True
+
     async def resign(self) -> None:
         """Release the lease row, so that another entry can take it over at once."""
         self.lease = msgspec.structs.replace(self.lease, is_resigned=True)
@@ -145,7 +162,8 @@
         self, jobs: list[LiveJob], extra: Sequence[Put] = (), *, renews: bool
     ) -> None:
         sent = self._clock.elapsed()
-        puts = [*extra, *(put for job in jobs for put in _job_puts(job))]
+        puts = [*extra, *(put for job in jobs for put in self._job_puts(job))]
+        deleted = {put.key for put in puts if put.is_deletion}
         garbage = list(self._garbage)[: _ROWS_PER_COMMIT - len(puts)]
         puts += [Put(key=key, version=self._garbage.pop(key)) for key in garbage]
         checks: list[Check] = []
@@ -155,22 +173,44 @@
                 renewals=self.lease.renewals + 1,
                 silent_ms=self._grants.list_silent(),
             )
-            puts.append(Put.of(LEASE_KEY, self._version, self.lease))
+            puts.append(Put.of(LEASE_KEY, self.version, self.lease))
         else:
-            checks.append(Check(key=LEASE_KEY, version=self._version))
+            checks.append(Check(key=LEASE_KEY, version=self.version))
         versions = await self._commit_until_available(
             Transaction(puts=puts, checks=checks)
         )
         self.confirmed_at = sent
-        self._version = versions.get(LEASE_KEY, self._version)
+        self.version = versions.get(LEASE_KEY, self.version)
         for rows in self._side_rows:
             rows.mark_stored(versions)
         if renews:
             self.renewed_at = sent
+            self._must_renew = False
             self._grants.unlist(self.lease.silent_ms)
         for job in jobs:
+            key = record_key(job.id)
+            version = 0 if key in deleted else versions.get(key, job.version)
             summary_version = versions.get(summary_key(job.id), job.summary_version)
-            job.mark_stored(versions[record_key(job.id)], summary_version, sent)
+            job.mark_stored(version, summary_version, sent)
+
+    def _job_puts(self, job: LiveJob) -> list[Put]:
+        """Return the writes that store a job.
+
+        The summary that callers ask for has a row of its own, which changes two or
+        three times per job. All entries follow these rows. If they followed the
+        records, every change of a task would send them all tasks of the job, which is
+        too much for an entry's link of 5 Mbit/s.
+        """
+        puts = []
+        key = record_key(job.id)
+        if job.needs_record or not self._drops_records():
+            puts.append(Put.of(key, job.version, job.record))
+        elif job.version:
+            puts.append(Put(key=key, version=job.version))
+        if job.has_new_summary:
+            summary = job.record.summary
+            puts.append(Put.of(summary_key(job.id), job.summary_version, summary))
+        return puts
 
     async def _commit_until_available(self, transaction: Transaction) -> dict[str, int]:
         while True:
@@ -192,7 +232,7 @@
 
     def _is_renewal_due(self) -> bool:
         is_old = self._clock.elapsed() - self.renewed_at >= RENEWAL_INTERVAL
-        return is_old or self._grants.has_recovered_worker()
+        return is_old or self._must_renew or self._grants.has_recovered_worker()
 
 
 def _split_batches(jobs: list[LiveJob]) -> list[list[LiveJob]]:
@@ -210,18 +250,3 @@
         size += job_size
         rows += job_rows
     return batches
-
-
-def _job_puts(job: LiveJob) -> list[Put]:
-    """Return the writes that store a job.
-
-    The summary that callers ask for has a row of its own, which changes two or three
-    times per job. All entries follow these rows. If they followed the records, every
-    change of a task would send them all tasks of the job, which is too much for an
-    entry's link of 5 Mbit/s.
-    """
-    puts = [Put.of(record_key(job.id), job.version, job.record)]
-    if job.has_new_summary:
-        summary = job.record.summary
-        puts.append(Put.of(summary_key(job.id), job.summary_version, summary))
-    return puts
--- a/standins/metadata_table.py
+++ b/standins/metadata_table.py
@@ -66,6 +66,8 @@
         By table, the number of reads that will fail as unavailable.
     version : int
         Version of the latest change.
+    withholds_changes : bool
+        Requests for changes get no response.
     transactions_per_s : float, optional
         Rate at which one part executes transactions, one after another; unlimited if
         None. While more than `MAX_QUEUE_S` of them wait, further ones are rejected.
@@ -84,6 +86,7 @@
     failed_reads_by_table: Counter[str] = field(default_factory=Counter)
     version: int = 0
     calls: int = 0
+    withholds_changes: bool = False
     transactions_per_s: float | None = None
     calls_by_table: Counter[str] = field(default_factory=Counter)
     current_by_ref: dict[_Ref, _Change] = field(default_factory=dict)
@@ -205,6 +208,8 @@
         return self._make_response({"rows": rows, "hasMore": len(found) > limit})
 
     async def _feed(self, query: dict[str, str]) -> HttpResponse:
+        if self.withholds_changes:
+            await trio.sleep_forever()
         after = int(query["after"])
         with trio.move_on_after(int(query["waitMs"]) / 1000):
             while not self._changes_since(query["table"], after):
@@ -216,6 +221,8 @@
         rows = [
             _encode_row(change) for change in self._changes_since(query["table"], after)
         ]
+        if self.withholds_changes:
+            await trio.sleep_forever()
         return self._make_response({"rows": rows})
 
     def _changes_since(self, table: str, after: int) -> list[_Change]:
--- a/tests/scheduler/store.feature
+++ b/tests/scheduler/store.feature
@@ -52,6 +52,7 @@
     # Guards against refusing a job whose first attempt was stored but not answered.
     Given two entries and 2 workers for jobs
     And 1 s pass
+    And the store withholds changes
     And the answers to the next 1 writes of the store are lost
     And the store goes down in 100 ms
     Then the job "a" of 1 steps with 1 tasks of 1 s is answered 504 at entry-1
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -11,9 +11,15 @@
 @step("{seconds:d} s pass with the store up again")
 def recover_store(context, seconds):
     context.world.cell.metadata_table.faults.is_down = False
+    context.world.cell.metadata_table.withholds_changes = False
     context.world.advance(seconds)
 
 
+@step("the store withholds changes")
+def withhold_changes(context):
+    context.world.cell.metadata_table.withholds_changes = True
+
+
 @when("the scheduler is killed")
 def kill_scheduler(context):
     context.world.kill_daemon(context.world.cell.scheduler())
