Show what a take-over reads, and when its holder is given up

Scenarios: 1,000 completed jobs cost a take-over nothing; a holder that is stuck is replaced; the record of a completed job is deleted, that of a cancelled one only when its runs have ended, and none while an entry of an earlier version may take over; completed jobs whose records an earlier version left are not started again.

--- a/standins/metadata_table.py
+++ b/standins/metadata_table.py
@@ -66,6 +66,8 @@
         By table, the number of reads that will fail as unavailable.
     version : int
         Version of the latest change.
+    withheld_tables : set of str
+        Reads of these tables get no response.
     withholds_changes : bool
         Requests for changes get no response.
     transactions_per_s : float, optional
@@ -86,6 +88,7 @@
     failed_reads_by_table: Counter[str] = field(default_factory=Counter)
     version: int = 0
     calls: int = 0
+    withheld_tables: set[str] = field(default_factory=set)
     withholds_changes: bool = False
     transactions_per_s: float | None = None
     calls_by_table: Counter[str] = field(default_factory=Counter)
@@ -127,6 +130,8 @@
             if self.failed_reads_by_table[request.query["table"]] > 0:
                 self.failed_reads_by_table[request.query["table"]] -= 1
                 return HttpResponse(status=503)
+            if request.query["table"] in self.withheld_tables:
+                await trio.sleep_forever()
             return self._read(request.query)
         if request.path == "/v1/rows-feed":
             return await self._feed(request.query)
--- a/standins/stored_jobs.py
+++ b/standins/stored_jobs.py
@@ -23,7 +23,7 @@
 # A worker that is gone, so that the stored runs occupy no room.
 _WORKER = "worker-of-another-day"
 _LIFE = "1767225600000"
-_PAYLOAD_BYTES = 250
+_PAYLOAD = msgspec.json.encode({"work_s": 1000, "text": "x" * 250}).decode()
 _DEMAND = Resources(processors=1.0, memory_gb=0.1)
 
 
@@ -33,7 +33,13 @@
 
 
 def store_jobs(
-    table: MetadataTableStandIn, *, active: int, ended: int, tasks: int
+    table: MetadataTableStandIn,
+    *,
+    active: int,
+    ended: int,
+    tasks: int,
+    first: int = 0,
+    has_former_format: bool = False,
 ) -> None:
     """Store jobs of one step, all tasks of the active ones with a run.
 
@@ -43,9 +49,13 @@
         Number of jobs whose tasks run, and of completed jobs.
     tasks : int
         Number of tasks of each job.
+    first : int
+        Number of the first job.
+    has_former_format : bool
+        Whether completed jobs still have a record.
     """
     for number in range(active + ended):
-        job = stored_job_id(number)
+        job = stored_job_id(first + number)
         _put(table, accepted_key(job), _accepted(job, tasks))
         is_active = number < active
         state = JobState.RUNNING if is_active else JobState.COMPLETED
@@ -56,6 +66,9 @@
                 state=state, has_started=True, occurrences=[[[run] * tasks]]
             )
             _put(table, record_key(job), record)
+        elif has_former_format:
+            record = JobRecord(state=state, has_started=True, occurrences=[[]])
+            _put(table, record_key(job), record)
         _put(table, summary_key(job), JobSummary(state=state, has_started=True))
 
 
@@ -65,7 +78,7 @@
         queue="r-rebuild",
         terms=QueueTerms(service="svc", priority=1, max_attempts=2),
         spec=JobSpec(
-            payload="x" * _PAYLOAD_BYTES,
+            payload=_PAYLOAD,
             steps=[StepSpec(count=tasks, demand=_DEMAND, estimate_ms=1000.0)],
         ),
         accepted_ms=0,
--- a/tests/steps/takeover_steps.py
+++ b/tests/steps/takeover_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import trio
 from behave import given, step, then, when
 
 from standins.stored_jobs import store_jobs
@@ -26,7 +27,38 @@
         store_jobs(cell.metadata_table, active=count, ended=0, tasks=tasks)
 
     context.world.run(store)
-    context.world.advance(5)
+    context.world.advance(2)
+
+
+@step(
+    "{count:d} completed jobs of {tasks:d} tasks that an earlier scheduler has stored"
+)
+def store_completed(context, count, tasks):
+    cell = context.world.cell
+    first = len(cell.entry_by_name[cell.scheduler()].view.job_by_id)
+
+    async def store():
+        store_jobs(cell.metadata_table, active=0, ended=count, tasks=tasks, first=first)
+
+    context.world.run(store)
+    context.world.advance(2)
+
+
+@step("{count:d} completed jobs of {tasks:d} tasks that an earlier version has stored")
+def store_former(context, count, tasks):
+    cell = context.world.cell
+
+    async def store():
+        store_jobs(
+            cell.metadata_table,
+            active=0,
+            ended=count,
+            tasks=tasks,
+            has_former_format=True,
+        )
+
+    context.world.run(store)
+    context.world.advance(2)
 
 
 @step("all entries have links of {kilobytes:d} kB/s")
@@ -35,7 +67,48 @@
         context.world.fabric.faults(name).link.bytes_per_s = kilobytes * _KB
 
 
-@when("the scheduling entry is killed")
+@when("the records cannot be read until another holder has been replaced")
+def withhold_records(context):
+    table = context.world.cell.metadata_table
+
+    async def wait():
+        table.withheld_tables.add("progress")
+        while _lease_row(context)["epoch"] < context.epoch + 2:
+            assert context.world.now() < context.killed_at + 60, "no second take-over"
+            await trio.sleep(0.01)
+        table.withheld_tables.clear()
+
+    context.world.spawn(wait)
+
+
+@step("all attendants freeze")
+def freeze_attendants(context):
+    for name in context.world.cell.attendant_by_name:
+        context.world.fabric.faults(name).pause()
+
+
+@step("all attendants go on")
+def resume_attendants(context):
+    for name in context.world.cell.attendant_by_name:
+        context.world.resume(name)
+
+
+@step("an entry that reads only the former format is registered")
+def register_old_entry(context):
+    row = {
+        "name": "entry-old",
+        "role": "entry",
+        "address": {"host": "127.0.0.1", "port": 1},
+        "incarnation": "20260101T000000.000000-00000000",
+    }
+
+    async def write():
+        context.world.cell.metadata_table.put("members", "", "entry-old", row)
+
+    context.world.run(write)
+
+
+@step("the scheduling entry is killed")
 def kill_scheduler(context):
     cell = context.world.cell
     context.epoch = _lease_row(context)["epoch"]
@@ -55,6 +128,21 @@
         world.advance(0.05)
 
 
+@then('a record of the job "{label}" is stored')
+def check_record(context, label):
+    assert _record(context, label) is not None
+
+
+@then('no record of the job "{label}" is stored')
+def check_no_record(context, label):
+    assert _record(context, label) is None, _record(context, label)
+
+
+def _record(context, label):
+    table = context.world.cell.metadata_table
+    return table.value_of("progress", "scheduler", f"job.{job_id(label)}")
+
+
 @then("the lease row has been taken over once")
 def check_takeovers(context):
     taken = _lease_row(context)["epoch"] - context.epoch
