A state machine for take-overs behind thin links

Entries with links of one rate, up to 120 stored jobs, schedulers that die, freeze or lose the store one after another; while all faults stay, a new job starts within the stated target (2.5 kB of link for each active job) and the time in which failures are seen.

The in-memory network refuses a request that was still on its way when the process ended, and a world reports the failure of a process also when the call under way was cancelled by it.

--- a/properties/__main__.py
+++ b/properties/__main__.py
@@ -13,6 +13,7 @@
 from properties.jobs import Jobs
 from properties.keyed_requests import KeyedRequests
 from properties.list_edits import ListEdits
+from properties.takeovers import Takeovers
 
 MACHINE_BY_NAME = {
     "jobs": Jobs,
@@ -20,6 +21,7 @@
     "keyed": KeyedRequests,
     "tasks": BatchTasks,
     "lists": ListEdits,
+    "takeovers": Takeovers,
 }
 
 
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -19,6 +19,7 @@
 from coltsfoottray.scheduler.active import ActiveScheduler
 from coltsfoottray.scheduler.fleet import Worker
 from coltsfoottray.scheduler.grants import Grants
+from coltsfoottray.scheduler.lease import LeaseRow
 from coltsfoottray.scheduler.messages import Report, ReportReply
 from coltsfoottray.tasks import StoredTask, TaskStore
 from coltsfoottray.types import ListVersion, TaskState
@@ -31,6 +32,7 @@
     "cancel_without_tombstone",
     "claims_without_asking",
     "edits_without_versions",
+    "holders_silent_while_they_load",
     "leases_lapsed_without_waiting",
     "leases_renewed_out_of_reach",
     "ledger_without_bounds",
@@ -165,6 +167,24 @@
         yield
 
 
+@contextmanager
+def holders_silent_while_they_load() -> Iterator[None]:
+    """Let a holder that reads the stored state neither renew nor answer in time.
+
+    Others do not wait longer either when take-overs fail.
+    """
+
+    async def renew_until(self: ActiveScheduler, loaded: Any, progress: Any) -> None:
+        del self, progress
+        await loaded.wait()
+
+    with (
+        mock.patch.object(ActiveScheduler, "renew_until", renew_until),
+        mock.patch.object(LeaseRow, "patience", 1),
+    ):
+        yield
+
+
 @contextmanager
 def refusals_without_proof() -> Iterator[None]:
     """Let entries refuse a job as never to run while its row may have been stored."""
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -230,6 +230,8 @@
             if is_cut or link in self.silent:
                 await trio.sleep_forever()
             await self.faults(listener.process).link.receive_request(_size(message))
+            if self.listener_by_address.get(address) is not listener:
+                raise _error(ExchangeStep.RECEIVE, address, "closed")
             listener.accept(message, pending)
             await pending.done.wait()
             if link in self.silent:
--- a/standins/stored_jobs.py
+++ b/standins/stored_jobs.py
@@ -24,7 +24,6 @@
 _WORKER = "worker-of-another-day"
 _LIFE = "1767225600000"
 _PAYLOAD = msgspec.json.encode({"work_s": 1000, "text": "x" * 250}).decode()
-_DEMAND = Resources(processors=1.0, memory_gb=0.1)
 
 
 def stored_job_id(number: int) -> JobId:
@@ -39,6 +38,7 @@
     ended: int,
     tasks: int,
     first: int = 0,
+    processors: float = 1.0,
     has_former_format: bool = False,
 ) -> None:
     """Store jobs of one step, all tasks of the active ones with a run.
@@ -51,12 +51,14 @@
         Number of tasks of each job.
     first : int
         Number of the first job.
+    processors : float
+        Processors that each task requests.
     has_former_format : bool
         Whether completed jobs still have a record.
     """
     for number in range(active + ended):
         job = stored_job_id(first + number)
-        _put(table, accepted_key(job), _accepted(job, tasks))
+        _put(table, accepted_key(job), _accepted(job, tasks, processors))
         is_active = number < active
         state = JobState.RUNNING if is_active else JobState.COMPLETED
         if is_active:
@@ -72,14 +74,15 @@
         _put(table, summary_key(job), JobSummary(state=state, has_started=True))
 
 
-def _accepted(job: JobId, tasks: int) -> AcceptedJob:
+def _accepted(job: JobId, tasks: int, processors: float) -> AcceptedJob:
+    demand = Resources(processors=processors, memory_gb=0.1)
     return AcceptedJob(
         id=job,
         queue="r-rebuild",
         terms=QueueTerms(service="svc", priority=1, max_attempts=2),
         spec=JobSpec(
             payload=_PAYLOAD,
-            steps=[StepSpec(count=tasks, demand=_DEMAND, estimate_ms=1000.0)],
+            steps=[StepSpec(count=tasks, demand=demand, estimate_ms=1000.0)],
         ),
         accepted_ms=0,
     )
--- a/tests/scheduler/fuzz.feature
+++ b/tests/scheduler/fuzz.feature
@@ -13,6 +13,14 @@
     # Planted fault: a job whose acceptance may be stored is refused as never to run.
     Then with the planted fault "refusals without proof" the machine "jobs" fails
 
+  Scenario: Some entry places tasks whichever scheduler has failed
+    # Entries with thin links and many stored jobs lose one scheduler after another.
+    Then the machine "takeovers" finds nothing in 25 runs of 12 steps
+
+  Scenario: The oracle detects take-overs that cause the next one
+    # Planted fault: a holder does not renew the lease row while it loads.
+    Then with the planted fault "holders silent while they load" the machine "takeovers" fails
+
   Scenario: The oracle detects runs that a lost worker holds forever
     # Planted fault: an attendant that cannot reach its worker extends its lease.
     Then with the planted fault "leases renewed for workers out of reach" the machine "jobs" fails
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -13,6 +13,7 @@
     keyed_requests,
     list_edits,
     planted,
+    takeovers,
 )
 
 MACHINE_BY_NAME = {
@@ -21,9 +22,11 @@
     "jobs": jobs.Jobs,
     "configs": configs.Configs,
     "list edits": list_edits.ListEdits,
+    "takeovers": takeovers.Takeovers,
 }
 PLANTED_BY_NAME = {
     "answers given up on their way": planted.answers_given_up_on_their_way,
+    "holders silent while they load": planted.holders_silent_while_they_load,
     "claims without asking": planted.claims_without_asking,
     "cancel without tombstone": planted.cancel_without_tombstone,
     "edits without versions": planted.edits_without_versions,
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -69,7 +69,7 @@
 
         try:
             return trio.from_thread.run(go, trio_token=self._token)
-        except trio.RunFinishedError:
+        except (trio.RunFinishedError, trio.Cancelled):
             self._thread.join()
             assert self._failure is not None
             raise self._failure from None
