Lines reach a log file; log files are arguments; the wait reason no longer imports its step

- A log file was opened and dropped, so that its descriptor was closed: no line arrived, and the next descriptor opened got the same number.
The descriptor is now kept.
A file that cannot be opened, and an unknown log level, give an error that names field and value in place of a traceback.
Three scenarios, which failed before.
- scheduler/live.py and wait_reason.py imported each other: the reason is recorded by the step.

--- a/coltsfoottray/cli/daemons.py
+++ b/coltsfoottray/cli/daemons.py
@@ -11,10 +11,9 @@
 import typer
 from returns.result import Failure
 
-from coltsfoottray.cli.common import fail
+from coltsfoottray.cli.common import fail, start_logging_or_fail
 from coltsfoottray.daemons import EntryDaemon, UpstreamDaemon, WorkerDaemon
 from coltsfoottray.daemons.common import Daemon
-from coltsfoottray.logs import start_logging
 from coltsfoottray.settings import (
     EntrySettings,
     JobDaemonSettings,
@@ -43,7 +42,7 @@
     loaded = _load(settings)
     if not isinstance(loaded, EntrySettings):
         fail(f"{settings}: role: got {loaded.role!r}, expected 'entry'", code=2)
-    start_logging(loaded.log, level=log_level, file=log_file)
+    start_logging_or_fail(loaded.log, level=log_level, file=log_file)
     trio.run(_run, lambda: EntryDaemon(settings=loaded))
 
 
@@ -56,7 +55,7 @@
     loaded = _load(settings)
     if isinstance(loaded, EntrySettings):
         fail(f"{settings}: role: got 'entry', expected 'upstream' or 'worker'", code=2)
-    start_logging(loaded.log, level=log_level, file=log_file)
+    start_logging_or_fail(loaded.log, level=log_level, file=log_file)
     trio.run(_run, lambda: _make_attendant(loaded))
 
 
--- a/coltsfoottray/cli/losses.py
+++ b/coltsfoottray/cli/losses.py
@@ -8,7 +8,7 @@
 import msgspec
 import typer
 
-from coltsfoottray.cli.common import fail
+from coltsfoottray.cli.common import expect_log_files, fail
 from coltsfoottray.explain.history import History
 from coltsfoottray.explain.logfiles import LogLines, read_lines
 from coltsfoottray.explain.losses import WINDOW, JobLosses, Losses, Part, find_losses
@@ -21,7 +21,12 @@
 
 
 def losses(
-    logs: Annotated[list[Path], typer.Option(help="Log files of any processes.")],
+    files: Annotated[
+        list[Path] | None, typer.Argument(help="Log files of any processes.")
+    ] = None,
+    logs: Annotated[
+        list[Path] | None, typer.Option(help="A log file; may be repeated.")
+    ] = None,
     as_json: Annotated[
         bool, typer.Option("--json", help="Print one JSON object.")
     ] = False,
@@ -31,10 +36,10 @@
     ] = None,
 ) -> None:
     """Show what jobs spent their time on between acceptance and end."""
-    for path in logs:
-        if not path.is_file():
-            fail(f"--logs: got {str(path)!r}, expected a log file", code=2)
-    log = read_lines(logs)
+    paths = expect_log_files(files, logs)
+    if not paths:
+        fail("FILES: got none, expected one or more log files", code=2)
+    log = read_lines(paths)
     result = find_losses(History(log.lines))
     if not result.jobs:
         fail("no job was accepted according to these log files")
--- a/coltsfoottray/cli/queries.py
+++ b/coltsfoottray/cli/queries.py
@@ -8,7 +8,12 @@
 import msgspec
 import typer
 
-from coltsfoottray.cli.common import EntryOption, fail, send_request
+from coltsfoottray.cli.common import (
+    EntryOption,
+    expect_log_files,
+    fail,
+    send_request,
+)
 from coltsfoottray.entry.operators import EntryStatus
 from coltsfoottray.explain import Decision
 from coltsfoottray.explain.logfiles import read_lines_about
@@ -18,15 +23,19 @@
 
 def explain(
     subject: Annotated[str, typer.Argument(help="Id of a request or task.")],
+    files: Annotated[
+        list[Path] | None,
+        typer.Argument(help="Log files to read instead, if the processes have ended."),
+    ] = None,
     entry: EntryOption = "127.0.0.1:8080",
     logs: Annotated[
-        list[Path] | None,
-        typer.Option(help="Log files to read instead, if the processes have ended."),
+        list[Path] | None, typer.Option(help="A log file; may be repeated.")
     ] = None,
 ) -> None:
     """Show why a request or task was routed, placed, refused or evicted."""
-    if logs:
-        _explain_from_logs(subject, logs)
+    paths = expect_log_files(files, logs)
+    if paths:
+        _explain_from_logs(subject, paths)
         return
     found: list[Decision] = []
     for address in _entry_addresses(entry):
@@ -43,9 +52,6 @@
 
 
 def _explain_from_logs(subject: str, files: list[Path]) -> None:
-    for path in files:
-        if not path.is_file():
-            fail(f"--logs: got {str(path)!r}, expected a log file", code=2)
     lines = read_lines_about(subject, files)
     if not lines:
         fail(f"{subject!r}: not found in these log files")
--- a/coltsfoottray/logs.py
+++ b/coltsfoottray/logs.py
@@ -25,6 +25,7 @@
 _BURST_LINES = 800.0
 # Limit on the lines that a slow reader has not read yet; beyond it, lines are dropped.
 _MAX_PENDING_BYTES = 256 * 1024
+_LOG_FILE_MODE = 0o644
 
 
 def log_event(message_type: str, **fields: object) -> None:
@@ -49,13 +50,24 @@
             field="--log-level", value=selected_level, expected=f"one of {_LEVELS}"
         )
     path = file or settings.file
-    stream = default or sys.stderr
-    if path is not None:
-        stream = open(path, "a")  # noqa: SIM115
-    writer = LineWriter(descriptor=stream.fileno(), monotonic=time.monotonic)
+    if path is None:
+        descriptor = (default or sys.stderr).fileno()
+    else:
+        descriptor = _open_log_file(path)
+    writer = LineWriter(descriptor=descriptor, monotonic=time.monotonic)
     eliot.add_destinations(_make_destination(writer, selected_level))
 
 
+def _open_log_file(path: str) -> int:
+    """Return a descriptor that stays open as long as the process."""
+    try:
+        return os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, _LOG_FILE_MODE)
+    except OSError as error:
+        raise InputError(
+            field="log file", value=path, expected=f"a file to write to ({error})"
+        ) from error
+
+
 class LineWriter:
     """Writes lines to a file descriptor without waiting for its reader.
 
--- a/coltsfoottray/scheduler/advice.py
+++ b/coltsfoottray/scheduler/advice.py
@@ -18,8 +18,8 @@
 from coltsfoottray.jobs.model import AdviceTerms, JobId
 from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.advice_requests import AdviceRequest, AdviceRequestSelector
-from coltsfoottray.scheduler.live import Ticket
 from coltsfoottray.scheduler.planner import Planner
+from coltsfoottray.scheduler.tickets import Ticket
 
 __all__ = ["Adviser", "Permit", "run_advice_loop"]
 
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -13,45 +13,17 @@
     TaskPhase,
     TaskRecord,
 )
+from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.lengths import LengthEstimator
+from coltsfoottray.scheduler.tickets import AdviceState, Ticket
 from coltsfoottray.scheduler.wait_reason import WaitReason
 
-__all__ = ["AdviceState", "LiveJob", "LiveStep", "Ticket"]
+__all__ = ["LiveJob", "LiveStep"]
 
 # Time in which a start is usually stored, sent and carried out.
 _ORDER_LATENCY = timedelta(milliseconds=300)
 
 
-@dataclass(frozen=True, kw_only=True)
-class Ticket:
-    """Permission for a worker to run a step until it expires."""
-
-    value: str
-    expires_at: timedelta
-
-
-@dataclass(kw_only=True)
-class AdviceState:
-    """State of the requests for advice about a step.
-
-    Parameters
-    ----------
-    considered_at : timedelta, optional
-        When advice about the step was last requested or its turn last came; before
-        that, when the step became ready to start.
-    refused_by_life : dict
-        For each incarnation of a worker that may not run the step, when it was refused.
-    """
-
-    considered_at: timedelta | None = None
-    refused_by_life: dict[str, timedelta] = field(default_factory=dict)
-
-    def mark_ready(self, now: timedelta) -> None:
-        """Record that the step is ready to start."""
-        if self.considered_at is None:
-            self.considered_at = now
-
-
 @dataclass(kw_only=True, eq=False)
 class LiveStep:
     """One step of one occurrence.
@@ -99,6 +71,21 @@
         ]
         self.done = sum(record.phase is TaskPhase.DONE for record in self.records)
 
+    def record_wait_reason(self, reason: WaitReason) -> None:
+        """Record why its waiting tasks wait, and log it if it has changed."""
+        if not self.waiting:
+            self.wait_reason = None
+            return
+        if self.wait_reason is reason:
+            return
+        self.wait_reason = reason
+        log_event(
+            "decision:wait",
+            step=f"{self.job.id}.{self.occurrence}.{self.number}",
+            lacks=reason.value,
+            waiting=len(self.waiting),
+        )
+
     def valid_lives(self, now: timedelta) -> set[str]:
         """Return the worker incarnations with tickets that outlast sending a start."""
         return {
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -13,7 +13,7 @@
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
 from coltsfoottray.scheduler.packing import choose_moves, is_fully_running
 from coltsfoottray.scheduler.urgency import is_half_elapsed, urgency_key
-from coltsfoottray.scheduler.wait_reason import WaitReason, record_wait_reason
+from coltsfoottray.scheduler.wait_reason import WaitReason
 from coltsfoottray.scheduler.worker_selection import (
     FreeCapacityBounds,
     Strictness,
@@ -104,10 +104,10 @@
             # Not a miss, as no worker is examined: counting these would end the pass
             # early, and less urgent steps would get room before others that fit.
             if self._has_no_place(step, bounds, now):
-                record_wait_reason(step, WaitReason.ROOM)
+                step.record_wait_reason(WaitReason.ROOM)
                 continue
             new = self._place_step(step, now, now_ms)
-            record_wait_reason(step, self._wait_reason(step, now))
+            step.record_wait_reason(self._wait_reason(step, now))
             step.last_tried_round = self._round
             placed += new
             misses += not new
--- a/coltsfoottray/scheduler/wait_reason.py
+++ b/coltsfoottray/scheduler/wait_reason.py
@@ -1,16 +1,10 @@
-"""Reasons why the tasks of a ready step wait, logged when they change."""
+"""Reasons why the tasks of a ready step wait."""
 
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING
 
-from coltsfoottray.logs import log_event
-
-if TYPE_CHECKING:
-    from coltsfoottray.scheduler.live import LiveStep
-
-__all__ = ["WaitReason", "record_wait_reason"]
+__all__ = ["WaitReason"]
 
 
 class WaitReason(enum.Enum):
@@ -22,19 +16,3 @@
     """Wherever there is room, it would run slowly or harm the services."""
     TICKET = "ticket"
     """Its queue's policy has not yet allowed a worker to run it."""
-
-
-def record_wait_reason(step: LiveStep, reason: WaitReason) -> None:
-    """Record why the waiting tasks of a step wait, and log it if it has changed."""
-    if not step.waiting:
-        step.wait_reason = None
-        return
-    if step.wait_reason is reason:
-        return
-    step.wait_reason = reason
-    log_event(
-        "decision:wait",
-        step=f"{step.job.id}.{step.occurrence}.{step.number}",
-        lacks=reason.value,
-        waiting=len(step.waiting),
-    )
--- a/tests/explain/logfiles.feature
+++ b/tests/explain/logfiles.feature
@@ -12,6 +12,21 @@
     When the lines about "cc" are read from both files
     Then there are no events
 
+  Scenario: A process logs to a file
+    # Guards against a file that is closed as soon as logging has started.
+    When a process logs 3 lines to a file
+    Then the file has 3 lines
+
+  Scenario: A process cannot log to a file
+    # Guards against a traceback in place of an error that names the field.
+    When an entry is started with the log file "gone/entry.log"
+    Then it exits with 2 and "log file: got 'gone/entry.log'"
+
+  Scenario: A process is started with an unknown log level
+    # Guards against a traceback in place of an error that names the field.
+    When an entry is started with the log level "loud"
+    Then it exits with 2 and "--log-level: got 'loud'"
+
   Scenario: A reader of log lines stops reading
     # Guards against a process that blocks because nothing reads its log lines.
     Given a pipe that nobody reads
--- a/tests/steps/log_steps.py
+++ b/tests/steps/log_steps.py
@@ -4,11 +4,15 @@
 
 import json
 import os
+import subprocess
+import sys
 import tempfile
 from pathlib import Path
 
 from behave import given, then, when
+from typer.testing import CliRunner
 
+from coltsfoottray.cli.main import app
 from coltsfoottray.explain.logfiles import read_lines_about
 from coltsfoottray.logs import LineWriter
 
@@ -56,6 +60,56 @@
     assert context.lines == []
 
 
+_ENTRY_SETTINGS = """
+role: entry
+name: entry-1
+data_centre: caerdydd
+http: 127.0.0.1:1
+peers: 127.0.0.1:2
+claims: 127.0.0.1:3
+table: 127.0.0.1:4
+objects: 127.0.0.1:4
+"""
+_LOG_LINES = """
+import gc, sys
+from coltsfoottray.logs import log_event, start_logging
+from coltsfoottray.settings import LogSettings
+
+start_logging(LogSettings(), file=sys.argv[1])
+for number in range(int(sys.argv[2])):
+    gc.collect()
+    log_event("test:line", number=number)
+"""
+
+
+@when("a process logs {count:d} lines to a file")
+def log_to_file(context, count):
+    context.path = _folder(context) / "process.log"
+    command = [sys.executable, "-c", _LOG_LINES, str(context.path), str(count)]
+    subprocess.run(command, check=True)
+
+
+@then("the file has {count:d} lines")
+def check_file(context, count):
+    lines = context.path.read_text().splitlines()
+    assert [json.loads(line)["number"] for line in lines] == list(range(count)), lines
+
+
+@when('an entry is started with the log {option} "{value}"')
+def start_with_option(context, option, value):
+    settings = _folder(context) / "entry.yaml"
+    settings.write_text(_ENTRY_SETTINGS)
+    flag = f"--log-{option}"
+    context.result = CliRunner().invoke(app, ["entry", str(settings), flag, value])
+
+
+@then('it exits with {code:d} and "{text}"')
+def check_exit(context, code, text):
+    result = context.result
+    assert result.exit_code == code, result
+    assert text in result.output, result.output
+
+
 @given("a pipe that nobody reads")
 def make_pipe(context):
     context.reader, writer = os.pipe()
