A run whose job is cancelled while its placement is stored is not started

The job's cancellation had been acknowledged at 6.3 s by another entry, which had told the scheduler; it waited in the inbox for the next round, and the starts were sent first, 5.3 s after the acknowledgement, and stopped 0.3 s later.

What was placed is now compared with the cancellations that have arrived since, before it is sent; such a run is stopped in place of started. The scenario failed before (four tasks of a cancelled job started); 15 of scheduler/store pass.

--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -290,10 +290,21 @@
                 placed, last_end_by_worker = self._decide()
                 await self._writer.store(self.cluster.jobs.open_by_id.values())
                 self.cluster.jobs.close_ended()
+                self._stop_cancelled(placed)
                 self._order_sender.send(placed, last_end_by_worker, nursery)
                 self._record_metrics(started_at, placed)
         await self._writer.resign()
 
+    def _stop_cancelled(self, placed: list[PlacedRun]) -> None:
+        """Stop runs that are not sent yet and whose job was cancelled meanwhile.
+
+        Storing a round can take seconds, for which their callers do not wait.
+        """
+        cancelled = set(self._inbox.cancelled)
+        for run in placed:
+            if run.ref.task.job in cancelled:
+                run.is_stopping = True
+
     def resign(self) -> None:
         """Release the lease row after the current round."""
         self._is_resigning = True
--- a/coltsfoottray/scheduler/order_sender.py
+++ b/coltsfoottray/scheduler/order_sender.py
@@ -43,7 +43,8 @@
         starts_by_worker: dict[str, list[PlacedRun]] = {}
         for run in placed:
             run.is_released = True
-            starts_by_worker.setdefault(run.worker, []).append(run)
+            if not run.is_stopping:
+                starts_by_worker.setdefault(run.worker, []).append(run)
         for worker in self._fleet.worker_by_id.values():
             worker.acknowledged = max(
                 worker.acknowledged, last_end_by_worker.get(worker.id, 0)
--- a/standins/metadata_table.py
+++ b/standins/metadata_table.py
@@ -113,6 +113,10 @@
             return None
         return msgspec.json.decode(base64.b64decode(change.value))
 
+    def occupy(self, part: str, seconds: float) -> None:
+        """Let a part execute nothing for some time."""
+        self._busy_until_by_part[part] = trio.current_time() + seconds
+
     def drop_history(self) -> None:
         """Drop all changes from the history; the rows stay."""
         self.dropped_up_to = self.version
@@ -156,14 +160,15 @@
 
     async def _wait_for_turn(self, part: str) -> bool:
         """Wait until the part executes a transaction; return False if it is busy."""
-        if self.transactions_per_s is None:
-            return True
         now = trio.current_time()
         turn = max(self._busy_until_by_part.get(part, now), now)
         if turn - now > MAX_QUEUE_S:
             return False
-        self._busy_until_by_part[part] = turn + 1 / self.transactions_per_s
-        await trio.sleep_until(self._busy_until_by_part[part])
+        if self.transactions_per_s is not None:
+            turn += 1 / self.transactions_per_s
+        self._busy_until_by_part[part] = turn
+        if turn > now:
+            await trio.sleep_until(turn)
         return True
 
     def _apply(self, tx: _Tx) -> HttpResponse:
--- a/tests/scheduler/store.feature
+++ b/tests/scheduler/store.feature
@@ -60,6 +60,18 @@
     And 5 s pass with the store up again
     And the state of the job "a" at entry-2 is "completed"
 
+  Scenario: A job is cancelled while its placement is being stored
+    # Guards against tasks that start long after their job's cancellation is confirmed.
+    Given two entries and 2 workers for jobs
+    And the scheduler's writes take 900 ms
+    When the job "a" of 1 steps with 4 tasks of 5 s is submitted at the other entry
+    And 100 ms pass
+    And the job "a" is cancelled at the other entry with status 200
+    And 5 s pass
+    Then 0 tasks were started in total
+    And the job "a" is "cancelled" within 1 s
+    And the workers hold no run
+
   Scenario: The answer to an acceptance is lost
     # Guards against a job refused, or run twice, when the answer to its write is lost.
     Given two entries and 2 workers for jobs
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -5,7 +5,7 @@
 import sys
 
 import trio
-from behave import given, step, when
+from behave import given, step, then, when
 
 
 @step("{seconds:d} s pass with the store up again")
@@ -15,6 +15,27 @@
     context.world.advance(seconds)
 
 
+@step("the scheduler's writes take {milliseconds:d} ms")
+def occupy_scheduler_part(context, milliseconds):
+    async def occupy():
+        table = context.world.cell.metadata_table
+        table.occupy("scheduler", milliseconds / 1000)
+
+    context.scheduler = context.world.cell.scheduler()
+    context.world.run(occupy)
+
+
+@then("the workers hold no run")
+def check_no_runs(context):
+    cell = context.world.cell
+
+    async def read_runs():
+        active = cell.entry_by_name[cell.scheduler()].scheduler.active
+        return active.cluster.fleet.placed_runs()
+
+    assert context.world.run(read_runs) == []
+
+
 @step("the store withholds changes")
 def withhold_changes(context):
     context.world.cell.metadata_table.withholds_changes = True
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -197,6 +197,8 @@
 def cancel(context, label, entry, status):
     if entry == "the scheduler":
         entry = context.world.cell.scheduler()
+    if entry == "the other entry":
+        entry = _other_entry(context)
     answered = context.world.cancel_job(entry, label)
     assert answered == status, answered
 
