Another relay is asked when the table rejects the first one

A relay that was turned away too cost a pause of 1 s in which nothing was relayed, and the next one was again drawn at random: between 5.9 and 11.2 s six draws were rejected ones, and the scheduler stored nothing for 5.6 s.

A rejected request has certainly not been executed. Up to three relays are tried at once; the one that worked is kept, one that failed is left out for 3 s; only then comes the pause (peers/relay_choice.py). Two scenarios: a daemon and two of three entries rejected (ten of ten writes accepted; before: none), and all rejected (three relayed requests in ten writes).

--- a/coltsfoottray/peers/relay.py
+++ b/coltsfoottray/peers/relay.py
@@ -23,6 +23,7 @@
 from coltsfoottray.http.common import DEFAULT_TIMEOUT, OnResponseStart
 from coltsfoottray.logs import log_event
 from coltsfoottray.peers.common import Call, PeerClient
+from coltsfoottray.peers.relay_choice import RelayChoice
 from coltsfoottray.types import Address
 
 __all__ = ["RELAY", "Relay", "RelayReply", "RelayRequest", "RelayTransport"]
@@ -30,10 +31,11 @@
 # Once a direct request has failed, requests are relayed first for this long, so that
 # not every request has to fail directly first. Then direct requests are tried again.
 _RELAY_DURATION = timedelta(seconds=2)
-# If the relay fails as well, the table is assumed to be down for all daemons. Relaying
-# pauses, because twice as many requests would not help the table to recover.
+# If some relays fail as well, the table is assumed to be down for all daemons. Relaying
+# pauses, because many times as many requests would not help the table to recover.
 _RELAY_PAUSE = timedelta(seconds=1)
 _REJECTED_STATUSES = (429, 503)
+_MAX_RELAYS = 3
 
 
 class RelayRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -111,7 +113,7 @@
         self._peers = peers
         self._relays = relays
         self._clock = clock
-        self._random = random
+        self._choice = RelayChoice(random=random)
         self._relay_until = timedelta(0)
         self._relay_paused_until = timedelta(0)
         self._answered_at = timedelta(days=-1)
@@ -228,11 +230,32 @@
     async def _send_relayed(
         self, request: HttpRequest, timeout: timedelta
     ) -> HttpResponse | None:
-        """Send through an entry; return None if the table certainly did not see it."""
-        relays = self._relays()
-        if not relays or self._clock.elapsed() < self._relay_paused_until:
-            return None
-        relay = self._random.choice(relays)
+        """Send through an entry; return None if the table certainly did not see it.
+
+        A relay that the table rejects is replaced by another one: the table rejects a
+        request before it does anything.
+        """
+        tried: list[Address] = []
+        response: HttpResponse | None = None
+        while self._clock.elapsed() >= self._relay_paused_until:
+            now = self._clock.elapsed()
+            relay = self._choice.choose(self._relays(), tried=tried, now=now)
+            if relay is None:
+                return response
+            tried.append(relay)
+            response = await self._send_through(relay, request, timeout)
+            if response is not None and response.status not in _REJECTED_STATUSES:
+                self._choice.record_success(relay)
+                return response
+            self._choice.record_failure(relay, self._clock.elapsed())
+            if len(tried) == _MAX_RELAYS:
+                self._pause_relay(f"{len(tried)} relays were rejected or unreachable")
+        return response
+
+    async def _send_through(
+        self, relay: Address, request: HttpRequest, timeout: timedelta
+    ) -> HttpResponse | None:
+        """Send through `relay`; return None if the table certainly did not see it."""
         message = RelayRequest(
             method=request.method,
             target=request.target,
@@ -243,23 +266,25 @@
         try:
             reply = await self._peers.call(relay, RELAY, message, timeout=timeout)
         except CommunicationError as error:
-            self._pause_relay(str(error))
             if error.is_unseen:
                 return None
+            self._give_up(relay, str(error))
             raise
         if reply.status == 0:
-            self._pause_relay(f"relay {relay} got no response from the table")
             if reply.is_unseen:
                 return None
+            self._give_up(relay, f"relay {relay} got no response from the table")
             raise CommunicationError(
                 step=ExchangeStep.RECEIVE,
                 peer=f"table through {relay}",
                 detail="no response",
             )
-        if reply.status in _REJECTED_STATUSES:
-            self._pause_relay(f"relay {relay} got status {reply.status} from the table")
         return HttpResponse(status=reply.status, body=reply.body)
 
+    def _give_up(self, relay: Address, reason: str) -> None:
+        self._choice.record_failure(relay, self._clock.elapsed())
+        self._pause_relay(reason)
+
     def _pause_relay(self, reason: str) -> None:
         self._relay_paused_until = self._clock.elapsed() + _RELAY_PAUSE
         log_event("table:detour-failed", reason=reason)
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -84,6 +84,81 @@
             return
 
 
+class _RejectedDaemon:
+    """A daemon that the table rejects, with entries of which it rejects some."""
+
+    def __init__(self, *, entries: int, rejected: int) -> None:
+        self.statuses: list[int] = []
+        self.rejections = 0
+        self._fabric = MemoryFabric()
+        self._table = self._fabric.free_address()
+        self._rejects_by_entry = {
+            self._fabric.free_address(): number < rejected for number in range(entries)
+        }
+
+    async def play(self, writes: int) -> None:
+        """Write one time after another."""
+        async with trio.open_nursery() as nursery:
+            await self._serve(nursery)
+            kernel = self._fabric.kernel("daemon")
+            transport = RelayTransport(
+                direct=self._fabric.transport("daemon"),
+                peers=kernel.find(PEERS, PeerClient),
+                relays=lambda: list(self._rejects_by_entry),
+                clock=TrioClock(),
+                random=Random(1),
+            )
+            for _ in range(writes):
+                response = await transport.send(self._table, _WRITE, timeout=_TIMEOUT)
+                self.statuses.append(response.status)
+            nursery.cancel_scope.cancel()
+
+    async def _serve(self, nursery: trio.Nursery) -> None:
+        async def reject(_: HttpRequest) -> HttpResponse:
+            return HttpResponse(status=429)
+
+        table = self._fabric.listeners("table").http(self._table, reject)
+        await nursery.start(table.run)
+        for number, (entry, rejects) in enumerate(self._rejects_by_entry.items()):
+            handlers = CallHandlers()
+            handlers.add(RELAY, self._reject if rejects else _accept)
+            listeners = self._fabric.listeners(f"entry-{number}")
+            await nursery.start(listeners.peers(entry, handlers).run)
+
+    async def _reject(self, _: object) -> RelayReply:
+        self.rejections += 1
+        return RelayReply(status=429)
+
+
+async def _accept(_: object) -> RelayReply:
+    return RelayReply(status=200)
+
+
+@given("a table that rejects a daemon and {rejected:d} of {entries:d} entries")
+def make_rejected(context, rejected, entries):
+    context.daemon = _RejectedDaemon(entries=entries, rejected=rejected)
+
+
+@when("the daemon writes {count:d} times")
+def write_many(context, count):
+    trio.run(context.daemon.play, count, clock=MockClock(autojump_threshold=0))
+
+
+@then("all of its writes are accepted")
+def check_accepted(context):
+    assert set(context.daemon.statuses) == {200}, context.daemon.statuses
+
+
+@then("none of its writes is accepted")
+def check_rejected(context):
+    assert set(context.daemon.statuses) == {429}, context.daemon.statuses
+
+
+@then("at most {count:d} of them were sent to an entry that is rejected")
+def check_rejections(context, count):
+    assert context.daemon.rejections <= count, context.daemon.rejections
+
+
 @given("a daemon that reads the table every {interval:g} s")
 def make_daemon(context, interval):
     context.daemon = _Daemon(interval_s=interval)
