Jumps of the time of day change no retention and no order of jobs

- Ended jobs were swept by the time of day: a jump of the scheduler's clock by minutes ahead made it forget jobs that had just ended (410 for a job that was completed 10 s ago); a jump back kept them.
Retention now counts on the steady clock from when the end was stored, or from the take-over.
- A job's lateness was the scheduler's time of day less that of the entry that had accepted it: after a jump all jobs counted as too late to be of use.
Each job and occurrence now has a start on the scheduler's steady clock, set when it learns of it: at most 3 s earlier for a new one.
- The leases of running tasks counted on the steady clock before; that scenario passed.

--- a/coltsfoottray/clock.py
+++ b/coltsfoottray/clock.py
@@ -4,6 +4,7 @@
 
 import abc
 import time
+from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 
 import trio
@@ -11,6 +12,7 @@
 __all__ = [
     "CLOCK_RATE_MARGIN",
     "Clock",
+    "Moment",
     "SuspendAwareClock",
     "TrioClock",
     "as_microseconds",
@@ -55,6 +57,32 @@
         """Wait for `duration`."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class Moment:
+    """A moment by both clocks of a process.
+
+    Parameters
+    ----------
+    elapsed : timedelta
+        Monotonic time.
+    time_ms : int
+        Time of day in milliseconds since 1970, which may jump.
+    """
+
+    elapsed: timedelta
+    time_ms: int
+
+    @classmethod
+    def read(cls, clock: Clock) -> Moment:
+        """Return the present moment."""
+        return cls(elapsed=clock.elapsed(), time_ms=as_milliseconds(clock.now()))
+
+    def since(self, time_ms: int, *, longest: timedelta) -> timedelta:
+        """Return the monotonic time of a time of day, at most `longest` ago."""
+        age = timedelta(milliseconds=self.time_ms - time_ms)
+        return self.elapsed - min(max(age, timedelta(0)), longest)
+
+
 class TrioClock(Clock):
     """The clock of the running trio loop, which is real or virtual."""
 
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from coltsfoottray.clock import Clock, as_milliseconds
+from coltsfoottray.clock import Clock, Moment, as_milliseconds
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.jobs.model import AcceptedJob, JobId
 from coltsfoottray.jobs.records import JobState
@@ -23,7 +23,7 @@
 from coltsfoottray.scheduler.fleet import Fleet, PlacedRun
 from coltsfoottray.scheduler.grants import Grants, is_out_of_order
 from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL, LeaseRow
-from coltsfoottray.scheduler.live import LiveJob
+from coltsfoottray.scheduler.live import MAX_RESTORED_AGE, LiveJob
 from coltsfoottray.scheduler.messages import Orders, Report, ReportReply
 from coltsfoottray.scheduler.order_sender import OrderSender
 from coltsfoottray.scheduler.orders import missing_orders
@@ -185,14 +185,18 @@
         job = self.cluster.jobs.by_id.get(job_id)
         return None if job is None else job.stored_state
 
-    def jobs_ended_before(self, moment_ms: int) -> list[JobId]:
-        """Return the jobs that ended before a given time and have no runs left."""
+    def jobs_ended_before(self, moment: timedelta) -> list[JobId]:
+        """Return the jobs that ended before a given time and have no runs left.
+
+        A job that an earlier scheduler has stored counts as ended when this one began:
+        the time of day, which both know, may jump.
+        """
         held = {placed.ref.task.job for placed in self._fleet.placed_runs()}
         return [
             job.id
             for job in self.cluster.jobs.by_id.values()
             if job.stored_state.is_final
-            and job.record.ended_ms < moment_ms
+            and job.stored_at < moment
             and job.id not in held
         ]
 
@@ -235,8 +239,7 @@
 
     def load(self, stored: StoredState, **cost: float) -> None:
         """Restore the state that earlier schedulers stored."""
-        now = self._clock.elapsed()
-        now_ms = as_milliseconds(self._clock.now())
+        now = Moment.read(self._clock)
         for key, version in stored.orphan_version_by_key.items():
             self._writer.discard(key, version)
         if stored.pressures is not None:
@@ -250,16 +253,18 @@
                 summary=stored_job.summary,
                 summary_version=stored_job.summary_version,
                 lengths=self.cluster.lengths,
+                seen=now,
+                longest_age=MAX_RESTORED_AGE,
             )
             self.cluster.restore(
                 job,
                 lease_end=self._grants.prior_lease_end,
-                now=now,
+                now=now.elapsed,
             )
             if stored_job.is_cancelled:
-                self.cluster.cancel(stored_job.accepted.id, now_ms)
+                self.cluster.cancel(stored_job.accepted.id, now.time_ms)
         self.is_loaded = True
-        self._loaded_at = now
+        self._loaded_at = now.elapsed
         self._writer.mark_loaded()
         log_event(
             "scheduler:loaded",
@@ -356,11 +361,11 @@
         last_end_by_worker : dict
             Number of the last run end in the workers' reports.
         """
-        now = self._clock.elapsed()
-        now_ms = as_milliseconds(self._clock.now())
+        moment = Moment.read(self._clock)
+        now, now_ms = moment.elapsed, moment.time_ms
         inbox, self._inbox = self._inbox, Inbox()
         for job in inbox.accepted:
-            self.cluster.accept(job)
+            self.cluster.accept(job, moment)
         for job_id in inbox.cancelled:
             self.cluster.cancel(job_id, now_ms)
         for job_id in inbox.forgotten:
@@ -378,7 +383,7 @@
         self.planner.pack_services(now)
         if self._is_reconciling():
             return [], last_end_by_worker
-        return self.planner.plan(now, now_ms), last_end_by_worker
+        return self.planner.plan(moment), last_end_by_worker
 
     def _is_reconciling(self) -> bool:
         """Return whether to wait for workers to report the runs that they held."""
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -7,6 +7,7 @@
 
 from coltsfoottray.agent.pressure import PressureTable
 from coltsfoottray.agent.worker import EndKind, Refusal, RunStatus
+from coltsfoottray.clock import Moment
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.jobs.model import AcceptedJob, JobId, QueueTerms, RunRef
 from coltsfoottray.jobs.records import JobState, TaskPhase
@@ -61,10 +62,10 @@
                 end = lease_end(task.worker)
                 self.fleet.get_or_add(task.worker, None, end).hold(placed)
 
-    def accept(self, accepted: AcceptedJob) -> None:
+    def accept(self, accepted: AcceptedJob, now: Moment) -> None:
         """Add a newly accepted job."""
         if accepted.id not in self.jobs.by_id:
-            self.jobs.add(LiveJob(accepted=accepted, lengths=self.lengths))
+            self.jobs.add(LiveJob(accepted=accepted, seen=now, lengths=self.lengths))
 
     def cancel(self, job_id: JobId, now_ms: int) -> None:
         """Cancel a job on its caller's request."""
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from coltsfoottray.clock import Moment
 from coltsfoottray.jobs.model import AcceptedJob, JobId, RunRef, StepSpec, TaskRef
 from coltsfoottray.jobs.records import (
     JobRecord,
@@ -14,11 +15,18 @@
     TaskRecord,
 )
 from coltsfoottray.logs import log_event
+from coltsfoottray.scheduler.critical_path import CriticalPath
 from coltsfoottray.scheduler.lengths import LengthEstimator
 from coltsfoottray.scheduler.tickets import AdviceState, Ticket
 from coltsfoottray.scheduler.wait_reason import WaitReason
 
-__all__ = ["LiveJob", "LiveStep"]
+__all__ = ["MAX_RESTORED_AGE", "LiveJob", "LiveStep"]
+
+# A job or an occurrence that is new to a scheduler has become due this long ago at the
+# most; more is an error of the time of day.
+MAX_NOTICE_AGE = timedelta(seconds=3)
+# A job that an earlier scheduler has stored may be older than any objective.
+MAX_RESTORED_AGE = timedelta(days=1)
 
 # Time in which a start is usually stored, sent and carried out.
 _ORDER_LATENCY = timedelta(milliseconds=300)
@@ -158,12 +166,18 @@
         Version of the summary's row, 0 if there is none.
     lengths : LengthEstimator
         Estimates how long its tasks take.
+    seen : Moment
+        When this scheduler learned of the job.
+    longest_age : timedelta
+        How long before that it may have been accepted.
     """
 
     def __init__(
         self,
         *,
         accepted: AcceptedJob,
+        seen: Moment,
+        longest_age: timedelta = MAX_NOTICE_AGE,
         record: JobRecord | None = None,
         version: int = 0,
         summary: JobSummary | None = None,
@@ -171,9 +185,6 @@
         lengths: LengthEstimator,
     ) -> None:
         self.accepted = accepted
-        self._lengths = lengths
-        self._lengths_revision = -1
-        self._expected_ms: list[float] = []
         self.stored_summary = summary
         self.summary_version = summary_version
         self.record = record or JobRecord()
@@ -181,16 +192,25 @@
         self.is_dirty = False
         # Whether checkpoints arrived since the job was last stored, and when that was.
         self.has_new_checkpoints = False
-        self.stored_at = timedelta(0)
+        self.stored_at = seen.elapsed
         # Since when none of its tasks has run although one could.
         self.idle_since: timedelta | None = None
-        self._critical_path_ms = 0.0
-        for number, seen_ms in self.record.length_ms_by_step.items():
-            self._report_length(number, seen_ms)
+        self._path = CriticalPath(
+            accepted=accepted,
+            seen_ms_by_step=self.record.length_ms_by_step,
+            lengths=lengths,
+        )
         self.steps_by_occurrence: list[list[LiveStep]] = [
             self._make_steps(number, tasks)
             for number, tasks in enumerate(self.record.occurrences)
         ]
+        # When each occurrence should have started, by the scheduler's steady clock: the
+        # time of day may jump, and differs between VMs.
+        self._start_by_occurrence = [
+            seen.since(self._start_ms(number), longest=longest_age)
+            for number in range(len(self.record.occurrences))
+        ]
+        self.accepted_at = seen.since(accepted.accepted_ms, longest=longest_age)
 
     @property
     def id(self) -> JobId:
@@ -212,22 +232,35 @@
         repetition = self.accepted.spec.repetition
         return 0 if repetition is None else repetition.due_ms(number)
 
-    def add_due_occurrences(self, now_ms: int) -> None:
+    def start_of(self, occurrence: int) -> timedelta:
+        """Return when an occurrence should have started, by the steady clock."""
+        if self.accepted.spec.repetition is None:
+            return self.accepted_at
+        return self._start_by_occurrence[occurrence]
+
+    def _start_ms(self, occurrence: int) -> int:
+        repetition = self.accepted.spec.repetition
+        if repetition is None:
+            return self.accepted.accepted_ms
+        return repetition.due_ms(occurrence)
+
+    def add_due_occurrences(self, now: Moment) -> None:
         """Add the occurrences that are due."""
-        while (due := self.next_due_ms) is not None and due <= now_ms:
+        while (due := self.next_due_ms) is not None and due <= now.time_ms:
             tasks = [
                 [TaskRecord() for _ in range(step.count)]
                 for step in self.accepted.spec.steps
             ]
             number = len(self.record.occurrences)
             self.record.occurrences.append(tasks)
+            start = now.since(self._start_ms(number), longest=MAX_NOTICE_AGE)
+            self._start_by_occurrence.append(start)
             self.steps_by_occurrence.append(self._make_steps(number, tasks))
 
     @property
     def critical_path_ms(self) -> float:
         """The expected length of its critical path in ms."""
-        self._update_expected_lengths()
-        return self._critical_path_ms
+        return self._path.length_ms()
 
     def critical_path_left_ms(self, occurrence: int) -> float:
         """Return the expected critical path through an occurrence's unfinished steps.
@@ -237,47 +270,12 @@
         float
             Its length in ms.
         """
-        self._update_expected_lengths()
         steps = self.steps_by_occurrence[occurrence]
-        left = [
-            0.0 if step.is_done else self._expected_ms[step.number] for step in steps
-        ]
-        return _longest_path([step.spec for step in steps], left)
+        return self._path.left_ms([step.is_done for step in steps])
 
     def record_length(self, step: int, seen_ms: float) -> None:
         """Record how long a task of a step took, or is likely to take."""
-        known = self.record.length_ms_by_step
-        if step not in known:
-            known[step] = round(seen_ms)
-            self._report_length(step, known[step])
-
-    def _report_length(self, step: int, seen_ms: float) -> None:
-        declared_ms = self.accepted.spec.steps[step].estimate_ms
-        self._lengths.add_observation(
-            self.accepted.queue, declared_ms=declared_ms, seen_ms=seen_ms
-        )
-
-    def _update_expected_lengths(self) -> None:
-        if self._lengths_revision == self._lengths.revision:
-            return
-        self._lengths_revision = self._lengths.revision
-        steps = self.accepted.spec.steps
-        self._expected_ms = [
-            self._expected_length_ms(number, step.estimate_ms)
-            for number, step in enumerate(steps)
-        ]
-        self._critical_path_ms = _longest_path(steps, self._expected_ms)
-
-    def _expected_length_ms(self, step: int, declared_ms: float) -> float:
-        """Return how long a task of a step is expected to take, in ms."""
-        if not self.accepted.terms.has_objective:
-            # Without an objective no job is late, and the declared length alone
-            # determines its urgency.
-            return declared_ms
-        seen_ms = self.record.length_ms_by_step.get(step)
-        if seen_ms is not None:
-            return float(seen_ms)
-        return self._lengths.expected_ms(self.accepted.queue, declared_ms)
+        self._path.record(step, seen_ms)
 
     def steps(self) -> list[LiveStep]:
         """Return the steps of all unfinished occurrences."""
@@ -365,12 +363,3 @@
             )
             for number, records in enumerate(tasks)
         ]
-
-
-def _longest_path(steps: list[StepSpec], length_ms: list[float]) -> float:
-    """Return the length of the critical path through the steps, in ms."""
-    ends: list[float] = []
-    for number, step in enumerate(steps):
-        before = [ends[each] for each in step.after if each < number]
-        ends.append(max(before, default=0.0) + length_ms[number])
-    return max(ends, default=0.0)
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -4,6 +4,7 @@
 
 from datetime import timedelta
 
+from coltsfoottray.clock import Moment
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.jobs.model import QueueTerms, RunRef
 from coltsfoottray.jobs.records import JobState, TaskPhase
@@ -66,26 +67,28 @@
         # The steps that could start at the last plan, the most urgent first.
         self._ready: list[LiveStep] = []
 
-    def plan(self, now: timedelta, now_ms: int) -> list[PlacedRun]:
+    def plan(self, moment: Moment) -> list[PlacedRun]:
         """Assign waiting tasks to workers; return the new runs."""
+        now = moment.elapsed
         self._round += 1
-        self._ready = self._list_ready(now, now_ms)
+        self._ready = self._list_ready(moment)
         bounds = FreeCapacityBounds(fleet=self._fleet, now=now)
-        placed, untried = self._place_steps(self._ready, bounds, now, now_ms)
+        placed, untried = self._place_steps(self._ready, bounds, now)
         # A few dozen steps that fit nowhere would starve all steps behind them, so the
         # second pass begins with the steps whose last try is longest ago.
         untried.sort(key=lambda step: step.last_tried_round)
-        more, _ = self._place_steps(untried, bounds, now, now_ms)
+        more, _ = self._place_steps(untried, bounds, now)
         return placed + more
 
-    def _list_ready(self, now: timedelta, now_ms: int) -> list[LiveStep]:
+    def _list_ready(self, moment: Moment) -> list[LiveStep]:
         ready: list[LiveStep] = []
         for job in self._cluster.jobs.active_by_id.values():
-            job.add_due_occurrences(now_ms)
+            job.add_due_occurrences(moment)
             ready += [step for step in job.steps() if step.can_start]
         for step in ready:
-            step.advice_state.mark_ready(now)
-        ready.sort(key=lambda step: urgency_key(step, self._holder, now_ms))
+            step.advice_state.mark_ready(moment.elapsed)
+        now = moment.elapsed
+        ready.sort(key=lambda step: urgency_key(step, self._holder, now))
         return ready
 
     def _place_steps(
@@ -93,7 +96,6 @@
         steps: list[LiveStep],
         bounds: FreeCapacityBounds,
         now: timedelta,
-        now_ms: int,
     ) -> tuple[list[PlacedRun], list[LiveStep]]:
         """Place steps in order; return the new runs and the steps not reached."""
         placed: list[PlacedRun] = []
@@ -106,7 +108,7 @@
             if self._has_no_place(step, bounds, now):
                 step.record_wait_reason(WaitReason.ROOM)
                 continue
-            new = self._place_step(step, now, now_ms)
+            new = self._place_step(step, now)
             step.record_wait_reason(self._wait_reason(step, now))
             step.last_tried_round = self._round
             placed += new
@@ -130,9 +132,7 @@
             return WaitReason.TICKET
         return WaitReason.GOOD_PLACE if step.spec.is_filler else WaitReason.ROOM
 
-    def _place_step(
-        self, step: LiveStep, now: timedelta, now_ms: int
-    ) -> list[PlacedRun]:
+    def _place_step(self, step: LiveStep, now: timedelta) -> list[PlacedRun]:
         service = self._cluster.terms_of(step.job).service
         placed: list[PlacedRun] = []
         if step.spec.is_gang:
@@ -149,7 +149,7 @@
             for ref, member in zip(refs, workers, strict=False):
                 placed.append(self._assign(step, ref, member, now))
         else:
-            strictness = self._strictness(step.job, now, now_ms)
+            strictness = self._strictness(step.job, now)
             for index in step.waiting:
                 worker = self._find_place(step, now, index, strictness=strictness)
                 if worker is None:
@@ -311,7 +311,7 @@
             strictness=strictness,
         )
 
-    def _strictness(self, job: LiveJob, now: timedelta, now_ms: int) -> Strictness:
+    def _strictness(self, job: LiveJob, now: timedelta) -> Strictness:
         """Return how good a place must be for tasks of a job.
 
         A job that runs nothing while workers have room is lost to its caller, whatever
@@ -320,7 +320,7 @@
         self._update_idle_since(job, now)
         if job.idle_since is not None and now - job.idle_since > _MAX_IDLE:
             return Strictness.NONE
-        if is_half_elapsed(job, self._holder, now_ms):
+        if is_half_elapsed(job, self._holder, now):
             return Strictness.HALF
         return Strictness.WHOLE
 
--- a/coltsfoottray/scheduler/sweep.py
+++ b/coltsfoottray/scheduler/sweep.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure
 
-from coltsfoottray.clock import Clock, as_milliseconds
+from coltsfoottray.clock import Clock
 from coltsfoottray.jobs.keys import accepted_key, cancel_key
 from coltsfoottray.jobs.mirror import Mirror
 from coltsfoottray.jobs.model import JobId
@@ -37,7 +37,7 @@
     """Delete jobs that ended more than `retention` ago, every few seconds."""
     while True:
         await clock.sleep(_SWEEP_INTERVAL)
-        oldest = as_milliseconds(clock.now() - retention)
+        oldest = clock.elapsed() - retention
         for job in active.jobs_ended_before(oldest)[:_MAX_JOBS_PER_SWEEP]:
             try:
                 if await _remove_acceptance(job, table, mirror):
--- a/coltsfoottray/scheduler/urgency.py
+++ b/coltsfoottray/scheduler/urgency.py
@@ -11,10 +11,12 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
 
-__all__ = ["is_half_elapsed", "objective_ms", "urgency_key"]
+__all__ = ["is_half_elapsed", "objective", "urgency_key"]
 
 # A job that takes more than three times its objective is worthless to its caller, by
 # the users' own measure of late work.
@@ -27,38 +29,35 @@
 _SERVICE, _ON_TIME, _LATE, _USELESS = range(4)
 
 
-def objective_ms(job: LiveJob, holder: ConfigHolder) -> float:
-    """Return how long the job may take to be on time, in ms."""
+def objective(job: LiveJob, holder: ConfigHolder) -> timedelta:
+    """Return how long the job may take to be on time."""
     terms = holder.terms_of(job.accepted.queue, default=job.accepted.terms)
-    return terms.slowdown_factor * job.critical_path_ms + terms.target_latency_ms
+    length_ms = terms.slowdown_factor * job.critical_path_ms
+    return timedelta(milliseconds=length_ms + terms.target_latency_ms)
 
 
-def is_half_elapsed(job: LiveJob, holder: ConfigHolder, now_ms: int) -> bool:
+def is_half_elapsed(job: LiveJob, holder: ConfigHolder, now: timedelta) -> bool:
     """Return whether half of the time in which a job is on time has elapsed."""
-    return now_ms > job.accepted.accepted_ms + objective_ms(job, holder) / 2
+    return now > job.accepted_at + objective(job, holder) / 2
 
 
 def urgency_key(
-    step: LiveStep, holder: ConfigHolder, now_ms: int
-) -> tuple[int, int, float]:
+    step: LiveStep, holder: ConfigHolder, now: timedelta
+) -> tuple[int, int, timedelta]:
     """Return the sort key of a step; the smallest goes first."""
     job = step.job
     terms = holder.terms_of(job.accepted.queue, default=job.accepted.terms)
-    start_ms: float = job.accepted.accepted_ms
-    if job.accepted.spec.repetition is not None:
-        start_ms = job.accepted.spec.repetition.due_ms(step.occurrence)
-    objective = objective_ms(job, holder)
-    due_ms = start_ms + objective
-    return terms.priority, _rank(step, now_ms, start_ms, objective), due_ms
+    due = job.start_of(step.occurrence) + objective(job, holder)
+    return terms.priority, _rank(step, now, holder), due
 
 
-def _rank(step: LiveStep, now_ms: int, start_ms: float, objective: float) -> int:
+def _rank(step: LiveStep, now: timedelta, holder: ConfigHolder) -> int:
     if step.spec.is_service:
         return _SERVICE
-    if now_ms > start_ms + _USEFUL_FACTOR * objective:
+    allowed = objective(step.job, holder)
+    elapsed = now - step.job.start_of(step.occurrence)
+    if elapsed > _USEFUL_FACTOR * allowed:
         return _USELESS
-    end_ms = (
-        now_ms
-        + step.job.critical_path_left_ms(step.occurrence) * _MIN_EXPECTED_FRACTION
-    )
-    return _ON_TIME if end_ms <= start_ms + objective else _LATE
+    left_ms = step.job.critical_path_left_ms(step.occurrence) * _MIN_EXPECTED_FRACTION
+    left = timedelta(milliseconds=left_ms)
+    return _ON_TIME if elapsed + left <= allowed else _LATE
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -81,6 +81,8 @@
         long after their sender has timed out.
     running : trio.Event
         Set unless the process is paused.
+    time_of_day_offset : timedelta
+        Error of the time of day of the process; its steady clock has none.
     link : AccessLink
         Carries the requests and responses that the process receives.
     """
@@ -89,6 +91,7 @@
     lost_requests: int = 0
     late_requests: int = 0
     running: trio.Event = field(default_factory=trio.Event)
+    time_of_day_offset: timedelta = timedelta(0)
     link: AccessLink = field(default_factory=AccessLink)
 
     def __post_init__(self) -> None:
@@ -112,7 +115,8 @@
         self._clock = TrioClock()
 
     def now(self) -> datetime:
-        return _VIRTUAL_START + self._clock.elapsed()
+        offset = self._faults.time_of_day_offset
+        return _VIRTUAL_START + self._clock.elapsed() + offset
 
     def elapsed(self) -> timedelta:
         return self._clock.elapsed()
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from datetime import timedelta
 
 import trio
 from behave import given, step, then, when
@@ -36,6 +37,21 @@
     assert context.world.run(read_runs) == []
 
 
+@step("the time of day of all {kind} jumps by {seconds:d} s")
+def jump_time_of_day(context, kind, seconds):
+    cell = context.world.cell
+    names = cell.entry_by_name if kind == "entries" else cell.attendant_by_name
+    for name in names:
+        faults = context.world.fabric.faults(name)
+        faults.time_of_day_offset += timedelta(seconds=seconds)
+
+
+@step("the time of day of the scheduler jumps by {seconds:d} s")
+def jump_scheduler_time(context, seconds):
+    faults = context.world.fabric.faults(context.world.cell.scheduler())
+    faults.time_of_day_offset += timedelta(seconds=seconds)
+
+
 @step("the store withholds changes")
 def withhold_changes(context):
     context.world.cell.metadata_table.withholds_changes = True
