An entry keeps its row of the directory, and survives one that it cannot read

Found in the reading of this change: the row that a conflict returns was decoded without a guard, so that a row of another version or writer would have ended the daemon. Two scenarios; each fails with the guard, or the comparison, taken out.

--- a/coltsfoottray/jobs/members.py
+++ b/coltsfoottray/jobs/members.py
@@ -19,7 +19,13 @@
 from coltsfoottray.jobs.keys import MEMBERS_GROUP, member_key
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
-from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
+from coltsfoottray.platform import (
+    Put,
+    Row,
+    TableUnavailable,
+    Transaction,
+    WatchedTable,
+)
 from coltsfoottray.types import Address, Role
 
 __all__ = ["DirectoryRefresh", "MemberDirectory", "MemberRow", "Registration"]
@@ -137,7 +143,15 @@
             return True
         rows = outcome.failure().rows
         self._version = rows[0].version if rows else 0
-        return any(row.decode(MemberRow).stands_for(self._member) for row in rows)
+        return any(self._is_current(row) for row in rows)
+
+    def _is_current(self, row: Row) -> bool:
+        """Return whether a row says the same as this entry's own would."""
+        try:
+            return row.decode(MemberRow).stands_for(self._member)
+        except msgspec.DecodeError as error:
+            log_event("members:row-unreadable", key=row.key, reason=str(error))
+            return False
 
 
 class DirectoryRefresh(Service):
--- a/tests/steps/member_steps.py
+++ b/tests/steps/member_steps.py
@@ -22,6 +22,33 @@
     context.daemons = entries + workers
 
 
+@given("the row of {name} in the directory is unreadable")
+def spoil_row(context, name):
+    async def write():
+        context.world.cell.metadata_table.put("members", "", name, "unreadable")
+
+    context.world.run(write)
+
+
+@then("the row of {name} in the directory was written once")
+def check_writes(context, name):
+    changes = context.world.cell.metadata_table.changes
+    rows = [each for each in changes if each.ref.table == "members"]
+    assert [each.ref.key for each in rows].count(name) == 1, rows
+
+
+@then("the directory of {name} contains {other}")
+def check_knows(context, name, other):
+    cell = context.world.cell
+    address = cell.entry_by_name[other].address
+    context.world.advance(12)
+
+    async def read_entries():
+        return cell.entry_by_name[name].members.entries()
+
+    assert address in context.world.run(read_entries)
+
+
 @then("all entries and workers are known within {seconds:d} s")
 def check_known(context, seconds):
     world = context.world
