--- a/coltsfoottray/entry/callers.py
+++ b/coltsfoottray/entry/callers.py
@@ -120,7 +120,7 @@
         text = request.header_by_name.get("x-deadline-ms")
         if text is None:
             return self._default_deadline
-        if not text.isdigit() or int(text) == 0:
+        if not text.isdecimal() or int(text) == 0:
             raise InputError(
                 field="X-Deadline-Ms", value=text, expected="milliseconds, above 0"
             )
--- a/coltsfoottray/explain/history.py
+++ b/coltsfoottray/explain/history.py
@@ -136,7 +136,7 @@
             "decision:start-rejected": self._handle_rejection,
             "decision:completed": self._handle_job_end,
             "decision:failed": self._handle_job_end,
-            "decision:cancel": self._handle_job_end,
+            "decision:cancel": self._handle_cancel,
             "worker:started": self._handle_start,
             "scheduler:claimed": self._handle_claim,
             "scheduler:loaded": self._handle_load,
@@ -163,7 +163,15 @@
         if job.accepted_at is None and line.fields.get("verdict") == "done":
             job.accepted_at = line.at
 
+    def _handle_cancel(self, line: LogLine) -> None:
+        """Handle a cancellation, which an entry may also have refused."""
+        if line.fields.get("verdict", "done") == "done":
+            self._handle_job_end(line)
+
     def _handle_place(self, line: LogLine) -> None:
+        if "step" not in line.fields:
+            # A batch task of the product's own interface, which is no job.
+            return
         job, occurrence, step = _parse_step(str(line.fields["step"]))
         for text in _text_list(line, "workers"):
             index, _, worker = text.partition("@")
--- a/coltsfoottray/http/problem.py
+++ b/coltsfoottray/http/problem.py
@@ -19,6 +19,7 @@
     """What a caller may conclude from a response without a result."""
 
     INVALID = "invalid"
+    TOO_LARGE = "too-large"
     FORBIDDEN = "forbidden"
     NOT_RUN = "refused-not-run"
     UNKNOWN = "outcome-unknown"
@@ -29,6 +30,7 @@
 
 _STATUS_BY_OUTCOME = {
     Outcome.INVALID: 400,
+    Outcome.TOO_LARGE: 413,
     Outcome.FORBIDDEN: 403,
     Outcome.NOT_RUN: 503,
     Outcome.UNKNOWN: 504,
--- a/coltsfoottray/http/server.py
+++ b/coltsfoottray/http/server.py
@@ -22,6 +22,7 @@
 
 __all__ = ["HttpServer"]
 
+_TOO_LARGE = 413
 _DRAIN_POLL_INTERVAL_S = 0.05
 
 
@@ -123,7 +124,9 @@
 ) -> None:
     if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    problem = Problem(outcome=Outcome.INVALID, detail=str(error))
+    is_too_large = error.error_status_hint == _TOO_LARGE
+    outcome = Outcome.TOO_LARGE if is_too_large else Outcome.INVALID
+    problem = Problem(outcome=outcome, detail=str(error))
     try:
         await _send_response(stream, connection, problem.to_response())
     except (trio.BrokenResourceError, h11.LocalProtocolError):
--- a/coltsfoottray/platform/ingress.py
+++ b/coltsfoottray/platform/ingress.py
@@ -117,7 +117,7 @@
     """Return the time that the caller allows, at most the queue's timeout."""
     timeout = timedelta(milliseconds=queue.timeout_ms)
     text = request.header_by_name.get("deadline-ms", "")
-    if not text.isdigit():
+    if not text.isdecimal():
         return min(timeout, _DEFAULT_DEADLINE)
     return min(timeout, timedelta(milliseconds=int(text)))
 
--- a/coltsfoottray/platform/instance.py
+++ b/coltsfoottray/platform/instance.py
@@ -208,7 +208,7 @@
     except msgspec.DecodeError as error:
         return Failure(str(error))
     host, _, port = heartbeat.address.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not port.isdecimal():
         return Failure(f"address: got {heartbeat.address!r}, expected IP:port")
     if heartbeat.state not in ("ready", "draining"):
         return Failure(f"state: got {heartbeat.state!r}, expected ready or draining")
--- a/coltsfoottray/platform/metadata_table.py
+++ b/coltsfoottray/platform/metadata_table.py
@@ -28,7 +28,7 @@
 )
 from coltsfoottray.types import Address
 
-__all__ = ["MAX_TRANSACTION_ITEMS", "MetadataTable"]
+__all__ = ["MetadataTable"]
 
 # A call that takes longer counts as failed, even while the store is slow.
 _MAX_TIMEOUT = timedelta(seconds=1.5)
@@ -41,8 +41,6 @@
 _MIN_HELD_SLACK = timedelta(milliseconds=500)
 _LATENCY_FACTOR = 8
 _SMOOTHING = 0.3
-# The store's limit on the conditions and writes of one transaction.
-MAX_TRANSACTION_ITEMS = 100
 # The store's limit on the rows of one answer.
 _PAGE_ROWS = 500
 _CONFLICT = 412
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -5,7 +5,14 @@
 from datetime import timedelta
 from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
+from pydantic import (
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    ValidationInfo,
+    field_validator,
+)
 
 from coltsfoottray.types import Address
 
@@ -30,7 +37,7 @@
     if isinstance(value, Address):
         return value
     host, _, port = str(value).rpartition(":")
-    if not host or not port.isdigit() or int(port) > _MAX_PORT:
+    if not host or not port.isdecimal() or int(port) > _MAX_PORT:
         raise ValueError(f"got {value!r}, expected IP:port, as in 10.0.0.7:8080")
     return Address(host=host, port=int(port))
 
@@ -87,6 +94,14 @@
     retention_s: Seconds = 600.0
     outage_grace_s: Seconds = 3600.0
 
+    @field_validator("silence_s")
+    @classmethod
+    def _outlasts_hold(cls, value: float, info: ValidationInfo) -> float:
+        hold_s = info.data.get("hold_s")
+        if hold_s is not None and value <= hold_s:
+            raise ValueError(f"got {value:g}, expected more than hold_s, {hold_s:g}")
+        return value
+
     @property
     def lease(self) -> timedelta:
         """`lease_s` as a duration."""
--- a/coltsfoottray/worker/ledger.py
+++ b/coltsfoottray/worker/ledger.py
@@ -85,8 +85,3 @@
         held = self.reservation_by_task.get(task)
         if held is not None and held.attempt == attempt:
             del self.reservation_by_task[task]
-
-    def clear(self) -> None:
-        """Remove all reservations and stops, at the start of a new term."""
-        self.reservation_by_task.clear()
-        self._stopped_attempt_by_task.clear()
--- a/standins/job_cell.py
+++ b/standins/job_cell.py
@@ -49,7 +49,6 @@
         self._table = self.fabric.free_address()
         self._advice_address = self.fabric.free_address()
         self._versions = itertools.count(1)
-        self._callers_by_entry: dict[str, Address] = {}
         self._settings_by_name: dict[str, JobEntrySettings | JobAttendantSettings] = {}
 
     async def start(self) -> None:
--- a/tests/explain/losses.feature
+++ b/tests/explain/losses.feature
@@ -30,6 +30,19 @@
     Then the job "aa" spent 6.0 s on "running", 0.5 s on "scheduler" and 0.5 s on "start"
     And the parts of each job add up to its total time
 
+  Scenario: A cancellation was not accepted
+    # Guards against counting a job as ended that went on.
+    Given log lines of a job whose cancellation was refused after 1 s and which took 3 s
+    When the time of jobs is computed from these lines
+    Then the job "aa" spent 3.0 s on "running"
+
+  Scenario: There are lines about batch tasks of the product's own interface
+    # Guards against a command that fails because of lines that concern no job.
+    Given log lines of a job whose cancellation was refused after 1 s and which took 3 s
+    And a line about the placement of a batch task
+    When the time of jobs is computed from these lines
+    Then the job "aa" spent 3.0 s on "running"
+
   Scenario: Log lines are missing
     # Guards against attributing the time without log lines to another part.
     Given log lines of a job without those of its worker
--- a/tests/steps/losses_steps.py
+++ b/tests/steps/losses_steps.py
@@ -67,6 +67,23 @@
     ]
 
 
+@given("log lines of a job whose cancellation was refused after 1 s and which took 3 s")
+def write_refused_cancellation(context):
+    context.messages = [
+        _line(10.0, "decision:submit", job="aa", queue="q", verdict="done"),
+        _line(10.0, "decision:place", step="aa.0.0", workers=["0@w"], waiting=0),
+        _line(10.0, "worker:started", run="aa.0.0.0#1"),
+        _line(11.0, "decision:cancel", job="aa", verdict="not-done"),
+        _line(13.0, "decision:ends", ends=["aa.0.0.0#1 done"]),
+        _line(13.0, "decision:completed", job="aa"),
+    ]
+
+
+@given("a line about the placement of a batch task")
+def add_batch_task(context):
+    context.messages.append(_line(11.0, "decision:place", task="t", worker="w"))
+
+
 @given("log lines of a service that was stopped after 4 s and started again 1 s later")
 def write_service(context):
     place = {"step": "aa.0.0", "workers": ["0@w"], "waiting": 0, "lasts": True}
