--- a/coltsfoottray/claims/batcher.py
+++ b/coltsfoottray/claims/batcher.py
@@ -96,4 +96,13 @@
             # Only one call to a paused member waits for the timeout, not each one.
             self._unreachable_until = self._clock.elapsed() + UNREACHABLE_DURATION
             return None
+        if len(reply.verdicts) != len(proposals):
+            # Which proposals the verdicts belong to is not certain.
+            log_event(
+                "claims:incomplete-reply",
+                entry=self._entry,
+                proposals=len(proposals),
+                verdicts=len(reply.verdicts),
+            )
+            return None
         return reply.verdicts
