--- a/coltsfoottray/scheduler/introductions.py
+++ b/coltsfoottray/scheduler/announcements.py
@@ -27,7 +27,7 @@
 )
 from coltsfoottray.types import Address
 
-__all__ = ["Introductions"]
+__all__ = ["Announcements"]
 
 _MAX_IN_PROGRESS = 8
 _CALL_TIMEOUT = timedelta(milliseconds=200)
@@ -38,8 +38,8 @@
 _ROUND_INTERVAL = timedelta(milliseconds=100)
 
 
-class Introductions:
-    """Introduces a scheduler to attendants, a few at a time.
+class Announcements:
+    """Announces a scheduler to attendants, a few at a time.
 
     Parameters
     ----------
@@ -71,10 +71,10 @@
             remaining = await self._announce_to_all(announcement, remaining)
             if not remaining:
                 return
-            log_event("scheduler:greetings-failed", count=len(remaining))
+            log_event("scheduler:announcements-failed", count=len(remaining))
             await self._clock.sleep(_ROUND_INTERVAL)
         # These attendants have ended, or find the scheduler by themselves later.
-        log_event("scheduler:greetings-ended", unreached=sorted(remaining))
+        log_event("scheduler:announcements-ended", unreached=sorted(remaining))
 
     async def _announce_to_all(
         self,
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -24,7 +24,7 @@
 from coltsfoottray.platform import WatchedTable
 from coltsfoottray.scheduler.active import ActiveScheduler
 from coltsfoottray.scheduler.advice import Adviser, run_advice_loop
-from coltsfoottray.scheduler.introductions import Introductions
+from coltsfoottray.scheduler.announcements import Announcements
 from coltsfoottray.scheduler.lease import LeaseWatch
 from coltsfoottray.scheduler.messages import (
     JOB_NOTIFICATION,
@@ -239,7 +239,7 @@
             nursery.cancel_scope.cancel()
 
     async def _load(self, active: ActiveScheduler, nursery: trio.Nursery) -> None:
-        """Load the stored state, and introduce the scheduler to attendants."""
+        """Load the stored state, and announce the scheduler to attendants."""
         reader = StateReader(
             table=self._table, mirror=self._mirror, view=self._view, clock=self._clock
         )
@@ -248,17 +248,17 @@
             renewals.start_soon(active.renew_until, loaded, reader.progress)
             rows = await reader.read_attendants()
             address_by_worker = active.restore_attendants(rows)
-            nursery.start_soon(self._introduce, active, address_by_worker)
+            nursery.start_soon(self._announce, active, address_by_worker)
             stored = await reader.read_jobs(active.version)
             loaded.set()
         active.load(stored, **reader.cost())
         self._metrics.time("takeover_read", timedelta(seconds=reader.cost()["read_s"]))
         self._metrics.count("takeover_read_bytes", int(reader.cost()["read_bytes"]))
 
-    async def _introduce(
+    async def _announce(
         self, active: ActiveScheduler, address_by_worker: Mapping[str, Address]
     ) -> None:
-        introductions = Introductions(
+        announcements = Announcements(
             peers=self._peers,
             clock=self._clock,
             random=self._random,
@@ -267,7 +267,7 @@
         announcement = SchedulerAnnouncement(
             epoch=active.lease.epoch, scheduler=active.lease.address
         )
-        await introductions.run(announcement, address_by_worker)
+        await announcements.run(announcement, address_by_worker)
 
     # Handlers of calls.
 
--- a/coltsfoottray/scheduler/side_rows.py
+++ b/coltsfoottray/scheduler/side_rows.py
@@ -87,7 +87,7 @@
 class AttendantRows(SideRows):
     """The addresses of all attendants, one row per data centre.
 
-    The next scheduler introduces itself to them. It could not wait for their reports:
+    The next scheduler announces itself to them. It could not wait for their reports:
     a scheduler that is only cut off from the table goes on answering these.
     """
 
