Report pressures as soon as they change, and ask at once for those on a new service

A report contains the pressures when they differ from what the scheduler has received; a start of a service of which none are known requests a report.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -84,9 +84,7 @@
         self._lease = WorkerLease(started_at=clock.elapsed())
         self._speeds = SpeedController(link=link, clock=clock)
         self._last_paced = timedelta(0)
-        self._pressures = PressureExchange(
-            local_pressures=self._speeds.pressures, clock=clock
-        )
+        self._pressures = PressureExchange(local_pressures=self._speeds.pressures)
         self._stalls = StallDetector()
         self._stalled: list[RunRef] = []
         self._executor = OrderExecutor(
@@ -355,6 +353,8 @@
             self._runs.order_by_ref[order.ref] = order
             if not is_repeat:
                 self._runs.starting.add(order.ref)
+                if self._pressures.lacks(order):
+                    self.request_report()
                 self._nursery.start_soon(self._executor.start, order, scope)
         for ref in orders.stops:
             if ref not in self._runs.stopped_by_ref:
--- a/coltsfoottray/agent/pressure_exchange.py
+++ b/coltsfoottray/agent/pressure_exchange.py
@@ -3,17 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from datetime import timedelta
 
 from coltsfoottray.agent.pressure import Pressure
-from coltsfoottray.clock import Clock
-from coltsfoottray.scheduler.messages import Report, ReportReply
+from coltsfoottray.scheduler.messages import Report, ReportReply, StartOrder
 
 __all__ = ["PressureExchange"]
 
-# Interference between images changes little within this time.
-_INTERVAL = timedelta(seconds=4)
-
 
 class PressureExchange:
     """Decides when a report contains pressures, and which ones the attendant has.
@@ -24,31 +19,37 @@
         Returns the pressures learned on this worker.
     """
 
-    def __init__(
-        self, *, local_pressures: Callable[[], list[Pressure]], clock: Clock
-    ) -> None:
+    def __init__(self, *, local_pressures: Callable[[], list[Pressure]]) -> None:
         self._local_pressures = local_pressures
-        self._clock = clock
-        # When the present scheduler last received the pressures learned here.
-        self._received_at: timedelta | None = None
+        # What the present scheduler last received of the pressures learned here.
+        self._received: list[Pressure] = []
         self.revision_by_service: dict[str, int] = {}
 
+    def lacks(self, order: StartOrder) -> bool:
+        """Return whether nothing is known yet of what disturbs a service.
+
+        The reply to a report contains it. Until then fillers beside the service run as
+        if nobody had seen them together.
+        """
+        is_service = order.target_latency_ms > 0
+        return is_service and order.image not in self.revision_by_service
+
     def due_pressures(self) -> list[Pressure]:
-        """Return the local pressures, if the scheduler has not had them lately."""
-        received_at = self._received_at
-        now = self._clock.elapsed()
-        if received_at is not None and now - received_at < _INTERVAL:
-            return []
-        return self._local_pressures()
+        """Return the local pressures, if the scheduler does not have them.
+
+        Other workers wait for what is learned here.
+        """
+        pressures = self._local_pressures()
+        return [] if pressures == self._received else pressures
 
     def apply_reply(
         self, report: Report, reply: ReportReply, *, is_new_epoch: bool
     ) -> None:
         """Record what `reply` shows that the scheduler has, and what it contains."""
         if report.pressures:
-            self._received_at = self._clock.elapsed()
+            self._received = report.pressures
         elif is_new_epoch:
-            self._received_at = None
+            self._received = []
         # Reports in progress refer to the dict, so a new one replaces it.
         self.revision_by_service = {
             **self.revision_by_service,
--- a/tests/scheduler/pressures.feature
+++ b/tests/scheduler/pressures.feature
@@ -39,3 +39,26 @@
     # Guards against rounding errors that remain as an estimate.
     When the only observer of the pressures replaces them by none
     Then no pressure is known
+
+  Scenario: A worker has learned something new
+    # Guards against workers that wait for seconds for what another one has learned.
+    Given an attendant that has reported the pressures it learned
+    Then its next report contains no pressures
+    When it learns of another pressure
+    Then its next report contains 2 pressures
+
+  Scenario: A report does not arrive
+    Given an attendant that has reported the pressures it learned
+    When it learns of another pressure
+    And its report is not answered
+    Then its next report contains 2 pressures
+
+  Scenario: Another scheduler answers a report without pressures
+    Given an attendant that has reported the pressures it learned
+    When another scheduler answers its next report
+    Then its next report contains 1 pressures
+
+  Scenario: A service starts of which nothing is known
+    # Guards against fillers that harm a service until the next regular report.
+    Given an attendant that has reported the pressures it learned
+    Then it asks for the pressures on a new service at once
--- a/tests/steps/pressure_feed_steps.py
+++ b/tests/steps/pressure_feed_steps.py
@@ -5,7 +5,11 @@
 from behave import given, then, when
 
 from coltsfoottray.agent.pressure import ImagePair, Pressure, PressureTable
+from coltsfoottray.agent.pressure_exchange import PressureExchange
+from coltsfoottray.jobs.model import JobId, RunRef, TaskRef
+from coltsfoottray.scheduler.messages import Report, ReportReply, StartOrder
 from coltsfoottray.scheduler.pressure_feed import PressureFeed
+from coltsfoottray.types import Address
 
 _OBSERVER = "worker-1"
 
@@ -90,3 +94,65 @@
 def _exchange(context):
     context.update = context.feed.changes_for(context.services, context.revisions)
     context.revisions = {**context.revisions, **context.update.revision_by_service}
+
+
+@given("an attendant that has reported the pressures it learned")
+def make_exchange(context):
+    context.learned = _pressures(1, 1)
+    context.exchange = PressureExchange(local_pressures=lambda: list(context.learned))
+    _answer(context, is_new_epoch=True)
+
+
+@when("it learns of another pressure")
+def learn(context):
+    context.learned = _pressures(2, 1)
+
+
+@when("its report is not answered")
+def lose_report(context):
+    context.exchange.due_pressures()
+
+
+@when("another scheduler answers its next report")
+def answer_by_another(context):
+    _answer(context, is_new_epoch=True)
+
+
+@then("its next report contains no pressures")
+def check_no_pressures(context):
+    assert context.exchange.due_pressures() == []
+
+
+@then("its next report contains {count:d} pressures")
+def check_due(context, count):
+    assert len(context.exchange.due_pressures()) == count
+
+
+@then("it asks for the pressures on a new service at once")
+def check_asks(context):
+    task = TaskRef(job=JobId("0" * 16), occurrence=0, step=0, index=0)
+    order = StartOrder(
+        ref=RunRef(task=task, run=1),
+        payload="",
+        image="service-9",
+        target_latency_ms=10.0,
+    )
+    assert context.exchange.lacks(order)
+    reply = ReportReply(pressure_revision_by_service={"service-9": 1})
+    context.exchange.apply_reply(_report(context), reply, is_new_epoch=False)
+    assert not context.exchange.lacks(order)
+
+
+def _report(context):
+    return Report(
+        worker="w",
+        incarnation="i",
+        address=Address(host="127.0.0.1", port=1),
+        data_centre="caerdydd",
+        pressures=context.exchange.due_pressures(),
+    )
+
+
+def _answer(context, *, is_new_epoch):
+    report = _report(context)
+    context.exchange.apply_reply(report, ReportReply(), is_new_epoch=is_new_epoch)
