Evacuations of data centres: nothing new is started there within the bound

Change: entries read the rows and mark workers; a reply to a report tells the attendant which data centres are evacuated and how old that knowledge is. The attendant judges each start and each repetition last: it refuses in an evacuated data centre, and holds a start while its knowledge is older than three quarters of the bound (a setting, 5 s by default). A refusal for this reason blocks the worker for 2 s, as the scheduler may not know yet. Runs under way go on.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from coltsfoottray.agent.evacuation import EvacuationGuard, StartPermission
 from coltsfoottray.agent.executor import AttendantState, OrderExecutor, OrderScope
 from coltsfoottray.agent.lease import WorkerLease
 from coltsfoottray.agent.liveness import WorkerLiveness
@@ -61,6 +62,7 @@
         incarnation: str,
         address: Address,
         data_centre: str,
+        evacuations: EvacuationGuard,
         link: WorkerLink,
         clock: Clock,
         metrics: Metrics,
@@ -69,6 +71,7 @@
         self._incarnation = incarnation
         self._address = address
         self._data_centre = data_centre
+        self._evacuations = evacuations
         self._link = link
         self._clock = clock
         self._metrics = metrics
@@ -309,6 +312,9 @@
         is_new_epoch = reply.epoch != self._epoch
         self._epoch = reply.epoch
         self._lease.grant(sent_at + timedelta(milliseconds=reply.lease_ms))
+        self._evacuations.apply(
+            reply.evacuations, data_centre=self._data_centre, sent_at=sent_at
+        )
         self._speeds.update_shared_pressures(reply.pressures)
         self._pressures.apply_reply(report, reply, is_new_epoch=is_new_epoch)
         for rejected in report.rejected:
@@ -373,6 +379,9 @@
     def is_draining(self) -> bool:  # noqa: D102
         return self._heartbeat is None or self._heartbeat.is_draining
 
+    def start_permission(self, now: timedelta) -> StartPermission:  # noqa: D102
+        return self._evacuations.judge(self._data_centre, now)
+
     def issue_lease(self, now: timedelta) -> int:
         """Return the lease end to issue, on the worker's clock in ms; 0 for none.
 
--- /dev/null
+++ b/coltsfoottray/agent/evacuation.py
@@ -0,0 +1,85 @@
+"""The decision whether the evacuation of data centres permits a start.
+
+The load pattern is an operator who evacuates a data centre while starts are on the way
+to its workers: sent before the request, retried, or sent by a scheduler that has not
+read the request yet. The attendant is the last to decide.
+"""
+
+from __future__ import annotations
+
+import enum
+from datetime import timedelta
+
+from coltsfoottray.jobs.evacuations import EvacuationNotice
+from coltsfoottray.logs import log_event
+from coltsfoottray.metrics import Metrics
+
+__all__ = ["EvacuationGuard", "StartPermission"]
+
+# The rest of the time in which an evacuation takes effect is left to the start itself.
+_MAX_AGE_SHARE = 0.75
+
+
+class StartPermission(enum.Enum):
+    """Whether a run may be started now."""
+
+    GIVEN = "given"
+    EVACUATED = "evacuated"
+    OUTDATED = "outdated"
+    """An evacuation may be in force that is not known here yet."""
+
+
+class EvacuationGuard:
+    """Judges starts by the last notice of evacuations.
+
+    Parameters
+    ----------
+    in_force_within : timedelta
+        Time after the operator's request from which nothing may be started.
+    """
+
+    def __init__(self, *, in_force_within: timedelta, metrics: Metrics) -> None:
+        self._max_age = in_force_within * _MAX_AGE_SHARE
+        self._metrics = metrics
+        self._as_of: timedelta | None = None
+        self._data_centres: frozenset[str] = frozenset()
+
+    def apply(
+        self, notice: EvacuationNotice | None, *, data_centre: str, sent_at: timedelta
+    ) -> None:
+        """Apply a notice from the reply to a report that was sent at `sent_at`.
+
+        Parameters
+        ----------
+        notice : EvacuationNotice, optional
+            None if the scheduler is of a version that knows no evacuations.
+        data_centre : str
+            The data centre of the worker.
+        """
+        if notice is None:
+            self._as_of = None
+            self._data_centres = frozenset()
+            return
+        as_of = sent_at - timedelta(milliseconds=notice.age_ms)
+        if self._as_of is not None and as_of < self._as_of:
+            # A new scheduler may have read the operator's rows less recently.
+            return
+        was_evacuated = data_centre in self._data_centres
+        self._as_of = as_of
+        self._data_centres = frozenset(notice.data_centres)
+        is_evacuated = data_centre in self._data_centres
+        self._metrics.gauge("evacuation_notice_age_seconds", notice.age_ms / 1000)
+        if is_evacuated is not was_evacuated:
+            log_event(
+                "evacuation:in-force" if is_evacuated else "evacuation:ended",
+                data_centre=data_centre,
+                age_s=notice.age_ms / 1000,
+            )
+
+    def judge(self, data_centre: str, now: timedelta) -> StartPermission:
+        """Return whether a run may be started in a data centre at `now`."""
+        if data_centre in self._data_centres:
+            return StartPermission.EVACUATED
+        if self._as_of is not None and now - self._as_of > self._max_age:
+            return StartPermission.OUTDATED
+        return StartPermission.GIVEN
--- a/coltsfoottray/agent/executor.py
+++ b/coltsfoottray/agent/executor.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from coltsfoottray.agent.evacuation import StartPermission
 from coltsfoottray.agent.lease import WorkerLease
 from coltsfoottray.agent.runs import Runs
 from coltsfoottray.agent.speeds import SpeedController
@@ -59,6 +60,10 @@
     def is_draining(self) -> bool:
         """Whether the worker accepts no new runs."""
 
+    @abc.abstractmethod
+    def start_permission(self, now: timedelta) -> StartPermission:
+        """Return whether an evacuation of the data centre permits a start."""
+
     @abc.abstractmethod
     def issue_lease(self, now: timedelta) -> int:
         """Return the lease end to issue, on the worker's clock in ms; 0 for none."""
@@ -105,6 +110,7 @@
         runs = scope.runs
         late = 0
         unanswered = 0
+        is_held = False
         while self._state.is_current(scope) and order.ref in runs.starting:
             if self._state.is_draining:
                 reason = Refusal.DRAINING
@@ -117,6 +123,18 @@
                 await self._refuse(order, reason, scope, has_unanswered=True)
                 return
             now = self._clock.elapsed()
+            permission = self._state.start_permission(now)
+            if permission is StartPermission.EVACUATED:
+                reason = Refusal.EVACUATED
+                await self._refuse(order, reason, scope, has_unanswered=unanswered > 0)
+                return
+            if permission is StartPermission.OUTDATED:
+                if not is_held:
+                    is_held = True
+                    log_event("worker:start-held", run=str(order.ref))
+                    self._state.request_report()
+                await self._clock.sleep(_RETRY_DELAY)
+                continue
             lease_end_ms = self._state.issue_lease(now)
             if not lease_end_ms or self._lease.remaining_grant(now) < _MIN_LEASE:
                 await self._clock.sleep(_RETRY_DELAY)
--- a/coltsfoottray/agent/worker.py
+++ b/coltsfoottray/agent/worker.py
@@ -54,6 +54,8 @@
     INVALID = "invalid"
     UNHEALTHY = "unhealthy"
     DRAINING = "draining"
+    EVACUATED = "evacuated"
+    """The worker's data centre is evacuated."""
 
 
 class RunEnd(msgspec.Struct, frozen=True, kw_only=True):
--- a/coltsfoottray/daemons/job_attendant.py
+++ b/coltsfoottray/daemons/job_attendant.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 import trio
 
 from coltsfoottray.agent.attendant import TaskAttendant
+from coltsfoottray.agent.evacuation import EvacuationGuard
 from coltsfoottray.agent.reporter import Reporter
 from coltsfoottray.daemons.job_common import JobDaemon
 from coltsfoottray.jobs.keys import LEASE_KEY
@@ -41,6 +44,10 @@
             incarnation=self.incarnation,
             address=settings.peers,
             data_centre=settings.data_centre,
+            evacuations=EvacuationGuard(
+                in_force_within=timedelta(milliseconds=settings.evacuation_ms),
+                metrics=self.metrics,
+            ),
             link=InstanceLink(transport=self.transport, clock=self.clock),
             clock=self.clock,
             metrics=self.metrics,
--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -14,6 +14,7 @@
 from coltsfoottray.http import HttpRequest, HttpResponse
 from coltsfoottray.jobs.api import JobApi
 from coltsfoottray.jobs.config import ConfigHolder
+from coltsfoottray.jobs.evacuations import Evacuations
 from coltsfoottray.jobs.keys import (
     CONFIG_KEY,
     JOBS_GROUP,
@@ -32,7 +33,7 @@
 from coltsfoottray.platform import Row
 from coltsfoottray.platform.advice import AdviceClient
 from coltsfoottray.platform.ingress import JobIngress
-from coltsfoottray.platform.operator import parse_config
+from coltsfoottray.platform.operator import parse_config, read_evacuated_data_centre
 from coltsfoottray.scheduler.advice import Adviser
 from coltsfoottray.scheduler.lease import LeaseRow, LeaseWatch
 from coltsfoottray.scheduler.service import Scheduler
@@ -91,6 +92,11 @@
             metrics=self.metrics,
             pause=_CONFIG_POLL_INTERVAL,
         )
+        self.evacuations = Evacuations(
+            known_data_centres=settings.region_by_data_centre,
+            age=self._config_mirror.age,
+            metrics=self.metrics,
+        )
         self._jobs_mirror = Mirror(
             table=self.table,
             group=JOBS_GROUP,
@@ -111,6 +117,7 @@
             watch=self._lease_watch,
             peers=self.peers,
             holder=self.holder,
+            evacuations=self.evacuations,
             clock=self.clock,
             random=self.random,
             retention=timedelta(seconds=settings.keep_s),
@@ -184,6 +191,11 @@
         return HttpResponse(status=200 if self.is_ready else 503)
 
     def _apply_operator_row(self, row: Row) -> None:
+        data_centre = read_evacuated_data_centre(row.key)
+        if data_centre is not None:
+            self.evacuations.set_evacuated(data_centre, is_evacuated=not row.is_deleted)
+            self.scheduler.replan()
+            return
         if row.key != CONFIG_KEY or row.is_deleted:
             return
         config = parse_config(row.value)
--- a/coltsfoottray/explain/losses.py
+++ b/coltsfoottray/explain/losses.py
@@ -41,6 +41,7 @@
     """No scheduler was active, or it had not processed the task yet."""
     ROOM = "room"
     GOOD_PLACE = "good-place"
+    EVACUATION = "evacuation"
     TICKET = "ticket"
     START = "start"
     """The task was placed and had not started yet."""
@@ -64,6 +65,7 @@
 _PART_BY_WAIT_REASON = {
     "room": Part.ROOM,
     "good-place": Part.GOOD_PLACE,
+    "evacuation": Part.EVACUATION,
     "ticket": Part.TICKET,
 }
 
--- a/coltsfoottray/platform/operator.py
+++ b/coltsfoottray/platform/operator.py
@@ -8,7 +8,10 @@
 from coltsfoottray.jobs.config import Queue, ServiceTerms, SiteConfig
 from coltsfoottray.jobs.model import AdviceTerms, QueueTerms
 
-__all__ = ["parse_config"]
+__all__ = ["parse_config", "read_evacuated_data_centre"]
+
+# A row with this key requests that nothing more be started in the zone it ends with.
+_EVACUATION_PREFIX = "op//evacuate/"
 
 
 class _Recommendation(msgspec.Struct):
@@ -66,6 +69,16 @@
     return Success(config)
 
 
+def read_evacuated_data_centre(key: str) -> str | None:
+    """Return the data centre that a row evacuates, None for another kind of row.
+
+    The value of such a row says nothing: the request holds until the row is deleted.
+    """
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(_EVACUATION_PREFIX) or None
+
+
 def _as_advice(wire: _Recommendation | None) -> AdviceTerms | None:
     if wire is None:
         return None
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -13,6 +13,7 @@
 
 from coltsfoottray.clock import Clock, Moment, as_milliseconds
 from coltsfoottray.jobs.config import ConfigHolder
+from coltsfoottray.jobs.evacuations import Evacuations
 from coltsfoottray.jobs.model import AcceptedJob, JobId
 from coltsfoottray.jobs.records import JobState
 from coltsfoottray.logs import log_event
@@ -83,12 +84,14 @@
         table: WatchedTable,
         peers: PeerClient,
         holder: ConfigHolder,
+        evacuations: Evacuations,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self.is_loaded = False
         self._clock = clock
         self._metrics = metrics
+        self._evacuations = evacuations
         self._fleet = Fleet()
         self.cluster = ClusterState(holder=holder, fleet=self._fleet)
         self.planner = Planner(cluster=self.cluster, holder=holder)
@@ -158,6 +161,7 @@
             lease_ms=lease_ms,
             is_lease_pending=report.is_worker_alive
             and self._grants.is_pending(worker, self._writer.confirmed_at),
+            evacuations=self._evacuations.notice(),
             orders=orders,
             pressures=update.pressures,
             pressure_revision_by_service=update.revision_by_service,
@@ -295,19 +299,24 @@
                 placed, last_end_by_worker = self._decide()
                 await self._writer.store(self.cluster.jobs.open_by_id.values())
                 self.cluster.jobs.close_ended()
-                self._stop_cancelled(placed)
+                self._stop_invalid(placed)
                 self._order_sender.send(placed, last_end_by_worker, nursery)
                 self._record_metrics(started_at, placed)
         await self._writer.resign()
 
-    def _stop_cancelled(self, placed: list[PlacedRun]) -> None:
-        """Stop runs that are not sent yet and whose job was cancelled meanwhile.
+    def _stop_invalid(self, placed: list[PlacedRun]) -> None:
+        """Stop runs that are not sent yet and that must not start any more.
 
-        Storing a round can take seconds, for which their callers do not wait.
+        Storing a round can take seconds, for which callers who cancel and operators
+        who evacuate a data centre do not wait.
         """
         cancelled = set(self._inbox.cancelled)
         for run in placed:
-            if run.ref.task.job in cancelled:
+            data_centre = self._fleet.worker_by_id[run.worker].data_centre
+            if (
+                run.ref.task.job in cancelled
+                or data_centre in self._evacuations.data_centres
+            ):
                 run.is_stopping = True
 
     def resign(self) -> None:
@@ -378,6 +387,7 @@
             last = self.cluster.apply_report(report, now, now_ms)
             last_end_by_worker[report.worker] = last
         self.cluster.expire_leases(now, now_ms)
+        self._fleet.mark_evacuated(self._evacuations.data_centres)
         self.planner.evacuate(now)
         self.planner.rebalance(now)
         self.planner.pack_services(now)
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -20,9 +20,11 @@
 
 __all__ = ["ClusterState"]
 
-# A worker that refused a start as unhealthy or full gets no new tasks for this time:
-# two report intervals of its attendant.
+# A worker that refused a start for one of these reasons gets no new tasks for this
+# time, two report intervals of its attendant. The attendant may know of an evacuation
+# that this scheduler has not read yet.
 _BLOCK_TIME = timedelta(seconds=2)
+_BLOCKING_REFUSALS = (Refusal.UNHEALTHY, Refusal.NO_ROOM, Refusal.EVACUATED)
 
 
 class ClusterState:
@@ -245,7 +247,7 @@
             run=str(rejected.ref),
             reason=rejected.reason.value,
         )
-        if rejected.reason in (Refusal.UNHEALTHY, Refusal.NO_ROOM):
+        if rejected.reason in _BLOCKING_REFUSALS:
             worker.blocked_until = now + _BLOCK_TIME
         if rejected.reason is Refusal.NO_TICKET:
             placed = worker.held_by_ref[rejected.ref]
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -121,6 +122,8 @@
         Until when a draining worker certainly stays.
     blocked_until : timedelta
         Until when it gets no new tasks.
+    is_evacuated : bool
+        Whether its data centre is evacuated; it gets no new tasks then.
     """
 
     id: str
@@ -147,6 +150,7 @@
     held_by_ref: dict[RunRef, PlacedRun] = field(default_factory=dict)
     orphans: set[RunRef] = field(default_factory=set)
     blocked_until: timedelta = _NEVER
+    is_evacuated: bool = False
 
     def __post_init__(self) -> None:
         self.health = WorkerHealth()
@@ -273,6 +277,16 @@
         known.address = address or known.address
         return known
 
+    def mark_evacuated(self, data_centres: Collection[str]) -> None:
+        """Mark the workers in evacuated data centres."""
+        for worker in self.worker_by_id.values():
+            worker.is_evacuated = worker.data_centre in data_centres
+
+    @property
+    def has_evacuated(self) -> bool:
+        """Whether any worker is in an evacuated data centre."""
+        return any(worker.is_evacuated for worker in self.worker_by_id.values())
+
     def placed_runs(self) -> list[PlacedRun]:
         """Return every run that may exist on any worker."""
         return [
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -6,6 +6,7 @@
 
 from coltsfoottray.agent.pressure import Pressure, ServiceMargin
 from coltsfoottray.agent.worker import EndKind, Refusal, RunEnd, RunStatus
+from coltsfoottray.jobs.evacuations import EvacuationNotice
 from coltsfoottray.jobs.model import AcceptedJob, JobId, RunRef
 from coltsfoottray.jobs.records import JobState
 from coltsfoottray.peers import Call
@@ -180,6 +181,9 @@
     lease_ms : int
         How long the worker may run from the time the report was sent, 0 if the report
         does not show the worker alive.
+    evacuations : EvacuationNotice, optional
+        The data centres in which nothing may be started; None from a scheduler of a
+        version that knows no evacuations.
     is_lease_pending : bool
         Whether the worker gets no lease only because the lease row lists it as silent;
         it gets one as soon as the row has been written again.
@@ -195,6 +199,7 @@
     epoch: int = 0
     lease_ms: int = 0
     is_lease_pending: bool = False
+    evacuations: EvacuationNotice | None = None
     orders: Orders = Orders(session=0)
     pressures: list[Pressure] = msgspec.field(default_factory=list)
     pressure_revision_by_service: dict[str, int] = msgspec.field(default_factory=dict)
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -21,6 +21,7 @@
     choose_gang,
     choose_worker,
     find_faster,
+    has_room_in_evacuation,
     is_schedulable,
     list_candidates,
 )
@@ -106,7 +107,7 @@
             # Not a miss, as no worker is examined: counting these would end the pass
             # early, and less urgent steps would get room before others that fit.
             if self._has_no_place(step, bounds, now):
-                step.record_wait_reason(WaitReason.ROOM)
+                step.record_wait_reason(self._room_reason(step, now))
                 continue
             new = self._place_step(step, now)
             step.record_wait_reason(self._wait_reason(step, now))
@@ -130,7 +131,19 @@
         allowed = self._allowed_lives(step, now)
         if allowed is not None and not allowed:
             return WaitReason.TICKET
-        return WaitReason.GOOD_PLACE if step.spec.is_filler else WaitReason.ROOM
+        reason = self._room_reason(step, now)
+        if step.spec.is_filler and reason is WaitReason.ROOM:
+            return WaitReason.GOOD_PLACE
+        return reason
+
+    def _room_reason(self, step: LiveStep, now: timedelta) -> WaitReason:
+        """Return whether a step lacks room, or only room that is not evacuated."""
+        service = self._cluster.terms_of(step.job).service
+        if self._fleet.has_evacuated and has_room_in_evacuation(
+            step, self._fleet, service=service, now=now
+        ):
+            return WaitReason.EVACUATION
+        return WaitReason.ROOM
 
     def _place_step(self, step: LiveStep, now: timedelta) -> list[PlacedRun]:
         service = self._cluster.terms_of(step.job).service
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -13,6 +13,7 @@
 from coltsfoottray.clock import Clock
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.jobs.config import ConfigHolder
+from coltsfoottray.jobs.evacuations import Evacuations
 from coltsfoottray.jobs.mirror import Mirror
 from coltsfoottray.jobs.model import AcceptedJob, JobId
 from coltsfoottray.jobs.records import JobState
@@ -71,6 +72,7 @@
         watch: LeaseWatch,
         peers: PeerClient,
         holder: ConfigHolder,
+        evacuations: Evacuations,
         clock: Clock,
         random: Random,
         retention: timedelta,
@@ -86,6 +88,7 @@
         self._watch = watch
         self._peers = peers
         self._holder = holder
+        self._evacuations = evacuations
         self._clock = clock
         self._random = random
         self._retention = retention
@@ -172,7 +175,7 @@
         return [] if self.active is None else self.active.cluster.pressures.all()
 
     def replan(self) -> None:
-        """Start a new round, because the config has changed."""
+        """Start a new round, because the operator has changed something."""
         if self.active is not None:
             self.active.wake()
 
@@ -207,6 +210,7 @@
             table=self._table,
             peers=self._peers,
             holder=self._holder,
+            evacuations=self._evacuations,
             clock=self._clock,
             metrics=self._metrics,
         )
--- a/coltsfoottray/scheduler/wait_reason.py
+++ b/coltsfoottray/scheduler/wait_reason.py
@@ -14,5 +14,7 @@
     """No worker that may run it has the resources that its tasks reserve."""
     GOOD_PLACE = "good-place"
     """Wherever there is room, it would run slowly or harm the services."""
+    EVACUATION = "evacuation"
+    """There is room only in data centres that are evacuated."""
     TICKET = "ticket"
     """Its queue's policy has not yet allowed a worker to run it."""
--- a/coltsfoottray/scheduler/worker_selection.py
+++ b/coltsfoottray/scheduler/worker_selection.py
@@ -36,6 +36,7 @@
     "choose_gang",
     "choose_worker",
     "find_faster",
+    "has_room_in_evacuation",
     "is_schedulable",
     "list_candidates",
 ]
@@ -255,6 +256,23 @@
 
 def is_schedulable(worker: Worker, service: str, now: timedelta) -> bool:
     """Return whether a worker is in a service's pool, alive and open to new tasks."""
+    return not worker.is_evacuated and _is_usable(worker, service, now)
+
+
+def has_room_in_evacuation(
+    step: LiveStep, fleet: Fleet, *, service: str, now: timedelta
+) -> bool:
+    """Return whether only an evacuation keeps a task of `step` from some worker."""
+    return any(
+        worker.is_evacuated
+        and _is_usable(worker, service, now)
+        and can_host(worker, step, room=worker.room, extra=0)
+        for worker in fleet.worker_by_id.values()
+    )
+
+
+def _is_usable(worker: Worker, service: str, now: timedelta) -> bool:
+    """Return whether a worker is open to new tasks, evacuations left aside."""
     return (
         worker.service == service
         and worker.is_reachable
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -48,6 +48,17 @@
 ]
 Seconds = Annotated[float, Field(gt=0)]
 
+DEFAULT_EVACUATION_MS = 5000.0
+# Templates leave values empty that a deployment does not have.
+OptionalMilliseconds = Annotated[
+    float,
+    Field(gt=0),
+    BeforeValidator(lambda value: DEFAULT_EVACUATION_MS if value is None else value),
+]
+OptionalMapping = Annotated[
+    dict[str, str], BeforeValidator(lambda value: {} if value is None else value)
+]
+
 
 class _Model(BaseModel):
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -229,6 +240,9 @@
         How long an ended job is kept.
     grace_s : float
         Time within which a shutdown ends; the process is killed after it.
+    region_by_data_centre : dict
+        The deployment's data centres; the operator's request to evacuate another one
+        is logged as unknown. Empty if they are not known.
     """
 
     role: Literal["job-entry"]
@@ -237,6 +251,7 @@
     advice: OptionalAddress = None
     keep_s: Seconds = 120.0
     grace_s: Seconds = 6.0
+    region_by_data_centre: OptionalMapping = {}
 
 
 class JobAttendantSettings(JobDaemonSettings):
@@ -246,10 +261,14 @@
     ----------
     heartbeats : Address
         Address that receives the worker's heartbeats.
+    evacuation_ms : float
+        Time in ms after the operator's request to evacuate a data centre from which
+        nothing may be started there.
     """
 
     role: Literal["job-attendant"]
     heartbeats: AddressField
+    evacuation_ms: OptionalMilliseconds = DEFAULT_EVACUATION_MS
 
 
 class ServiceSettings(_Model):
--- a/standins/job_cell.py
+++ b/standins/job_cell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import trio
@@ -29,13 +30,17 @@
 
 @dataclass(kw_only=True)
 class JobCell:
-    """Starts entries, attendants and workers in `nursery`, over a network in memory."""
+    """Starts entries, attendants and workers in `nursery`, over a network in memory.
+
+    The entries are in the first data centre; workers are in each of them in turn.
+    """
 
     fabric: MemoryFabric
     nursery: trio.Nursery
     entries: int
     workers: int
     processors: int = 8
+    data_centres: Sequence[str] = ("caerdydd",)
     metadata_table: MetadataTableStandIn = field(default_factory=MetadataTableStandIn)
     advice: AdviceStandIn = field(default_factory=AdviceStandIn)
     observer: RunObserver = field(default_factory=RunObserver)
@@ -61,17 +66,27 @@
             self._settings_by_name[name] = JobEntrySettings(
                 role="job-entry",
                 name=name,
-                data_centre="caerdydd",
+                data_centre=self.data_centres[0],
                 callers=self.fabric.free_address(),
                 readiness=self.fabric.free_address(),
                 peers=self.fabric.free_address(),
                 table=self._table,
                 advice=self._advice_address,
                 keep_s=30.0,
+                region_by_data_centre=dict.fromkeys(self.data_centres, "cymru"),
             )
             await self.start_daemon(name)
         for number in range(1, self.workers + 1):
-            await self._start_worker(f"worker-{number}")
+            data_centre = self.data_centres[(number - 1) % len(self.data_centres)]
+            await self._start_worker(f"worker-{number}", data_centre)
+
+    def evacuate(self, data_centre: str) -> None:
+        """Request that nothing more be started in a data centre, as an operator."""
+        self.metadata_table.put("op", "", f"evacuate/{data_centre}", {})
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Take the request to evacuate a data centre back."""
+        self.metadata_table.remove("op", "", f"evacuate/{data_centre}")
 
     def write_config(self, unused_routes: int = 0, **changes: object) -> None:
         """Write a new version of the config, as an operator does.
@@ -146,7 +161,7 @@
         self.fabric.register_parts(kernel, name)
         return kernel
 
-    async def _start_worker(self, name: str) -> None:
+    async def _start_worker(self, name: str, data_centre: str) -> None:
         address = self.fabric.free_address()
         heartbeats = self.fabric.free_address()
         worker = JobWorkerStandIn(
@@ -157,13 +172,14 @@
             observer=self.observer,
             processors=self.processors,
             advice=self.advice,
+            data_centre=data_centre,
         )
         self.worker_by_name[name] = worker
         await self._serve(f"{name}/vm", address, worker.handle)
         self._settings_by_name[name] = JobAttendantSettings(
             role="job-attendant",
             name=name,
-            data_centre="caerdydd",
+            data_centre=data_centre,
             heartbeats=heartbeats,
             peers=self.fabric.free_address(),
             table=self._table,
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -104,8 +104,10 @@
         observer: RunObserver,
         processors: int,
         advice: AdviceStandIn,
+        data_centre: str,
     ) -> None:
         self.name = name
+        self.data_centre = data_centre
         self.address = address
         # Numbers of starts to run unanswered, to run late and unanswered, and to delay.
         self.unanswered_starts = 0
@@ -120,6 +122,8 @@
         self.is_hung = False
         self.poll_count = 0
         self.refused_tickets = 0
+        # When start orders arrived, whether or not they were carried out.
+        self.order_times_s: list[float] = []
         self.fails_everything = False
         self.processors = processors
         self.max_concurrent_runs = 0.0
@@ -206,6 +210,8 @@
         if request.header_by_name.get("expect-instance") != f"i-{self.name}":
             return HttpResponse(status=421)
         body = msgspec.json.decode(request.body, type=dict[str, Any])
+        if request.path == "/v1/run-start":
+            self.order_times_s.append(trio.current_time())
         if request.path == "/v1/run-start" and self.slow_starts > 0:
             self.slow_starts -= 1
             await trio.sleep(_SLOW_START_DELAY_S)
@@ -373,7 +379,7 @@
         body = {
             "service": "svc",
             "address": str(self.address),
-            "zone": "caerdydd",
+            "zone": self.data_centre,
             "state": "draining" if self.is_draining else "ready",
             "capacity": {"cpu": self.processors * 1000, "memoryLimitMb": 64_000},
             "labels": ["a", "r1"],
--- a/standins/metadata_table.py
+++ b/standins/metadata_table.py
@@ -89,6 +89,7 @@
     version: int = 0
     calls: int = 0
     withheld_tables: set[str] = field(default_factory=set)
+    withheld_feeds: set[str] = field(default_factory=set)
     withholds_changes: bool = False
     transactions_per_s: float | None = None
     calls_by_table: Counter[str] = field(default_factory=Counter)
@@ -106,6 +107,11 @@
         self.version += 1
         self._record_change(_Ref(table, part, key), text, is_deleted=False)
 
+    def remove(self, table: str, part: str, key: str) -> None:
+        """Delete a row, as an operator does."""
+        self.version += 1
+        self._record_change(_Ref(table, part, key), "", is_deleted=True)
+
     def value_of(self, table: str, part: str, key: str) -> object:
         """Return a row's decoded value, or None if there is no such row."""
         change = self.current_by_ref.get(_Ref(table, part, key))
@@ -138,6 +144,8 @@
                 await trio.sleep_forever()
             return self._read(request.query)
         if request.path == "/v1/rows-feed":
+            if request.query["table"] in self.withheld_feeds:
+                await trio.sleep_forever()
             return await self._feed(request.query)
         return HttpResponse(status=404)
 
--- a/tests/support/job_world.py
+++ b/tests/support/job_world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from datetime import timedelta
 from typing import Any
 
@@ -51,7 +52,9 @@
         entries: int = 2,
         workers: int = 0,
         metadata_table: MetadataTableStandIn | None = None,
+        data_centres: Sequence[str] = ("caerdydd",),
     ) -> None:
+        self._data_centres = data_centres
         self._metadata_table = metadata_table or MetadataTableStandIn()
         super().__init__(entries=entries, instances=1, workers=workers)
 
@@ -125,5 +128,6 @@
             workers=self._deployment.workers.count,
             processors=int(self._deployment.workers.processors),
             metadata_table=self._metadata_table,
+            data_centres=self._data_centres,
         )
         await self.cell.start()
