--- a/coltsfoottray/agent/evacuation.py
+++ b/coltsfoottray/agent/evacuation.py
@@ -42,7 +42,7 @@
         self._max_age = in_force_within * _MAX_AGE_SHARE
         self._metrics = metrics
         self._as_of: timedelta | None = None
-        self._data_centres: frozenset[str] = frozenset()
+        self.data_centres: frozenset[str] = frozenset()
 
     def apply(
         self, notice: EvacuationNotice | None, *, data_centre: str, sent_at: timedelta
@@ -58,16 +58,16 @@
         """
         if notice is None:
             self._as_of = None
-            self._data_centres = frozenset()
+            self.data_centres = frozenset()
             return
         as_of = sent_at - timedelta(milliseconds=notice.age_ms)
         if self._as_of is not None and as_of < self._as_of:
             # A new scheduler may have read the operator's rows less recently.
             return
-        was_evacuated = data_centre in self._data_centres
+        was_evacuated = data_centre in self.data_centres
         self._as_of = as_of
-        self._data_centres = frozenset(notice.data_centres)
-        is_evacuated = data_centre in self._data_centres
+        self.data_centres = frozenset(notice.data_centres)
+        is_evacuated = data_centre in self.data_centres
         self._metrics.gauge("evacuation_notice_age_seconds", notice.age_ms / 1000)
         if is_evacuated is not was_evacuated:
             log_event(
@@ -76,9 +76,13 @@
                 age_s=notice.age_ms / 1000,
             )
 
+    def age_s(self, now: timedelta) -> float:
+        """Return the age in seconds of what is known, 0 if nothing is."""
+        return 0.0 if self._as_of is None else (now - self._as_of).total_seconds()
+
     def judge(self, data_centre: str, now: timedelta) -> StartPermission:
         """Return whether a run may be started in a data centre at `now`."""
-        if data_centre in self._data_centres:
+        if data_centre in self.data_centres:
             return StartPermission.EVACUATED
         if self._as_of is not None and now - self._as_of > self._max_age:
             return StartPermission.OUTDATED
--- a/coltsfoottray/cli/queries.py
+++ b/coltsfoottray/cli/queries.py
@@ -17,6 +17,7 @@
 from coltsfoottray.entry.operators import EntryStatus
 from coltsfoottray.explain import Decision
 from coltsfoottray.explain.logfiles import read_lines_about
+from coltsfoottray.jobs.status import JobDaemonStatus
 
 __all__ = ["explain", "status"]
 
@@ -60,8 +61,16 @@
         typer.echo(f"{line.at.isoformat()}  {line.source}  {line.event}: {details}")
 
 
-def status(entry: EntryOption = "127.0.0.1:8080") -> None:
+def status(
+    entry: EntryOption = "127.0.0.1:8080",
+    metrics: Annotated[
+        str, typer.Option(help="Metrics address of a daemon for jobs, instead.")
+    ] = "",
+) -> None:
     """Show the daemons that an entry knows, and the latency by kind of request."""
+    if metrics:
+        _show_job_daemon(metrics)
+        return
     entry_status = fetch_status(entry)
     typer.echo(f"{entry_status.entry}: lists at version {entry_status.lists_version}")
     for daemon in entry_status.daemons:
@@ -77,6 +86,19 @@
         )
 
 
+def _show_job_daemon(address: str) -> None:
+    response = send_request(address, "GET", "/status")
+    daemon = msgspec.json.decode(response.body, type=JobDaemonStatus)
+    scheduler = ", scheduler" if daemon.is_scheduler else ""
+    version = f", config {daemon.config_version}" if daemon.config_version else ""
+    typer.echo(f"{daemon.daemon}{scheduler}{version}")
+    evacuated = ", ".join(daemon.evacuated) or "none"
+    typer.echo(
+        f"  evacuated data centres: {evacuated} "
+        f"(as of {daemon.operator_rows_age_s:.1f} s ago)"
+    )
+
+
 def fetch_status(entry: str) -> EntryStatus:
     """Return the status of an entry."""
     return msgspec.json.decode(
--- a/coltsfoottray/daemons/job_attendant.py
+++ b/coltsfoottray/daemons/job_attendant.py
@@ -11,6 +11,7 @@
 from coltsfoottray.agent.reporter import Reporter
 from coltsfoottray.daemons.job_common import JobDaemon
 from coltsfoottray.jobs.keys import LEASE_KEY
+from coltsfoottray.jobs.status import JobDaemonStatus
 from coltsfoottray.kernel import Kernel, ServiceName
 from coltsfoottray.logs import log_event
 from coltsfoottray.platform import TableUnavailable
@@ -39,15 +40,16 @@
     ) -> None:
         super().__init__(settings=settings, kernel=kernel)
         self.settings = settings
+        self.evacuations = EvacuationGuard(
+            in_force_within=timedelta(milliseconds=settings.evacuation_ms),
+            metrics=self.metrics,
+        )
         self.attendant = TaskAttendant(
             name=settings.name,
             incarnation=self.incarnation,
             address=settings.peers,
             data_centre=settings.data_centre,
-            evacuations=EvacuationGuard(
-                in_force_within=timedelta(milliseconds=settings.evacuation_ms),
-                metrics=self.metrics,
-            ),
+            evacuations=self.evacuations,
             link=InstanceLink(transport=self.transport, clock=self.clock),
             clock=self.clock,
             metrics=self.metrics,
@@ -71,6 +73,13 @@
         self.register_metrics()
         self.register_directory()
 
+    def status(self) -> JobDaemonStatus:  # noqa: D102
+        return JobDaemonStatus(
+            daemon=self.name,
+            evacuated=sorted(self.evacuations.data_centres),
+            operator_rows_age_s=self.evacuations.age_s(self.clock.elapsed()),
+        )
+
     async def shut_down(self) -> None:
         """Stop without draining, because the worker's lease outlasts a restart."""
         log_event("daemon:shutdown", name=self.name)
--- a/coltsfoottray/daemons/job_common.py
+++ b/coltsfoottray/daemons/job_common.py
@@ -19,7 +19,7 @@
     TRANSPORT,
 )
 from coltsfoottray.daemons.listeners import ListenerFactory, SocketListeners
-from coltsfoottray.http import HttpClient, HttpTransport
+from coltsfoottray.http import HttpClient, HttpRequest, HttpResponse, HttpTransport
 from coltsfoottray.jobs.members import (
     DirectoryRefresh,
     MemberDirectory,
@@ -27,6 +27,7 @@
     Registration,
 )
 from coltsfoottray.jobs.records import STATE_FORMAT
+from coltsfoottray.jobs.status import JobDaemonStatus
 from coltsfoottray.kernel import Kernel, ServiceName
 from coltsfoottray.logs import log_event
 from coltsfoottray.membership import make_incarnation
@@ -126,9 +127,19 @@
     def register_metrics(self) -> None:
         """Register the metrics server if the settings give its address."""
         if self._metrics_address is not None:
-            server = self.listeners.http(self._metrics_address, self.metrics.handle)
+            server = self.listeners.http(self._metrics_address, self._handle_operator)
             self.kernel.register(_METRICS_SERVER, server)
 
+    async def _handle_operator(self, request: HttpRequest) -> HttpResponse:
+        """Return the status at `/status`, and all metrics at any other path."""
+        if request.path == "/status":
+            return HttpResponse.of_json(self.status())
+        return await self.metrics.handle(request)
+
+    @abc.abstractmethod
+    def status(self) -> JobDaemonStatus:
+        """Return what the daemon believes, for operators."""
+
     def register_directory(self) -> None:
         """Register the service that reads the directory of entries."""
         service = DirectoryRefresh(
--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -26,6 +26,7 @@
 )
 from coltsfoottray.jobs.mirror import Mirror
 from coltsfoottray.jobs.records import STATE_FORMAT
+from coltsfoottray.jobs.status import JobDaemonStatus
 from coltsfoottray.jobs.view import JobsView
 from coltsfoottray.kernel import Kernel, Service, ServiceName
 from coltsfoottray.logs import log_event
@@ -187,6 +188,15 @@
             and self._config_mirror.age() < _MAX_COPY_AGE
         )
 
+    def status(self) -> JobDaemonStatus:  # noqa: D102
+        return JobDaemonStatus(
+            daemon=self.name,
+            config_version=self.holder.current.version,
+            is_scheduler=self.scheduler.active is not None,
+            evacuated=sorted(self.evacuations.data_centres),
+            operator_rows_age_s=self._config_mirror.age_s(),
+        )
+
     async def _handle_readiness(self, request: HttpRequest) -> HttpResponse:
         return HttpResponse(status=200 if self.is_ready else 503)
 
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -10,6 +10,7 @@
 
 from msgspec.structs import replace
 
+from coltsfoottray.agent.evacuation import EvacuationGuard, StartPermission
 from coltsfoottray.claims import Claim, ClaimOutcome, ClaimResult, Claims
 from coltsfoottray.jobs.api import JobAnswer, JobApi, Verdict
 from coltsfoottray.jobs.model import JobId
@@ -39,6 +40,7 @@
     "refusals_without_proof",
     "running_tasks_loaded_as_queued",
     "runs_given_up_early",
+    "starts_without_judgement",
 ]
 
 # The longest lease that a scheduler grants a worker.
@@ -185,6 +187,18 @@
         yield
 
 
+@contextmanager
+def starts_without_judgement() -> Iterator[None]:
+    """Let an attendant start whatever it was ordered, also in an evacuation."""
+
+    def judge(self: EvacuationGuard, data_centre: str, now: timedelta) -> Any:
+        del self, data_centre, now
+        return StartPermission.GIVEN
+
+    with mock.patch.object(EvacuationGuard, "judge", judge):
+        yield
+
+
 @contextmanager
 def refusals_without_proof() -> Iterator[None]:
     """Let entries refuse a job as never to run while its row may have been stored."""
--- a/tests/scheduler/evacuation.feature
+++ b/tests/scheduler/evacuation.feature
@@ -9,7 +9,8 @@
     And 1 s pass
     And the job "b" of 2 steps with 6 tasks of 1 s is submitted at entry-1
     And 3 s pass
-    Then no start order reached the workers in "north" after the evacuation
+    Then the status of every daemon shows "north" as evacuated
+    And no start order reached the workers in "north" after the evacuation
     And the job "b" is "completed" within 5 s
     And the job "a" is "completed" within 15 s
     And 20 tasks were started, each once
--- a/tests/scheduler/fuzz.feature
+++ b/tests/scheduler/fuzz.feature
@@ -24,3 +24,7 @@
   Scenario: The oracle detects runs that a lost worker holds forever
     # Planted fault: an attendant that cannot reach its worker extends its lease.
     Then with the planted fault "leases renewed for workers out of reach" the machine "jobs" fails
+
+  Scenario: The oracle detects a start in an evacuated data centre
+    # Planted fault: an attendant does not judge the starts that it was ordered.
+    Then with the planted fault "starts without judgement" the machine "jobs" fails
--- a/tests/steps/evacuation_steps.py
+++ b/tests/steps/evacuation_steps.py
@@ -114,6 +114,19 @@
     assert waits[-1] == reason, waits
 
 
+@then('the status of every daemon shows "{data_centre}" as evacuated')
+def check_status(context, data_centre):
+    cell = context.world.cell
+    daemons = [*cell.entry_by_name.values(), *cell.attendant_by_name.values()]
+
+    async def read():
+        return [daemon.status() for daemon in daemons]
+
+    for status in context.world.run(read):
+        assert status.evacuated == [data_centre], status
+        assert 0 < status.operator_rows_age_s < 3, status
+
+
 @then('each entry logs "{event}" for "{data_centre}"')
 def check_logged(context, event, data_centre):
     logged = [
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -35,6 +35,7 @@
     "running tasks loaded as queued": planted.running_tasks_loaded_as_queued,
     "refusals without proof": planted.refusals_without_proof,
     "runs given up early": planted.runs_given_up_early,
+    "starts without judgement": planted.starts_without_judgement,
 }
 
 # About one run in a hundred finds a planted fault; the first one ends the search.
