Split the planner: relocation of runs, search for places, metrics of a round

Moves, packing and draining are in relocation.py, the search for a worker in places.py, the metrics in round_metrics.py. No decision changes.

--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -30,7 +30,9 @@
 from coltsfoottray.scheduler.orders import missing_orders
 from coltsfoottray.scheduler.planner import Planner
 from coltsfoottray.scheduler.pressure_feed import PressureFeed
+from coltsfoottray.scheduler.relocation import Relocator
 from coltsfoottray.scheduler.restore import StoredState
+from coltsfoottray.scheduler.round_metrics import RoundMetrics
 from coltsfoottray.scheduler.side_rows import AttendantRows, PressureRow
 from coltsfoottray.scheduler.writer import StateWriter
 from coltsfoottray.types import Address
@@ -90,11 +92,14 @@
     ) -> None:
         self.is_loaded = False
         self._clock = clock
-        self._metrics = metrics
         self._evacuations = evacuations
         self._fleet = Fleet()
         self.cluster = ClusterState(holder=holder, fleet=self._fleet)
         self.planner = Planner(cluster=self.cluster, holder=holder)
+        self._relocator = Relocator(cluster=self.cluster)
+        self._round_metrics = RoundMetrics(
+            fleet=self._fleet, clock=clock, metrics=metrics
+        )
         self._grants = Grants(
             epoch=lease.epoch,
             acquired_at=acquired_at,
@@ -301,7 +306,9 @@
                 self.cluster.jobs.close_ended()
                 self._stop_invalid(placed)
                 self._order_sender.send(placed, last_end_by_worker, nursery)
-                self._record_metrics(started_at, placed)
+                self._round_metrics.record(
+                    started_at, placed, active_jobs=len(self.cluster.jobs.active_by_id)
+                )
         await self._writer.resign()
 
     def _stop_invalid(self, placed: list[PlacedRun]) -> None:
@@ -324,25 +331,6 @@
         self._is_resigning = True
         self._wake.set()
 
-    def _record_metrics(self, started_at: timedelta, placed: list[PlacedRun]) -> None:
-        """Record the metrics of a round that has been stored."""
-        self._metrics.time("scheduler_round", self._clock.elapsed() - started_at)
-        now_ms = as_milliseconds(self._clock.now())
-        for run in placed:
-            job = run.step.job.accepted
-            first = run.ref.run == 1 and not run.step.spec.after
-            if first and job.spec.repetition is None:
-                waited = timedelta(milliseconds=max(now_ms - job.accepted_ms, 0))
-                priority = str(job.terms.priority)
-                self._metrics.time("wait_for_start", waited, priority=priority)
-        self._metrics.count("runs_placed", len(placed))
-        self._metrics.gauge("jobs_active", len(self.cluster.jobs.active_by_id))
-        workers = self._fleet.worker_by_id.values()
-        self._metrics.gauge("workers_reachable", sum(w.is_reachable for w in workers))
-        self._metrics.gauge("runs_held", sum(len(w.held_by_ref) for w in workers))
-        out_of_reach = [w.held_by_ref for w in workers if not w.is_reachable]
-        self._metrics.gauge("runs_out_of_reach", sum(map(len, out_of_reach)))
-
     async def _wait_for_changes(self) -> None:
         due = self._writer.renewed_at + RENEWAL_INTERVAL - self._clock.elapsed()
         due = min(due, self._time_to_next_plan())
@@ -388,9 +376,9 @@
             last_end_by_worker[report.worker] = last
         self.cluster.expire_leases(now, now_ms)
         self._fleet.mark_evacuated(self._evacuations.data_centres)
-        self.planner.evacuate(now)
-        self.planner.rebalance(now)
-        self.planner.pack_services(now)
+        self._relocator.evacuate(now)
+        self._relocator.rebalance(now)
+        self._relocator.pack_services(now, is_wanted=self.planner.has_waiting_fillers)
         if self._is_reconciling():
             return [], last_end_by_worker
         return self.planner.plan(moment), last_end_by_worker
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -1,4 +1,4 @@
-"""Planning of a scheduling round: starts, moves and evacuations."""
+"""Planning of the starts of a scheduling round."""
 
 from __future__ import annotations
 
@@ -12,40 +12,19 @@
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.fleet import PlacedRun, Worker
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
-from coltsfoottray.scheduler.packing import choose_moves, is_fully_running
+from coltsfoottray.scheduler.places import PlaceFinder
 from coltsfoottray.scheduler.urgency import is_half_elapsed, urgency_key
 from coltsfoottray.scheduler.wait_reason import WaitReason
 from coltsfoottray.scheduler.worker_selection import (
     FreeCapacityBounds,
     Strictness,
     choose_gang,
-    choose_worker,
-    find_faster,
     has_room_in_evacuation,
-    is_schedulable,
     list_candidates,
 )
 
 __all__ = ["Planner"]
 
-# From this progress on, extrapolation predicts a task's end better than its estimate.
-_MIN_PREDICTIVE_PERCENT = 10.0
-
-# A run predicted to end only just before its worker leaves counts as too late.
-_SAFETY_FACTOR = 1.2
-
-# Two moves per second are far more than the rate at which fillers become slow.
-_REBALANCE_PERIOD = timedelta(milliseconds=500)
-
-# A moved service is running again within a second.
-_PACKING_PERIOD = timedelta(seconds=1)
-
-# Younger runs are not moved: learning an image's pressure takes two polls.
-_SETTLING_TIME = timedelta(seconds=1.5)
-
-# A move without a checkpoint discards the work; beyond this progress it costs too much.
-_MAX_MOVABLE_PERCENT = 15.0
-
 # Users consider a job lost when nothing of it runs for 3 s; a start takes up to half a
 # second while the table is slow.
 _MAX_IDLE = timedelta(seconds=1)
@@ -62,11 +41,10 @@
         self._cluster = cluster
         self._fleet = cluster.fleet
         self._holder = holder
-        self._last_rebalance = timedelta(0)
-        self._last_packing = timedelta(0)
         self._round = 0
         # The steps that could start at the last plan, the most urgent first.
         self._ready: list[LiveStep] = []
+        self._places = PlaceFinder(cluster=cluster)
 
     def plan(self, moment: Moment) -> list[PlacedRun]:
         """Assign waiting tasks to workers; return the new runs."""
@@ -128,7 +106,7 @@
 
     def _wait_reason(self, step: LiveStep, now: timedelta) -> WaitReason:
         """Return why tasks of a step wait although some worker may have room."""
-        allowed = self._allowed_lives(step, now)
+        allowed = self._places.allowed_lives(step, now)
         if allowed is not None and not allowed:
             return WaitReason.TICKET
         reason = self._room_reason(step, now)
@@ -155,7 +133,7 @@
                 self._cluster.pressures,
                 service=service,
                 now=now,
-                allowed=self._allowed_lives(step, now),
+                allowed=self._places.allowed_lives(step, now),
             )
             workers = gang or []
             refs = [step.next_run(index) for index in step.waiting]
@@ -164,7 +142,12 @@
         else:
             strictness = self._strictness(step.job, now)
             for index in step.waiting:
-                worker = self._find_place(step, now, index, strictness=strictness)
+                worker = self._places.find(
+                    step,
+                    now,
+                    avoid=step.avoid_by_index.get(index, ()),
+                    strictness=strictness,
+                )
                 if worker is None:
                     break
                 if strictness is Strictness.NONE:
@@ -203,127 +186,6 @@
         worker.hold(placed)
         return placed
 
-    def rebalance(self, now: timedelta) -> None:
-        """Move a slow filler to a worker on which it would run at full speed."""
-        if now - self._last_rebalance < _REBALANCE_PERIOD:
-            return
-        self._last_rebalance = now
-        movable = [
-            placed for placed in self._fleet.placed_runs() if _is_movable(placed, now)
-        ]
-        for placed in movable:
-            place = find_faster(
-                placed,
-                self._fleet,
-                self._cluster.pressures,
-                service=self._cluster.terms_of(placed.step.job).service,
-                now=now,
-            )
-            if place is None:
-                continue
-            log_event(
-                "decision:move",
-                run=str(placed.ref),
-                worker=placed.worker,
-                to=place.id,
-                percent=placed.percent,
-            )
-            self._stop_to_move(placed)
-            # One move at a time: the place found may be full after it.
-            return
-
-    def pack_services(self, now: timedelta) -> None:
-        """Consolidate services while fillers wait for a worker without services."""
-        if now - self._last_packing < _PACKING_PERIOD:
-            return
-        self._last_packing = now
-        if not any(step.spec.is_filler and step.waiting for step in self._ready):
-            return
-        services = {worker.service for worker in self._fleet.worker_by_id.values()}
-        for service in sorted(services):
-            workers = [
-                worker
-                for worker in self._fleet.worker_by_id.values()
-                if is_schedulable(worker, service, now)
-            ]
-            for placed in choose_moves(workers):
-                self._move_service(placed, now)
-
-    def _move_service(self, placed: PlacedRun, now: timedelta) -> None:
-        runs = [run for run in self._fleet.placed_runs() if run.step is placed.step]
-        if not is_fully_running(runs) or not self._has_place_elsewhere(placed, now):
-            return
-        log_event("decision:pack", run=str(placed.ref), worker=placed.worker)
-        self._stop_to_move(placed)
-
-    def _has_place_elsewhere(self, placed: PlacedRun, now: timedelta) -> bool:
-        """Return whether a run could restart beside services on another worker.
-
-        Few workers may run a step that needs tickets: a stopped run would wait for one.
-        """
-        place = self._choose_worker(placed.step, now, {placed.worker}, Strictness.WHOLE)
-        return (
-            place is not None
-            and place.id != placed.worker
-            and bool(place.service_images)
-        )
-
-    @staticmethod
-    def _stop_to_move(placed: PlacedRun) -> None:
-        """Stop a run so that it restarts on another worker."""
-        placed.is_stopping = True
-        avoided = placed.step.avoid_by_index.setdefault(placed.ref.task.index, set())
-        avoided.add(placed.worker)
-
-    def evacuate(self, now: timedelta) -> None:
-        """Stop the runs that would not end before their draining worker leaves.
-
-        A run stopped in time continues elsewhere, from its checkpoint if it has one;
-        a run that is still there when the worker leaves is lost without a checkpoint.
-        """
-        for worker in self._fleet.worker_by_id.values():
-            if not worker.is_draining or not worker.is_reachable:
-                continue
-            for placed in worker.held_by_ref.values():
-                if placed.is_stopping or not placed.is_released:
-                    continue
-                if _ends_in_time(placed, worker, now):
-                    continue
-                if self._find_place(placed.step, now) is not None:
-                    placed.is_stopping = True
-                    log_event(
-                        "decision:evacuate",
-                        run=str(placed.ref),
-                        worker=worker.id,
-                        left_s=(worker.leaves_at - now).total_seconds(),
-                        percent=placed.percent,
-                    )
-
-    def _find_place(
-        self,
-        step: LiveStep,
-        now: timedelta,
-        index: int | None = None,
-        *,
-        strictness: Strictness = Strictness.WHOLE,
-    ) -> Worker | None:
-        avoid = set() if index is None else step.avoid_by_index.get(index, set())
-        return self._choose_worker(step, now, avoid, strictness)
-
-    def _choose_worker(
-        self, step: LiveStep, now: timedelta, avoid: set[str], strictness: Strictness
-    ) -> Worker | None:
-        return choose_worker(
-            step,
-            self._fleet,
-            self._cluster.pressures,
-            service=self._cluster.terms_of(step.job).service,
-            now=now,
-            avoid=avoid,
-            allowed=self._allowed_lives(step, now),
-            strictness=strictness,
-        )
-
     def _strictness(self, job: LiveJob, now: timedelta) -> Strictness:
         """Return how good a place must be for tasks of a job.
 
@@ -344,11 +206,10 @@
         elif job.idle_since is None:
             job.idle_since = now
 
-    def _allowed_lives(self, step: LiveStep, now: timedelta) -> set[str] | None:
-        """Return the worker incarnations that may run a step, None if all may."""
-        if self._cluster.terms_of(step.job).advice is None:
-            return None
-        return step.valid_lives(now)
+    @property
+    def has_waiting_fillers(self) -> bool:
+        """Whether fillers still wait after the last plan."""
+        return any(step.spec.is_filler and step.waiting for step in self._ready)
 
     def waiting_for_tickets(self, now: timedelta) -> list[LiveStep]:
         """Return the steps that wait for advice, the most urgent first.
@@ -383,27 +244,3 @@
             now=now,
         )
         return [worker.life for worker in workers]
-
-
-def _ends_in_time(placed: PlacedRun, worker: Worker, now: timedelta) -> bool:
-    spec = placed.step.spec
-    if spec.is_service:
-        return False
-    elapsed = now - placed.placed_at
-    if placed.percent >= _MIN_PREDICTIVE_PERCENT:
-        remaining = elapsed * (100.0 / placed.percent - 1.0)
-    else:
-        remaining = timedelta(milliseconds=spec.estimate_ms) - elapsed
-    return now + remaining * _SAFETY_FACTOR < worker.leaves_at
-
-
-def _is_movable(placed: PlacedRun, now: timedelta) -> bool:
-    spec = placed.step.spec
-    return (
-        spec.is_filler
-        and not spec.is_gang
-        and placed.is_released
-        and not placed.is_stopping
-        and now - placed.placed_at > _SETTLING_TIME
-        and (spec.has_checkpoints or placed.percent < _MAX_MOVABLE_PERCENT)
-    )
--- /dev/null
+++ b/coltsfoottray/scheduler/round_metrics.py
@@ -0,0 +1,53 @@
+"""Metrics of the scheduler's rounds."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from coltsfoottray.clock import Clock, as_milliseconds
+from coltsfoottray.metrics import Metrics
+from coltsfoottray.scheduler.fleet import Fleet, PlacedRun
+
+__all__ = ["RoundMetrics"]
+
+
+class RoundMetrics:
+    """Records what a round has placed, and the state of the fleet after it."""
+
+    def __init__(self, *, fleet: Fleet, clock: Clock, metrics: Metrics) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._metrics = metrics
+
+    def record(
+        self, started_at: timedelta, placed: list[PlacedRun], *, active_jobs: int
+    ) -> None:
+        """Record a round that has been stored.
+
+        Parameters
+        ----------
+        started_at : timedelta
+            When the round began.
+        active_jobs : int
+            Number of jobs that have not ended.
+        """
+        self._metrics.time("scheduler_round", self._clock.elapsed() - started_at)
+        self._record_waits(placed)
+        self._metrics.count("runs_placed", len(placed))
+        self._metrics.gauge("jobs_active", active_jobs)
+        workers = self._fleet.worker_by_id.values()
+        self._metrics.gauge("workers_reachable", sum(w.is_reachable for w in workers))
+        self._metrics.gauge("runs_held", sum(len(w.held_by_ref) for w in workers))
+        out_of_reach = [w.held_by_ref for w in workers if not w.is_reachable]
+        self._metrics.gauge("runs_out_of_reach", sum(map(len, out_of_reach)))
+
+    def _record_waits(self, placed: list[PlacedRun]) -> None:
+        """Record how long jobs have waited for their first start."""
+        now_ms = as_milliseconds(self._clock.now())
+        for run in placed:
+            job = run.step.job.accepted
+            first = run.ref.run == 1 and not run.step.spec.after
+            if first and job.spec.repetition is None:
+                waited = timedelta(milliseconds=max(now_ms - job.accepted_ms, 0))
+                priority = str(job.terms.priority)
+                self._metrics.time("wait_for_start", waited, priority=priority)
