losses and explain read collected logs; no idle processor is room, not place

Cause: lines with a time and a process in front of the JSON were passed over and the command said that no job was accepted; a filler that waited while all processors were in use was told as waiting for a good place. Change: the prefix is stripped and names the process; the error counts and shows what could not be read.

--- a/coltsfoottray/cli/losses.py
+++ b/coltsfoottray/cli/losses.py
@@ -16,6 +16,7 @@
 __all__ = ["losses"]
 
 _MAX_LISTED_JOBS = 5
+_MAX_SHOWN_CHARACTERS = 80
 # With a larger share of unknown time the rest of the report is not reliable.
 _MAX_UNKNOWN_SHARE = 0.1
 
@@ -42,7 +43,7 @@
     log = read_lines(paths)
     result = find_losses(History(log.lines))
     if not result.jobs:
-        fail("no job was accepted according to these log files")
+        fail(_explain_no_job(log))
     if plot is not None:
         _draw(result, plot)
     if as_json:
@@ -52,6 +53,14 @@
         typer.echo(text)
 
 
+def _explain_no_job(log: LogLines) -> str:
+    text = f"no job was accepted according to these log files: {len(log.lines)} lines"
+    if log.skipped:
+        shown = log.first_skipped[:_MAX_SHOWN_CHARACTERS]
+        text += f", and {log.skipped} that are not log lines, the first one {shown!r}"
+    return text
+
+
 def _draw(result: Losses, path: Path) -> None:
     if path.suffix != ".svg":
         fail(f"--plot: got {str(path)!r}, expected a name that ends in .svg", code=2)
--- a/coltsfoottray/explain/logfiles.py
+++ b/coltsfoottray/explain/logfiles.py
@@ -21,7 +21,8 @@
     Parameters
     ----------
     source : str
-        Name of the file, which identifies the process that wrote the line.
+        The process that wrote the line: the last word in front of its JSON, where a
+        collector has put one there, or else the name of the file.
     """
 
     at: datetime
@@ -37,8 +38,10 @@
     Parameters
     ----------
     skipped : int
-        Number of lines that are not JSON objects, for instance because a crash
+        Number of lines without a complete JSON object, for instance because a crash
         truncated them.
+    first_skipped : str
+        The first of these, empty if there is none.
     dropped : int
         Number of lines that the processes dropped because of the limits on logging,
         as they logged it.
@@ -46,6 +49,7 @@
 
     lines: list[LogLine] = field(default_factory=list)
     skipped: int = 0
+    first_skipped: str = ""
     dropped: int = 0
 
 
@@ -66,11 +70,14 @@
 
 
 def _parse_line(result: LogLines, source: str, text: str) -> None:
+    prefix, _, _ = text.partition("{")
     try:
-        message = msgspec.json.decode(text, type=dict[str, object])
+        message = msgspec.json.decode(text[len(prefix) :], type=dict[str, object])
     except msgspec.DecodeError:
         result.skipped += 1
+        result.first_skipped = result.first_skipped or text
         return
+    words = prefix.split()
     event = str(message.get("message_type", ""))
     if event == "log:dropped":
         result.dropped += _to_count(message.get("lines"))
@@ -78,7 +85,7 @@
     result.lines.append(
         LogLine(
             at=datetime.fromtimestamp(_to_seconds(message.get("timestamp")), UTC),
-            source=source,
+            source=words[-1] if words else source,
             event=event,
             fields={k: v for k, v in message.items() if k not in _ELIOT_FIELDS},
         )
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -19,6 +19,7 @@
     FreeCapacityBounds,
     Strictness,
     choose_gang,
+    has_idle_processors,
     has_room_in_evacuation,
     list_candidates,
 )
@@ -110,9 +111,12 @@
         if allowed is not None and not allowed:
             return WaitReason.TICKET
         reason = self._room_reason(step, now)
-        if step.spec.is_filler and reason is WaitReason.ROOM:
+        if not step.spec.is_filler or reason is not WaitReason.ROOM:
+            return reason
+        service = self._cluster.terms_of(step.job).service
+        if has_idle_processors(step, self._fleet, service=service, now=now):
             return WaitReason.GOOD_PLACE
-        return reason
+        return WaitReason.ROOM
 
     def _room_reason(self, step: LiveStep, now: timedelta) -> WaitReason:
         """Return whether a step lacks room, or only room that is not evacuated."""
--- a/coltsfoottray/scheduler/worker_selection.py
+++ b/coltsfoottray/scheduler/worker_selection.py
@@ -36,6 +36,7 @@
     "choose_gang",
     "choose_worker",
     "find_faster",
+    "has_idle_processors",
     "has_room_in_evacuation",
     "is_schedulable",
     "list_candidates",
@@ -271,6 +272,18 @@
     )
 
 
+def has_idle_processors(
+    step: LiveStep, fleet: Fleet, *, service: str, now: timedelta
+) -> bool:
+    """Return whether some worker has processors for a filler, services left aside."""
+    minimum = _MIN_SPEEDS_BY_STRICTNESS[Strictness.WHOLE].cpu_limited
+    needed = step.spec.demand.processors * minimum
+    return any(
+        worker.idle_processors >= needed and is_schedulable(worker, service, now)
+        for worker in fleet.worker_by_id.values()
+    )
+
+
 def _is_usable(worker: Worker, service: str, now: timedelta) -> bool:
     """Return whether a worker is open to new tasks, evacuations left aside."""
     return (
--- a/tests/explain/logfiles.feature
+++ b/tests/explain/logfiles.feature
@@ -7,6 +7,18 @@
     When the lines about "aa" are read from both files
     Then the events are "worker:started", "decision:submit", "decision:completed"
 
+  Scenario: A collector has put the time and the process in front of each line
+    # Guards against lines that are passed over as if no job had been accepted.
+    Given a log file "all.log" of a collector with a line of "entry-1" about "aa"
+    When the lines about "aa" are read from both files
+    Then the line is one of "entry-1"
+
+  Scenario: A file holds something else than log lines
+    # Guards against an error that doesn't say what could not be read.
+    Given a log file "other.log" that holds the text "not a log line"
+    When the losses by this file are shown
+    Then the command fails and names "1 that are not log lines" and "not a log line"
+
   Scenario: A job that is in no file
     Given a log file "entry.log" with lines about the jobs "aa" and "bb"
     When the lines about "cc" are read from both files
--- a/tests/steps/log_steps.py
+++ b/tests/steps/log_steps.py
@@ -44,6 +44,35 @@
     (_folder(context) / name).write_text(f"{complete}\n{truncated}")
 
 
+@given('a log file "{name}" of a collector with a line of "{process}" about "{job}"')
+def write_collected_log(context, name, process, job):
+    line = _line(9.0, "worker:started", run=f"{job}.0.0.0#1")
+    (_folder(context) / name).write_text(f" -0.5000 {process} {line}\n")
+
+
+@given('a log file "{name}" that holds the text "{text}"')
+def write_other_file(context, name, text):
+    context.log_path = _folder(context) / name
+    context.log_path.write_text(f"{text}\n")
+
+
+@when("the losses by this file are shown")
+def show_losses(context):
+    context.result = CliRunner().invoke(app, ["losses", str(context.log_path)])
+
+
+@then('the command fails and names "{count}" and "{text}"')
+def check_failure(context, count, text):
+    assert context.result.exit_code == 1, context.result
+    assert count in context.result.output, context.result.output
+    assert text in context.result.output, context.result.output
+
+
+@then('the line is one of "{process}"')
+def check_source(context, process):
+    assert [line.source for line in context.lines] == [process], context.lines
+
+
 @when('the lines about "{job}" are read from both files')
 def search(context, job):
     context.lines = read_lines_about(job, sorted(_folder(context).iterdir()))
