--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -24,7 +24,6 @@
 )
 from coltsfoottray.clock import Clock
 from coltsfoottray.errors import CommunicationError
-from coltsfoottray.jobs.model import RunRef
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
 from coltsfoottray.metrics import Metrics
@@ -89,7 +88,6 @@
         self._last_paced = timedelta(0)
         self._pressures = PressureExchange(local_pressures=self._speeds.pressures)
         self._stalls = StallDetector()
-        self._stalled: list[RunRef] = []
         self._executor = OrderExecutor(
             link=link,
             state=self,
@@ -200,7 +198,13 @@
             self.request_report()
         if sent_at - self._last_paced >= _POLL_WAIT * 0.8:
             self._last_paced = sent_at
-            self._find_stalls(sent_at)
+            if self._stalls.check(
+                self._runs.running,
+                self._runs.order_by_ref,
+                self._speeds.percent_by_ref,
+                sent_at,
+            ):
+                self.request_report()
             await self._speeds.update(heartbeat, self._runs, self._session.number)
         if reply.ends:
             # A poll returns immediately while ends are not acknowledged.
@@ -238,19 +242,6 @@
         self._metrics.gauge("runs_there", 0)
         self.request_report()
 
-    def _find_stalls(self, now: timedelta) -> None:
-        known = set(self._stalled)
-        self._stalled = self._stalls.check(
-            self._runs.running,
-            self._runs.order_by_ref,
-            self._speeds.percent_by_ref,
-            now,
-        )
-        new = [str(ref) for ref in self._stalled if ref not in known]
-        if new:
-            log_event("worker:stalled", runs=new)
-            self.request_report()
-
     # Calls from the scheduler, and reports to it.
 
     @property
@@ -283,7 +274,7 @@
             starting=runs.unconfirmed_starts(),
             ends=runs.ends,
             rejected=list(runs.rejected_by_ref.values()),
-            stalled=self._stalled,
+            stalled=self._stalls.stalled,
             pressures=self._pressures.due_pressures(),
             pressure_revision_by_service=self._pressures.revision_by_service,
             margin_by_image=self._speeds.margin_by_image,
--- a/coltsfoottray/agent/stalls.py
+++ b/coltsfoottray/agent/stalls.py
@@ -12,6 +12,7 @@
 
 from coltsfoottray.agent.worker import RunStatus
 from coltsfoottray.jobs.model import RunRef
+from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.messages import StartOrder
 
 __all__ = ["StallDetector"]
@@ -35,10 +36,17 @@
 
 
 class StallDetector:
-    """Detects stalled runs by comparing the percentages of successive polls."""
+    """Detects stalled runs by comparing the percentages of successive polls.
+
+    Attributes
+    ----------
+    stalled : list of RunRef
+        The runs that have stalled, by the last poll.
+    """
 
     def __init__(self) -> None:
         self._progress_by_ref: dict[RunRef, _Progress] = {}
+        self.stalled: list[RunRef] = []
 
     def check(
         self,
@@ -46,8 +54,8 @@
         order_by_ref: Mapping[RunRef, StartOrder],
         percent_by_ref: Mapping[RunRef, int],
         now: timedelta,
-    ) -> list[RunRef]:
-        """Return the runs that have stalled.
+    ) -> bool:
+        """Update `stalled`; return whether a run has newly stalled.
 
         Parameters
         ----------
@@ -69,7 +77,11 @@
             if order is not None and now - progress.since > _stall_timeout(order):
                 stalled.append(status.ref)
         self._progress_by_ref = progress_by_ref
-        return stalled
+        new = [str(ref) for ref in stalled if ref not in self.stalled]
+        self.stalled = stalled
+        if new:
+            log_event("worker:stalled", runs=new)
+        return bool(new)
 
 
 def _stall_timeout(order: StartOrder) -> timedelta:
--- a/coltsfoottray/jobs/view.py
+++ b/coltsfoottray/jobs/view.py
@@ -50,10 +50,6 @@
         else:
             self.job_by_id[job_id] = row.decode(AcceptedJob)
 
-    def jobs(self) -> list[AcceptedJob]:
-        """Return all accepted jobs."""
-        return list(self.job_by_id.values())
-
     def summarized_jobs(self) -> list[JobId]:
         """Return the jobs that have a summary, also without an acceptance."""
         return list(self._summary_by_id)
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -31,9 +31,10 @@
 from coltsfoottray.scheduler.planner import Planner
 from coltsfoottray.scheduler.pressure_feed import PressureFeed
 from coltsfoottray.scheduler.relocation import Relocator
-from coltsfoottray.scheduler.restore import StoredState
+from coltsfoottray.scheduler.restore import LoadCost, StoredState
 from coltsfoottray.scheduler.round_metrics import RoundMetrics
 from coltsfoottray.scheduler.side_rows import AttendantRows, PressureRow
+from coltsfoottray.scheduler.takeover import Claim
 from coltsfoottray.scheduler.writer import StateWriter
 from coltsfoottray.types import Address
 
@@ -64,24 +65,14 @@
 
     Parameters
     ----------
-    lease : LeaseRow
-        The lease row as written when it was taken over.
-    version : int
-        Version of the lease row after that write.
-    acquired_at : timedelta
-        When that write was sent.
-    silent_until : mapping
-        For each worker that the previous scheduler listed as silent, when its lease
-        is certain to have expired.
+    claim : Claim
+        The lease row as it was taken over.
     """
 
     def __init__(
         self,
         *,
-        lease: LeaseRow,
-        version: int,
-        acquired_at: timedelta,
-        silent_until: Mapping[str, timedelta],
+        claim: Claim,
         drops_records: Callable[[], bool],
         table: WatchedTable,
         peers: PeerClient,
@@ -101,21 +92,21 @@
             fleet=self._fleet, clock=clock, metrics=metrics
         )
         self._grants = Grants(
-            epoch=lease.epoch,
-            acquired_at=acquired_at,
-            silent_until=silent_until,
+            epoch=claim.lease.epoch,
+            acquired_at=claim.acquired_at,
+            silent_until=claim.silent_until,
             fleet=self._fleet,
             clock=clock,
         )
-        self._pressure_row = PressureRow(table=self.cluster.pressures, now=acquired_at)
+        self._pressure_row = PressureRow(
+            table=self.cluster.pressures, now=claim.acquired_at
+        )
         self._pressure_feed = PressureFeed(
-            table=self.cluster.pressures, epoch=lease.epoch
+            table=self.cluster.pressures, epoch=claim.lease.epoch
         )
-        self._attendant_rows = AttendantRows(fleet=self._fleet, now=acquired_at)
+        self._attendant_rows = AttendantRows(fleet=self._fleet, now=claim.acquired_at)
         self._writer = StateWriter(
-            lease=lease,
-            version=version,
-            acquired_at=acquired_at,
+            claim=claim,
             grants=self._grants,
             side_rows=[self._pressure_row, self._attendant_rows],
             drops_records=drops_records,
@@ -246,7 +237,7 @@
                 last = progress()
                 await self._writer.renew()
 
-    def load(self, stored: StoredState, **cost: float) -> None:
+    def load(self, stored: StoredState, cost: LoadCost) -> None:
         """Restore the state that earlier schedulers stored."""
         now = Moment.read(self._clock)
         for key, version in stored.orphan_version_by_key.items():
@@ -281,7 +272,9 @@
             jobs=len(self.cluster.jobs.by_id),
             active=len(self.cluster.jobs.active_by_id),
             workers=len(self._fleet.worker_by_id),
-            **cost,
+            read_bytes=cost.bytes_read,
+            read_rows=cost.rows_read,
+            read_s=round(cost.duration.total_seconds(), 3),
             held_by_worker={
                 worker.id: len(worker.held_by_ref)
                 for worker in self._fleet.worker_by_id.values()
--- a/coltsfoottray/scheduler/restore.py
+++ b/coltsfoottray/scheduler/restore.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from datetime import timedelta
 
 from coltsfoottray.clock import Clock
 from coltsfoottray.jobs.keys import (
@@ -26,7 +27,7 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.platform import Row, TableUnavailable, WatchedTable
 
-__all__ = ["StateReader", "StoredJob", "StoredState"]
+__all__ = ["LoadCost", "StateReader", "StoredJob", "StoredState"]
 
 
 @dataclass(kw_only=True)
@@ -58,6 +59,15 @@
     pressures: Row | None = None
 
 
+@dataclass(frozen=True, kw_only=True)
+class LoadCost:
+    """What it took to read the stored state."""
+
+    bytes_read: int
+    rows_read: int
+    duration: timedelta
+
+
 class StateReader:
     """Reads what earlier schedulers have stored.
 
@@ -85,14 +95,13 @@
         copied = self._mirror.version if self._copied is None else self._copied
         return copied + self._reader.bytes_read
 
-    def cost(self) -> dict[str, float]:
-        """Return the bytes and rows read and the time that it took, for logs."""
-        elapsed = self._clock.elapsed() - self._started_at
-        return {
-            "read_bytes": self._reader.bytes_read,
-            "read_rows": self._reader.rows_read,
-            "read_s": round(elapsed.total_seconds(), 3),
-        }
+    def cost(self) -> LoadCost:
+        """Return what has been read so far, and the time that it took."""
+        return LoadCost(
+            bytes_read=self._reader.bytes_read,
+            rows_read=self._reader.rows_read,
+            duration=self._clock.elapsed() - self._started_at,
+        )
 
     async def read_attendants(self) -> list[Row]:
         """Return the rows with the addresses of attendants."""
@@ -113,7 +122,9 @@
         return self._assemble(rows)
 
     def _assemble(self, rows: list[Row]) -> StoredState:
-        stored_by_id = {job.id: self._stored_job(job) for job in self._view.jobs()}
+        stored_by_id = {
+            job.id: self._stored_job(job) for job in self._view.job_by_id.values()
+        }
         orphans = {
             summary_key(job): self._mirror.version_of(summary_key(job))
             for job in self._view.summarized_jobs()
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -9,7 +9,6 @@
 
 import trio
 
-from coltsfoottray.agent.pressure import Pressure
 from coltsfoottray.clock import Clock
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.jobs.config import ConfigHolder
@@ -170,10 +169,6 @@
             return None
         return reply.state
 
-    def known_pressures(self) -> list[Pressure]:
-        """Return the interference between images; empty if not the scheduler."""
-        return [] if self.active is None else self.active.cluster.pressures.all()
-
     def replan(self) -> None:
         """Start a new round, because the operator has changed something."""
         if self.active is not None:
@@ -202,10 +197,7 @@
 
     def _make_active(self, claim: Claim) -> ActiveScheduler:
         return ActiveScheduler(
-            lease=claim.lease,
-            version=claim.version,
-            acquired_at=claim.acquired_at,
-            silent_until=claim.silent_until,
+            claim=claim,
             drops_records=self._drops_records,
             table=self._table,
             peers=self._peers,
@@ -255,9 +247,10 @@
             nursery.start_soon(self._announce, active, address_by_worker)
             stored = await reader.read_jobs(active.version)
             loaded.set()
-        active.load(stored, **reader.cost())
-        self._metrics.time("takeover_read", timedelta(seconds=reader.cost()["read_s"]))
-        self._metrics.count("takeover_read_bytes", int(reader.cost()["read_bytes"]))
+        cost = reader.cost()
+        active.load(stored, cost)
+        self._metrics.time("takeover_read", cost.duration)
+        self._metrics.count("takeover_read_bytes", cost.bytes_read)
 
     async def _announce(
         self, active: ActiveScheduler, address_by_worker: Mapping[str, Address]
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -21,9 +21,10 @@
 )
 from coltsfoottray.platform.retry import commit_with_retry
 from coltsfoottray.scheduler.grants import Grants
-from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL, LeaseRow
+from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL
 from coltsfoottray.scheduler.live import LiveJob
 from coltsfoottray.scheduler.side_rows import SideRows
+from coltsfoottray.scheduler.takeover import Claim
 
 __all__ = ["LeaseLost", "StateWriter"]
 
@@ -50,12 +51,8 @@
 
     Parameters
     ----------
-    lease : LeaseRow
-        The lease row as written when it was taken over.
-    version : int
-        Version of the lease row after that write.
-    acquired_at : timedelta
-        When that write was sent.
+    claim : Claim
+        The lease row as it was taken over.
     side_rows : sequence of SideRows
         What is stored beside the rows of jobs.
     drops_records : callable
@@ -66,29 +63,27 @@
     def __init__(
         self,
         *,
-        lease: LeaseRow,
-        version: int,
-        acquired_at: timedelta,
+        claim: Claim,
         grants: Grants,
         side_rows: Sequence[SideRows],
         drops_records: Callable[[], bool],
         table: WatchedTable,
         clock: Clock,
     ) -> None:
-        self.lease = lease
+        self.lease = claim.lease
         # When the last successful write was sent, and the last one that renewed the
         # lease row. Other entries judge the holder by its renewals only.
-        self.confirmed_at = acquired_at
-        self.renewed_at = acquired_at
+        self.confirmed_at = claim.acquired_at
+        self.renewed_at = claim.acquired_at
         self._must_renew = False
-        self.version = version
+        self.version = claim.version
         self._drops_records = drops_records
         self._grants = grants
         self._table = table
         self._clock = clock
         # Versions of the rows to delete with one of the next commits, by key.
         self._garbage: dict[str, int] = {}
-        self._checkpoints_stored_at = acquired_at
+        self._checkpoints_stored_at = claim.acquired_at
         self._side_rows = side_rows
 
     def discard(self, key: str, version: int) -> None:
--- a/tests/steps/job_placement_steps.py
+++ b/tests/steps/job_placement_steps.py
@@ -13,7 +13,9 @@
 @then('the scheduler knows the pressure of "{filler}" on "{service}"')
 def check_known_pressure(context, filler, service):
     cell = context.world.cell
-    known = cell.entry_by_name[cell.scheduler()].scheduler.known_pressures()
+    known = cell.entry_by_name[
+        cell.scheduler()
+    ].scheduler.active.cluster.pressures.all()
     pairs = {(each.pair.filler, each.pair.service) for each in known}
     assert (filler, service) in pairs, pairs
 
