A rejected run never starts, also when its order arrives once more

Cause: an order is sent twice, by a push and in the reply to a report. If the first was rejected and reported, the second started the run beside its successor. Change: an attendant remembers the runs it rejected.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -344,7 +344,7 @@
         assert self._nursery is not None
         scope = OrderScope(heartbeat=heartbeat, session=orders.session, runs=self._runs)
         for order in orders.starts:
-            if order.ref in self._runs.stopped_by_ref:
+            if order.ref in self._runs.stopped_by_ref or order.ref in self._runs.barred:
                 continue
             is_repeat = self._runs.is_known(order.ref)
             self._runs.order_by_ref[order.ref] = order
--- a/coltsfoottray/agent/runs.py
+++ b/coltsfoottray/agent/runs.py
@@ -11,6 +11,9 @@
 
 __all__ = ["RefusedStart", "Runs"]
 
+# An order is repeated within seconds; a worker rejects some hundreds a second at most.
+_MAX_BARRED = 5000
+
 
 @dataclass(frozen=True, kw_only=True)
 class RefusedStart:
@@ -44,6 +47,9 @@
         Runs and ends that the last poll returned.
     rejected_by_ref : dict
         Rejected starts that are not reported to the scheduler yet.
+    barred : dict
+        Runs that were rejected, oldest first. Orders for them may arrive once more and
+        must not be executed, since their tasks have other runs by then.
     """
 
     order_by_ref: dict[RunRef, StartOrder] = field(default_factory=dict)
@@ -55,6 +61,7 @@
     running: list[RunStatus] = field(default_factory=list)
     ends: list[RunEnd] = field(default_factory=list)
     rejected_by_ref: dict[RunRef, RejectedStart] = field(default_factory=dict)
+    barred: dict[RunRef, None] = field(default_factory=dict)
 
     def is_known(self, ref: RunRef) -> bool:
         """Whether the run was started here before, so that an order repeats it."""
@@ -84,6 +91,9 @@
         self.starting.discard(ref)
         self.order_by_ref.pop(ref, None)
         self.rejected_by_ref[ref] = RejectedStart(ref=ref, reason=reason)
+        self.barred[ref] = None
+        if len(self.barred) > _MAX_BARRED:
+            del self.barred[next(iter(self.barred))]
 
     def apply_poll(self, reply: PollReply, *, sent_at: timedelta) -> bool:
         """Apply the reply to a poll; return whether a report is due.
--- a/tests/scheduler/ends.feature
+++ b/tests/scheduler/ends.feature
@@ -142,3 +142,15 @@
     And 3 s pass
     Then no task ran twice at the same time or after its end
     And 1 tasks were started in total
+
+  Scenario: An order that was rejected arrives once more
+    # Guards against a run that starts after its rejection, beside its successor.
+    Given two entries and 2 workers for jobs
+    And worker-1's attendant records its orders
+    And worker-1's VM refuses all starts
+    When the job "a" of 1 steps with 12 tasks of 4 s is submitted at entry-1
+    And 1 s pass
+    And worker-1's VM accepts starts again
+    And all orders recorded at worker-1 arrive once more
+    Then the job "a" is "completed" within 20 s
+    And no task ran twice at the same time or after its end
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -167,6 +167,40 @@
     context.world.cell.worker_by_name[name].finish_all()
 
 
+@given("{name}'s VM refuses all starts")
+def refuse_starts(context, name):
+    context.world.cell.worker_by_name[name].is_unhealthy = True
+
+
+@when("{name}'s VM accepts starts again")
+def accept_starts(context, name):
+    context.world.cell.worker_by_name[name].is_unhealthy = False
+
+
+@given("{name}'s attendant records its orders")
+def record_orders(context, name):
+    attendant = context.world.cell.attendant_by_name[name].attendant
+    context.orders = []
+    execute = attendant._execute
+
+    def record(orders):
+        context.orders.append(orders)
+        execute(orders)
+
+    attendant._execute = record
+
+
+@when("all orders recorded at {name} arrive once more")
+def repeat_orders(context, name):
+    attendant = context.world.cell.attendant_by_name[name].attendant
+
+    async def repeat():
+        for orders in list(context.orders):
+            await attendant.handle_orders(orders)
+
+    context.world.run(repeat)
+
+
 @when("{name}'s VM is unhealthy for {milliseconds:d} ms")
 def make_unhealthy(context, name, milliseconds):
     worker = context.world.cell.worker_by_name[name]
