Predict margins by waves that have predicted best, where they beat the trend

Cause: services' loads are waves; a trend sees each rise too late. Change: for each job waves of 14 periods are fitted to the estimated margins; the one that predicted best is used while it beats the trend, by their own errors (agent/swings.py). Without a wave it is the trend as before.

--- a/coltsfoottray/agent/learning.py
+++ b/coltsfoottray/agent/learning.py
@@ -22,6 +22,7 @@
     ImagePair,
     Pressure,
 )
+from coltsfoottray.agent.swings import SwingPredictor
 
 __all__ = ["Observation", "PressureLearner"]
 
@@ -73,8 +74,9 @@
 
 # Prediction horizon in seconds: until the next poll and the speed limits set after it.
 _PREDICTION_S = 0.5
-# Age of a report and duration of a start, in seconds.
-_START_DELAY_S = 1.0
+# A filler starts within these times, in seconds: the scheduler decides by a report that
+# is up to a second old, and the start takes some time.
+_START_TIMES_S = (0.5, 1.0, 1.5)
 # Share of the previous value in the smoothed deviation of a task from its job.
 _DEVIATION_SMOOTHING = 0.5
 # Weight of a poll in the usual margin, which averages out swings of 10 s and more.
@@ -140,6 +142,7 @@
         self._service_by_run: dict[str, _ServiceHistory] = {}
         self._usual_by_job: dict[str, float] = {}
         self._least_by_job: dict[str, float] = {}
+        self._swing_by_job: dict[str, SwingPredictor] = {}
         self._shared_by_pair: dict[ImagePair, Estimate] = {}
         # Weight of the initial estimate of a pair, which was not learned here.
         self._initial_weight_by_pair: dict[ImagePair, float] = {}
@@ -188,24 +191,31 @@
         state = _MARGIN + observation.job
         if model is None or state not in model.mean:
             return observation.margin
-        predicted = (
-            model.mean[state] + _PREDICTION_S * model.mean[_SLOPE + observation.job]
-        )
-        history = self._service_by_run.get(observation.service)
-        return predicted + (0.0 if history is None else min(history.deviation, 0.0))
+        predicted = self._predict(model, observation.job, _PREDICTION_S)
+        return predicted + self._deviation_of(observation)
 
     def margin_at_start(self, observation: Observation) -> float:
-        """Return the predicted margin without fillers when a filler starts.
-
-        The scheduler decides by a report that is up to a second old, and the start
-        takes some time.
-        """
-        margin = self.undisturbed_margin(observation)
+        """Return the least margin without fillers while a filler may start."""
         model = self._model_by_image.get(observation.image)
-        slope = 0.0
-        if model is not None:
-            slope = model.mean.get(_SLOPE + observation.job, 0.0)
-        return margin + min(slope, 0.0) * _START_DELAY_S
+        if model is None or _MARGIN + observation.job not in model.mean:
+            return observation.margin
+        predicted = min(
+            self._predict(model, observation.job, ahead_s) for ahead_s in _START_TIMES_S
+        )
+        return predicted + self._deviation_of(observation)
+
+    def _predict(self, model: MarginFilter, job: str, ahead_s: float) -> float:
+        """Return the margin of a job's services in `ahead_s` seconds."""
+        swing = self._swing_by_job.get(job)
+        by_swing = None if swing is None else swing.predict(ahead_s)
+        if by_swing is not None:
+            return by_swing
+        return model.mean[_MARGIN + job] + ahead_s * model.mean[_SLOPE + job]
+
+    def _deviation_of(self, observation: Observation) -> float:
+        """Return how far a service's margin is below that of its job, as at most 0."""
+        history = self._service_by_run.get(observation.service)
+        return 0.0 if history is None else min(history.deviation, 0.0)
 
     def usual_margin(self, observation: Observation) -> float:
         """Return the average margin without fillers."""
@@ -234,6 +244,20 @@
             self._learn_service(observation, now)
         for observation in observations:
             self._update_usual(observation)
+        self._update_swings(observations, now)
+
+    def _update_swings(self, observations: list[Observation], now: timedelta) -> None:
+        for job, image in {each.job: each.image for each in observations}.items():
+            model = self._model_by_image.get(image)
+            if model is None or _MARGIN + job not in model.mean:
+                continue
+            margin = model.mean[_MARGIN + job]
+            by_trend = margin + _PREDICTION_S * model.mean[_SLOPE + job]
+            if job not in self._swing_by_job:
+                self._swing_by_job[job] = SwingPredictor(margin=margin)
+            self._swing_by_job[job].update(
+                now.total_seconds(), margin, by_trend=by_trend
+            )
 
     def _remove_ended(self, observations: list[Observation]) -> None:
         seen = {each.service for each in observations}
@@ -248,6 +272,7 @@
         for job in [job for job in self._usual_by_job if job not in jobs]:
             del self._usual_by_job[job]
             self._least_by_job.pop(job, None)
+            self._swing_by_job.pop(job, None)
 
     def _advance(self, now: timedelta, share_by_image: Mapping[str, float]) -> None:
         """Advance margins along their slopes and add process noise to all states."""
--- a/tests/agent/pressures.feature
+++ b/tests/agent/pressures.feature
@@ -34,6 +34,14 @@
     And "heavy" fillers start a second after the margin told to the scheduler allows it
     Then at most 5 percent of these starts push the service over its target
 
+  Scenario: A heavy filler starts while a load swings quickly
+    # Guards against a trend that sees each rise of a recurring load too late.
+    Given a worker with 1 tasks of a service whose load has a 6 s period
+    And a filler image "heavy" that disturbs it heavily
+    When no filler runs there for 120 s
+    And "heavy" fillers start a second after the margin told to the scheduler allows it
+    Then at most 5 percent of these starts push the service over its target
+
   Scenario: Slowing a heavy filler does not lower its estimated pressure
     # Guards against comparing a smoothed latency with an unsmoothed speed.
     Given a worker with 3 tasks of a service whose load has a 10 s period
