Tell a wait for an evacuation from the bounds of free room; eligibility apart

Cause: found on reading the change: for each step that fits nowhere all workers were examined for the reason, in each round; with thousands of waiting steps that would take seconds while a data centre is evacuated.

--- a/coltsfoottray/agent/evacuation.py
+++ b/coltsfoottray/agent/evacuation.py
@@ -84,6 +84,7 @@
         """Return whether a run may be started in a data centre at `now`."""
         if data_centre in self.data_centres:
             return StartPermission.EVACUATED
+        # A scheduler of an earlier version sends no notices.
         if self._as_of is not None and now - self._as_of > self._max_age:
             return StartPermission.OUTDATED
         return StartPermission.GIVEN
--- /dev/null
+++ b/coltsfoottray/scheduler/eligibility.py
@@ -0,0 +1,37 @@
+"""Whether a worker may get tasks at all, whatever room it has."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from coltsfoottray.scheduler.fleet import Worker
+
+__all__ = ["has_label", "is_schedulable", "is_usable"]
+
+# A worker whose last report is older gets no new tasks: two report intervals of one
+# second each, and half of one.
+_MAX_REPORT_AGE = timedelta(seconds=2.5)
+
+
+def is_schedulable(worker: Worker, service: str, now: timedelta) -> bool:
+    """Return whether a worker is in a service's pool, alive and open to new tasks."""
+    return not worker.is_evacuated and is_usable(worker, service, now)
+
+
+def is_usable(worker: Worker, service: str, now: timedelta) -> bool:
+    """Return whether a worker is open to new tasks, evacuations left aside."""
+    return (
+        worker.service == service
+        and worker.is_reachable
+        and not worker.is_draining
+        and bool(worker.life)
+        and worker.session > 0
+        and now - worker.last_heard < _MAX_REPORT_AGE
+        and worker.blocked_until <= now
+        and not worker.has_probe_running(now)
+    )
+
+
+def has_label(worker: Worker, label: str) -> bool:
+    """Return whether a worker has a label, which is empty if any will do."""
+    return not label or label in worker.labels
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -282,11 +282,6 @@
         for worker in self.worker_by_id.values():
             worker.is_evacuated = worker.data_centre in data_centres
 
-    @property
-    def has_evacuated(self) -> bool:
-        """Whether any worker is in an evacuated data centre."""
-        return any(worker.is_evacuated for worker in self.worker_by_id.values())
-
     def placed_runs(self) -> list[PlacedRun]:
         """Return every run that may exist on any worker."""
         return [
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -9,6 +9,7 @@
 from coltsfoottray.jobs.model import QueueTerms, RunRef
 from coltsfoottray.jobs.records import JobState, TaskPhase
 from coltsfoottray.logs import log_event
+from coltsfoottray.scheduler.capacity_bounds import FreeCapacityBounds
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.fleet import PlacedRun, Worker
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
@@ -16,11 +17,9 @@
 from coltsfoottray.scheduler.urgency import is_half_elapsed, urgency_key
 from coltsfoottray.scheduler.wait_reason import WaitReason
 from coltsfoottray.scheduler.worker_selection import (
-    FreeCapacityBounds,
     Strictness,
     choose_gang,
     has_idle_processors,
-    has_room_in_evacuation,
     list_candidates,
 )
 
@@ -86,10 +85,10 @@
             # Not a miss, as no worker is examined: counting these would end the pass
             # early, and less urgent steps would get room before others that fit.
             if self._has_no_place(step, bounds, now):
-                step.record_wait_reason(self._room_reason(step, now))
+                step.record_wait_reason(self._room_reason(step, bounds))
                 continue
             new = self._place_step(step, now)
-            step.record_wait_reason(self._wait_reason(step, now))
+            step.record_wait_reason(self._wait_reason(step, bounds, now))
             step.last_tried_round = self._round
             placed += new
             misses += not new
@@ -105,12 +104,14 @@
             step.spec, service=self._cluster.terms_of(step.job).service
         )
 
-    def _wait_reason(self, step: LiveStep, now: timedelta) -> WaitReason:
+    def _wait_reason(
+        self, step: LiveStep, bounds: FreeCapacityBounds, now: timedelta
+    ) -> WaitReason:
         """Return why tasks of a step wait although some worker may have room."""
         allowed = self._places.allowed_lives(step, now)
         if allowed is not None and not allowed:
             return WaitReason.TICKET
-        reason = self._room_reason(step, now)
+        reason = self._room_reason(step, bounds)
         if not step.spec.is_filler or reason is not WaitReason.ROOM:
             return reason
         service = self._cluster.terms_of(step.job).service
@@ -118,12 +119,10 @@
             return WaitReason.GOOD_PLACE
         return WaitReason.ROOM
 
-    def _room_reason(self, step: LiveStep, now: timedelta) -> WaitReason:
+    def _room_reason(self, step: LiveStep, bounds: FreeCapacityBounds) -> WaitReason:
         """Return whether a step lacks room, or only room that is not evacuated."""
         service = self._cluster.terms_of(step.job).service
-        if self._fleet.has_evacuated and has_room_in_evacuation(
-            step, self._fleet, service=service, now=now
-        ):
+        if bounds.may_fit_after_evacuation(step.spec, service=service):
             return WaitReason.EVACUATION
         return WaitReason.ROOM
 
--- a/coltsfoottray/scheduler/worker_selection.py
+++ b/coltsfoottray/scheduler/worker_selection.py
@@ -24,28 +24,22 @@
 
 from coltsfoottray.agent.pressure import PressureTable
 from coltsfoottray.jobs.model import StepSpec
+from coltsfoottray.scheduler.eligibility import has_label, is_schedulable
 from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
 from coltsfoottray.scheduler.interference import Forecast, forecast_filler, speed_beside
 from coltsfoottray.scheduler.live import LiveStep
 from coltsfoottray.types import Resources
 
 __all__ = [
-    "FreeCapacityBounds",
     "Strictness",
     "can_host",
     "choose_gang",
     "choose_worker",
     "find_faster",
     "has_idle_processors",
-    "has_room_in_evacuation",
-    "is_schedulable",
     "list_candidates",
 ]
 
-# A worker whose last report is older gets no new tasks: two report intervals of one
-# second each, and half of one.
-_MAX_REPORT_AGE = timedelta(seconds=2.5)
-
 
 class Strictness(enum.Enum):
     """How good a place must be for a filler to be placed there."""
@@ -89,41 +83,6 @@
 _Cost = tuple[float, ...]
 
 
-class FreeCapacityBounds:
-    """Upper bounds of the free capacity of any worker, by service and label.
-
-    A task that needs more fits on no worker, which saves examining each of them. The
-    bounds are valid for one round, during which free capacity only shrinks.
-    """
-
-    def __init__(self, *, fleet: Fleet, now: timedelta) -> None:
-        self._fleet = fleet
-        self._now = now
-        self._max_free_by_pool: dict[tuple[str, str], Resources | None] = {}
-
-    def may_fit(self, spec: StepSpec, *, service: str) -> bool:
-        """Return whether some worker may have room for a task of a step."""
-        pool = service, spec.label
-        if pool not in self._max_free_by_pool:
-            self._max_free_by_pool[pool] = self._max_free(*pool)
-        max_free = self._max_free_by_pool[pool]
-        return max_free is not None and spec.reserved.fits_in(max_free)
-
-    def _max_free(self, service: str, label: str) -> Resources | None:
-        rooms = [
-            worker.room
-            for worker in self._fleet.worker_by_id.values()
-            if is_schedulable(worker, service, self._now) and _has_label(worker, label)
-        ]
-        if not rooms:
-            return None
-        return Resources(
-            processors=max(room.processors for room in rooms),
-            memory_gb=max(room.memory_gb for room in rooms),
-            accelerators=max(room.accelerators for room in rooms),
-        )
-
-
 def choose_worker(
     step: LiveStep,
     fleet: Fleet,
@@ -255,23 +214,6 @@
     return chosen
 
 
-def is_schedulable(worker: Worker, service: str, now: timedelta) -> bool:
-    """Return whether a worker is in a service's pool, alive and open to new tasks."""
-    return not worker.is_evacuated and _is_usable(worker, service, now)
-
-
-def has_room_in_evacuation(
-    step: LiveStep, fleet: Fleet, *, service: str, now: timedelta
-) -> bool:
-    """Return whether only an evacuation keeps a task of `step` from some worker."""
-    return any(
-        worker.is_evacuated
-        and _is_usable(worker, service, now)
-        and can_host(worker, step, room=worker.room, extra=0)
-        for worker in fleet.worker_by_id.values()
-    )
-
-
 def has_idle_processors(
     step: LiveStep, fleet: Fleet, *, service: str, now: timedelta
 ) -> bool:
@@ -284,20 +226,6 @@
     )
 
 
-def _is_usable(worker: Worker, service: str, now: timedelta) -> bool:
-    """Return whether a worker is open to new tasks, evacuations left aside."""
-    return (
-        worker.service == service
-        and worker.is_reachable
-        and not worker.is_draining
-        and bool(worker.life)
-        and worker.session > 0
-        and now - worker.last_heard < _MAX_REPORT_AGE
-        and worker.blocked_until <= now
-        and not worker.has_probe_running(now)
-    )
-
-
 def can_host(worker: Worker, step: LiveStep, *, room: Resources, extra: int) -> bool:
     """Return whether a worker can host one more task of a step.
 
@@ -314,11 +242,7 @@
 
 
 def _meets_demand(worker: Worker, spec: StepSpec, room: Resources) -> bool:
-    return _has_label(worker, spec.label) and spec.reserved.fits_in(room)
-
-
-def _has_label(worker: Worker, label: str) -> bool:
-    return not label or label in worker.labels
+    return has_label(worker, spec.label) and spec.reserved.fits_in(room)
 
 
 def _meets_anti_affinity(worker: Worker, step: LiveStep, *, extra: int) -> bool:
