--- a/properties/jobs.py
+++ b/properties/jobs.py
@@ -212,6 +212,11 @@
         """The next start orders are carried out seconds late."""
         self.world.cell.worker_by_name[worker].late_starts = count
 
+    @rule(worker=WORKERS, is_unhealthy=st.booleans())
+    def refuse_starts(self, worker: str, is_unhealthy: bool) -> None:
+        """A worker refuses all starts, or accepts them again."""
+        self.world.cell.worker_by_name[worker].is_unhealthy = is_unhealthy
+
     @rule(worker=WORKERS)
     def lose_start_answer(self, worker: str) -> None:
         """The next start order is carried out, but its response is lost."""
--- a/properties/permanent_faults.py
+++ b/properties/permanent_faults.py
@@ -108,6 +108,7 @@
         for name, worker in cell.worker_by_name.items():
             worker.is_unreachable = self.is_unresponsive(name)
             worker.is_draining = self.is_leaving(name)
+            worker.is_unhealthy = False
 
     def _has(self, name: str, fault: PermanentFault) -> bool:
         return (name, fault) in self._faults
--- a/tests/scheduler/evacuation.feature
+++ b/tests/scheduler/evacuation.feature
@@ -10,6 +10,7 @@
     And the job "b" of 2 steps with 6 tasks of 1 s is submitted at entry-1
     And 3 s pass
     Then the status of every daemon shows "north" as evacuated
+    And "status --metrics" of entry-1 prints "evacuated data centres: north (as of"
     And no start order reached the workers in "north" after the evacuation
     And the job "b" is "completed" within 5 s
     And the job "a" is "completed" within 15 s
--- a/tests/steps/evacuation_steps.py
+++ b/tests/steps/evacuation_steps.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import eliot
 from behave import given, step, then, when
+from typer.testing import CliRunner
 
+from coltsfoottray.cli import queries
+from coltsfoottray.cli.main import app
+from coltsfoottray.http import HttpRequest
 from tests.support.job_world import JobWorld, job_id
 
 # An entry reads the request, and its scheduler's next round and report follow.
@@ -127,6 +133,21 @@
         assert 0 < status.operator_rows_age_s < 3, status
 
 
+@then('"status --metrics" of {name} prints "{text}"')
+def check_status_command(context, name, text):
+    daemon = context.world.cell.entry_by_name[name]
+    request = HttpRequest(method="GET", target="/status")
+
+    async def ask():
+        return await daemon._handle_operator(request)
+
+    response = context.world.run(ask)
+    with mock.patch.object(queries, "send_request", lambda *_: response):
+        result = CliRunner().invoke(app, ["status", "--metrics", "127.0.0.1:9400"])
+    assert result.exit_code == 0, result
+    assert text in result.output, result.output
+
+
 @then('each entry logs "{event}" for "{data_centre}"')
 def check_logged(context, event, data_centre):
     logged = [
