Failing: rejected runs start again, or never, when a process dies before that is stored

What a caller would see: a task that runs twice at a time, or one that never runs.

Three scenarios of tests/scheduler/rejections fail on this code: the job is still running after 20 s; tasks .0 and .2 run twice at once, in two ways.

--- /dev/null
+++ b/tests/scheduler/rejections.feature
@@ -0,0 +1,48 @@
+Feature: A rejection counts in the session in which the start was ordered
+
+  A rejection says that a run does not exist and never will. It reaches the scheduler in
+  a report, and the rows only with the scheduler's next write.
+
+  Scenario: The scheduler dies before it has stored a rejection
+    # Guards against a run that each later scheduler orders and the attendant ignores.
+    Given two entries and 1 workers for jobs
+    And worker-1's VM refuses all starts
+    When the job "a" of 1 steps with 4 tasks of 4 s is submitted at entry-1
+    And the store goes down as soon as worker-1's VM is sent a start
+    And 200 ms pass
+    And the scheduler is killed
+    And worker-1's VM accepts starts again
+    And 5 s pass with the store up again
+    Then the job "a" is "completed" within 20 s
+    And no task ran twice at the same time or after its end
+
+  Scenario: An attendant restarts before its rejection is stored
+    # Guards against a rejected run that the next attendant starts beside its successor.
+    Given two entries and 2 workers for jobs
+    And worker-1's VM refuses all starts
+    And the next 6 starts at worker-1 are delayed in transit
+    When the job "a" of 1 steps with 12 tasks of 4 s is submitted at entry-1
+    And the scheduler's writes take 2800 ms once worker-1's VM is sent a start
+    And 700 ms pass
+    And worker-1's VM accepts starts again
+    And worker-1 is killed and restarted after 0 s
+    And 2 s pass
+    And 1 s pass
+    Then no task ran twice at the same time or after its end
+    And no worker ever ran more than 8 tasks
+    And the job "a" is "completed" within 20 s
+
+  Scenario: A rejection arrives after its attendant has died
+    # Guards against a dead attendant's rejection of a run that its successor has started.
+    Given two entries and 2 workers for jobs
+    And worker-1's VM refuses all starts
+    When the job "a" of 1 steps with 12 tasks of 8 s is submitted at entry-1
+    And messages sent to the scheduler are late once worker-1's VM is sent a start
+    And 1 s pass
+    And worker-1 is killed and restarted after 0 s
+    And messages sent to the scheduler are in time again
+    And worker-1's VM accepts starts again
+    And 4 s pass
+    Then no task ran twice at the same time or after its end
+    And no worker ever ran more than 8 tasks
+    And the job "a" is "completed" within 30 s
