A rejected run that is ordered again is rejected again

Callers saw: a task that never runs, and its job that never ends.

Cause: an attendant reports a rejection once and then ignores all orders for the run. If the scheduler dies before it has stored the rejection, the next one holds the run by the rows and orders it in each reply; the attendant neither starts nor rejects it. Change: an order for a rejected run is answered with the rejection.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -344,7 +344,11 @@
         assert self._nursery is not None
         scope = OrderScope(heartbeat=heartbeat, session=orders.session, runs=self._runs)
         for order in orders.starts:
-            if order.ref in self._runs.stopped_by_ref or order.ref in self._runs.barred:
+            if order.ref in self._runs.stopped_by_ref:
+                continue
+            if self._runs.reject_again(order.ref):
+                log_event("worker:rejected-again", run=str(order.ref))
+                self.request_report()
                 continue
             is_repeat = self._runs.is_known(order.ref)
             self._runs.order_by_ref[order.ref] = order
--- a/coltsfoottray/agent/runs.py
+++ b/coltsfoottray/agent/runs.py
@@ -47,9 +47,9 @@
         Runs and ends that the last poll returned.
     rejected_by_ref : dict
         Rejected starts that are not reported to the scheduler yet.
-    barred : dict
+    reason_by_barred_ref : dict
         Runs that were rejected, oldest first. Orders for them may arrive once more and
-        must not be executed, since their tasks have other runs by then.
+        must not be executed, since their tasks may have other runs by then.
     """
 
     order_by_ref: dict[RunRef, StartOrder] = field(default_factory=dict)
@@ -61,7 +61,7 @@
     running: list[RunStatus] = field(default_factory=list)
     ends: list[RunEnd] = field(default_factory=list)
     rejected_by_ref: dict[RunRef, RejectedStart] = field(default_factory=dict)
-    barred: dict[RunRef, None] = field(default_factory=dict)
+    reason_by_barred_ref: dict[RunRef, Refusal] = field(default_factory=dict)
 
     def is_known(self, ref: RunRef) -> bool:
         """Whether the run was started here before, so that an order repeats it."""
@@ -91,9 +91,20 @@
         self.starting.discard(ref)
         self.order_by_ref.pop(ref, None)
         self.rejected_by_ref[ref] = RejectedStart(ref=ref, reason=reason)
-        self.barred[ref] = None
-        if len(self.barred) > _MAX_BARRED:
-            del self.barred[next(iter(self.barred))]
+        self.reason_by_barred_ref[ref] = reason
+        if len(self.reason_by_barred_ref) > _MAX_BARRED:
+            del self.reason_by_barred_ref[next(iter(self.reason_by_barred_ref))]
+
+    def reject_again(self, ref: RunRef) -> bool:
+        """Reject a run once more if it was rejected before; return whether it was.
+
+        The scheduler that received the rejection may have died before it stored it.
+        """
+        reason = self.reason_by_barred_ref.get(ref)
+        if reason is None:
+            return False
+        self.rejected_by_ref[ref] = RejectedStart(ref=ref, reason=reason)
+        return True
 
     def apply_poll(self, reply: PollReply, *, sent_at: timedelta) -> bool:
         """Apply the reply to a poll; return whether a report is due.
