A rejection counts only in the session in which the run was last ordered

Cause: a rejection says that an order is not and will not be carried out. It was believed whenever it came. Meanwhile the order may have been repeated to the attendant's successor, which had started the run: while the rejection waited for a slow write of the store, or for a message that arrived seconds late. Change: the scheduler remembers in which session it last ordered a start or stop, and takes a rejection only in that one. The attendant answers the repeated order, so nothing is lost by it.

--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -109,7 +109,8 @@
         self._update_health(worker, ended, now)
         self._stop_stalled(worker, report.stalled, now)
         for rejected in report.rejected:
-            self._apply_rejection(worker, rejected, now, now_ms)
+            if worker.accepts_rejection(rejected.ref, session=report.session):
+                self._apply_rejection(worker, rejected, now, now_ms)
         if report.pressures:
             self.pressures.update(worker.id, report.pressures)
         worker.orphans.clear()
@@ -239,8 +240,6 @@
     def _apply_rejection(
         self, worker: Worker, rejected: RejectedStart, now: timedelta, now_ms: int
     ) -> None:
-        if rejected.ref not in worker.held_by_ref:
-            return
         log_event(
             "decision:start-rejected",
             worker=worker.id,
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -9,6 +9,7 @@
 
 from coltsfoottray.agent.pressure import SERVICE_USAGE, ServiceMargin
 from coltsfoottray.jobs.model import RunRef
+from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.health import WorkerHealth
 from coltsfoottray.scheduler.lengths import Progress
 from coltsfoottray.scheduler.live import LiveStep
@@ -41,6 +42,9 @@
         Whether its assignment is stored, so that the start may be sent to the worker.
     is_stopping : bool
         Whether it is to be stopped; it occupies room until its end is known.
+    ordered_session : int
+        The session in which its start or stop was last ordered, 0 for none. A rejection
+        in another session does not answer that order.
     placed_at : timedelta
         When it was assigned, by the scheduler's clock.
     percent, figure : float
@@ -55,6 +59,7 @@
     is_released: bool = False
     is_stopping: bool = False
     is_stop_sent: bool = False
+    ordered_session: int = 0
     percent: float = 0.0
     figure: float = 0.0
 
@@ -210,6 +215,18 @@
             return []
         return [placed for placed in self.held_by_ref.values() if placed.life != life]
 
+    def accepts_rejection(self, ref: RunRef, *, session: int) -> bool:
+        """Return whether a rejection in `session` answers the last order for a run.
+
+        In a later session, a new attendant may have started the run; it answers too.
+        """
+        placed = self.held_by_ref.get(ref)
+        if placed is None:
+            return False
+        if placed.ordered_session != session:
+            log_event("decision:rejection-outdated", worker=self.id, run=str(ref))
+        return placed.ordered_session == session
+
     def hold(self, placed: PlacedRun) -> None:
         """Reserve room for a run."""
         self.held_by_ref[placed.ref] = placed
--- a/coltsfoottray/scheduler/order_sender.py
+++ b/coltsfoottray/scheduler/order_sender.py
@@ -11,7 +11,7 @@
 from coltsfoottray.peers import PeerClient
 from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
 from coltsfoottray.scheduler.messages import ORDERS, Orders
-from coltsfoottray.scheduler.orders import make_start_order
+from coltsfoottray.scheduler.orders import make_orders
 
 __all__ = ["OrderSender"]
 
@@ -59,13 +59,7 @@
                 continue
             for run in stops:
                 run.is_stop_sent = True
-            orders = Orders(
-                session=worker.session,
-                life=worker.life,
-                starts=[make_start_order(run) for run in starts],
-                stops=[run.ref for run in stops],
-                acknowledged=worker.acknowledged,
-            )
+            orders = make_orders(worker, starts=starts, stops=stops)
             nursery.start_soon(self._push, worker, orders)
 
     async def _push(self, worker: Worker, orders: Orders) -> None:
--- a/coltsfoottray/scheduler/orders.py
+++ b/coltsfoottray/scheduler/orders.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
+from coltsfoottray.jobs.model import RunRef
 from coltsfoottray.scheduler.fleet import PlacedRun, Worker
 from coltsfoottray.scheduler.messages import Orders, Report, StartOrder
 
-__all__ = ["make_start_order", "missing_orders"]
+__all__ = ["make_orders", "make_start_order", "missing_orders"]
 
 
 def missing_orders(worker: Worker, report: Report) -> Orders:
@@ -21,18 +24,40 @@
     known.update(rejected.ref for rejected in report.rejected)
     is_new = report.session != worker.session
     held = [each for each in worker.held_by_ref.values() if each.is_released]
-    return Orders(
-        session=worker.session,
-        life=worker.life,
+    orphans = [ref for ref in worker.orphans if ref not in worker.held_by_ref]
+    return make_orders(
+        worker,
         starts=[
-            make_start_order(each)
+            each
             for each in held
             if not each.is_stopping and (is_new or each.ref not in known)
         ],
-        stops=[
-            *(each.ref for each in held if each.is_stopping),
-            *(ref for ref in worker.orphans if ref not in worker.held_by_ref),
-        ],
+        stops=[each for each in held if each.is_stopping],
+        orphans=orphans,
+    )
+
+
+def make_orders(
+    worker: Worker,
+    *,
+    starts: Sequence[PlacedRun],
+    stops: Sequence[PlacedRun],
+    orphans: Sequence[RunRef] = (),
+) -> Orders:
+    """Return orders in the worker's session, and record that they are given in it.
+
+    Parameters
+    ----------
+    orphans : sequence of RunRef
+        Runs to stop that the scheduler does not expect on the worker.
+    """
+    for each in (*starts, *stops):
+        each.ordered_session = worker.session
+    return Orders(
+        session=worker.session,
+        life=worker.life,
+        starts=[make_start_order(each) for each in starts],
+        stops=[*(each.ref for each in stops), *orphans],
         acknowledged=worker.acknowledged,
     )
 
