--- a/tests/scheduler/rejections.feature
+++ b/tests/scheduler/rejections.feature
@@ -46,3 +46,22 @@
     Then no task ran twice at the same time or after its end
     And no worker ever ran more than 8 tasks
     And the job "a" is "completed" within 30 s
+
+  Scenario: A rejected order arrives once more after the worker's lease has expired
+    # Guards against an attendant that forgets with the lease which runs it has rejected,
+    # starts them beside their successors and fills the worker beyond its room.
+    Given two entries and 2 workers for jobs
+    And worker-1's attendant records its orders
+    And worker-1's VM refuses all starts
+    When the job "a" of 1 steps with 12 tasks of 30 s is submitted at entry-1
+    And 500 ms pass
+    And worker-1's VM accepts starts again
+    And worker-1's VM stops answering
+    And 8 s pass
+    And worker-1's VM answers again
+    And 300 ms pass
+    And all orders recorded at worker-1 arrive once more
+    And the job "b" of 1 steps with 4 tasks of 30 s is submitted at entry-1
+    And 500 ms pass
+    Then no worker ever ran more than 8 tasks
+    And no task ran twice at the same time or after its end
