A rejection that waits for the store is not asked for again

Cause: the reply to a report repeats all orders that the report doesn't know of. Change: a rejection is noted as it arrives, and the order is repeated only in a later session.

--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -142,6 +142,8 @@
         lease_ms = self._grants.renew(worker, report, self._writer.confirmed_at)
         self._grants.ensure_session(worker, report)
         self._report_event(report.worker).set()
+        for rejected in report.rejected:
+            worker.receive_rejection(rejected.ref, session=report.session)
         self._inbox.reports.append(report)
         self._wake.set()
         orders = Orders(session=worker.session, life=report.life)
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -109,7 +109,7 @@
         self._update_health(worker, ended, now)
         self._stop_stalled(worker, report.stalled, now)
         for rejected in report.rejected:
-            if worker.accepts_rejection(rejected.ref, session=report.session):
+            if worker.is_rejected(rejected.ref):
                 self._apply_rejection(worker, rejected, now, now_ms)
         if report.pressures:
             self.pressures.update(worker.id, report.pressures)
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -43,8 +43,9 @@
     is_stopping : bool
         Whether it is to be stopped; it occupies room until its end is known.
     ordered_session : int
-        The session in which its start or stop was last ordered, 0 for none. A rejection
-        in another session does not answer that order.
+        The session in which its start or stop was last ordered, 0 for none.
+    is_rejected : bool
+        Whether the attendant has rejected it in that session.
     placed_at : timedelta
         When it was assigned, by the scheduler's clock.
     percent, figure : float
@@ -60,6 +61,7 @@
     is_stopping: bool = False
     is_stop_sent: bool = False
     ordered_session: int = 0
+    is_rejected: bool = False
     percent: float = 0.0
     figure: float = 0.0
 
@@ -74,6 +76,12 @@
             return 1.0
         return min(self.figure / _MILLI / requested, 1.0)
 
+    def mark_ordered(self, session: int) -> None:
+        """Record that its start or stop is ordered; a later session asks anew."""
+        if session != self.ordered_session:
+            self.is_rejected = False
+        self.ordered_session = session
+
     def update_status(self, percent: float, figure: float, now: timedelta) -> None:
         """Update the progress and usage of the run."""
         self.progress.update(percent, speed=self.speed, now=now)
@@ -215,17 +223,24 @@
             return []
         return [placed for placed in self.held_by_ref.values() if placed.life != life]
 
-    def accepts_rejection(self, ref: RunRef, *, session: int) -> bool:
-        """Return whether a rejection in `session` answers the last order for a run.
+    def receive_rejection(self, ref: RunRef, *, session: int) -> None:
+        """Record a rejection if it answers the last order for the run.
 
-        In a later session, a new attendant may have started the run; it answers too.
+        If the order was repeated in a later session, a new attendant may have started
+        the run. It answers that order too.
         """
         placed = self.held_by_ref.get(ref)
         if placed is None:
-            return False
-        if placed.ordered_session != session:
+            return
+        if placed.ordered_session == session:
+            placed.is_rejected = True
+        else:
             log_event("decision:rejection-outdated", worker=self.id, run=str(ref))
-        return placed.ordered_session == session
+
+    def is_rejected(self, ref: RunRef) -> bool:
+        """Return whether its attendant has rejected a held run and it stands."""
+        placed = self.held_by_ref.get(ref)
+        return placed is not None and placed.is_rejected
 
     def hold(self, placed: PlacedRun) -> None:
         """Reserve room for a run."""
--- a/coltsfoottray/scheduler/orders.py
+++ b/coltsfoottray/scheduler/orders.py
@@ -23,7 +23,12 @@
     known.update(end.ref for end in report.ends)
     known.update(rejected.ref for rejected in report.rejected)
     is_new = report.session != worker.session
-    held = [each for each in worker.held_by_ref.values() if each.is_released]
+    # A rejection that the next round will apply needs no order in the meantime.
+    held = [
+        each
+        for each in worker.held_by_ref.values()
+        if each.is_released and (is_new or not each.is_rejected)
+    ]
     orphans = [ref for ref in worker.orphans if ref not in worker.held_by_ref]
     return make_orders(
         worker,
@@ -52,7 +57,7 @@
         Runs to stop that the scheduler does not expect on the worker.
     """
     for each in (*starts, *stops):
-        each.ordered_session = worker.session
+        each.mark_ordered(worker.session)
     return Orders(
         session=worker.session,
         life=worker.life,
--- a/tests/scheduler/rejections.feature
+++ b/tests/scheduler/rejections.feature
@@ -65,3 +65,15 @@
     And 500 ms pass
     Then no worker ever ran more than 8 tasks
     And no task ran twice at the same time or after its end
+
+  Scenario: Rejections wait for a slow store
+    # Guards against orders and rejections that answer one another until they are stored.
+    Given two entries and 2 workers for jobs
+    And worker-1's attendant records its orders
+    And worker-1's VM refuses all starts
+    And the next 6 starts at worker-1 are delayed in transit
+    When the job "a" of 1 steps with 12 tasks of 4 s is submitted at entry-1
+    And the scheduler's writes take 2800 ms once worker-1's VM is sent a start
+    And 2 s pass
+    And 700 ms pass
+    Then each start was ordered at worker-1 at most 2 times
--- a/tests/steps/rejection_steps.py
+++ b/tests/steps/rejection_steps.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import sys
+from collections import Counter
 
-from behave import when
+from behave import then, when
 
 # The scheduler decides 15 ms after a report at the earliest.
 _STEP_S = 0.001
@@ -44,3 +45,10 @@
         world.cell.metadata_table.occupy("scheduler", milliseconds / 1000)
 
     world.run(occupy)
+
+
+@then("each start was ordered at {name} at most {count:d} times")
+def check_order_counts(context, name, count):
+    ordered = Counter(order.ref for orders in context.orders for order in orders.starts)
+    assert ordered, f"nothing was ordered at {name}"
+    assert max(ordered.values()) <= count, ordered
