--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -304,9 +304,7 @@
         is_new_epoch = reply.epoch != self._epoch
         self._epoch = reply.epoch
         self._lease.grant(sent_at + timedelta(milliseconds=reply.lease_ms))
-        self._evacuations.apply(
-            reply.evacuations, data_centre=self._data_centre, sent_at=sent_at
-        )
+        self._evacuations.apply(reply.evacuations, sent_at=sent_at)
         self._speeds.update_shared_pressures(reply.pressures)
         self._pressures.apply_reply(report, reply, is_new_epoch=is_new_epoch)
         for rejected in report.rejected:
@@ -376,7 +374,7 @@
         return self._heartbeat is None or self._heartbeat.is_draining
 
     def start_permission(self, now: timedelta) -> StartPermission:  # noqa: D102
-        return self._evacuations.judge(self._data_centre, now)
+        return self._evacuations.judge(now)
 
     def issue_lease(self, now: timedelta) -> int:
         """Return the lease end to issue, on the worker's clock in ms; 0 for none.
--- a/coltsfoottray/agent/evacuation.py
+++ b/coltsfoottray/agent/evacuation.py
@@ -34,27 +34,28 @@
 
     Parameters
     ----------
+    data_centre : str
+        The data centre of the worker.
     in_force_within : timedelta
         Time after the operator's request from which nothing may be started.
     """
 
-    def __init__(self, *, in_force_within: timedelta, metrics: Metrics) -> None:
+    def __init__(
+        self, *, data_centre: str, in_force_within: timedelta, metrics: Metrics
+    ) -> None:
+        self._data_centre = data_centre
         self._max_age = in_force_within * _MAX_AGE_SHARE
         self._metrics = metrics
         self._as_of: timedelta | None = None
         self.data_centres: frozenset[str] = frozenset()
 
-    def apply(
-        self, notice: EvacuationNotice | None, *, data_centre: str, sent_at: timedelta
-    ) -> None:
+    def apply(self, notice: EvacuationNotice | None, *, sent_at: timedelta) -> None:
         """Apply a notice from the reply to a report that was sent at `sent_at`.
 
         Parameters
         ----------
         notice : EvacuationNotice, optional
             None if the scheduler is of a version that knows no evacuations.
-        data_centre : str
-            The data centre of the worker.
         """
         if notice is None:
             self._as_of = None
@@ -64,15 +65,15 @@
         if self._as_of is not None and as_of < self._as_of:
             # A new scheduler may have read the operator's rows less recently.
             return
-        was_evacuated = data_centre in self.data_centres
+        was_evacuated = self._data_centre in self.data_centres
         self._as_of = as_of
         self.data_centres = frozenset(notice.data_centres)
-        is_evacuated = data_centre in self.data_centres
+        is_evacuated = self._data_centre in self.data_centres
         self._metrics.gauge("evacuation_notice_age_seconds", notice.age_ms / 1000)
         if is_evacuated is not was_evacuated:
             log_event(
                 "evacuation:in-force" if is_evacuated else "evacuation:ended",
-                data_centre=data_centre,
+                data_centre=self._data_centre,
                 age_s=notice.age_ms / 1000,
             )
 
@@ -80,9 +81,9 @@
         """Return the age in seconds of what is known, 0 if nothing is."""
         return 0.0 if self._as_of is None else (now - self._as_of).total_seconds()
 
-    def judge(self, data_centre: str, now: timedelta) -> StartPermission:
-        """Return whether a run may be started in a data centre at `now`."""
-        if data_centre in self.data_centres:
+    def judge(self, now: timedelta) -> StartPermission:
+        """Return whether a run may be started on the worker at `now`."""
+        if self._data_centre in self.data_centres:
             return StartPermission.EVACUATED
         # A scheduler of an earlier version sends no notices.
         if self._as_of is not None and now - self._as_of > self._max_age:
--- a/coltsfoottray/daemons/job_attendant.py
+++ b/coltsfoottray/daemons/job_attendant.py
@@ -41,6 +41,7 @@
         super().__init__(settings=settings, kernel=kernel)
         self.settings = settings
         self.evacuations = EvacuationGuard(
+            data_centre=settings.data_centre,
             in_force_within=timedelta(milliseconds=settings.evacuation_ms),
             metrics=self.metrics,
         )
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -191,8 +191,8 @@
 def starts_without_judgement() -> Iterator[None]:
     """Let an attendant start whatever it was ordered, also in an evacuation."""
 
-    def judge(self: EvacuationGuard, data_centre: str, now: timedelta) -> Any:
-        del self, data_centre, now
+    def judge(self: EvacuationGuard, now: timedelta) -> Any:
+        del self, now
         return StartPermission.GIVEN
 
     with mock.patch.object(EvacuationGuard, "judge", judge):
