Count the rejections and ends that a scheduler receives

The record of the incident could not tell whether runs had been rejected: a process's first and last lines are collected, the scheduler's metrics each 5 s. Now rejections_received by reason and ends_received by kind do.

--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -142,6 +142,7 @@
         lease_ms = self._grants.renew(worker, report, self._writer.confirmed_at)
         self._grants.ensure_session(worker, report)
         self._report_event(report.worker).set()
+        self._round_metrics.record_report(report)
         for rejected in report.rejected:
             worker.receive_rejection(rejected.ref, session=report.session)
         self._inbox.reports.append(report)
--- a/coltsfoottray/scheduler/round_metrics.py
+++ b/coltsfoottray/scheduler/round_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of the scheduler's rounds."""
+"""Metrics of the scheduler's rounds, and of the reports that it receives."""
 
 from __future__ import annotations
 
@@ -7,12 +7,16 @@
 from coltsfoottray.clock import Clock, as_milliseconds
 from coltsfoottray.metrics import Metrics
 from coltsfoottray.scheduler.fleet import Fleet, PlacedRun
+from coltsfoottray.scheduler.messages import Report
 
 __all__ = ["RoundMetrics"]
 
 
 class RoundMetrics:
-    """Records what a round has placed, and the state of the fleet after it."""
+    """Records what a round has placed, the state of the fleet after it, and reports.
+
+    Rejections and ends are counted once for each report that repeats them.
+    """
 
     def __init__(self, *, fleet: Fleet, clock: Clock, metrics: Metrics) -> None:
         self._fleet = fleet
@@ -41,6 +45,13 @@
         out_of_reach = [w.held_by_ref for w in workers if not w.is_reachable]
         self._metrics.gauge("runs_out_of_reach", sum(map(len, out_of_reach)))
 
+    def record_report(self, report: Report) -> None:
+        """Record the rejections and ends in a report."""
+        for rejected in report.rejected:
+            self._metrics.count("rejections_received", reason=rejected.reason.value)
+        for end in report.ends:
+            self._metrics.count("ends_received", kind=end.kind.value)
+
     def _record_waits(self, placed: list[PlacedRun]) -> None:
         """Record how long jobs have waited for their first start."""
         now_ms = as_milliseconds(self._clock.now())
--- a/tests/scheduler/rejections.feature
+++ b/tests/scheduler/rejections.feature
@@ -77,3 +77,4 @@
     And 2 s pass
     And 700 ms pass
     Then each start was ordered at worker-1 at most 2 times
+    And the scheduler's metrics show 6 rejections because of "unhealthy"
--- a/tests/steps/rejection_steps.py
+++ b/tests/steps/rejection_steps.py
@@ -52,3 +52,17 @@
     ordered = Counter(order.ref for orders in context.orders for order in orders.starts)
     assert ordered, f"nothing was ordered at {name}"
     assert max(ordered.values()) <= count, ordered
+
+
+@then('the scheduler\'s metrics show {count:d} rejections because of "{reason}"')
+def check_rejection_metric(context, count, reason):
+    cell = context.world.cell
+    metrics = cell.entry_by_name[cell.scheduler()].metrics
+    samples = [sample for family in metrics.collect() for sample in family.samples]
+    counted = [
+        sample.value
+        for sample in samples
+        if sample.name == "coltsfoottray_rejections_received_total"
+        and sample.labels == {"reason": reason}
+    ]
+    assert counted == [count], samples
