A start isn't rejected while ends are left to list

Callers saw: a task that starts again after it has ended.

Cause: a worker lists 500 ends at a time. A run whose end was not among them was ordered again, since no list had it; if the worker refused that order, because it was leaving or unhealthy, the attendant rejected the run as one that never existed. Change: until a poll has listed all ends, such a refusal waits for one that has, as it does before the first poll.

--- a/coltsfoottray/agent/executor.py
+++ b/coltsfoottray/agent/executor.py
@@ -217,9 +217,10 @@
         self._state.request_report()
 
     def _may_be_repeat(self, ref: RunRef, reason: Refusal, scope: OrderScope) -> bool:
-        """Whether the run may have been started here in an earlier session."""
+        """Whether the run may have been started here before."""
         is_known_to_worker = reason is Refusal.OLD or scope.runs.is_running(ref)
-        return is_known_to_worker or not self._state.has_polled(scope)
+        has_listed_all = self._state.has_polled(scope) and scope.runs.is_complete
+        return is_known_to_worker or not has_listed_all
 
     async def stop(self, ref: RunRef, scope: OrderScope) -> None:
         """Stop a run, retrying until the worker answers."""
--- a/coltsfoottray/agent/runs.py
+++ b/coltsfoottray/agent/runs.py
@@ -45,6 +45,8 @@
         run or have ended.
     running, ends : list
         Runs and ends that the last poll returned.
+    is_complete : bool
+        Whether the last poll returned all ends; a worker limits their number.
     rejected_by_ref : dict
         Rejected starts that are not reported to the scheduler yet.
     reason_by_barred_ref : dict
@@ -60,6 +62,7 @@
     refused_by_ref: dict[RunRef, RefusedStart] = field(default_factory=dict)
     running: list[RunStatus] = field(default_factory=list)
     ends: list[RunEnd] = field(default_factory=list)
+    is_complete: bool = True
     rejected_by_ref: dict[RunRef, RejectedStart] = field(default_factory=dict)
     reason_by_barred_ref: dict[RunRef, Refusal] = field(default_factory=dict)
 
@@ -119,6 +122,7 @@
         is_report_due = any(end.number not in known for end in reply.ends)
         self.running = reply.running
         self.ends = reply.ends
+        self.is_complete = reply.is_complete
         seen = {status.ref for status in reply.running}
         seen.update(end.ref for end in reply.ends)
         # Stop retrying starts of runs that the worker lists. If a run ended first, a
--- a/tests/scheduler/ends.feature
+++ b/tests/scheduler/ends.feature
@@ -154,3 +154,14 @@
     And all orders recorded at worker-1 arrive once more
     Then the job "a" is "completed" within 20 s
     And no task ran twice at the same time or after its end
+
+  Scenario: More runs end than one poll lists, and their worker refuses starts
+    # Guards against a rejection of a run whose end the last poll had no room for.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1040 small tasks of 4 s is submitted at entry-1
+    And 3 s pass
+    And the scheduler's writes take 2800 ms
+    And 800 ms pass
+    And worker-1's VM drains and reports at once
+    And 18 s pass
+    Then no task ran twice at the same time or after its end
