An attendant starts no run whose end its worker has listed

Callers saw: a task that starts again after it has ended.

Cause: once an end was acknowledged, the attendant left it to the worker to refuse the run. A worker that restarts under its id knows nothing of it, and until its attendant learns of the restart, an order that arrives once more was carried out by the new incarnation. Change: the attendant remembers the last 5,000 runs that ended. Evidence: 'An order arrives once more after its run has ended and its worker restarted' failed (two tasks started after they had succeeded) and passes; ends, rejections, one_run and lost: 56 passed, 0 failed.

--- a/coltsfoottray/agent/runs.py
+++ b/coltsfoottray/agent/runs.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from datetime import timedelta
+from typing import Any
 
 from coltsfoottray.agent.worker import PollReply, Refusal, RunEnd, RunStatus
 from coltsfoottray.jobs.model import RunRef
@@ -11,8 +12,9 @@
 
 __all__ = ["RefusedStart", "Runs"]
 
-# An order is repeated within seconds; a worker rejects some hundreds a second at most.
-_MAX_BARRED = 5000
+# An order is repeated within seconds; a worker rejects or ends some hundreds a second
+# at most.
+_MAX_REMEMBERED = 5000
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -52,6 +54,9 @@
     reason_by_barred_ref : dict
         Runs that were rejected, oldest first. Orders for them may arrive once more and
         must not be executed, since their tasks may have other runs by then.
+    ended : dict
+        Runs whose end was listed, oldest first. The worker refuses to start them again,
+        but its next incarnation, which may be unknown here, would not.
     """
 
     order_by_ref: dict[RunRef, StartOrder] = field(default_factory=dict)
@@ -65,6 +70,7 @@
     is_complete: bool = True
     rejected_by_ref: dict[RunRef, RejectedStart] = field(default_factory=dict)
     reason_by_barred_ref: dict[RunRef, Refusal] = field(default_factory=dict)
+    ended: dict[RunRef, None] = field(default_factory=dict)
 
     def is_known(self, ref: RunRef) -> bool:
         """Whether the run was started here before, so that an order repeats it."""
@@ -73,7 +79,7 @@
             or ref in self.started_by_ref
             or ref in self.refused_by_ref
             or self.is_running(ref)
-            or any(end.ref == ref for end in self.ends)
+            or ref in self.ended
         )
 
     def is_running(self, ref: RunRef) -> bool:
@@ -95,8 +101,7 @@
         self.order_by_ref.pop(ref, None)
         self.rejected_by_ref[ref] = RejectedStart(ref=ref, reason=reason)
         self.reason_by_barred_ref[ref] = reason
-        if len(self.reason_by_barred_ref) > _MAX_BARRED:
-            del self.reason_by_barred_ref[next(iter(self.reason_by_barred_ref))]
+        _drop_oldest(self.reason_by_barred_ref)
 
     def reject_again(self, ref: RunRef) -> bool:
         """Reject a run once more if it was rejected before; return whether it was.
@@ -123,6 +128,8 @@
         self.running = reply.running
         self.ends = reply.ends
         self.is_complete = reply.is_complete
+        self.ended.update(dict.fromkeys(end.ref for end in reply.ends))
+        _drop_oldest(self.ended)
         seen = {status.ref for status in reply.running}
         seen.update(end.ref for end in reply.ends)
         # Stop retrying starts of runs that the worker lists. If a run ended first, a
@@ -173,3 +180,9 @@
                 self.record_rejection(ref, start.reason)
                 is_report_due = True
         return is_report_due
+
+
+def _drop_oldest(remembered: dict[RunRef, Any]) -> None:
+    """Drop the oldest entries beyond the number that is remembered."""
+    for ref in list(remembered)[: max(len(remembered) - _MAX_REMEMBERED, 0)]:
+        del remembered[ref]
--- a/tests/scheduler/ends.feature
+++ b/tests/scheduler/ends.feature
@@ -165,3 +165,14 @@
     And worker-1's VM drains and reports at once
     And 18 s pass
     Then no task ran twice at the same time or after its end
+
+  Scenario: An order arrives once more after its run has ended and its worker restarted
+    # Guards against a run that the worker no longer remembers and its attendant could.
+    Given two entries and 2 workers for jobs
+    And worker-1's attendant records its orders
+    When the job "a" of 1 steps with 4 tasks of 1 s is submitted at entry-1
+    And 3 s pass
+    And worker-1's VM crashes and sends no heartbeats
+    And all orders recorded at worker-1 arrive once more
+    And 1 s pass
+    Then no task ran twice at the same time or after its end
