A new scheduler stops the rest of a gang that an earlier one found broken

Callers saw: a gang that does not work for as long as its members wait for the one that is missing, holding their room.

Cause: that the members of a broken gang have to be stopped was in the scheduler's memory only. If it died once it had stored the first end or rejection, the next one held the others as healthy, and started the missing ones only after all had ended. Change: a gang of which some members have no run is stopped as it is restored.

--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -49,6 +49,7 @@
         """Add a stored job; its runs may exist until their worker's lease ends."""
         self.jobs.add(job)
         for step in job.steps():
+            is_stopping = job.record.state.is_final or step.is_broken_gang
             for index, task in enumerate(step.records):
                 if task.phase is not TaskPhase.ASSIGNED:
                     continue
@@ -59,7 +60,7 @@
                     life=task.life,
                     placed_at=now,
                     is_released=True,
-                    is_stopping=job.record.state.is_final,
+                    is_stopping=is_stopping,
                 )
                 end = lease_end(task.worker)
                 self.fleet.get_or_add(task.worker, None, end).hold(placed)
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -107,6 +107,11 @@
         """Whether every task has completed."""
         return self.done == len(self.records)
 
+    @property
+    def is_broken_gang(self) -> bool:
+        """Whether some member of a gang has no run, so that the others must stop."""
+        return self.spec.is_gang and 0 < len(self.waiting) < len(self.records)
+
     @property
     def can_start(self) -> bool:
         """Whether it has waiting tasks and the steps that it depends on are done.
@@ -116,7 +121,7 @@
         """
         if not self.waiting or self.job.record.state.is_final:
             return False
-        if self.spec.is_gang and len(self.waiting) < len(self.records):
+        if self.is_broken_gang:
             return False
         steps = self.job.steps_by_occurrence[self.occurrence]
         return all(steps[number].is_done for number in self.spec.after)
--- a/tests/steps/lost_steps.py
+++ b/tests/steps/lost_steps.py
@@ -291,3 +291,9 @@
     for listener in world.fabric.listener_by_address.values():
         if listener.process == name:
             listener._serve = serve
+
+
+@when("{name} is cut off from the scheduler")
+def cut_from_scheduler(context, name):
+    world = context.world
+    world.fabric.cut.add(frozenset((name, world.cell.scheduler())))
