A gang's failure is counted once, also by two schedulers

Callers saw: a gang that is given up one attempt too early.

Cause: which run's failure had been counted stood in the scheduler's memory only. If two members of a gang reported the failure of one run to different schedulers, each counted it. Change: the record has the number of the last run that is counted, and the set in memory goes. Evidence: 'The scheduler dies between the failures of two members of a gang' failed (12 starts instead of 24) and passes; gangs, ends, health, one_run, store and jobs/callers: 80 passed, 0 failed.

--- a/coltsfoottray/jobs/records.py
+++ b/coltsfoottray/jobs/records.py
@@ -72,12 +72,15 @@
     run : int
         Number of its latest run, 0 before the first.
     failures : int
-        Number of runs that ended with a failure of the task.
+        Number of runs that ended with a failure of the task. The first task of a gang
+        has those of the gang.
     worker, life : str
         Worker that the run is assigned to, and the worker's incarnation; empty unless
         it is assigned.
     checkpoint : str
         Checkpoint that the next run resumes from; empty to start from the beginning.
+    failed_run : int
+        Number of the last run that is counted in `failures`, 0 for none.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -86,6 +89,7 @@
     worker: str = ""
     life: str = ""
     checkpoint: str = ""
+    failed_run: int = 0
 
     def unassign(self, phase: TaskPhase) -> None:
         """End the assignment of its latest run."""
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -356,9 +356,10 @@
 
     def _count_failure(self, step: LiveStep, ref: RunRef, now_ms: int) -> None:
         record = step.records[0 if step.spec.is_gang else ref.task.index]
-        if step.spec.is_gang and ref.run in step.failed_runs:
+        if ref.run <= record.failed_run:
+            # Several members of a gang may report the failure of one run.
             return
-        step.failed_runs.add(ref.run)
+        record.failed_run = ref.run
         record.failures += 1
         job = step.job
         allowed = self.terms_of(job).max_attempts
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -40,9 +40,6 @@
     ----------
     waiting : list of int
         Indices of the tasks without a run.
-    failed_runs : set of int
-        The runs whose failure has been counted. In a gang, several tasks may report
-        the failure of one run.
     avoid_by_index : dict
         For each task index, the workers on which the task failed or stalled.
     ticket_by_life : dict
@@ -60,7 +57,6 @@
     records: list[TaskRecord]
     waiting: list[int] = field(default_factory=list)
     done: int = 0
-    failed_runs: set[int] = field(default_factory=set)
     avoid_by_index: dict[int, set[str]] = field(default_factory=dict)
     ticket_by_life: dict[str, Ticket] = field(default_factory=dict)
     advice_state: AdviceState = field(default_factory=AdviceState)
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -84,6 +84,16 @@
     assert status == 200, status
 
 
+@when(
+    'the failing gang "{label}" of {tasks:d} tasks of {seconds:d} s '
+    "is submitted at {entry}"
+)
+def submit_failing_gang(context, label, tasks, seconds, entry):
+    shape = make_steps(1, tasks, seconds, gang=True)
+    status = context.world.submit_job(entry, label, shape, work_s=seconds, fails=True)
+    assert status == 200, status
+
+
 @when(
     'the job "{label}" is submitted at {entry} to run {times:d} times, '
     "every {seconds:d} s"
