A worker's row is written only in a term that has begun

Callers saw: a task that runs twice at a time; an attempt that runs twice.

Cause: an attendant that found its worker's row lost, or of another boot, took the row's version before it had begun the next term. If that failed because the VM did not list its tasks within a second, the next renewal had a valid version and wrote the row in the term that the attendant knew before: the lost one, whose tasks had been requeued, or after a restart term 1 again. Change: the version is taken last, so the row is read again.

--- a/coltsfoottray/leases/worker.py
+++ b/coltsfoottray/leases/worker.py
@@ -189,8 +189,8 @@
         """
         row = await self._table.get(worker_key(self._row.worker))
         if row is None:
-            self._version = ABSENT
             await self._begin_term(1, boot)
+            self._version = ABSENT
             return True
         found = row.decode(WorkerLeaseRow)
         is_own = found.holder == self._incarnation and found.state is LeaseState.HELD
@@ -199,7 +199,6 @@
             # outdated and must not compete with it.
             log_event("lease:worker-superseded", holder=found.holder)
             return False
-        self._version = row.version
         if found.state is LeaseState.LOST or found.boot != boot:
             await self._begin_term(found.term + 1, boot)
         else:
@@ -207,6 +206,9 @@
             self._row = msgspec.structs.replace(
                 self._row, term=found.term, boot=boot, state=LeaseState.HELD
             )
+        # Last: with the version, an attendant whose new term failed to begin would
+        # renew the row in the term it knew before, which may be over.
+        self._version = row.version
         return True
 
     async def _begin_term(self, term: int, boot: str) -> None:
