Failing: a worker refuses a task for good, or starts an attempt again

What a caller would see: a task that never runs; an attempt that runs twice.

Two scenarios of tests/tasks/terms fail on this code. In the first the owner dies after it has stored a failed attempt and before it has told the worker to forget it. In the second a worker loses a task, and its attendant restarts before the owner asks for a start.

--- a/tests/steps/term_steps.py
+++ b/tests/steps/term_steps.py
@@ -5,6 +5,11 @@
 import trio
 from behave import when
 
+from coltsfoottray.types import TaskState
+from tests.steps.task_steps import _owner
+
+_STEP_S = 0.0002
+
 
 def _listener_of(world, process):
     listeners = world.fabric.listener_by_address.values()
@@ -48,3 +53,28 @@
     world.resume(f"{context.worker}/vm")
     world.advance(ms / 1000)
     listener._serve = serve
+
+
+@when('the owner of "{task}" is killed as soon as its row says that an attempt failed')
+def kill_owner_at_failure(context, task):
+    world = context.world
+
+    def has_failed():
+        row = world.rows()[task]
+        return row.state is TaskState.QUEUED and row.failures == 1
+
+    world.wait_until(has_failed, step_s=_STEP_S)
+    world.kill(_owner(world, world.rows()[task].spec.customer))
+
+
+@when("{worker} runs tasks well again")
+def mend_worker(context, worker):
+    context.world.cell.worker_stand_in_by_name[worker].fails_everything = False
+
+
+@when('the attendant beside "{task}" is killed and restarted')
+def restart_attendant_of(context, task):
+    world = context.world
+    worker = world.rows()[task].worker
+    world.kill(worker)
+    world.run(world.cell.start_attendant, worker)
--- a/tests/tasks/terms.feature
+++ b/tests/tasks/terms.feature
@@ -19,3 +19,23 @@
     And that VM answers again, but lists no tasks for 1200 ms
     And the task "b1" is finished within 60 s
     Then no worker was ever overcommitted, and nothing ran twice
+
+  Scenario: A failed attempt is never forgotten by its worker
+    # Guards against a worker that refuses all later attempts of a task.
+    Given two entries and 1 workers in memory
+    And worker-01 fails everything it starts
+    When "arolwg" submits the task "b1" which runs for 1 s
+    And the owner of "b1" is killed as soon as its row says that an attempt failed
+    And worker-01 runs tasks well again
+    Then the task "b1" is finished
+
+  Scenario: A worker loses a task, and its attendant restarts
+    # Guards against an attempt started again by an attendant that never saw it run.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 10 s
+    And the task "b1" runs for 2000 ms
+    And the worker that runs "b1" loses it
+    And 500 ms pass
+    And the attendant beside "b1" is killed and restarted
+    And the task "b1" is finished within 60 s
+    Then no worker was ever overcommitted, and nothing ran twice
