A new attendant starts no attempt that its worker does not list

Callers saw: an attempt that runs twice, the second time without the first's work.

Cause: an attendant that sees a worker lose an attempt refuses to start it again, from memory. After a restart it took the attempt from the row as assigned here, and started it when the owner asked. Change: what the rows assign to the worker and the worker does not list is stopped for good when the ledger is rebuilt; the owner then places a new attempt. Evidence: 'A worker loses a task, and its attendant restarts' failed and passes; terms, one_place and lost: 35 passed, 0 failed.

--- a/coltsfoottray/worker/attendant.py
+++ b/coltsfoottray/worker/attendant.py
@@ -297,10 +297,16 @@
         ledger = CapacityLedger(capacity=description.capacity)
         for row in await self._load_assigned_rows(term):
             ledger.reserve(self._reservation_of(row))
-        for running in await self._control.tasks():
-            reservation = ledger.reservation_by_task.get(running.task)
-            if reservation is None or reservation.attempt != running.attempt:
-                await self._control.stop(task=running.task, attempt=running.attempt)
+        listed = {(each.task, each.attempt) for each in await self._control.tasks()}
+        held = ledger.reservation_by_task.values()
+        assigned = {(each.task, each.attempt) for each in held}
+        for task, attempt in sorted(listed - assigned):
+            await self._control.stop(task=task, attempt=attempt)
+        # These were lost or never started, and the owner cannot tell which: if one has
+        # run, starting it again would repeat it.
+        for task, attempt in sorted(assigned - listed):
+            await self._control.stop(task=task, attempt=attempt)
+            ledger.stop(task, attempt)
         self._ledger = ledger
         self._ledger_term = term
         self._report_by_task.clear()
