Failing: starts of a lost term are carried out in the next

What a caller would see: a task that runs twice at a time.

Two scenarios of tests/tasks/terms fail on this code: a start that reaches the worker's VM after the next term has begun, and one that the attendant judges by a row read before it.

--- a/tests/tasks/terms.feature
+++ b/tests/tasks/terms.feature
@@ -39,3 +39,21 @@
     And the attendant beside "b1" is killed and restarted
     And the task "b1" is finished within 60 s
     Then no worker was ever overcommitted, and nothing ran twice
+
+  Scenario: A start reaches a worker's VM in a later term
+    # Guards against a start of a lost term that the VM accepts beside its successor.
+    Given two entries and 2 workers in memory
+    And the next start reaches its VM after 9000 ms
+    When "arolwg" submits the task "b1" which runs for 20 s
+    And "b1" is assigned, and its worker cut off from the table until it is lost
+    And the task "b1" is finished within 60 s
+    Then no worker was ever overcommitted, and nothing ran twice
+
+  Scenario: A new term begins while an attendant checks a start
+    # Guards against a start judged by its row's term before that term has ended.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 10 s
+    And "b1" is assigned, and its worker is cut off from the entries for 11000 ms
+    And the VM of "b1" restarts empty as its row is read, which is answered 1900 ms later
+    And the task "b1" is finished within 60 s
+    Then no worker was ever overcommitted, and nothing ran twice
