An attendant checks a start's term again after it has read the row

Callers saw: a task that runs twice at a time.

Cause: a start without a reservation is judged by its row. The read takes up to 2 s, in which the VM may restart and its next term begin; the term was compared only before the read. Change: it is compared after it too. Evidence: 'A new term begins while an attendant checks a start' failed and passes; terms, one_place and lost: 36 passed, 0 failed, one known red.

--- a/coltsfoottray/worker/attendant.py
+++ b/coltsfoottray/worker/attendant.py
@@ -139,9 +139,7 @@
     async def start(self, request: StartRequest) -> StartReply:
         """Handle `START`; repeated requests start an attempt only once."""
         spec = request.spec
-        refusal = self._check_admission(request.incarnation, spec.task, request.attempt)
-        if refusal is None and request.term != self._lease.term:
-            refusal = Verdict.WRONG_LIFE
+        refusal = self._check_term(request)
         if refusal is None:
             refusal = await self._check_start(request)
         verdict = refusal or self._reserve(spec.task, request.attempt, spec.demand)
@@ -174,7 +172,8 @@
         )
         if not is_here:
             return Verdict.STOPPED
-        return self._check_admission(request.incarnation, task, request.attempt)
+        # A new term may have begun since the row was read.
+        return self._check_term(request)
 
     async def stop_attempt(self, request: StopRequest) -> StopReply:
         """Handle `STOP`; afterwards the attempt cannot run here any more."""
@@ -222,6 +221,14 @@
         self._ledger.drop(task, held.attempt)
         self._report_by_task.pop(task, None)
 
+    def _check_term(self, request: StartRequest) -> Verdict | None:
+        """Return why the attempt is not admitted in its term, None if it is."""
+        task, attempt = request.spec.task, request.attempt
+        refusal = self._check_admission(request.incarnation, task, attempt)
+        if refusal is None and request.term != self._lease.term:
+            return Verdict.WRONG_LIFE
+        return refusal
+
     def _check_admission(
         self, incarnation: Incarnation, task: TaskId, attempt: int
     ) -> Verdict | None:
