A worker refuses starts of an earlier term

Callers saw: a task that runs twice at a time.

Cause: a worker accepts a start from the holder that last renewed its lease, and the holder was the same in all terms of an attendant. A start that reached the worker after the next term had begun ran beside its successor. Change: the holder names the term, and a new term first names its holder to the worker, then stops what runs there. Evidence: 'A start reaches a worker's VM in a later term' failed and passes; terms, one_place and lost: 37 passed, 0 failed.

--- a/coltsfoottray/leases/worker.py
+++ b/coltsfoottray/leases/worker.py
@@ -110,6 +110,11 @@
         """The current term; 0 before the first."""
         return self._row.term
 
+    @property
+    def holder(self) -> str:
+        """The holder in whose name the worker is called in the current term."""
+        return self._holder_in(self._row.term)
+
     @property
     def is_valid(self) -> bool:
         """Whether tasks may be started now."""
@@ -178,7 +183,7 @@
         other they would stay suspended.
         """
         left = max(self._row_valid_until - self._clock.elapsed(), timedelta(0))
-        await self._control.renew(holder=self._incarnation, duration=left)
+        await self._control.renew(holder=self.holder, duration=left)
         self._is_accepted = True
         self._valid_until = self._row_valid_until
 
@@ -215,8 +220,11 @@
         """Begin a term with an empty worker.
 
         Tasks of the earlier term may already run elsewhere. They are stopped
-        permanently before a renewal can let them continue here.
+        permanently before a renewal can let them continue here. The new holder comes
+        first, so that the worker refuses starts of the earlier term that arrive later.
         """
+        holder = self._holder_in(term)
+        await self._control.renew(holder=holder, duration=timedelta(0))
         for running in await self._control.tasks():
             await self._control.stop(task=running.task, attempt=running.attempt)
             await self._control.forget(task=running.task, attempt=running.attempt)
@@ -229,3 +237,6 @@
         # attendant would begin the same term again and stop the task permanently,
         # but the task would stay bound to this worker permanently.
         self._row_valid_until = self._valid_until = self._clock.elapsed()
+
+    def _holder_in(self, term: int) -> str:
+        return f"{self._incarnation}/{term}"
--- a/coltsfoottray/worker/attendant.py
+++ b/coltsfoottray/worker/attendant.py
@@ -256,7 +256,7 @@
             demand=spec.demand,
             runtime_s=spec.runtime_s,
             checkpoint=request.checkpoint,
-            holder=self._incarnation,
+            holder=self._lease.holder,
             payload=spec.payload,
         )
         reservation = self._ledger.reservation_by_task[spec.task]
