--- a/tests/steps/request_steps.py
+++ b/tests/steps/request_steps.py
@@ -28,6 +28,7 @@
 
 
 @given("the next message to each instance is late")
+@when("the next message to each instance is late")
 def delay_messages(context):
     for name in context.world.cell.upstream_by_name:
         context.world.fabric.faults(name).late_requests = 1
@@ -65,6 +66,7 @@
 
 
 @given("every instance refuses requests as if it were draining")
+@when("every instance refuses requests as if it were draining")
 def refuse_all(context):
     for daemon in context.world.cell.upstream_by_name.values():
         daemon.attendant.is_draining = True
