A refusal rests on the cancellation of the same attempt

Callers saw: 'not run' for a key of which the message arrived later and ran, up to once at each instance that was tried.

Cause: an entry that gets no reply asks the instance for the key's outcome, and cancels the attempt if the instance does not know the key. If it had cancelled an earlier attempt, it answered 'cancelled', which was taken for this one. Change: the attempt is cancelled then too, which raises the number up to which nothing starts.

--- a/coltsfoottray/requests/dispatcher.py
+++ b/coltsfoottray/requests/dispatcher.py
@@ -278,7 +278,8 @@
                     request.request,
                     wait=min(self._remaining(request), PROBE_AFTER),
                 )
-                if reply.outcome is RunOutcome.ABSENT:
+                if reply.outcome in (RunOutcome.ABSENT, RunOutcome.NOT_RUN):
+                    # What is cancelled there may be an earlier attempt only.
                     reply = await self._attendants.cancel(
                         place, request.request, attempt
                     )
