A cancellation outlives the refusal of a later attempt

Callers saw: 'not run', twice, for a key that ran afterwards.

Cause: a cancelled id may be sent again with a higher attempt. If the instance refused that one (full, or draining), it removed the id with all it knew, and a message of the cancelled attempt that was still on its way was started. Change: the cancellation is kept beside the later attempt, and put back when that is refused.

--- a/coltsfoottray/upstream/ledger.py
+++ b/coltsfoottray/upstream/ledger.py
@@ -41,6 +41,8 @@
         that was cancelled.
     changed_at : timedelta
         When the execution was added or ended, by the attendant's clock.
+    cancelled_attempt : int, optional
+        The highest attempt that was cancelled before this one was admitted.
     response : HttpResponse, optional
         The complete response, unless it has been dropped to save memory.
     ended : trio.Event
@@ -51,6 +53,7 @@
     attempt: int
     state: ExecutionState
     changed_at: timedelta
+    cancelled_attempt: int | None = None
     response: HttpResponse | None = None
     ended: trio.Event = field(default_factory=trio.Event)
 
@@ -100,12 +103,21 @@
             if not is_cancelled or attempt <= existing.attempt:
                 return None
             del self._execution_by_id[request]
-        return self._add(request, attempt, ExecutionState.WAITING)
+        execution = self._add(request, attempt, ExecutionState.WAITING)
+        if existing is not None:
+            execution.cancelled_attempt = existing.attempt
+        return execution
 
     def withdraw(self, execution: Execution) -> None:
-        """Remove an execution that certainly did not start."""
+        """Remove an execution that certainly did not start.
+
+        Attempts that were cancelled before it stay cancelled: their messages may
+        still arrive.
+        """
         self._end(execution, ExecutionState.TOMBSTONED)
         del self._execution_by_id[execution.request]
+        if execution.cancelled_attempt is not None:
+            self.tombstone(execution.request, execution.cancelled_attempt)
 
     def start(self, execution: Execution) -> bool:
         """Mark as running; return False if it was tombstoned first."""
