Failing: keys run twice after late messages between entries

What a caller would see: a non-idempotent request that runs twice. Three scenarios of tests/requests/late_messages fail on this code: a late release and a late proposal replace what a member knows of a later claim, and a claim is superseded without a cancellation if its claimant leaves at that moment.

--- a/tests/requests/late_messages.feature
+++ b/tests/requests/late_messages.feature
@@ -25,3 +25,50 @@
     When every instance accepts requests again
     And 12000 ms pass
     Then "q1" has run 0 times
+
+  Scenario: A release arrives after its entry has claimed the key again
+    # Guards against a release that removes a later claim, of which the run is known.
+    Given two entries and three instances in memory
+    And every instance refuses requests as if it were draining
+    And the next "Release" that entry-2 is sent is late
+    When "first" sends key "q1" to entry-1, which takes 50 ms to run
+    Then "first" is told that it was not run, with a retry-after time
+    When every instance accepts requests again
+    And "again" sends key "q1" to entry-1, which takes 50 ms to run
+    Then "again" gets the whole answer of "q1"
+    When 4000 ms pass
+    And entry-1 is killed
+    And "third" sends key "q1" to entry-2, which takes 50 ms to run
+    Then "third" gets the whole answer of "q1"
+    And "q1" has run 1 time
+
+  Scenario: A proposal arrives after its entry has claimed the key again
+    # Guards against a late proposal that replaces the claim under which the key ran.
+    Given two entries and three instances in memory
+    And every instance refuses requests as if it were draining
+    And the next "Claim" that entry-2 is sent is late
+    When "first" sends key "q1" to entry-1, which takes 50 ms to run
+    Then "first" is told that it was not run, with a retry-after time
+    When one instance accepts requests, not named by the late proposal or the table
+    And 1500 ms pass
+    And "again" sends key "q1" to entry-1, which takes 50 ms to run
+    Then "again" gets the whole answer of "q1"
+    When 4000 ms pass
+    And every instance accepts requests again
+    And entry-1 is killed
+    And "third" sends key "q1" to entry-2, which takes 50 ms to run
+    Then "third" gets the whole answer of "q1"
+    And "q1" has run 1 time
+
+  Scenario: A claimant leaves while another entry asks its place
+    # Guards against a message started after its claim was superseded uncancelled.
+    Given two entries and three instances in memory
+    When "first" sends key "q1" to entry-1, which takes 50 ms to run
+    And entry-1 is paused as soon as entry-2 has recorded its claim to "q1"
+    And "again" sends key "q1" to entry-2, which takes 50 ms to run
+    And 1000 ms pass
+    And the place of "q1" answers only after entry-1 has left
+    Then "again" gets the whole answer of "q1"
+    When entry-1 resumes
+    And 5000 ms pass
+    Then "q1" has run 1 time
