A late release leaves a later claim alone

Callers saw: a non-idempotent request that runs twice.

Cause: a release named the request and the claimant only. If it arrived late, it removed a later claim of the same entry from a member's memory; when that entry died, nobody knew that the request had been sent. Change: a release names the claim's number.

--- a/coltsfoottray/claims/memory.py
+++ b/coltsfoottray/claims/memory.py
@@ -71,10 +71,14 @@
             if held is None or held.attempt < claim.attempt:
                 self.put(claim)
 
-    def remove(self, request: RequestId, incarnation: Incarnation) -> None:
-        """Remove the claim to `request` if `incarnation` made it."""
+    def remove(
+        self, request: RequestId, incarnation: Incarnation, attempt: int
+    ) -> None:
+        """Remove the claim to `request` if `incarnation` made it, by `attempt`."""
         held = self.find(request)
-        if held is not None and held.incarnation == incarnation:
+        if held is None or held.incarnation != incarnation:
+            return
+        if held.attempt <= attempt:
             del self._held_by_request[request]
 
     def claims(self) -> list[Claim]:
--- a/coltsfoottray/claims/messages.py
+++ b/coltsfoottray/claims/messages.py
@@ -108,10 +108,18 @@
 
 
 class ReleaseRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """Release of the claim to a request that was certainly not run."""
+    """Release of the claim to a request that was certainly not run.
+
+    Parameters
+    ----------
+    attempt : int
+        The number of the claim. A later claim of the same entry is not released.
+        Entries of earlier versions do not send it; their releases have no effect.
+    """
 
     request: RequestId
     incarnation: Incarnation
+    attempt: int = 0
 
 
 class ReleaseReply(msgspec.Struct, frozen=True, kw_only=True):
--- a/coltsfoottray/claims/service.py
+++ b/coltsfoottray/claims/service.py
@@ -122,7 +122,7 @@
 
     async def handle_release(self, request: ReleaseRequest) -> ReleaseReply:
         """Handle `RELEASE`: remove the claim."""
-        self._memory.remove(request.request, request.incarnation)
+        self._memory.remove(request.request, request.incarnation, request.attempt)
         return ReleaseReply()
 
     def find(self, request: RequestId) -> Claim | None:
@@ -182,8 +182,10 @@
         held = self._memory.find(request)
         if held is None or held.incarnation != self._incarnation:
             return
-        self._memory.remove(request, self._incarnation)
-        message = ReleaseRequest(request=request, incarnation=self._incarnation)
+        self._memory.remove(request, self._incarnation, held.attempt)
+        message = ReleaseRequest(
+            request=request, incarnation=self._incarnation, attempt=held.attempt
+        )
         for entry in self._members.others():
             address = self._members.address_of(entry)
             if address is None:
@@ -214,7 +216,7 @@
             and request not in self._in_progress
         ):
             # Nothing was sent under a claim of this entry that was never completed.
-            self._memory.remove(request, self._incarnation)
+            self._memory.remove(request, self._incarnation, held.attempt)
         return self._memory.decide(proposal)
 
     def _refusal(self, request: RequestId) -> ClaimResult | None:
