A late proposal does not replace a later claim

Callers saw: a non-idempotent request that runs twice.

Cause: a member records each proposal of the claimant that holds a key. One that arrived late replaced the claim under which the key had run by an earlier one, with another place; when the claimant died, that place proved that it had not run the key. Change: of two claims of one claimant the one with the higher number stays. An entry whose clock has gone back is told of its own claim then, follows it and claims above it (second scenario).

--- a/coltsfoottray/claims/memory.py
+++ b/coltsfoottray/claims/memory.py
@@ -87,11 +87,15 @@
         return [held.claim for held in self._held_by_request.values()]
 
     def decide(self, proposal: Proposal) -> ClaimVerdict:
-        """Record a member's claim unless another claimant holds the request."""
-        held = self.find(proposal.claim.request)
+        """Record a member's claim unless another claimant holds the request.
+
+        A claim that is older than the same claimant's claim held arrived late.
+        """
+        claim = proposal.claim
+        held = self.find(claim.request)
         is_free = (
             held is None
-            or held.incarnation == proposal.claim.incarnation
+            or (held.incarnation == claim.incarnation and held.attempt <= claim.attempt)
             or (
                 held.incarnation == proposal.supersedes
                 and held.incarnation != self._incarnation
@@ -99,7 +103,7 @@
         )
         if not is_free:
             return ClaimVerdict(verdict=Verdict.TAKEN, taken=held)
-        self.put(proposal.claim)
+        self.put(claim)
         return ClaimVerdict(verdict=Verdict.GRANTED)
 
     def _remove_expired(self) -> None:
--- a/tests/requests/late_messages.feature
+++ b/tests/requests/late_messages.feature
@@ -72,3 +72,16 @@
     When entry-1 resumes
     And 5000 ms pass
     Then "q1" has run 1 time
+
+  Scenario: An entry's clock goes back between two claims of a key
+    # Guards against a claim refused for its low number although the entry is alive.
+    Given two entries and three instances in memory
+    And every instance refuses requests as if it were draining
+    And the next "Release" that entry-2 is sent is late
+    When "first" sends key "q1" to entry-1, which takes 50 ms to run
+    Then "first" is told that it was not run, with a retry-after time
+    When every instance accepts requests again
+    And the time of day of entry-1 goes back by 60 s
+    And "again" sends key "q1" to entry-1, which takes 50 ms to run
+    Then "again" gets the whole answer of "q1"
+    And "q1" has run 1 time
--- a/tests/steps/late_message_steps.py
+++ b/tests/steps/late_message_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 import msgspec
 import trio
 from behave import given, when
@@ -59,3 +61,9 @@
     world.fabric.faults(claim.place.attendant).pause()
     world.wait_until(lambda: claims.has_claimant_left(claim))
     world.resume(claim.place.attendant)
+
+
+@when("the time of day of {entry} goes back by {seconds:d} s")
+def turn_back_clock(context, entry, seconds):
+    faults = context.world.fabric.faults(entry)
+    faults.time_of_day_offset = timedelta(seconds=-seconds)
