A claim whose claimant has just left is cancelled before it is superseded

Callers saw: a non-idempotent request that runs twice.

Cause: an entry that follows another's claim asks its place, and cancels there first if the claimant has left. If the claimant left while the place was asked, the answer 'unknown key' let the claim be superseded without a cancellation, and the claimant, which had been paused, sent its message afterwards. Change: the place is then asked again, with a cancellation.

--- a/coltsfoottray/requests/claim_follower.py
+++ b/coltsfoottray/requests/claim_follower.py
@@ -56,6 +56,7 @@
                 reply = RunReply(outcome=RunOutcome.UNKNOWN, reason=reason)
                 return FollowResult(reply=reply)
             claim = self._claims.find(request) or claim
+            must_cancel = self._must_cancel(claim)
             try:
                 reply = await self._query(request, claim, remaining)
             except CommunicationError as error:
@@ -67,6 +68,9 @@
             if reply.outcome is RunOutcome.RUNNING:
                 reason = "still running"
                 continue
+            if self._must_cancel(claim) and not must_cancel:
+                # The claimant has left meanwhile, and its message may be in transit.
+                continue
             return FollowResult(void_claim=claim)
 
     async def _query(
@@ -80,10 +84,13 @@
         """
         if not claim.place.attendant:
             return RunReply(outcome=RunOutcome.NOT_RUN, reason="not sent anywhere")
-        if self._claims.has_claimant_left(claim) or self._claims.is_own(claim):
+        if self._must_cancel(claim):
             reply = await self._attendants.cancel(claim.place, request, claim.attempt)
             if reply.outcome is not RunOutcome.RUNNING:
                 return reply
         return await self._attendants.fetch(
             claim.place, request, wait=min(remaining, PROBE_AFTER)
         )
+
+    def _must_cancel(self, claim: Claim) -> bool:
+        return self._claims.has_claimant_left(claim) or self._claims.is_own(claim)
