Failing: stopped and cancelled work that starts again, or is stopped by a process replaced

What a caller would see: a cancelled task that starts again; a key that was refused as not run and runs; work lost since the last checkpoint. One scenario of tests/requests/late_messages and two of tests/tasks/terms fail on this code.

--- a/tests/requests/late_messages.feature
+++ b/tests/requests/late_messages.feature
@@ -85,3 +85,16 @@
     And "again" sends key "q1" to entry-1, which takes 50 ms to run
     Then "again" gets the whole answer of "q1"
     And "q1" has run 1 time
+
+  Scenario: A cancellation is renewed just before it would be forgotten
+    # Guards against a cancellation forgotten by the age of an earlier attempt's.
+    Given two entries and three instances in memory
+    And the next message to each instance is late
+    When "first" sends key "q1" to entry-1, which takes 50 ms to run
+    Then "first" is told that it was not run, with a retry-after time
+    When 54000 ms pass
+    And the next message to each instance is late
+    And "again" sends key "q1" to entry-1, which takes 50 ms to run
+    Then "again" is told that it was not run, with a retry-after time
+    When 12000 ms pass
+    Then "q1" has run 0 times
--- a/tests/steps/term_steps.py
+++ b/tests/steps/term_steps.py
@@ -158,3 +158,29 @@
 
     listener._serve = serve_slowly
     world.wait_until(lambda: reads)
+
+
+@when(
+    "the attendant of {worker} is paused, its VM restarts, and a second one is started"
+)
+def replace_attendant(context, worker):
+    """Start an attendant whose faults are its own beside the paused one."""
+    world = context.world
+    context.paused_attendant = world.fabric.faults(worker)
+    context.paused_attendant.pause()
+    _restart_vm(world.cell.worker_stand_in_by_name[worker])
+    del world.fabric.faults_by_process[worker]
+    world.run(world.cell.start_attendant, worker)
+
+
+@when("the paused attendant resumes")
+def resume_attendant(context):
+    async def resume():
+        context.paused_attendant.resume()
+
+    context.world.run(resume)
+
+
+@when("the entries reach the workers again")
+def heal_cuts(context):
+    context.world.fabric.cut.clear()
--- a/tests/tasks/terms.feature
+++ b/tests/tasks/terms.feature
@@ -57,3 +57,28 @@
     And the VM of "b1" restarts empty as its row is read, which is answered 1900 ms later
     And the task "b1" is finished within 60 s
     Then no worker was ever overcommitted, and nothing ran twice
+
+  Scenario: A replaced attendant resumes beside a VM that has restarted
+    # Guards against tasks of its successor that a replaced attendant stops.
+    Given two entries and 1 workers in memory
+    When the attendant of worker-01 is paused, its VM restarts, and a second one is started
+    And 3000 ms pass
+    And "arolwg" submits the task "b1" which runs for 10 s
+    And the task "b1" runs for 2000 ms
+    And the paused attendant resumes
+    Then the task "b1" keeps running for 3000 ms
+    And the task "b1" is finished
+    And "b1" was started 1 times
+
+  Scenario: A task is cancelled after its attempt has failed
+    # Guards against a cancelled task that is started again.
+    Given two entries and 1 workers in memory
+    And worker-01 fails everything it starts
+    When "arolwg" submits the task "b1" which runs for 4 s
+    And the task "b1" runs for 2000 ms
+    And the worker that runs "b1" is cut off from the entries
+    And 2500 ms pass
+    And "arolwg" cancels all its tasks
+    And the entries reach the workers again
+    Then every task of "arolwg" is cancelled and runs nowhere
+    And "b1" was started 1 times
