A cancellation is kept for the retention time from the latest one on

Callers saw: 'not run' for a key that ran afterwards.

Cause: when an instance cancelled a higher attempt of a key, the cancellation kept the age of the first. If that was a retention time old, it was dropped, and the message of the later attempt was started when it arrived. Change: its age begins anew.

--- a/coltsfoottray/upstream/ledger.py
+++ b/coltsfoottray/upstream/ledger.py
@@ -141,7 +141,7 @@
 
         After a tombstone no attempt up to `attempt` can start here, even if its
         message arrives later, so the entry may send the request to another
-        instance.
+        instance. It is kept for the retention time from the latest cancellation on.
         """
         execution = self._execution_by_id.get(request)
         if execution is None:
@@ -149,6 +149,10 @@
         execution.attempt = max(execution.attempt, attempt)
         if execution.state is ExecutionState.WAITING:
             self._end(execution, ExecutionState.TOMBSTONED)
+        elif execution.state is ExecutionState.TOMBSTONED:
+            # Moved to the end, so that insertion order remains the order of age.
+            self._execution_by_id[request] = self._execution_by_id.pop(request)
+            execution.changed_at = self._clock.elapsed()
         return execution
 
     def _add(
