A cancelled task whose attempt has failed is not started again

Callers saw: a task that starts once more after it was cancelled, or waits for a worker.

Cause: a customer may cancel a task whose attempt has failed, before its owner knows of that. The owner then queued the task again. Change: it is cancelled. Evidence: 'A task is cancelled after its attempt has failed' failed (started twice) and passes; terms, one_place and lost: 38 passed, 0 failed, one known red.

--- a/coltsfoottray/tasks/supervisor.py
+++ b/coltsfoottray/tasks/supervisor.py
@@ -138,6 +138,8 @@
         failures = row.failures + (exit_code != 0)
         if exit_code == 0:
             state, reason = TaskState.FINISHED, "exit code 0"
+        elif row.wants_cancel:
+            state, reason = TaskState.CANCELLED, f"exit code {exit_code}, cancelled"
         elif failures < MAX_FAILURES:
             state, reason = TaskState.QUEUED, f"exit code {exit_code}, queued again"
         else:
