An attendant reads the row before it stops what a restarted worker runs

Callers saw: a running task that is stopped, and work lost since its last checkpoint.

Cause: an attendant that sees a new boot of its worker began the next term at once, and stopped all that ran there. One that had been paused and replaced did so too, to the tasks of its successor. Change: it reads the row first, which shows a successor; until then nothing is admitted.

--- a/coltsfoottray/leases/worker.py
+++ b/coltsfoottray/leases/worker.py
@@ -146,13 +146,15 @@
         # Ask the worker first. If the row were renewed for a worker that answers
         # no calls, it would never lapse, and its tasks would never run elsewhere.
         boot = (await self._control.describe()).boot
-        if self._version is None or not self._is_accepted:
-            if not await self._read_row(boot):
-                return False
-        elif boot != self._row.boot:
+        is_rebooted = boot != self._row.boot
+        if is_rebooted:
             # The VM has a new incarnation. In the old term an attempt of the earlier
             # one could be started again: nothing records that it has already run.
-            await self._begin_term(self._row.term + 1, boot)
+            self._row_valid_until = self._valid_until = self._clock.elapsed()
+        # After a reboot, a successor of this attendant may already have begun a term.
+        must_read = self._version is None or not self._is_accepted or is_rebooted
+        if must_read and not await self._read_row(boot):
+            return False
         if not self._is_accepted:
             # If the row were renewed for a worker that accepts no renewals, it would
             # never lapse, and the tasks suspended there would never run elsewhere.
