Failing: a key runs again at an entry that is cut off from its claimant

What a caller would see: a non-idempotent request that runs twice, after its whole answer was sent, when two entries that reach the table do not reach each other for a second. One scenario of tests/requests/late_messages fails on this code.

--- a/tests/requests/late_messages.feature
+++ b/tests/requests/late_messages.feature
@@ -98,3 +98,14 @@
     Then "again" is told that it was not run, with a retry-after time
     When 12000 ms pass
     Then "q1" has run 0 times
+
+  Scenario: A key is repeated at an entry that is cut off from its claimant
+    # Guards against a claim in the table replaced by a later one of another entry.
+    Given two entries and three instances in memory
+    And entry-1 and entry-2 cannot reach each other
+    When "first" sends key "q1" to entry-1, which takes 50 ms to run
+    Then "first" gets the whole answer of "q1"
+    When 1000 ms pass
+    And "again" sends key "q1" to entry-2, which takes 50 ms to run
+    Then "again" gets the whole answer of "q1"
+    And "q1" has run 1 time
