A claim in the table is replaced only if its claimant may be superseded

Callers saw: a non-idempotent request that runs twice, after its whole answer was sent.

Cause: an entry that does not reach another member writes its claim to the table. It followed a row that it found there only if that row's number was higher than its own. As numbers are times, a key repeated later had the higher one and replaced the row, so only entries that wrote at the same moment were told of each other. Change: the row of another claimant is replaced only if that claimant's claim is void, as members require it too. A caller that repeats a key at an entry cut off from the one that refused it may be told 'outcome unknown' where it was run before: the row outlives the release.

--- a/coltsfoottray/claims/service.py
+++ b/coltsfoottray/claims/service.py
@@ -267,7 +267,7 @@
                 return _unknown("this entry must rejoin")
             rival = _find_rival(verdicts)
             if rival is None:
-                return await self._finish(claim, verdicts)
+                return await self._finish(claim, supersedes, verdicts)
             verdict = verdict_by_entry.get(rival.entry)
             if verdict is not None and verdict.verdict is Verdict.GRANTED:
                 # The rival has released the request; other members may not know yet.
@@ -298,23 +298,27 @@
             self._memory.put(rival)
 
     async def _finish(
-        self, claim: Claim, verdicts: list[ClaimVerdict | None]
+        self,
+        claim: Claim,
+        supersedes: Incarnation,
+        verdicts: list[ClaimVerdict | None],
     ) -> ClaimResult:
         complete = replace(claim, is_complete=True)
         is_unanimous = bool(verdicts) and all(v is not None for v in verdicts)
         if not is_unanimous:
-            refusal = await self._write(complete)
+            refusal = await self._write(complete, supersedes)
             if refusal is not None:
                 return refusal
         self._memory.put(complete)
         return ClaimResult(outcome=ClaimOutcome.MINE, claim=complete)
 
-    async def _write(self, claim: Claim) -> ClaimResult | None:
+    async def _write(self, claim: Claim, supersedes: Incarnation) -> ClaimResult | None:
         """Write the claim to the table; return None if that succeeds.
 
         The table decides if a member is unreachable. That member, cut off or
         paused, may be claiming the same key. It reaches no other member either,
-        so it writes to the table too, and one of the two writes fails.
+        so it writes to the table too, and one of the two writes fails. A row that
+        is already there is followed, unless its claimant's claim may be replaced.
 
         If the outcome of the write is uncertain, the claim stays in memory as
         incomplete. A later claim then gets a higher number than this one, whose
@@ -323,20 +327,22 @@
         key = CLAIM_PREFIX + claim.request
         with trio.move_on_after(_TABLE_TIMEOUT.total_seconds()):
             try:
-                return await self._write_row(key, claim)
+                return await self._write_row(key, claim, supersedes)
             except TableUnavailable as error:
                 return _unknown(f"a member is unreachable, and {error}")
         return _unknown("a member is unreachable, and the table does not answer")
 
-    async def _write_row(self, key: str, claim: Claim) -> ClaimResult | None:
+    async def _write_row(
+        self, key: str, claim: Claim, supersedes: Incarnation
+    ) -> ClaimResult | None:
         found = await self._table.get(key)
         version = ABSENT if found is None else found.version
         if found is not None:
             earlier = found.decode(Claim)
-            if (
-                earlier.incarnation != self._incarnation
-                and earlier.attempt >= claim.attempt
-            ):
+            is_replaceable = earlier.incarnation == self._incarnation or (
+                earlier.incarnation == supersedes and earlier.attempt < claim.attempt
+            )
+            if not is_replaceable:
                 self._memory.put(earlier)
                 return ClaimResult(outcome=ClaimOutcome.FOLLOW, claim=earlier)
         own_row = Check(
