Failing: a member of the claims is forgotten by a late message

What a caller would see: a non-idempotent request that runs twice. One scenario of tests/requests/late_messages fails on this code: a message to join, sent before an entry's restart, replaces its new incarnation at another, which then claims without asking it. The scenario with the clock set back passes; it is there for the mend.

--- a/tests/steps/late_message_steps.py
+++ b/tests/steps/late_message_steps.py
@@ -8,7 +8,7 @@
 import trio
 from behave import given, when
 
-from coltsfoottray.claims.messages import CLAIM_PREFIX, Claim, ClaimRequest
+from coltsfoottray.claims.messages import CLAIM_PREFIX, Claim, ClaimRequest, SyncRequest
 from coltsfoottray.types import RequestId
 from standins.fabric import REQUEST_DELAY_S
 
@@ -67,3 +67,21 @@
 def turn_back_clock(context, entry, seconds):
     faults = context.world.fabric.faults(entry)
     faults.time_of_day_offset = timedelta(seconds=-seconds)
+
+
+@when("entry-2 restarts within {ms:d} ms and has joined")
+def restart_entry(context, ms):
+    world = context.world
+    context.earlier_member = world.cell.entry_by_name["entry-2"].claim_members.own_row()
+    world.kill("entry-2")
+    world.advance(ms / 1000)
+    world.run(world.cell.start_entry, "entry-2")
+    members = world.cell.entry_by_name["entry-2"].claim_members
+    world.wait_until(lambda: members.is_joined)
+
+
+@when("the message with which entry-2 joined before arrives at entry-1 once more")
+def repeat_sync(context):
+    members = context.world.cell.entry_by_name["entry-1"].claim_members
+    request = SyncRequest(member=context.earlier_member)
+    context.world.run(members.handle_sync, request)
