--- a/coltsfoottray/leases/worker.py
+++ b/coltsfoottray/leases/worker.py
@@ -110,6 +110,11 @@
         """The current term; 0 before the first."""
         return self._row.term
 
+    @property
+    def holder(self) -> str:
+        """The holder in whose name the worker is called in the current term."""
+        return self._holder_in(self._row.term)
+
     @property
     def is_valid(self) -> bool:
         """Whether tasks may be started now."""
@@ -141,13 +146,15 @@
         # Ask the worker first. If the row were renewed for a worker that answers
         # no calls, it would never lapse, and its tasks would never run elsewhere.
         boot = (await self._control.describe()).boot
-        if self._version is None or not self._is_accepted:
-            if not await self._read_row(boot):
-                return False
-        elif boot != self._row.boot:
+        is_rebooted = boot != self._row.boot
+        if is_rebooted:
             # The VM has a new incarnation. In the old term an attempt of the earlier
             # one could be started again: nothing records that it has already run.
-            await self._begin_term(self._row.term + 1, boot)
+            self._row_valid_until = self._valid_until = self._clock.elapsed()
+        # After a reboot, a successor of this attendant may already have begun a term.
+        must_read = self._version is None or not self._is_accepted or is_rebooted
+        if must_read and not await self._read_row(boot):
+            return False
         if not self._is_accepted:
             # If the row were renewed for a worker that accepts no renewals, it would
             # never lapse, and the tasks suspended there would never run elsewhere.
@@ -178,7 +185,7 @@
         other they would stay suspended.
         """
         left = max(self._row_valid_until - self._clock.elapsed(), timedelta(0))
-        await self._control.renew(holder=self._incarnation, duration=left)
+        await self._control.renew(holder=self.holder, duration=left)
         self._is_accepted = True
         self._valid_until = self._row_valid_until
 
@@ -189,8 +196,8 @@
         """
         row = await self._table.get(worker_key(self._row.worker))
         if row is None:
-            self._version = ABSENT
             await self._begin_term(1, boot)
+            self._version = ABSENT
             return True
         found = row.decode(WorkerLeaseRow)
         is_own = found.holder == self._incarnation and found.state is LeaseState.HELD
@@ -199,7 +206,6 @@
             # outdated and must not compete with it.
             log_event("lease:worker-superseded", holder=found.holder)
             return False
-        self._version = row.version
         if found.state is LeaseState.LOST or found.boot != boot:
             await self._begin_term(found.term + 1, boot)
         else:
@@ -207,14 +213,20 @@
             self._row = msgspec.structs.replace(
                 self._row, term=found.term, boot=boot, state=LeaseState.HELD
             )
+        # Last: with the version, an attendant whose new term failed to begin would
+        # renew the row in the term it knew before, which may be over.
+        self._version = row.version
         return True
 
     async def _begin_term(self, term: int, boot: str) -> None:
         """Begin a term with an empty worker.
 
         Tasks of the earlier term may already run elsewhere. They are stopped
-        permanently before a renewal can let them continue here.
+        permanently before a renewal can let them continue here. The new holder comes
+        first, so that the worker refuses starts of the earlier term that arrive later.
         """
+        holder = self._holder_in(term)
+        await self._control.renew(holder=holder, duration=timedelta(0))
         for running in await self._control.tasks():
             await self._control.stop(task=running.task, attempt=running.attempt)
             await self._control.forget(task=running.task, attempt=running.attempt)
@@ -227,3 +239,6 @@
         # attendant would begin the same term again and stop the task permanently,
         # but the task would stay bound to this worker permanently.
         self._row_valid_until = self._valid_until = self._clock.elapsed()
+
+    def _holder_in(self, term: int) -> str:
+        return f"{self._incarnation}/{term}"
--- a/coltsfoottray/worker/attendant.py
+++ b/coltsfoottray/worker/attendant.py
@@ -128,6 +128,7 @@
 
     async def reserve(self, request: ReserveRequest) -> StartReply:
         """Handle `RESERVE`."""
+        await self._forget_earlier(request.spec.task, request.attempt)
         return self._reply(
             self._check_admission(
                 request.incarnation, request.spec.task, request.attempt
@@ -138,9 +139,7 @@
     async def start(self, request: StartRequest) -> StartReply:
         """Handle `START`; repeated requests start an attempt only once."""
         spec = request.spec
-        refusal = self._check_admission(request.incarnation, spec.task, request.attempt)
-        if refusal is None and request.term != self._lease.term:
-            refusal = Verdict.WRONG_LIFE
+        refusal = self._check_term(request)
         if refusal is None:
             refusal = await self._check_start(request)
         verdict = refusal or self._reserve(spec.task, request.attempt, spec.demand)
@@ -173,7 +172,8 @@
         )
         if not is_here:
             return Verdict.STOPPED
-        return self._check_admission(request.incarnation, task, request.attempt)
+        # A new term may have begun since the row was read.
+        return self._check_term(request)
 
     async def stop_attempt(self, request: StopRequest) -> StopReply:
         """Handle `STOP`; afterwards the attempt cannot run here any more."""
@@ -204,6 +204,31 @@
             await self._control.forget(task=request.task, attempt=request.attempt)
         return ForgetReply()
 
+    async def _forget_earlier(self, task: TaskId, attempt: int) -> None:
+        """Drop an ended attempt of the task before `attempt`.
+
+        Its owner may have died before it could ask for that. The end is stored, as
+        there would be no later attempt otherwise.
+        """
+        held = self._ledger.reservation_by_task.get(task)
+        if held is None or held.exit_code is None or held.attempt >= attempt:
+            return
+        try:
+            await self._control.forget(task=task, attempt=held.attempt)
+        except CommunicationError as error:
+            log_event("worker:not-forgotten", task=task, error=str(error))
+            return
+        self._ledger.drop(task, held.attempt)
+        self._report_by_task.pop(task, None)
+
+    def _check_term(self, request: StartRequest) -> Verdict | None:
+        """Return why the attempt is not admitted in its term, None if it is."""
+        task, attempt = request.spec.task, request.attempt
+        refusal = self._check_admission(request.incarnation, task, attempt)
+        if refusal is None and request.term != self._lease.term:
+            return Verdict.WRONG_LIFE
+        return refusal
+
     def _check_admission(
         self, incarnation: Incarnation, task: TaskId, attempt: int
     ) -> Verdict | None:
@@ -231,7 +256,7 @@
             demand=spec.demand,
             runtime_s=spec.runtime_s,
             checkpoint=request.checkpoint,
-            holder=self._incarnation,
+            holder=self._lease.holder,
             payload=spec.payload,
         )
         reservation = self._ledger.reservation_by_task[spec.task]
@@ -279,10 +304,16 @@
         ledger = CapacityLedger(capacity=description.capacity)
         for row in await self._load_assigned_rows(term):
             ledger.reserve(self._reservation_of(row))
-        for running in await self._control.tasks():
-            reservation = ledger.reservation_by_task.get(running.task)
-            if reservation is None or reservation.attempt != running.attempt:
-                await self._control.stop(task=running.task, attempt=running.attempt)
+        listed = {(each.task, each.attempt) for each in await self._control.tasks()}
+        held = ledger.reservation_by_task.values()
+        assigned = {(each.task, each.attempt) for each in held}
+        for task, attempt in sorted(listed - assigned):
+            await self._control.stop(task=task, attempt=attempt)
+        # These were lost or never started, and the owner cannot tell which: if one has
+        # run, starting it again would repeat it.
+        for task, attempt in sorted(assigned - listed):
+            await self._control.stop(task=task, attempt=attempt)
+            ledger.stop(task, attempt)
         self._ledger = ledger
         self._ledger_term = term
         self._report_by_task.clear()
