--- a/coltsfoottray/worker/attendant.py
+++ b/coltsfoottray/worker/attendant.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
 
-import msgspec
 import trio
 
 from coltsfoottray.clock import Clock
@@ -21,7 +20,7 @@
     TaskStart,
     WorkerControl,
 )
-from coltsfoottray.tasks import TaskRow, TaskStore, checkpoint_name, result_name
+from coltsfoottray.tasks import TaskRow, TaskStore, checkpoint_name
 from coltsfoottray.types import AttendantId, Incarnation, Resources, TaskId, TaskState
 from coltsfoottray.worker.ledger import CapacityLedger, Reservation
 from coltsfoottray.worker.messages import (
@@ -38,14 +37,13 @@
     StopRequest,
     Verdict,
 )
+from coltsfoottray.worker.saves import AttemptSaver
 
 __all__ = ["WorkerAttendant"]
 
 # A reservation that was not started is dropped after this time: its owner has died. A
 # start that still arrives is checked again.
 RESERVATION_TIMEOUT = timedelta(seconds=10)
-# Owners normally store an end within this time.
-RESULT_DELAY = timedelta(seconds=1)
 
 
 class WorkerAttendant(Service):
@@ -80,10 +78,14 @@
         self._control = control
         self._lease = lease
         self._store = store
-        self._objects = objects
+        self._saver = AttemptSaver(
+            control=control,
+            objects=objects,
+            clock=clock,
+            checkpoint_interval=checkpoint_interval,
+        )
         self._clock = clock
         self._interval = interval
-        self._checkpoint_interval = checkpoint_interval
         self._on_change = on_change
         self._ledger = CapacityLedger(capacity=Resources())
         self._report_by_task: dict[TaskId, AttemptReport] = {}
@@ -279,11 +281,14 @@
         except (CommunicationError, TableUnavailable) as error:
             log_event("worker:untended", error=str(error))
 
+    async def _store_results(self) -> None:
+        await self._saver.store_results(self._ledger)
+
     async def _maintain(self) -> None:
         if self._lease.term != self._ledger_term or not self._is_ready:
             await self._rebuild()
         self._drop_stale_reservations()
-        await self._take_checkpoints()
+        await self._saver.take_checkpoints(self._ledger)
         if await self._update_reports():
             await self._on_change()
 
@@ -299,7 +304,7 @@
             return
         # Replacing the ledger discards ends whose results are not stored; their tasks
         # would be requeued and run again.
-        await self._store_results(delay=timedelta(0))
+        await self._saver.store_results(self._ledger, delay=timedelta(0))
         description = await self._control.describe()
         ledger = CapacityLedger(capacity=description.capacity)
         for row in await self._load_assigned_rows(term):
@@ -339,45 +344,12 @@
             is_started=True,
         )
 
-    async def _take_checkpoints(self) -> None:
-        """Take checkpoints of attempts whose last checkpoint is an interval old.
-
-        The name contains the attempt, so a worker that resumes after a pause does not
-        overwrite the checkpoint of a later attempt.
-        """
-        now = self._clock.elapsed()
-        for reservation in list(self._ledger.reservation_by_task.values()):
-            is_due = now - reservation.made_at >= self._checkpoint_interval
-            if is_due and reservation.is_started and reservation.exit_code is None:
-                await self._control.checkpoint(
-                    task=reservation.task,
-                    attempt=reservation.attempt,
-                    name=checkpoint_name(reservation.task, reservation.attempt),
-                )
-                reservation.made_at = now
-
     def _drop_stale_reservations(self) -> None:
         oldest = self._clock.elapsed() - RESERVATION_TIMEOUT
         for reservation in list(self._ledger.reservation_by_task.values()):
             if not reservation.is_started and reservation.made_at < oldest:
                 self._ledger.drop(reservation.task, reservation.attempt)
 
-    async def _store_results(self, delay: timedelta = RESULT_DELAY) -> None:
-        """Store exit codes that no owner has acknowledged within `delay`.
-
-        If the lease lapses or the VM is lost before the owner has stored the end, the
-        owner finds the result in the object store and does not run the task again.
-        """
-        oldest = self._clock.elapsed() - delay
-        for reservation in list(self._ledger.reservation_by_task.values()):
-            is_due = reservation.ended_at is not None and reservation.ended_at <= oldest
-            if is_due and not reservation.has_result:
-                name = result_name(reservation.task, reservation.attempt)
-                await self._objects.write(
-                    name, msgspec.json.encode(reservation.exit_code)
-                )
-                reservation.has_result = True
-
     async def _update_reports(self) -> bool:
         """Read the state of the worker's tasks; return whether any has newly ended."""
         has_ended = False
