--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -49,6 +49,7 @@
         """Add a stored job; its runs may exist until their worker's lease ends."""
         self.jobs.add(job)
         for step in job.steps():
+            is_stopping = job.record.state.is_final or step.is_broken_gang
             for index, task in enumerate(step.records):
                 if task.phase is not TaskPhase.ASSIGNED:
                     continue
@@ -59,7 +60,7 @@
                     life=task.life,
                     placed_at=now,
                     is_released=True,
-                    is_stopping=job.record.state.is_final,
+                    is_stopping=is_stopping,
                 )
                 end = lease_end(task.worker)
                 self.fleet.get_or_add(task.worker, None, end).hold(placed)
@@ -355,9 +356,10 @@
 
     def _count_failure(self, step: LiveStep, ref: RunRef, now_ms: int) -> None:
         record = step.records[0 if step.spec.is_gang else ref.task.index]
-        if step.spec.is_gang and ref.run in step.failed_runs:
+        if ref.run <= record.failed_run:
+            # Several members of a gang may report the failure of one run.
             return
-        step.failed_runs.add(ref.run)
+        record.failed_run = ref.run
         record.failures += 1
         job = step.job
         allowed = self.terms_of(job).max_attempts
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -40,9 +40,6 @@
     ----------
     waiting : list of int
         Indices of the tasks without a run.
-    failed_runs : set of int
-        The runs whose failure has been counted. In a gang, several tasks may report
-        the failure of one run.
     avoid_by_index : dict
         For each task index, the workers on which the task failed or stalled.
     ticket_by_life : dict
@@ -60,7 +57,6 @@
     records: list[TaskRecord]
     waiting: list[int] = field(default_factory=list)
     done: int = 0
-    failed_runs: set[int] = field(default_factory=set)
     avoid_by_index: dict[int, set[str]] = field(default_factory=dict)
     ticket_by_life: dict[str, Ticket] = field(default_factory=dict)
     advice_state: AdviceState = field(default_factory=AdviceState)
@@ -107,6 +103,11 @@
         """Whether every task has completed."""
         return self.done == len(self.records)
 
+    @property
+    def is_broken_gang(self) -> bool:
+        """Whether some member of a gang has no run, so that the others must stop."""
+        return self.spec.is_gang and 0 < len(self.waiting) < len(self.records)
+
     @property
     def can_start(self) -> bool:
         """Whether it has waiting tasks and the steps that it depends on are done.
@@ -116,7 +117,7 @@
         """
         if not self.waiting or self.job.record.state.is_final:
             return False
-        if self.spec.is_gang and len(self.waiting) < len(self.records):
+        if self.is_broken_gang:
             return False
         steps = self.job.steps_by_occurrence[self.occurrence]
         return all(steps[number].is_done for number in self.spec.after)
