A state machine interrupts rejections before they are stored

Cause: no machine could see a rejection believed in a later session, forgotten with a lease or not made again (docs/incidents/twice-limit.md). Attendants seldom rejected a start, and nothing restarted or was slow just then. Change: `refused_jobs` adds, to the faults of `jobs`, workers that refuse starts, starts delayed in transit, a slow or failed store, messages to the scheduler that are late, and pushed orders that arrive once more. One rule, with which each run begins, submits a job that a worker refuses, delays the scheduler at the first start, and restarts the attendant or the scheduler or lets the lease expire. Three planted faults; a planted fault may be searched in runs of another length than 25 steps.

--- a/properties/__main__.py
+++ b/properties/__main__.py
@@ -14,11 +14,13 @@
 from properties.jobs import Jobs
 from properties.keyed_requests import KeyedRequests
 from properties.list_edits import ListEdits
+from properties.refused_jobs import RefusedJobs
 from properties.takeovers import Takeovers
 
 MACHINE_BY_NAME = {
     "jobs": Jobs,
     "evacuated-jobs": EvacuatedJobs,
+    "refused-jobs": RefusedJobs,
     "configs": Configs,
     "keyed": KeyedRequests,
     "tasks": BatchTasks,
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -10,10 +10,12 @@
 
 from msgspec.structs import replace
 
+from coltsfoottray.agent.attendant import TaskAttendant
 from coltsfoottray.agent.evacuation import EvacuationGuard, StartPermission
+from coltsfoottray.agent.runs import Runs
 from coltsfoottray.claims import Claim, ClaimOutcome, ClaimResult, Claims
 from coltsfoottray.jobs.api import JobAnswer, JobApi, Verdict
-from coltsfoottray.jobs.model import JobId
+from coltsfoottray.jobs.model import JobId, RunRef
 from coltsfoottray.leases import LeaseObserver
 from coltsfoottray.lists import Edit, ListEditor, apply_change
 from coltsfoottray.lists.editor import read_head
@@ -21,7 +23,7 @@
 from coltsfoottray.scheduler.fleet import Worker
 from coltsfoottray.scheduler.grants import Grants
 from coltsfoottray.scheduler.lease import LeaseRow
-from coltsfoottray.scheduler.messages import Report, ReportReply
+from coltsfoottray.scheduler.messages import Orders, Report, ReportReply
 from coltsfoottray.tasks import StoredTask, TaskStore
 from coltsfoottray.types import ListVersion, TaskState
 from coltsfoottray.upstream import ExecutionLedger
@@ -38,6 +40,9 @@
     "leases_renewed_out_of_reach",
     "ledger_without_bounds",
     "refusals_without_proof",
+    "rejections_accepted_in_any_session",
+    "rejections_forgotten_with_the_lease",
+    "rejections_made_once",
     "running_tasks_loaded_as_queued",
     "runs_given_up_early",
     "starts_without_judgement",
@@ -199,6 +204,47 @@
         yield
 
 
+@contextmanager
+def rejections_accepted_in_any_session() -> Iterator[None]:
+    """Let the scheduler accept a rejection of an order of an earlier session."""
+
+    def accept(self: Worker, ref: RunRef, *, session: int) -> bool:
+        del session
+        return ref in self.held_by_ref
+
+    with mock.patch.object(Worker, "accepts_rejection", accept):
+        yield
+
+
+@contextmanager
+def rejections_made_once() -> Iterator[None]:
+    """Let an attendant ignore a repeated order for a run that it has rejected."""
+    original = TaskAttendant._execute
+
+    def execute(self: TaskAttendant, orders: Orders) -> None:
+        rejected = self._runs.reason_by_barred_ref
+        starts = [each for each in orders.starts if each.ref not in rejected]
+        original(self, replace(orders, starts=starts))
+
+    with mock.patch.object(TaskAttendant, "_execute", execute):
+        yield
+
+
+@contextmanager
+def rejections_forgotten_with_the_lease() -> Iterator[None]:
+    """Let an attendant forget what it has rejected when its worker's lease expires."""
+    original = TaskAttendant._check_lapse
+
+    def check_and_forget(self: TaskAttendant) -> None:
+        runs = self._runs
+        original(self)
+        if self._runs is not runs:
+            self._runs = Runs()
+
+    with mock.patch.object(TaskAttendant, "_check_lapse", check_and_forget):
+        yield
+
+
 @contextmanager
 def refusals_without_proof() -> Iterator[None]:
     """Let entries refuse a job as never to run while its row may have been stored."""
--- a/tests/scheduler/fuzz.feature
+++ b/tests/scheduler/fuzz.feature
@@ -32,3 +32,19 @@
   Scenario: The oracle detects a start in an evacuated data centre
     # Planted fault: an attendant does not judge the starts that it was ordered.
     Then with the planted fault "starts without judgement" the machine "evacuated jobs" fails
+
+  Scenario: No sequence of faults starts a rejected run after all
+    # The same faults while rejections are interrupted by restarts and delays.
+    Then the machine "refused jobs" finds nothing in 25 runs of 20 steps
+
+  Scenario: The oracle detects a rejection accepted in a later session
+    # Planted fault: the scheduler accepts a rejection whatever session it was made in.
+    Then with the planted fault "rejections accepted in any session" the machine "refused jobs" fails in runs of 5 steps
+
+  Scenario: The oracle detects a rejection that is not repeated
+    # Planted fault: an attendant ignores a repeated order for a run that it rejected.
+    Then with the planted fault "rejections made once" the machine "refused jobs" fails in runs of 5 steps
+
+  Scenario: The oracle detects a rejection forgotten with the lease
+    # Planted fault: an attendant forgets rejections when its worker's lease expires.
+    Then with the planted fault "rejections forgotten with the lease" the machine "refused jobs" fails
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -14,6 +14,7 @@
     keyed_requests,
     list_edits,
     planted,
+    refused_jobs,
     takeovers,
 )
 
@@ -22,6 +23,7 @@
     "batch tasks": batch_tasks.BatchTasks,
     "jobs": jobs.Jobs,
     "evacuated jobs": evacuated_jobs.EvacuatedJobs,
+    "refused jobs": refused_jobs.RefusedJobs,
     "configs": configs.Configs,
     "list edits": list_edits.ListEdits,
     "takeovers": takeovers.Takeovers,
@@ -37,11 +39,15 @@
     "running tasks loaded as queued": planted.running_tasks_loaded_as_queued,
     "refusals without proof": planted.refusals_without_proof,
     "runs given up early": planted.runs_given_up_early,
+    "rejections accepted in any session": planted.rejections_accepted_in_any_session,
+    "rejections made once": planted.rejections_made_once,
+    "rejections forgotten with the lease": planted.rejections_forgotten_with_the_lease,
     "starts without judgement": planted.starts_without_judgement,
 }
 
 # About one run in a hundred finds a planted fault; the first one ends the search.
 _PLANTED_RUNS = 600
+_PLANTED_STEPS = 25
 
 
 @then('the machine "{name}" finds nothing in {runs:d} runs of {steps:d} steps')
@@ -53,11 +59,19 @@
 
 @then('with the planted fault "{fault}" the machine "{name}" fails')
 def run_with_fault(context, fault, name):
+    run_with_fault_briefly(context, fault, name, _PLANTED_STEPS)
+
+
+@then(
+    'with the planted fault "{fault}" the machine "{name}" fails in runs of '
+    "{steps:d} steps"
+)
+def run_with_fault_briefly(context, fault, name, steps):
     with PLANTED_BY_NAME[fault]():
         try:
             run_state_machine_as_test(
                 MACHINE_BY_NAME[name],
-                settings=_make_settings(_PLANTED_RUNS, 25, [Phase.generate]),
+                settings=_make_settings(_PLANTED_RUNS, steps, [Phase.generate]),
             )
         except AssertionError:
             return
