--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -215,6 +215,8 @@
         if request.path == "/v1/run-start" and self.slow_starts > 0:
             self.slow_starts -= 1
             await trio.sleep(_SLOW_START_DELAY_S)
+            if self.is_destroyed:
+                await trio.sleep_forever()
         if body["fencingToken"] < self.fence:
             return self._make_response({"reason": "fence"}, status=409)
         self.fence = body["fencingToken"]
