Revert "A job is pending until a worker has started one of its tasks"

A second reviewer showed that it stops the scheduler for ever: the new conditions are left out where a transaction is filled with deletions, so that it has over 100 entries (108 with 30 new jobs while 60 old ones are deleted) and is refused each time. A job whose starts are all refused as invalid was counted as pending for 20 s more, and records were written once more for each job (10 for 5 jobs, 5 before).

--- a/coltsfoottray/jobs/records.py
+++ b/coltsfoottray/jobs/records.py
@@ -45,7 +45,7 @@
     Parameters
     ----------
     has_started : bool
-        Whether a worker has ever started one of its tasks.
+        Whether any of its tasks was ever assigned.
     ended_ms : int
         Time at which it reached its final state, in milliseconds since 1970.
     """
@@ -106,7 +106,7 @@
     ended_ms : int
         Time at which it reached its final state, in milliseconds since 1970.
     has_started : bool
-        Whether a worker has ever started one of its tasks.
+        Whether any of its tasks was ever assigned.
     occurrences : list
         Tasks by occurrence and step. A completed occurrence is an empty list.
     length_ms_by_step : dict
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -103,7 +103,6 @@
                 ends=[f"{placed.ref} {kind.value}" for placed, kind in ended],
             )
         for run, kind in ended:
-            run.step.job.mark_started()
             if kind is EndKind.DONE:
                 run.record_completion(now)
         for end in report.ends:
@@ -121,7 +120,6 @@
             if placed is None:
                 worker.orphans.add(status.ref)
                 continue
-            placed.step.job.mark_started()
             placed.update_status(status.percent, status.figure, now)
             self._apply_checkpoint(placed, status)
         worker.recompute_usage()
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -306,20 +306,8 @@
 
     @property
     def has_new_summary(self) -> bool:
-        """Whether the summary has changed since it was stored.
-
-        A job without a stored summary has not started.
-        """
-        return self.record.summary != (self.stored_summary or JobSummary())
-
-    @property
-    def needs_summary_check(self) -> bool:
-        """Whether a write must depend on there being no summary.
-
-        A job that has ended has only a summary: its tasks must not start again if its
-        acceptance is taken for a new one.
-        """
-        return not self.summary_version and not self.has_new_summary
+        """Whether the summary has changed since it was stored."""
+        return self.record.summary != self.stored_summary
 
     @property
     def needs_record(self) -> bool:
@@ -341,15 +329,6 @@
         self.is_dirty = False
         self.has_new_checkpoints = False
 
-    def mark_started(self) -> None:
-        """Record that a worker has started one of its tasks."""
-        if self.record.has_started:
-            return
-        self.record.has_started = True
-        self.is_dirty = True
-        if not self.record.state.is_final:
-            self.record.state = JobState.RUNNING
-
     def finish(self, state: JobState, now_ms: int) -> None:
         """Enter a final state."""
         self.record.state = state
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -19,7 +19,6 @@
     Transaction,
     WatchedTable,
 )
-from coltsfoottray.platform.common import ABSENT
 from coltsfoottray.platform.retry import commit_with_retry
 from coltsfoottray.scheduler.grants import Grants
 from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL
@@ -172,7 +171,6 @@
             puts.append(Put.of(LEASE_KEY, self.version, self.lease))
         else:
             checks.append(Check(key=LEASE_KEY, version=self.version))
-        checks += [_summary_check(job) for job in jobs if job.needs_summary_check]
         versions = await self._commit_until_available(
             Transaction(puts=puts, checks=checks)
         )
@@ -232,18 +230,13 @@
         return is_old or self._must_renew or self._grants.has_recovered_worker()
 
 
-def _summary_check(job: LiveJob) -> Check:
-    """Return the condition that no scheduler has stored a summary of a job."""
-    return Check(key=summary_key(job.id), version=ABSENT)
-
-
 def _split_batches(jobs: list[LiveJob]) -> list[list[LiveJob]]:
     """Split jobs into batches that each fit into one transaction."""
     batches: list[list[LiveJob]] = []
     size = rows = 0
     for job in jobs:
         job_size = len(msgspec.json.encode(job.record))
-        job_rows = 1 + (job.has_new_summary or job.needs_summary_check)
+        job_rows = 1 + job.has_new_summary
         is_full = not batches or rows + job_rows > _ROWS_PER_COMMIT
         if is_full or size + job_size > _BYTES_PER_COMMIT:
             batches.append([])
