Failing: a job counts as begun once a worker is chosen for it

A mend has to keep the number of rows of a transaction, ended jobs that are not pending, and records that are not written more often.

--- a/tests/jobs/callers.feature
+++ b/tests/jobs/callers.feature
@@ -84,3 +84,14 @@
     Then the state of the job "a" at entry-2 is "410"
     And the store holds no row of "a"
     And 1 tasks were started, each once
+
+  Scenario: A job whose worker vanished before it started anything is pending
+    # Guards against a job that counts as begun because a worker was chosen for it.
+    Given two entries and 1 workers for jobs
+    When worker-1's VM stops answering
+    And the job "a" of 1 steps with 2 tasks of 4 s is submitted at entry-1
+    And 4 s pass
+    Then entry-1 counts 1 pending jobs
+    When worker-1's VM answers again
+    And 4 s pass
+    Then entry-1 counts 0 pending jobs
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -366,3 +366,9 @@
 def _other_entry(context):
     names = [name for name in context.world.cell.entry_by_name]
     return next(name for name in names if name != context.scheduler)
+
+
+@then("{entry} counts {count:d} pending jobs")
+def check_pending(context, entry, count):
+    response = context.world.call("GET", entry, "")
+    assert json.loads(response.body) == {"pending": count}, response
