An attendant remembers which runs ended when its worker's lease expires

Callers saw: a task that starts again after it has ended.

Cause: kept the runs that ended, and the lapse of the lease dropped them, as it had dropped rejections before; and what a worker lists was taken for whole before it was polled again. Change: what is remembered across a lapse is made in one place, and lists count as incomplete until the next poll. Evidence: 'The order of a finished run arrives after the worker's lease has expired' failed (two tasks started after they had succeeded) and passes; ends 16 passed, 0 failed.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -237,8 +237,7 @@
         log_event("worker:lease-lapsed", life=life, is_over=has_ended)
         self._has_lapsed = True
         self._lease.mark_ended()
-        # The worker is the same, and orders that are late may arrive after the lease.
-        self._runs = Runs(reason_by_barred_ref=self._runs.reason_by_barred_ref)
+        self._runs = self._runs.after_lapse()
         self._metrics.gauge("lease_left_seconds", 0.0)
         self._metrics.gauge("runs_there", 0)
         self.request_report()
--- a/coltsfoottray/agent/runs.py
+++ b/coltsfoottray/agent/runs.py
@@ -114,6 +114,17 @@
         self.rejected_by_ref[ref] = RejectedStart(ref=ref, reason=reason)
         return True
 
+    def after_lapse(self) -> Runs:
+        """Return the runs once the lease has expired, which ends all of them.
+
+        The worker is the same, and late orders may arrive after the lease.
+        """
+        return Runs(
+            is_complete=False,
+            reason_by_barred_ref=self.reason_by_barred_ref,
+            ended=self.ended,
+        )
+
     def apply_poll(self, reply: PollReply, *, sent_at: timedelta) -> bool:
         """Apply the reply to a poll; return whether a report is due.
 
--- a/tests/scheduler/ends.feature
+++ b/tests/scheduler/ends.feature
@@ -189,3 +189,20 @@
     And all orders recorded at worker-1 arrive once more
     And 500 ms pass
     Then no task ran twice at the same time or after its end
+
+  Scenario: The order of a finished run arrives after the worker's lease has expired
+    # Guards against an attendant that forgets with the lease which runs have ended.
+    Given two entries and 2 workers for jobs
+    And worker-1's attendant records its orders
+    When the job "a" of 1 steps with 4 tasks of 1 s is submitted at entry-1
+    And 3 s pass
+    And worker-1's VM stops answering
+    And 7 s pass
+    And 500 ms pass
+    And worker-1's VM answers again
+    And 1 s pass
+    And 200 ms pass
+    And worker-1's VM crashes and sends no heartbeats
+    And all orders recorded at worker-1 arrive once more
+    And 1 s pass
+    Then no task ran twice at the same time or after its end
