--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint fuzz capacity bench clean
+.PHONY: demo test lint fuzz soak capacity bench clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -37,6 +37,13 @@
 	$(BIN)/python -m properties tasks $(RUNS) $(STEPS)
 	$(BIN)/python -m properties lists $(RUNS) $(STEPS)
 
+# The real programs as processes, under faults; FIRST is the first seed.
+FIRST ?= 1
+SEEDS ?= 50
+SECONDS ?= 20
+soak: $(VENV)/.installed
+	$(BIN)/python -m soak --seeds $(FIRST)-$$(($(FIRST) + $(SEEDS) - 1)) --seconds $(SECONDS)
+
 capacity: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.capacity
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: the real programs as processes, judged from outside."""
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,139 @@
+"""Plans of faults, drawn from a seed."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+__all__ = ["Fault", "FaultKind", "make_plan"]
+
+# Time in which the processes start, without faults.
+_QUIET_S = 2.0
+_SERIES_PER_S = 0.6
+_MAX_SERIES_LENGTH = 4
+_MAX_LOST_ANSWERS = 5
+
+
+class FaultKind(StrEnum):
+    """Kinds of fault; the first word of a value is the kind of its target."""
+
+    PROGRAM_KILL = "program-kill"
+    PROGRAM_PAUSE = "program-pause"
+    PROGRAM_TERMINATE = "program-terminate"
+    WORKER_CRASH = "worker-crash"
+    WORKER_REFUSE = "worker-refuse"
+    WORKER_LATE = "worker-late"
+    WORKER_UNANSWERED = "worker-unanswered"
+    WORKER_SILENT = "worker-silent"
+    WORKER_GONE = "worker-gone"
+    STORE_DOWN = "store-down"
+    STORE_SLOW = "store-slow"
+    STORE_LOST_ANSWERS = "store-lost-answers"
+    STORE_DROPPED_HISTORY = "store-dropped-history"
+    CONFIG_EDIT = "config-edit"
+
+
+_WEIGHT_BY_KIND = {
+    FaultKind.PROGRAM_KILL: 4,
+    FaultKind.PROGRAM_PAUSE: 4,
+    FaultKind.PROGRAM_TERMINATE: 3,
+    FaultKind.WORKER_CRASH: 2,
+    FaultKind.WORKER_REFUSE: 1,
+    FaultKind.WORKER_LATE: 2,
+    FaultKind.WORKER_UNANSWERED: 2,
+    FaultKind.WORKER_SILENT: 2,
+    FaultKind.WORKER_GONE: 1,
+    FaultKind.STORE_DOWN: 2,
+    FaultKind.STORE_SLOW: 1,
+    FaultKind.STORE_LOST_ANSWERS: 2,
+    FaultKind.STORE_DROPPED_HISTORY: 1,
+    FaultKind.CONFIG_EDIT: 1,
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Fault:
+    """A fault of one target.
+
+    Parameters
+    ----------
+    at_s : float
+        When it begins, in seconds after the start of the soak.
+    duration_s : float
+        How long it lasts, or how long a process stays down before its restart.
+    count : int
+        How many orders or answers it affects.
+    """
+
+    kind: FaultKind
+    target: str
+    at_s: float
+    duration_s: float
+    count: int
+
+    def __str__(self) -> str:
+        return (
+            f"{self.at_s:6.2f} s  {self.kind.value} {self.target} "
+            f"for {self.duration_s:.2f} s, count {self.count}"
+        )
+
+
+def make_plan(
+    seed: int, *, seconds: float, programs: Sequence[str], workers: Sequence[str]
+) -> list[Fault]:
+    """Return the faults of a soak, by time; one worker is never gone for good."""
+    random = Random(seed)
+    sound = random.choice(workers)
+    faults: list[Fault] = []
+    for _ in range(max(1, round(seconds * _SERIES_PER_S))):
+        kind = _draw_kind(random)
+        target = _draw_target(random, kind, programs, workers)
+        if kind is FaultKind.WORKER_GONE and target == sound:
+            continue
+        faults += _draw_series(random, kind, target, seconds)
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw_kind(random: Random) -> FaultKind:
+    kinds = list(_WEIGHT_BY_KIND)
+    return random.choices(kinds, weights=list(_WEIGHT_BY_KIND.values()))[0]
+
+
+def _draw_target(
+    random: Random, kind: FaultKind, programs: Sequence[str], workers: Sequence[str]
+) -> str:
+    group = kind.value.split("-")[0]
+    if group == "program":
+        return random.choice(programs)
+    if group == "worker":
+        return random.choice(workers)
+    return group
+
+
+def _draw_series(
+    random: Random, kind: FaultKind, target: str, seconds: float
+) -> list[Fault]:
+    """Return one fault, or the same one several times with short gaps."""
+    at_s = random.uniform(min(_QUIET_S, seconds / 2), seconds)
+    is_single = kind is FaultKind.WORKER_GONE or random.random() < 0.5
+    length = 1 if is_single else random.randint(2, _MAX_SERIES_LENGTH)
+    series: list[Fault] = []
+    for _ in range(length):
+        fault = Fault(
+            kind=kind,
+            target=target,
+            at_s=at_s,
+            duration_s=_draw_duration_s(random, kind),
+            count=random.randint(1, _MAX_LOST_ANSWERS),
+        )
+        series.append(fault)
+        at_s += random.uniform(0.2, 3.0)
+    return [fault for fault in series if fault.at_s < seconds]
+
+
+def _draw_duration_s(random: Random, kind: FaultKind) -> float:
+    if kind in (FaultKind.PROGRAM_KILL, FaultKind.PROGRAM_TERMINATE):
+        return random.choice([0.0, 0.0, random.uniform(0.0, 3.0)])
+    return random.uniform(0.5, 5.0)
--- /dev/null
+++ b/soak/site.py
@@ -0,0 +1,227 @@
+"""A site on loopback: the stand-ins in this process, the programs in others."""
+
+from __future__ import annotations
+
+import itertools
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import trio
+import yaml
+
+from coltsfoottray.http import Handler
+from coltsfoottray.types import Address
+from soak.programs import Program
+from standins.advice import AdviceStandIn
+from standins.fabric import LoopbackFabric
+from standins.job_worker import JobWorkerStandIn, RunObserver
+from standins.metadata_table import MetadataTableStandIn
+
+__all__ = ["CHECKED_PATH", "ENTRIES", "HOST", "PATH", "PROCESSORS", "WORKERS", "Site"]
+
+HOST = "jobs.example"
+PATH = "/rebuild/"
+# Path of a queue whose policy is decided by the service of advice.
+CHECKED_PATH = "/checked/"
+PROCESSORS = 8
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+WORKERS = ("worker-1", "worker-2", "worker-3")
+
+_DATA_CENTRE = "caerdydd"
+# Ports below the range from which the system chooses those of clients. Each program
+# has its own address, because all use the same port for peers.
+_PEERS = 7000
+_CALLERS = 7001
+_READINESS = 7002
+_METRICS = 7003
+_HEARTBEATS = 7004
+_INSTANCE = 7005
+_STORE = 7006
+_ADVICE = 7007
+# Ended jobs are kept until the judgement.
+_KEEP_S = 600.0
+_ADVICE_TERMS = {"decisionMs": 100, "periodMs": 20, "validityMs": 3000}
+
+
+@dataclass(kw_only=True)
+class ExactObserver(RunObserver):
+    """Ends the runs of expired leases before it judges the start of a run.
+
+    The stand-ins of all workers share one thread. If it is busy, a lease that has
+    expired on one worker would otherwise be noticed after a later start on another.
+    """
+
+    workers: list[JobWorkerStandIn] = field(default_factory=list)
+
+    def begin(self, task: str, run: int, worker: str) -> None:
+        for each in self.workers:
+            each.expire_lease_if_due()
+        super().begin(task, run, worker)
+
+
+@dataclass(kw_only=True)
+class Site:
+    """Starts the stand-ins in `nursery` and the programs as processes.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs are written.
+    planted : str
+        Name of a fault in the code of the programs; empty for none.
+    """
+
+    nursery: trio.Nursery
+    folder: Path
+    planted: str = ""
+    table: MetadataTableStandIn = field(default_factory=MetadataTableStandIn)
+    advice: AdviceStandIn = field(default_factory=AdviceStandIn)
+    observer: ExactObserver = field(default_factory=ExactObserver)
+    fabric: LoopbackFabric = field(default_factory=LoopbackFabric)
+    program_by_name: dict[str, Program] = field(default_factory=dict)
+    worker_by_name: dict[str, JobWorkerStandIn] = field(default_factory=dict)
+    scope_by_worker: dict[str, trio.CancelScope] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self._versions = itertools.count(1)
+        # Loopback addresses of its own, so that soaks can run side by side.
+        high, low = divmod(os.getpid() % (64 * 256), 256)
+        self._network = f"127.{64 + high}.{low}"
+
+    async def start(self) -> None:
+        """Start the stand-ins and the programs."""
+        await self._serve(self._address("store", _STORE), self.table.handle)
+        await self._serve(self._address("store", _ADVICE), self.advice.handle)
+        self.write_config()
+        for name in ENTRIES:
+            self._start_program(name, self._entry_settings(name))
+        for name in WORKERS:
+            self._start_program(name, self._attendant_settings(name))
+            await self._start_worker(name)
+
+    def write_config(self) -> None:
+        """Write a new version of the config, as an operator does."""
+        version = next(self._versions)
+        plain = {
+            "name": "r-rebuild",
+            "host": HOST,
+            "pathPrefix": PATH,
+            "service": "svc",
+            "priority": 1 + version % 3,
+            "maxAttempts": 2,
+            "timeoutMs": 3000,
+        }
+        checked = {
+            **plain,
+            "name": "r-checked",
+            "pathPrefix": CHECKED_PATH,
+            "recommendation": _ADVICE_TERMS,
+        }
+        config = {"version": version, "routes": [plain, checked], "services": []}
+        self.table.put("op", "", "config", config)
+
+    def callers(self, entry: str) -> Address:
+        """Return the address at which an entry accepts jobs."""
+        return self._address(entry, _CALLERS)
+
+    def readiness(self, entry: str) -> Address:
+        """Return the address at which an entry tells whether it is ready."""
+        return self._address(entry, _READINESS)
+
+    async def open_worker(self, name: str) -> None:
+        """Accept connections to a worker, unless it accepts them already."""
+        if name in self.scope_by_worker:
+            return
+        scope = trio.CancelScope()
+        self.scope_by_worker[name] = scope
+        worker = self.worker_by_name[name]
+        await self._serve(worker.address, worker.handle, scope)
+
+    def close_worker(self, name: str) -> None:
+        """Close the connections to a worker, as the end of its process does."""
+        scope = self.scope_by_worker.pop(name, None)
+        if scope is not None:
+            scope.cancel()
+
+    def close(self) -> None:
+        """End all processes."""
+        for program in self.program_by_name.values():
+            program.close()
+
+    async def _start_worker(self, name: str) -> None:
+        worker = JobWorkerStandIn(
+            name=name,
+            address=self._address(name, _INSTANCE),
+            attendant=self._address(name, _HEARTBEATS),
+            transport=self.fabric.transport(name),
+            observer=self.observer,
+            processors=PROCESSORS,
+            advice=self.advice,
+            data_centre=_DATA_CENTRE,
+        )
+        self.worker_by_name[name] = worker
+        self.observer.workers.append(worker)
+        self.advice.allowed_workers.add(f"i-{name}")
+        await self.open_worker(name)
+        await self.nursery.start(worker.run)
+
+    def _start_program(self, name: str, settings: dict[str, object]) -> None:
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump({**self._common_settings(name), **settings}))
+        module = ["coltsfoottray.cli.run"]
+        if self.planted:
+            module = ["soak.planted", self.planted]
+        program = Program(
+            name=name,
+            arguments=["-m", *module, str(path)],
+            log=self.folder / f"{name}.log",
+        )
+        self.program_by_name[name] = program
+        program.start()
+
+    def _common_settings(self, name: str) -> dict[str, object]:
+        return {
+            "name": name,
+            "data_centre": _DATA_CENTRE,
+            "peers": str(self._address(name, _PEERS)),
+            "table": str(self._address("store", _STORE)),
+            "metrics": str(self._address(name, _METRICS)),
+            "seeds": [str(self._address(entry, _PEERS)) for entry in ENTRIES],
+        }
+
+    def _entry_settings(self, name: str) -> dict[str, object]:
+        return {
+            "role": "job-entry",
+            "callers": str(self._address(name, _CALLERS)),
+            "readiness": str(self._address(name, _READINESS)),
+            "advice": str(self._address("store", _ADVICE)),
+            "keep_s": _KEEP_S,
+            "region_by_data_centre": {_DATA_CENTRE: "cymru"},
+        }
+
+    def _attendant_settings(self, name: str) -> dict[str, object]:
+        return {
+            "role": "job-attendant",
+            "heartbeats": str(self._address(name, _HEARTBEATS)),
+        }
+
+    def _address(self, name: str, port: int) -> Address:
+        number = ["store", *ENTRIES, *WORKERS].index(name) + 1
+        return Address(host=f"{self._network}.{number}", port=port)
+
+    async def _serve(
+        self,
+        address: Address,
+        handler: Handler,
+        scope: trio.CancelScope | None = None,
+    ) -> None:
+        listener = self.fabric.listeners("").http(address, handler)
+
+        async def run(
+            *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+        ) -> None:
+            with scope or trio.CancelScope():
+                await listener.run(task_status=task_status)
+
+        await self.nursery.start(run)
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -321,8 +321,7 @@
         )
 
     def _advance_runs(self) -> None:
-        if self.clock_ms() > self.lease_until_ms:
-            self._expire_lease()
+        self.expire_lease_if_due()
         if self.is_hung:
             return
         for run in list(self.run_by_task.values()):
@@ -333,6 +332,11 @@
             if run.done_s >= run.work_s:
                 self._end(run, "failed" if run.fails else "done")
 
+    def expire_lease_if_due(self) -> None:
+        """End every run if the worker's lease has expired."""
+        if self.clock_ms() > self.lease_until_ms:
+            self._expire_lease()
+
     def _expire_lease(self) -> None:
         """End every run; ends without an acknowledgement no longer count as done."""
         for run in list(self.run_by_task.values()):
