--- a/soak/injector.py
+++ b/soak/injector.py
@@ -48,12 +48,11 @@
             await site.open_worker(name)
 
     async def _inject(self, fault: Fault) -> None:
-        group = fault.kind.value.split("-")[0]
-        if group == "program":
+        if fault.kind.group == "program":
             await self._inject_into_program(fault)
-        elif group == "worker":
+        elif fault.kind.group == "worker":
             await self._inject_into_worker(fault)
-        elif group == "store":
+        elif fault.kind.group == "store":
             await self._inject_into_store(fault)
         else:
             self.site.write_config()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -13,11 +13,11 @@
 _QUIET_S = 2.0
 _SERIES_PER_S = 0.6
 _MAX_SERIES_LENGTH = 4
-_MAX_LOST_ANSWERS = 5
+_MAX_COUNT = 5
 
 
 class FaultKind(StrEnum):
-    """Kinds of fault; the first word of a value is the kind of its target."""
+    """Kinds of fault."""
 
     PROGRAM_KILL = "program-kill"
     PROGRAM_PAUSE = "program-pause"
@@ -34,23 +34,14 @@
     STORE_DROPPED_HISTORY = "store-dropped-history"
     CONFIG_EDIT = "config-edit"
 
+    @property
+    def group(self) -> str:
+        """What it affects: program, worker, store or config."""
+        return self.value.split("-")[0]
 
-_WEIGHT_BY_KIND = {
-    FaultKind.PROGRAM_KILL: 4,
-    FaultKind.PROGRAM_PAUSE: 4,
-    FaultKind.PROGRAM_TERMINATE: 3,
-    FaultKind.WORKER_CRASH: 2,
-    FaultKind.WORKER_REFUSE: 1,
-    FaultKind.WORKER_LATE: 2,
-    FaultKind.WORKER_UNANSWERED: 2,
-    FaultKind.WORKER_SILENT: 2,
-    FaultKind.WORKER_GONE: 1,
-    FaultKind.STORE_DOWN: 2,
-    FaultKind.STORE_SLOW: 1,
-    FaultKind.STORE_LOST_ANSWERS: 2,
-    FaultKind.STORE_DROPPED_HISTORY: 1,
-    FaultKind.CONFIG_EDIT: 1,
-}
+
+# How often each kind is drawn, in the order of `FaultKind`.
+_WEIGHTS = (4, 4, 3, 2, 1, 2, 2, 2, 1, 2, 1, 2, 1, 1)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -88,7 +79,7 @@
     sound = random.choice(workers)
     faults: list[Fault] = []
     for _ in range(max(1, round(seconds * _SERIES_PER_S))):
-        kind = _draw_kind(random)
+        kind = random.choices(list(FaultKind), weights=_WEIGHTS)[0]
         target = _draw_target(random, kind, programs, workers)
         if kind is FaultKind.WORKER_GONE and target == sound:
             continue
@@ -96,20 +87,12 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
-def _draw_kind(random: Random) -> FaultKind:
-    kinds = list(_WEIGHT_BY_KIND)
-    return random.choices(kinds, weights=list(_WEIGHT_BY_KIND.values()))[0]
-
-
 def _draw_target(
     random: Random, kind: FaultKind, programs: Sequence[str], workers: Sequence[str]
 ) -> str:
-    group = kind.value.split("-")[0]
-    if group == "program":
+    if kind.group == "program":
         return random.choice(programs)
-    if group == "worker":
-        return random.choice(workers)
-    return group
+    return random.choice(workers) if kind.group == "worker" else kind.group
 
 
 def _draw_series(
@@ -121,14 +104,13 @@
     length = 1 if is_single else random.randint(2, _MAX_SERIES_LENGTH)
     series: list[Fault] = []
     for _ in range(length):
-        fault = Fault(
-            kind=kind,
-            target=target,
-            at_s=at_s,
-            duration_s=_draw_duration_s(random, kind),
-            count=random.randint(1, _MAX_LOST_ANSWERS),
+        duration_s = _draw_duration_s(random, kind)
+        count = random.randint(1, _MAX_COUNT)
+        series.append(
+            Fault(
+                kind=kind, target=target, at_s=at_s, duration_s=duration_s, count=count
+            )
         )
-        series.append(fault)
         at_s += random.uniform(0.2, 3.0)
     return [fault for fault in series if fault.at_s < seconds]
 
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -28,7 +28,7 @@
     Parameters
     ----------
     arguments : sequence of str
-        Arguments of the Python interpreter.
+        Name of a Python module, and its arguments.
     log : Path
         File to which all processes of this program append their output.
     violations : list of str
@@ -52,7 +52,7 @@
         self.check()
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, *self.arguments],
+                [sys.executable, "-m", *self.arguments],
                 cwd=_ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
--- a/soak/session.py
+++ b/soak/session.py
@@ -13,6 +13,7 @@
 
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.http import HttpClient, HttpRequest
+from coltsfoottray.types import Address
 from soak.callers import Caller
 from soak.injector import Injector
 from soak.judge import Judge
@@ -24,7 +25,7 @@
 _CALLERS = 4
 _STARTUP_TIMEOUT_S = 60.0
 _READY_TIMEOUT = timedelta(seconds=1)
-_LAG_INTERVAL_S = 0.05
+_POLL_INTERVAL_S = 0.05
 
 
 @dataclass(kw_only=True)
@@ -66,9 +67,11 @@
 
     async def play(self) -> Outcome:
         """Play the seed, and end all processes also if that fails."""
-        programs = [*ENTRIES, *WORKERS]
         plan = make_plan(
-            self.seed, seconds=self.seconds, programs=programs, workers=WORKERS
+            self.seed,
+            seconds=self.seconds,
+            programs=[*ENTRIES, *WORKERS],
+            workers=WORKERS,
         )
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{self.seed}-"))
         outcome = Outcome(seed=self.seed, folder=folder, plan=plan)
@@ -124,28 +127,24 @@
     async def _measure_lag(self) -> None:
         """Measure by how much this process runs late."""
         while True:
-            due = trio.current_time() + _LAG_INTERVAL_S
+            due = trio.current_time() + _POLL_INTERVAL_S
             await trio.sleep_until(due)
             self.max_lag_s = max(self.max_lag_s, trio.current_time() - due)
 
 
 async def _wait_until_ready(site: Site) -> None:
     client = HttpClient()
-    request = HttpRequest(method="GET", target="/")
     with trio.fail_after(_STARTUP_TIMEOUT_S):
         for entry in ENTRIES:
-            while not await _is_ready(client, site, entry, request):
-                await trio.sleep(_LAG_INTERVAL_S)
+            while not await _is_ready(client, site.readiness(entry)):
+                await trio.sleep(_POLL_INTERVAL_S)
     client.close()
 
 
-async def _is_ready(
-    client: HttpClient, site: Site, entry: str, request: HttpRequest
-) -> bool:
+async def _is_ready(client: HttpClient, address: Address) -> bool:
+    request = HttpRequest(method="GET", target="/")
     try:
-        response = await client.send(
-            site.readiness(entry), request, timeout=_READY_TIMEOUT
-        )
+        response = await client.send(address, request, timeout=_READY_TIMEOUT)
     except CommunicationError:
         return False
     return response.status == 200
--- a/soak/site.py
+++ b/soak/site.py
@@ -28,17 +28,13 @@
 ENTRIES = ("entry-1", "entry-2", "entry-3")
 WORKERS = ("worker-1", "worker-2", "worker-3")
 
+_MODULE = ["coltsfoottray.cli.run"]
 _DATA_CENTRE = "caerdydd"
 # Ports below the range from which the system chooses those of clients. Each program
 # has its own address, because all use the same port for peers.
-_PEERS = 7000
-_CALLERS = 7001
-_READINESS = 7002
-_METRICS = 7003
-_HEARTBEATS = 7004
-_INSTANCE = 7005
-_STORE = 7006
-_ADVICE = 7007
+_PEERS, _CALLERS, _READINESS, _METRICS = 7000, 7001, 7002, 7003
+_HEARTBEATS, _INSTANCE = 7004, 7005
+_STORE, _ADVICE = 7006, 7007
 # Ended jobs are kept until the judgement.
 _KEEP_S = 600.0
 _ADVICE_TERMS = {"decisionMs": 100, "periodMs": 20, "validityMs": 3000}
@@ -95,9 +91,18 @@
         await self._serve(self._address("store", _ADVICE), self.advice.handle)
         self.write_config()
         for name in ENTRIES:
-            self._start_program(name, self._entry_settings(name))
+            self._start_program(
+                name,
+                role="job-entry",
+                callers=str(self.callers(name)),
+                readiness=str(self.readiness(name)),
+                advice=str(self._address("store", _ADVICE)),
+                keep_s=_KEEP_S,
+                region_by_data_centre={_DATA_CENTRE: "cymru"},
+            )
         for name in WORKERS:
-            self._start_program(name, self._attendant_settings(name))
+            heartbeats = str(self._address(name, _HEARTBEATS))
+            self._start_program(name, role="job-attendant", heartbeats=heartbeats)
             await self._start_worker(name)
 
     def write_config(self) -> None:
@@ -166,22 +171,8 @@
         await self.open_worker(name)
         await self.nursery.start(worker.run)
 
-    def _start_program(self, name: str, settings: dict[str, object]) -> None:
-        path = self.folder / f"{name}.yaml"
-        path.write_text(yaml.safe_dump({**self._common_settings(name), **settings}))
-        module = ["coltsfoottray.cli.run"]
-        if self.planted:
-            module = ["soak.planted", self.planted]
-        program = Program(
-            name=name,
-            arguments=["-m", *module, str(path)],
-            log=self.folder / f"{name}.log",
-        )
-        self.program_by_name[name] = program
-        program.start()
-
-    def _common_settings(self, name: str) -> dict[str, object]:
-        return {
+    def _start_program(self, name: str, **settings: object) -> None:
+        common = {
             "name": name,
             "data_centre": _DATA_CENTRE,
             "peers": str(self._address(name, _PEERS)),
@@ -189,22 +180,16 @@
             "metrics": str(self._address(name, _METRICS)),
             "seeds": [str(self._address(entry, _PEERS)) for entry in ENTRIES],
         }
-
-    def _entry_settings(self, name: str) -> dict[str, object]:
-        return {
-            "role": "job-entry",
-            "callers": str(self._address(name, _CALLERS)),
-            "readiness": str(self._address(name, _READINESS)),
-            "advice": str(self._address("store", _ADVICE)),
-            "keep_s": _KEEP_S,
-            "region_by_data_centre": {_DATA_CENTRE: "cymru"},
-        }
-
-    def _attendant_settings(self, name: str) -> dict[str, object]:
-        return {
-            "role": "job-attendant",
-            "heartbeats": str(self._address(name, _HEARTBEATS)),
-        }
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump({**common, **settings}))
+        module = ["soak.planted", self.planted]
+        program = Program(
+            name=name,
+            arguments=[*(module if self.planted else _MODULE), str(path)],
+            log=self.folder / f"{name}.log",
+        )
+        self.program_by_name[name] = program
+        program.start()
 
     def _address(self, name: str, port: int) -> Address:
         number = ["store", *ENTRIES, *WORKERS].index(name) + 1
