Soak: programs gone for good, late writes; ended by signal

Cause: permanent loss of entries and attendants, and late writes of the store, were not injected; a SIGTERM to the soak ended inside trio with a RuntimeError. Change: two more kinds of fault, so the plans of all seeds change; SIGTERM acts as SIGINT.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,8 +25,10 @@
     ] = "",
 ) -> None:
     """Play seeds one after the other; the last line of output is a JSON object."""
-    # The handler of SIGINT raises, so that all processes are ended.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    # The handler of SIGINT raises, so that all processes are ended. A shell may have
+    # set SIGINT to be ignored.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     first, _, last = seeds.partition("-")
     numbers = range(int(first), int(last or first) + 1)
     tally: Counter[str] = Counter()
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -32,12 +32,13 @@
                 nursery.start_soon(self._inject, fault)
 
     async def heal(self) -> None:
-        """End every fault except the loss of workers that are gone for good."""
+        """End every fault that is not permanent."""
         site = self.site
         self.count_by_state.clear()
         site.table.faults.is_down = False
         site.table.faults.delay_s = 0.0
         site.table.faults.lost_answers = 0
+        site.table.late_writes = 0
         for program in site.program_by_name.values():
             await program.recover()
         for name, worker in site.worker_by_name.items():
@@ -63,6 +64,9 @@
             await program.kill(fault.duration_s)
         elif fault.kind is FaultKind.PROGRAM_TERMINATE:
             await program.terminate(fault.duration_s)
+        elif fault.kind is FaultKind.PROGRAM_GONE:
+            program.is_gone = True
+            await program.kill(0.0)
         else:
             await program.pause(fault.duration_s)
 
@@ -100,6 +104,8 @@
             table.drop_history()
         elif fault.kind is FaultKind.STORE_LOST_ANSWERS:
             table.faults.lost_answers += fault.count
+        elif fault.kind is FaultKind.STORE_LATE_WRITES:
+            table.late_writes += fault.count
         elif fault.kind is FaultKind.STORE_DOWN:
             table.faults.is_down = True
             if await self._hold(fault.target, "down", fault.duration_s):
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -22,6 +22,7 @@
     PROGRAM_KILL = "program-kill"
     PROGRAM_PAUSE = "program-pause"
     PROGRAM_TERMINATE = "program-terminate"
+    PROGRAM_GONE = "program-gone"
     WORKER_CRASH = "worker-crash"
     WORKER_REFUSE = "worker-refuse"
     WORKER_LATE = "worker-late"
@@ -31,9 +32,15 @@
     STORE_DOWN = "store-down"
     STORE_SLOW = "store-slow"
     STORE_LOST_ANSWERS = "store-lost-answers"
+    STORE_LATE_WRITES = "store-late-writes"
     STORE_DROPPED_HISTORY = "store-dropped-history"
     CONFIG_EDIT = "config-edit"
 
+    @property
+    def is_permanent(self) -> bool:
+        """Whether it never heals."""
+        return self in (FaultKind.PROGRAM_GONE, FaultKind.WORKER_GONE)
+
     @property
     def group(self) -> str:
         """What it affects: program, worker, store or config."""
@@ -41,7 +48,7 @@
 
 
 # How often each kind is drawn, in the order of `FaultKind`.
-_WEIGHTS = (4, 4, 3, 2, 1, 2, 2, 2, 1, 2, 1, 2, 1, 1)
+_WEIGHTS = (4, 4, 3, 1, 2, 1, 2, 2, 2, 1, 2, 1, 2, 1, 1, 1)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -72,26 +79,29 @@
 
 
 def make_plan(
-    seed: int, *, seconds: float, programs: Sequence[str], workers: Sequence[str]
+    seed: int, *, seconds: float, entries: Sequence[str], workers: Sequence[str]
 ) -> list[Fault]:
-    """Return the faults of a soak, by time; one worker is never gone for good."""
+    """Return the faults of a soak, by time.
+
+    One entry, and one worker with its attendant of the same name, never go for good.
+    """
     random = Random(seed)
-    sound = random.choice(workers)
+    sound = {random.choice(entries), random.choice(workers)}
     faults: list[Fault] = []
     for _ in range(max(1, round(seconds * _SERIES_PER_S))):
         kind = random.choices(list(FaultKind), weights=_WEIGHTS)[0]
-        target = _draw_target(random, kind, programs, workers)
-        if kind is FaultKind.WORKER_GONE and target == sound:
+        target = _draw_target(random, kind, entries, workers)
+        if kind.is_permanent and target in sound:
             continue
         faults += _draw_series(random, kind, target, seconds)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
 def _draw_target(
-    random: Random, kind: FaultKind, programs: Sequence[str], workers: Sequence[str]
+    random: Random, kind: FaultKind, entries: Sequence[str], workers: Sequence[str]
 ) -> str:
     if kind.group == "program":
-        return random.choice(programs)
+        return random.choice([*entries, *workers])
     return random.choice(workers) if kind.group == "worker" else kind.group
 
 
@@ -100,7 +110,7 @@
 ) -> list[Fault]:
     """Return one fault, or the same one several times with short gaps."""
     at_s = random.uniform(min(_QUIET_S, seconds / 2), seconds)
-    is_single = kind is FaultKind.WORKER_GONE or random.random() < 0.5
+    is_single = kind.is_permanent or random.random() < 0.5
     length = 1 if is_single else random.randint(2, _MAX_SERIES_LENGTH)
     series: list[Fault] = []
     for _ in range(length):
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -33,6 +33,8 @@
         File to which all processes of this program append their output.
     violations : list of str
         Descriptions of processes that ended without a signal, or with an error.
+    is_gone : bool
+        Whether no process of it is started any more.
     """
 
     name: str
@@ -40,16 +42,19 @@
     log: Path
     violations: list[str] = field(default_factory=list)
     start_count: int = 0
+    is_gone: bool = False
 
     def __post_init__(self) -> None:
         self._process: subprocess.Popen[bytes] | None = None
         self._is_ending = False
 
     def start(self) -> None:
-        """Start a process unless one is running."""
+        """Start a process unless one is running or the program is gone."""
         if self._is_running():
             return
         self.check()
+        if self.is_gone:
+            return
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", *self.arguments],
@@ -67,7 +72,7 @@
             return
         status = self._process.returncode
         if not self._is_ending or status not in _USUAL_STATUSES:
-            self.violations.append(f"{self.name} ended by itself with {status}")
+            self.violations.append(f"{self.name} ended by itself with status {status}")
         self._process = None
 
     async def kill(self, down_s: float) -> None:
--- a/soak/session.py
+++ b/soak/session.py
@@ -18,11 +18,11 @@
 from soak.injector import Injector
 from soak.judge import Judge
 from soak.plan import Fault, make_plan
-from soak.site import ENTRIES, WORKERS, Site
+from soak.site import CALLERS, ENTRIES, READINESS, WORKERS, Site
 
 __all__ = ["Outcome", "Soak"]
 
-_CALLERS = 4
+_CALLER_COUNT = 4
 _STARTUP_TIMEOUT_S = 60.0
 _READY_TIMEOUT = timedelta(seconds=1)
 _POLL_INTERVAL_S = 0.05
@@ -70,7 +70,7 @@
         plan = make_plan(
             self.seed,
             seconds=self.seconds,
-            programs=[*ENTRIES, *WORKERS],
+            entries=ENTRIES,
             workers=WORKERS,
         )
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{self.seed}-"))
@@ -88,9 +88,11 @@
 
     async def _play_on(self, site: Site, outcome: Outcome) -> None:
         judge = Judge(site=site, settle_s=self.settle_s)
-        callers = [self._make_caller(n, site, judge) for n in range(_CALLERS)]
+        callers = [self._make_caller(n, site, judge) for n in range(_CALLER_COUNT)]
         injector = Injector(site=site)
-        await _wait_until_ready(site)
+        if not await _wait_until_ready(site):
+            outcome.violations.append("the entries did not become ready")
+            return
         with trio.move_on_after(self.seconds):
             async with trio.open_nursery() as nursery:
                 for caller in callers:
@@ -120,7 +122,7 @@
         return Caller(
             number=number,
             random=Random(f"{self.seed}/caller-{number}"),
-            addresses=[site.callers(entry) for entry in ENTRIES],
+            addresses=[site.address(entry, CALLERS) for entry in ENTRIES],
             on_state=judge.hear_state,
         )
 
@@ -132,13 +134,14 @@
             self.max_lag_s = max(self.max_lag_s, trio.current_time() - due)
 
 
-async def _wait_until_ready(site: Site) -> None:
+async def _wait_until_ready(site: Site) -> bool:
     client = HttpClient()
-    with trio.fail_after(_STARTUP_TIMEOUT_S):
+    with trio.move_on_after(_STARTUP_TIMEOUT_S) as scope:
         for entry in ENTRIES:
-            while not await _is_ready(client, site.readiness(entry)):
+            while not await _is_ready(client, site.address(entry, READINESS)):
                 await trio.sleep(_POLL_INTERVAL_S)
     client.close()
+    return not scope.cancelled_caught
 
 
 async def _is_ready(client: HttpClient, address: Address) -> bool:
--- a/soak/site.py
+++ b/soak/site.py
@@ -18,7 +18,17 @@
 from standins.job_worker import JobWorkerStandIn, RunObserver
 from standins.metadata_table import MetadataTableStandIn
 
-__all__ = ["CHECKED_PATH", "ENTRIES", "HOST", "PATH", "PROCESSORS", "WORKERS", "Site"]
+__all__ = [
+    "CALLERS",
+    "CHECKED_PATH",
+    "ENTRIES",
+    "HOST",
+    "PATH",
+    "PROCESSORS",
+    "READINESS",
+    "WORKERS",
+    "Site",
+]
 
 HOST = "jobs.example"
 PATH = "/rebuild/"
@@ -32,7 +42,7 @@
 _DATA_CENTRE = "caerdydd"
 # Ports below the range from which the system chooses those of clients. Each program
 # has its own address, because all use the same port for peers.
-_PEERS, _CALLERS, _READINESS, _METRICS = 7000, 7001, 7002, 7003
+_PEERS, CALLERS, READINESS, _METRICS = 7000, 7001, 7002, 7003
 _HEARTBEATS, _INSTANCE = 7004, 7005
 _STORE, _ADVICE = 7006, 7007
 # Ended jobs are kept until the judgement.
@@ -87,21 +97,21 @@
 
     async def start(self) -> None:
         """Start the stand-ins and the programs."""
-        await self._serve(self._address("store", _STORE), self.table.handle)
-        await self._serve(self._address("store", _ADVICE), self.advice.handle)
+        await self._serve(self.address("store", _STORE), self.table.handle)
+        await self._serve(self.address("store", _ADVICE), self.advice.handle)
         self.write_config()
         for name in ENTRIES:
             self._start_program(
                 name,
                 role="job-entry",
-                callers=str(self.callers(name)),
-                readiness=str(self.readiness(name)),
-                advice=str(self._address("store", _ADVICE)),
+                callers=str(self.address(name, CALLERS)),
+                readiness=str(self.address(name, READINESS)),
+                advice=str(self.address("store", _ADVICE)),
                 keep_s=_KEEP_S,
                 region_by_data_centre={_DATA_CENTRE: "cymru"},
             )
         for name in WORKERS:
-            heartbeats = str(self._address(name, _HEARTBEATS))
+            heartbeats = str(self.address(name, _HEARTBEATS))
             self._start_program(name, role="job-attendant", heartbeats=heartbeats)
             await self._start_worker(name)
 
@@ -126,13 +136,10 @@
         config = {"version": version, "routes": [plain, checked], "services": []}
         self.table.put("op", "", "config", config)
 
-    def callers(self, entry: str) -> Address:
-        """Return the address at which an entry accepts jobs."""
-        return self._address(entry, _CALLERS)
-
-    def readiness(self, entry: str) -> Address:
-        """Return the address at which an entry tells whether it is ready."""
-        return self._address(entry, _READINESS)
+    def address(self, name: str, port: int) -> Address:
+        """Return the address of the store, a program or a worker."""
+        number = ["store", *ENTRIES, *WORKERS].index(name) + 1
+        return Address(host=f"{self._network}.{number}", port=port)
 
     async def open_worker(self, name: str) -> None:
         """Accept connections to a worker, unless it accepts them already."""
@@ -157,8 +164,8 @@
     async def _start_worker(self, name: str) -> None:
         worker = JobWorkerStandIn(
             name=name,
-            address=self._address(name, _INSTANCE),
-            attendant=self._address(name, _HEARTBEATS),
+            address=self.address(name, _INSTANCE),
+            attendant=self.address(name, _HEARTBEATS),
             transport=self.fabric.transport(name),
             observer=self.observer,
             processors=PROCESSORS,
@@ -175,10 +182,10 @@
         common = {
             "name": name,
             "data_centre": _DATA_CENTRE,
-            "peers": str(self._address(name, _PEERS)),
-            "table": str(self._address("store", _STORE)),
-            "metrics": str(self._address(name, _METRICS)),
-            "seeds": [str(self._address(entry, _PEERS)) for entry in ENTRIES],
+            "peers": str(self.address(name, _PEERS)),
+            "table": str(self.address("store", _STORE)),
+            "metrics": str(self.address(name, _METRICS)),
+            "seeds": [str(self.address(entry, _PEERS)) for entry in ENTRIES],
         }
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump({**common, **settings}))
@@ -191,10 +198,6 @@
         self.program_by_name[name] = program
         program.start()
 
-    def _address(self, name: str, port: int) -> Address:
-        number = ["store", *ENTRIES, *WORKERS].index(name) + 1
-        return Address(host=f"{self._network}.{number}", port=port)
-
     async def _serve(
         self,
         address: Address,
