--- a/coltsfoottray/agent/runs.py
+++ b/coltsfoottray/agent/runs.py
@@ -195,5 +195,5 @@
 
 def _drop_oldest(remembered: dict[RunRef, Any]) -> None:
     """Drop the oldest entries beyond the number that is remembered."""
-    for ref in list(remembered)[: max(len(remembered) - _MAX_REMEMBERED, 0)]:
-        del remembered[ref]
+    while len(remembered) > _MAX_REMEMBERED:
+        del remembered[next(iter(remembered))]
