Say which owed tasks do not run and who holds them, and which runs lack an order

The scheduler's monitor checks each second: gauge tasks_overdue by what holds a task, line scheduler:overdue after 7 s (3 s and the 4 s of calm that users allow). Attendants count runs_without_order and log worker:order-missing after 3 s. The supervision of runs stands in a module of its own.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -16,7 +16,7 @@
 from coltsfoottray.agent.runs import Runs
 from coltsfoottray.agent.session import AttendantSession
 from coltsfoottray.agent.speeds import SpeedController
-from coltsfoottray.agent.stalls import StallDetector
+from coltsfoottray.agent.supervision import RunSupervisor
 from coltsfoottray.agent.worker import (
     Heartbeat,
     WorkerLink,
@@ -85,9 +85,8 @@
         self._liveness = WorkerLiveness()
         self._lease = WorkerLease(started_at=clock.elapsed())
         self._speeds = SpeedController(link=link, clock=clock)
-        self._last_paced = timedelta(0)
         self._pressures = PressureExchange(local_pressures=self._speeds.pressures)
-        self._stalls = StallDetector()
+        self._supervisor = RunSupervisor(speeds=self._speeds, metrics=metrics)
         self._executor = OrderExecutor(
             link=link,
             state=self,
@@ -196,16 +195,9 @@
         if is_report_due or self._session.polled != session:
             self._session.polled = session
             self.request_report()
-        if sent_at - self._last_paced >= _POLL_WAIT * 0.8:
-            self._last_paced = sent_at
-            if self._stalls.check(
-                self._runs.running,
-                self._runs.order_by_ref,
-                self._speeds.percent_by_ref,
-                sent_at,
-            ):
-                self.request_report()
-            await self._speeds.update(heartbeat, self._runs, self._session.number)
+        fence = self._session.number
+        if await self._supervisor.update(heartbeat, self._runs, fence, sent_at):
+            self.request_report()
         if reply.ends:
             # A poll returns immediately while ends are not acknowledged.
             await self._clock.sleep(_RETRY_DELAY)
@@ -274,7 +266,7 @@
             starting=runs.unconfirmed_starts(),
             ends=runs.ends,
             rejected=list(runs.rejected_by_ref.values()),
-            stalled=self._stalls.stalled,
+            stalled=self._supervisor.stalled,
             pressures=self._pressures.due_pressures(),
             pressure_revision_by_service=self._pressures.revision_by_service,
             margin_by_image=self._speeds.margin_by_image,
--- a/coltsfoottray/agent/runs.py
+++ b/coltsfoottray/agent/runs.py
@@ -86,6 +86,19 @@
         """Whether the last poll showed the run as running."""
         return any(status.ref == ref for status in self.running)
 
+    def without_order(self) -> list[RunRef]:
+        """Return the running runs whose order is missing, unless they are stopped.
+
+        An attendant that restarts, or whose session changes while a start is in
+        progress, finds such runs on its worker.
+        """
+        return [
+            status.ref
+            for status in self.running
+            if status.ref not in self.order_by_ref
+            and status.ref not in self.stopped_by_ref
+        ]
+
     def unconfirmed_starts(self) -> list[RunRef]:
         """Return the starts whose result no poll has shown yet."""
         return [*self.starting, *self.started_by_ref, *self.refused_by_ref]
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -28,6 +28,7 @@
 from coltsfoottray.scheduler.messages import Orders, Report, ReportReply
 from coltsfoottray.scheduler.order_sender import OrderSender
 from coltsfoottray.scheduler.orders import missing_orders
+from coltsfoottray.scheduler.overdue import OverdueMonitor
 from coltsfoottray.scheduler.planner import Planner
 from coltsfoottray.scheduler.pressure_feed import PressureFeed
 from coltsfoottray.scheduler.relocation import Relocator
@@ -91,6 +92,9 @@
         self._round_metrics = RoundMetrics(
             fleet=self._fleet, clock=clock, metrics=metrics
         )
+        self._overdue = OverdueMonitor(
+            cluster=self.cluster, clock=clock, metrics=metrics
+        )
         self._grants = Grants(
             epoch=claim.lease.epoch,
             acquired_at=claim.acquired_at,
@@ -293,7 +297,8 @@
         LeaseLost
             If a write shows that another entry has taken the lease row over.
         """
-        async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as nursery, trio.open_nursery() as monitors:
+            monitors.start_soon(self._overdue.run)
             while not self._is_resigning:
                 await self._wait_for_changes()
                 started_at = self._clock.elapsed()
@@ -305,6 +310,7 @@
                 self._round_metrics.record(
                     started_at, placed, active_jobs=len(self.cluster.jobs.active_by_id)
                 )
+            monitors.cancel_scope.cancel()
         await self._writer.resign()
 
     def _stop_invalid(self, placed: list[PlacedRun]) -> None:
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -48,6 +48,8 @@
         Whether the attendant has rejected it in that session.
     placed_at : timedelta
         When it was assigned, by the scheduler's clock.
+    listed_at : timedelta, optional
+        When a report last listed it as running, None for never.
     percent, figure : float
         Its last reported progress and usage; see `RunStatus`.
     """
@@ -62,6 +64,7 @@
     is_stop_sent: bool = False
     ordered_session: int = 0
     is_rejected: bool = False
+    listed_at: timedelta | None = None
     percent: float = 0.0
     figure: float = 0.0
 
@@ -85,6 +88,7 @@
     def update_status(self, percent: float, figure: float, now: timedelta) -> None:
         """Update the progress and usage of the run."""
         self.progress.update(percent, speed=self.speed, now=now)
+        self.listed_at = now
         self.percent = percent
         self.figure = figure
         self._record_length(self.progress.length_ms())
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -108,6 +108,12 @@
         """Whether some member of a gang has no run, so that the others must stop."""
         return self.spec.is_gang and 0 < len(self.waiting) < len(self.records)
 
+    @property
+    def has_turn(self) -> bool:
+        """Whether the steps that it depends on are done."""
+        steps = self.job.steps_by_occurrence[self.occurrence]
+        return all(steps[number].is_done for number in self.spec.after)
+
     @property
     def can_start(self) -> bool:
         """Whether it has waiting tasks and the steps that it depends on are done.
@@ -117,10 +123,7 @@
         """
         if not self.waiting or self.job.record.state.is_final:
             return False
-        if self.is_broken_gang:
-            return False
-        steps = self.job.steps_by_occurrence[self.occurrence]
-        return all(steps[number].is_done for number in self.spec.after)
+        return not self.is_broken_gang and self.has_turn
 
     def checkpoint_record(self, index: int) -> TaskRecord:
         """Return the record that holds a task's checkpoint.
