Failing: an attendant that restarts with the scheduler has no orders for its worker's runs

What callers see: fillers at full speed beside a service over its target, and a job whose task stands still and is never started elsewhere.

--- /dev/null
+++ b/tests/scheduler/restarted_attendants.feature
@@ -0,0 +1,25 @@
+Feature: Runs on a worker whose attendant restarts
+
+  Scenario: A service's attendant restarts while the scheduler is replaced
+    # Guards against an attendant without the orders of its worker's runs, which slows no
+    # filler beside a service over its target.
+    Given two entries and 1 workers for jobs
+    When a service of 1 tasks far below its latency target is submitted at entry-1
+    And the filler job "f" of 2 tasks of 60 s is submitted at entry-1
+    And 4 s pass
+    And every daemon is killed and restarted
+    And 3 s pass
+    And the services on worker-1 exceed their latency target
+    And 4 s pass
+    Then every filler of "f" runs at 0 percent
+
+  Scenario: A task stalls on a worker whose attendant restarts with the scheduler
+    # Guards against a run without an order, whose standstill nobody detects.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 1 steps with 1 tasks of 20 s is submitted at entry-1
+    And 2 s pass
+    And every daemon is killed and restarted
+    And 2 s pass
+    And tasks on the worker of "a" make no progress
+    Then the job "a" is "completed" within 40 s
+    And no task ran twice at the same time or after its end
--- /dev/null
+++ b/tests/steps/restart_steps.py
@@ -0,0 +1,37 @@
+"""Steps about runs on a worker whose attendant restarts."""
+
+from __future__ import annotations
+
+from behave import when
+
+from tests.support.job_world import job_id
+
+_OVER_TARGET_MS = 200.0
+_FAR_BELOW_TARGET_MS = 5.0
+
+
+@when("the services on {name} exceed their latency target")
+def exceed_targets(context, name):
+    _set_latencies(context.world.cell.worker_by_name[name], _OVER_TARGET_MS)
+
+
+@when("the services on {name} are far below their latency target")
+def meet_targets(context, name):
+    _set_latencies(context.world.cell.worker_by_name[name], _FAR_BELOW_TARGET_MS)
+
+
+def _set_latencies(worker, latency_ms):
+    services = [run for run in worker.run_by_task.values() if run.latency_ms]
+    assert services, f"no service runs on {worker.name}"
+    for run in services:
+        run.latency_ms = latency_ms
+
+
+@when('tasks on the worker of "{label}" make no progress')
+def hang_worker(context, label):
+    (worker,) = [
+        worker
+        for worker in context.world.cell.worker_by_name.values()
+        if any(task.startswith(job_id(label)) for task in worker.run_by_task)
+    ]
+    worker.is_hung = True
