An attendant says which runs on its worker it has no order for, and is told them

Cause: "known" meant "listed by the worker". A scheduler that has just taken over grants a session in its reply to an attendant's first report, without orders, since it has not applied a report of the worker's incarnation yet. In the next report the session is the same and the worker lists its runs, so they were never ordered. The same where a session changes while a start is in progress and a poll discards its order. Without an order a run is no service, no filler and has no estimate: it is neither paced nor protected, and its standstill is not detected.

Now the report names the running runs whose order the attendant lacks, and the reply orders them, whoever forgot them and why. It costs nothing while none is lacking. A trial that repeated all starts of another session instead costs a payload for each run in every take-over.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -263,6 +263,7 @@
             session=self._session.number,
             looked=self._session.polled,
             running=runs.running,
+            without_order=runs.without_order(),
             starting=runs.unconfirmed_starts(),
             ends=runs.ends,
             rejected=list(runs.rejected_by_ref.values()),
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -122,6 +122,9 @@
         worker's id.
     starting : list of RunRef
         Starts whose outcome is not known yet.
+    without_order : list of RunRef
+        Running runs whose order the attendant does not have. It can neither pace them
+        nor detect that they stall.
     stalled : list of RunRef
         Runs that make no progress.
     pressures : list of Pressure
@@ -151,6 +154,7 @@
     is_reachable: bool = True
     is_replaced: bool = False
     running: list[RunStatus] = msgspec.field(default_factory=list)
+    without_order: list[RunRef] = msgspec.field(default_factory=list)
     starting: list[RunRef] = msgspec.field(default_factory=list)
     ends: list[RunEnd] = msgspec.field(default_factory=list)
     rejected: list[RejectedStart] = msgspec.field(default_factory=list)
--- a/coltsfoottray/scheduler/orders.py
+++ b/coltsfoottray/scheduler/orders.py
@@ -19,6 +19,9 @@
     if report.life != worker.life:
         return Orders(session=worker.session, life=report.life)
     known = {status.ref for status in report.running}
+    # The first orders of a session are empty if the scheduler has not yet applied a
+    # report of the worker's incarnation, so the worker may run what its attendant lacks.
+    known.difference_update(report.without_order)
     known.update(report.starting)
     known.update(end.ref for end in report.ends)
     known.update(rejected.ref for rejected in report.rejected)
