--- a/coltsfoottray/scheduler/orders.py
+++ b/coltsfoottray/scheduler/orders.py
@@ -20,7 +20,7 @@
         return Orders(session=worker.session, life=report.life)
     known = {status.ref for status in report.running}
     # The first orders of a session are empty if the scheduler has not yet applied a
-    # report of the worker's incarnation, so the worker may run what its attendant lacks.
+    # report of the worker's incarnation.
     known.difference_update(report.without_order)
     known.update(report.starting)
     known.update(end.ref for end in report.ends)
--- a/soak/site.py
+++ b/soak/site.py
@@ -15,8 +15,9 @@
 from soak.programs import Program
 from standins.advice import AdviceStandIn
 from standins.fabric import LoopbackFabric
-from standins.job_worker import JobWorkerStandIn, RunObserver
+from standins.job_worker import JobWorkerStandIn
 from standins.metadata_table import MetadataTableStandIn
+from standins.run_observer import RunObserver
 
 __all__ = [
     "CALLERS",
--- a/standins/job_cell.py
+++ b/standins/job_cell.py
@@ -19,8 +19,9 @@
 from coltsfoottray.types import Address
 from standins.advice import AdviceStandIn
 from standins.fabric import MemoryFabric
-from standins.job_worker import JobWorkerStandIn, RunObserver
+from standins.job_worker import JobWorkerStandIn
 from standins.metadata_table import MetadataTableStandIn
+from standins.run_observer import RunObserver
 
 __all__ = ["HOST", "PATH_PREFIX", "JobCell"]
 
