An attendant sets the speed of each filler it does not know, and of late limits again

What callers saw: a filler job that stands still, or runs at 2 percent, for good.

Cause: an attendant took a speed that it had not set for full speed. (1) A restarted attendant never undid its predecessor's limit once the services had recovered: full speed is no change from full speed. (2) A limit without an answer may be applied seconds later, after a newer one, and the attendant believed the newer one to stand.

Now a speed is unknown until the worker has confirmed it, and for 15 s after a limit that was not answered it is set again with each poll.

--- a/coltsfoottray/agent/speeds.py
+++ b/coltsfoottray/agent/speeds.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import TypeVar
+
 import trio
 
 from coltsfoottray.agent.learning import Observation, PressureLearner
 from coltsfoottray.agent.pacing import (
-    FULL_SPEED,
     FillerRun,
     Pacer,
     is_significant_change,
@@ -22,6 +25,10 @@
 __all__ = ["SpeedController"]
 
 _MILLI = 1000.0
+# A worker may carry out a call that it has not answered this long after it was sent.
+_MAX_CALL_DELAY = timedelta(seconds=15)
+
+_Value = TypeVar("_Value")
 
 
 class SpeedController:
@@ -35,7 +42,8 @@
     Attributes
     ----------
     percent_by_ref : dict
-        Speed limits in percent that the worker has confirmed.
+        Speed limits in percent that the worker has confirmed. A run that is not in it
+        may have a limit that a former attendant has set.
     margin_by_image : dict
         Margins without fillers, by service image.
     """
@@ -47,11 +55,14 @@
         self._pacer = Pacer(learner=self._learner)
         self._observations: list[Observation] = []
         self.percent_by_ref: dict[RunRef, int] = {}
+        # Until when a limit whose call was not answered may still be applied.
+        self._unsettled_until_by_ref: dict[RunRef, timedelta] = {}
         self.margin_by_image: dict[str, ServiceMargin] = {}
 
     def reset(self) -> None:
         """Discard the speed limits, which a new incarnation does not know."""
         self.percent_by_ref = {}
+        self._unsettled_until_by_ref = {}
         self._observations = []
 
     def pressures(self) -> list[Pressure]:
@@ -82,18 +93,21 @@
             self._clock.elapsed(),
             available_share=_available_share(heartbeat, runs),
         )
-        self.percent_by_ref = {
-            ref: percent
-            for ref, percent in self.percent_by_ref.items()
-            if ref in percent_by_ref
-        }
+        self.percent_by_ref = _limit_to(percent_by_ref, self.percent_by_ref)
+        self._unsettled_until_by_ref = _limit_to(
+            percent_by_ref, self._unsettled_until_by_ref
+        )
         async with trio.open_nursery() as nursery:
             for ref, percent in percent_by_ref.items():
-                if is_significant_change(
-                    self.percent_by_ref.get(ref, FULL_SPEED), percent
-                ):
+                if self._must_set(ref, percent):
                     nursery.start_soon(self._set_speed, heartbeat, ref, percent, fence)
 
+    def _must_set(self, ref: RunRef, percent: int) -> bool:
+        before = self.percent_by_ref.get(ref)
+        if before is None or ref in self._unsettled_until_by_ref:
+            return True
+        return is_significant_change(before, percent)
+
     def _observe(self, heartbeat: Heartbeat, runs: Runs) -> list[Observation]:
         """Update the learner with the last poll; return the services observed."""
         observations: list[Observation] = []
@@ -125,6 +139,7 @@
     async def _set_speed(
         self, heartbeat: Heartbeat, ref: RunRef, percent: int, fence: int
     ) -> None:
+        sent_at = self._clock.elapsed()
         try:
             await self._link.pace(
                 heartbeat=heartbeat, ref=ref, percent=percent, fence=fence
@@ -132,10 +147,21 @@
         except (CommunicationError, WorkerReplaced) as error:
             # The limit is not recorded, so it is set again after the next poll.
             self.percent_by_ref.pop(ref, None)
+            self._unsettled_until_by_ref[ref] = self._clock.elapsed() + _MAX_CALL_DELAY
             log_event("worker:pace-failed", run=str(ref), reason=str(error))
             return
+        if sent_at >= self._unsettled_until_by_ref.get(ref, sent_at):
+            self._unsettled_until_by_ref.pop(ref, None)
+        if self.percent_by_ref.get(ref) != percent:
+            log_event("decision:pace", run=str(ref), percent=percent)
         self.percent_by_ref[ref] = percent
-        log_event("decision:pace", run=str(ref), percent=percent)
+
+
+def _limit_to(
+    present: Mapping[RunRef, int], value_by_ref: Mapping[RunRef, _Value]
+) -> dict[RunRef, _Value]:
+    """Return the values of the runs that are present."""
+    return {ref: value for ref, value in value_by_ref.items() if ref in present}
 
 
 def _available_share(heartbeat: Heartbeat, runs: Runs) -> float:
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -76,6 +76,8 @@
         self.unanswered_starts = 0
         self.late_starts = 0
         self.slow_starts = 0
+        # Number of speed limits to apply late and unanswered.
+        self.late_paces = 0
         self.is_unhealthy = False
         self.is_unreachable = False
         self.is_destroyed = False
@@ -190,12 +192,21 @@
         if request.path == "/v1/run-stop":
             return self._handle_stop(body)
         if request.path == "/v1/pace":
-            run = self.run_by_task.get(body["task"])
-            if run is not None:
-                run.percent = body["percent"]
-            return self._make_response({})
+            return await self._handle_pace(body)
         return await self._handle_poll(body)
 
+    async def _handle_pace(self, body: dict[str, Any]) -> HttpResponse:
+        is_late = self.late_paces > 0
+        if is_late:
+            self.late_paces -= 1
+            await trio.sleep(START_DELAY_S)
+        run = self.run_by_task.get(body["task"])
+        if run is not None and body["fencingToken"] >= self.fence:
+            run.percent = body["percent"]
+        if is_late:
+            await trio.sleep_forever()
+        return self._make_response({})
+
     async def _handle_start(self, body: dict[str, Any]) -> HttpResponse:
         if self.late_starts > 0:
             self.late_starts -= 1
--- a/tests/scheduler/restarted_attendants.feature
+++ b/tests/scheduler/restarted_attendants.feature
@@ -23,3 +23,27 @@
     And tasks on the worker of "a" make no progress
     Then the job "a" is "completed" within 40 s
     And no task ran twice at the same time or after its end
+
+  Scenario: The attendant of a suspended filler restarts
+    # Guards against a filler that keeps its former attendant's speed limit for good.
+    Given two entries and 1 workers for jobs
+    When a service of 1 tasks over its latency target is submitted at entry-1
+    And the filler job "f" of 2 tasks of 30 s is submitted at entry-1
+    And 8 s pass
+    Then every filler of "f" runs at 0 percent
+    When the services on worker-1 are far below their latency target
+    And worker-1 is killed and restarted after 1 s
+    And 5 s pass
+    Then every filler of "f" runs at 100 percent
+
+  Scenario: A filler is slowed seconds after its speed was restored
+    # Guards against a filler that keeps a speed limit which arrived late.
+    Given two entries and 1 workers for jobs
+    And the next 2 speed limits at worker-1 are applied late
+    When a service of 1 tasks over its latency target is submitted at entry-1
+    And the filler job "f" of 2 tasks of 60 s is submitted at entry-1
+    And 1 s pass
+    And the services on worker-1 are far below their latency target
+    And 8 s pass
+    And 5 s pass
+    Then every filler of "f" runs at 100 percent
--- a/tests/steps/restart_steps.py
+++ b/tests/steps/restart_steps.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from behave import when
+from behave import given, when
 
 from tests.support.job_world import job_id
 
@@ -35,3 +35,8 @@
         if any(task.startswith(job_id(label)) for task in worker.run_by_task)
     ]
     worker.is_hung = True
+
+
+@given("the next {count:d} speed limits at {name} are applied late")
+def delay_speed_limits(context, count, name):
+    context.world.cell.worker_by_name[name].late_paces = count
