A state machine of jobs beside services with targets, as attendants restart

The machines had no filler, no service with a target or of 32 tasks, no restart of an attendant together with the scheduler, no late speed limit and no worker that stands still for good: neither a run without an order nor a speed that nobody restores could show.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 	$(BIN)/python -m properties jobs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties evacuated-jobs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties refused-jobs $(RUNS) $(STEPS)
+	$(BIN)/python -m properties paced-jobs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties takeovers $(RUNS) $(STEPS)
 	$(BIN)/python -m properties configs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties keyed $(RUNS) $(STEPS)
--- a/properties/__main__.py
+++ b/properties/__main__.py
@@ -14,6 +14,7 @@
 from properties.jobs import Jobs
 from properties.keyed_requests import KeyedRequests
 from properties.list_edits import ListEdits
+from properties.paced_jobs import PacedJobs
 from properties.refused_jobs import RefusedJobs
 from properties.takeovers import Takeovers
 
@@ -21,6 +22,7 @@
     "jobs": Jobs,
     "evacuated-jobs": EvacuatedJobs,
     "refused-jobs": RefusedJobs,
+    "paced-jobs": PacedJobs,
     "configs": Configs,
     "keyed": KeyedRequests,
     "tasks": BatchTasks,
--- a/properties/permanent_faults.py
+++ b/properties/permanent_faults.py
@@ -12,13 +12,15 @@
 class PermanentFault(StrEnum):
     """Kinds of permanent fault.
 
-    `GONE`, `SILENT` and `DRAINING` affect a worker, `DEAD` and `FROZEN` a daemon. `CUT`
-    affects either: the daemon has lost its link to one of its peers.
+    `GONE`, `SILENT`, `DRAINING` and `HUNG` (its tasks stand still) affect a worker,
+    `DEAD` and `FROZEN` a daemon. `CUT` affects either: the daemon has lost its link to
+    one of its peers.
     """
 
     GONE = "gone"
     SILENT = "silent"
     DRAINING = "draining"
+    HUNG = "hung"
     DEAD = "dead"
     FROZEN = "frozen"
     CUT = "cut"
@@ -76,6 +78,8 @@
             machine.destroy()
         elif fault is PermanentFault.SILENT:
             machine.is_unreachable = True
+        elif fault is PermanentFault.HUNG:
+            machine.is_hung = True
         else:
             machine.is_draining = True
 
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -12,7 +12,9 @@
 
 from coltsfoottray.agent.attendant import TaskAttendant
 from coltsfoottray.agent.evacuation import EvacuationGuard, StartPermission
+from coltsfoottray.agent.pacing import FULL_SPEED, is_significant_change
 from coltsfoottray.agent.runs import Runs
+from coltsfoottray.agent.speeds import SpeedController
 from coltsfoottray.claims import Claim, ClaimOutcome, ClaimResult, Claims
 from coltsfoottray.jobs.api import JobAnswer, JobApi, Verdict
 from coltsfoottray.jobs.model import JobId, RunRef
@@ -39,6 +41,7 @@
     "leases_lapsed_without_waiting",
     "leases_renewed_out_of_reach",
     "ledger_without_bounds",
+    "orders_lacked_and_not_asked_for",
     "refusals_without_proof",
     "rejections_accepted_in_any_session",
     "rejections_forgotten_with_the_lease",
@@ -46,6 +49,7 @@
     "running_tasks_loaded_as_queued",
     "runs_given_up_early",
     "starts_without_judgement",
+    "unknown_speeds_taken_for_full",
 ]
 
 # The longest lease that a scheduler grants a worker.
@@ -244,6 +248,25 @@
         yield
 
 
+@contextmanager
+def orders_lacked_and_not_asked_for() -> Iterator[None]:
+    """Let an attendant not tell which runs on its worker it has no order for."""
+    with mock.patch.object(Runs, "without_order", lambda self: []):
+        yield
+
+
+@contextmanager
+def unknown_speeds_taken_for_full() -> Iterator[None]:
+    """Let an attendant believe that a filler that it does not know is not slowed."""
+
+    def must_set(self: SpeedController, ref: RunRef, percent: int) -> bool:
+        before = self.percent_by_ref.get(ref, FULL_SPEED)
+        return is_significant_change(before, percent)
+
+    with mock.patch.object(SpeedController, "_must_set", must_set):
+        yield
+
+
 @contextmanager
 def refusals_without_proof() -> Iterator[None]:
     """Let entries refuse a job as never to run while its row may have been stored."""
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -40,6 +40,7 @@
     fails: bool
     saves_checkpoints: bool
     latency_ms: float
+    share: float = 1.0
     done_s: float = 0.0
     percent: int = 100
 
@@ -53,8 +54,9 @@
     """Runs tasks while its lease lasts, and serves the platform's interface.
 
     A task's payload is JSON with the key `work_s`. Further keys: `fails`, `saves` (it
-    writes checkpoints), `lasts` (it runs until it is stopped), `needs_ticket` and
-    `latency_ms` (the tail latency that it reports).
+    writes checkpoints), `lasts` (it runs until it is stopped), `needs_ticket`,
+    `latency_ms` (the tail latency that it reports) and `share` (the processors that it
+    reserves, 1 by default).
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         self.order_times_s: list[float] = []
         self.fails_everything = False
         self.processors = processors
+        # Greatest sum of the shares of runs at a time.
         self.max_concurrent_runs = 0.0
         self._attendant = attendant
         self._advice = advice
@@ -247,10 +250,12 @@
             fails=spec.get("fails", False),
             saves_checkpoints=spec.get("saves", False),
             latency_ms=spec.get("latency_ms", 0.0),
+            share=spec.get("share", 1.0),
             done_s=float(body.get("checkpoint") or 0),
         )
         self._observer.begin(task, number, self.name)
-        self.max_concurrent_runs = max(self.max_concurrent_runs, len(self.run_by_task))
+        shares = round(sum(run.share for run in self.run_by_task.values()), 3)
+        self.max_concurrent_runs = max(self.max_concurrent_runs, shares)
         return self._make_response({})
 
     def _handle_stop(self, body: dict[str, Any]) -> HttpResponse:
--- a/tests/scheduler/fuzz.feature
+++ b/tests/scheduler/fuzz.feature
@@ -48,3 +48,15 @@
   Scenario: The oracle detects a rejection forgotten with the lease
     # Planted fault: an attendant forgets rejections when its worker's lease expires.
     Then with the planted fault "rejections forgotten with the lease" the machine "refused jobs" fails
+
+  Scenario: No sequence of faults leaves a task to nobody
+    # The same faults beside services, while attendants restart and speed limits are late.
+    Then the machine "paced jobs" finds nothing in 25 runs of 12 steps
+
+  Scenario: The oracle detects a run whose attendant does not know it
+    # Planted fault: an attendant does not ask for the orders that it lacks.
+    Then with the planted fault "orders lacked and not asked for" the machine "paced jobs" fails in runs of 12 steps
+
+  Scenario: The oracle detects a filler that keeps a former speed limit
+    # Planted fault: an attendant takes the speed of a filler that it finds for full.
+    Then with the planted fault "unknown speeds taken for full" the machine "paced jobs" fails in runs of 12 steps
