--- a/tests/scheduler/gone.feature
+++ b/tests/scheduler/gone.feature
@@ -95,3 +95,20 @@
     And 2 s pass
     Then 4 tasks run
     And no task ran twice at the same time or after its end
+
+  Scenario: An attendant stops just after its worker and the scheduler
+    # Guards against a whole lease waited for although little of it was left.
+    Given two entries and 2 workers for jobs
+    When the long-running job "a" of 1 steps with 4 tasks of 1 s is submitted at entry-1
+    And 2 s pass
+    And worker-1's VM is lost permanently
+    And the store is down from now on
+    And 4 s pass
+    And the scheduler is killed
+    And 0 s pass with the store up again
+    And worker-1 has a session with the next scheduler
+    And 300 ms pass
+    And worker-1's attendant is killed
+    And 6 s pass
+    Then 4 tasks run
+    And no task ran twice at the same time or after its end
