An attendant that stops tells first what is left of its silent worker's lease

Cause: the VM's attendant was asked to stop 18 ms after a scheduler had taken over, and stopped without a report to it. Nobody else knows how long the worker may still run, so the scheduler waited for the longest lease it could not exclude.

Now an attendant whose worker does not answer stops once a scheduler has accepted a report in its own session, or after 3 s; it is killed 6 s after it was asked. With a worker that answers it stops at once, as before.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -301,6 +301,8 @@
         self._pressures.apply_reply(report, reply, is_new_epoch=is_new_epoch)
         for rejected in report.rejected:
             self._runs.rejected_by_ref.pop(rejected.ref, None)
+        if not report.is_worker_alive:
+            self._session.loss_reported_in = report.session
         if reply.orders.session != self._session.number:
             self._begin_session(reply.orders)
         self._execute(reply.orders)
@@ -308,6 +310,13 @@
         is_lease_due = report.is_worker_alive and not reply.is_lease_pending
         return reply.lease_ms > 0 or not is_lease_due
 
+    async def report_loss(self) -> None:
+        """Return once a scheduler knows what is left of a silent worker's lease."""
+        self._session.loss_reported_in = 0
+        self.request_report()
+        while not (self._liveness.is_answering or self._session.is_loss_reported):
+            await self._clock.sleep(_RETRY_DELAY)
+
     async def handle_orders(self, orders: Orders) -> Acknowledged:
         """Execute orders that the scheduler sends between reports."""
         self._execute(orders)
--- a/coltsfoottray/agent/session.py
+++ b/coltsfoottray/agent/session.py
@@ -21,11 +21,15 @@
         The session, 0 for none.
     polled : int
         The session in which the worker was last polled, 0 for none.
+    loss_reported_in : int
+        The session of the last report that told that the worker does not answer, 0 for
+        none.
     """
 
     def __init__(self) -> None:
         self.number = 0
         self.polled = 0
+        self.loss_reported_in = 0
         # The worker's incarnation that the session was granted for.
         self._life = ""
         self._started = trio.Event()
@@ -35,6 +39,11 @@
         """Whether the worker has been polled in this session."""
         return self.polled == self.number
 
+    @property
+    def is_loss_reported(self) -> bool:
+        """Whether a scheduler was told in this session that the worker is silent."""
+        return 0 < self.number == self.loss_reported_in
+
     def begin(self, orders: Orders) -> None:
         """Begin the session that `orders` belong to."""
         log_event("scheduler:session", session=orders.session, before=self.number)
--- a/coltsfoottray/daemons/job_attendant.py
+++ b/coltsfoottray/daemons/job_attendant.py
@@ -28,6 +28,8 @@
 _REPORTER = ServiceName("reporter")
 _HEARTBEATS = ServiceName("heartbeats")
 _STOP_TIMEOUT_S = 0.5
+# Covers a take-over; a process is killed 6 s after it was asked to stop.
+_MAX_LOSS_REPORT_S = 3.0
 
 
 class JobAttendantDaemon(JobDaemon):
@@ -82,8 +84,13 @@
         )
 
     async def shut_down(self) -> None:
-        """Stop without draining, because the worker's lease outlasts a restart."""
+        """Stop without draining, because the worker's lease outlasts a restart.
+
+        Nobody else can tell how long a worker that does not answer may still run.
+        """
         log_event("daemon:shutdown", name=self.name)
+        with trio.move_on_after(_MAX_LOSS_REPORT_S):
+            await self.attendant.report_loss()
         with trio.move_on_after(_STOP_TIMEOUT_S):
             await self.kernel.stop()
         self.kernel.cancel()
--- a/tests/scheduler/gone.feature
+++ b/tests/scheduler/gone.feature
@@ -112,3 +112,18 @@
     And 6 s pass
     Then 4 tasks run
     And no task ran twice at the same time or after its end
+
+  Scenario: A VM leaves with its attendant while the scheduler is replaced
+    # Guards against a lease whose rest only an attendant knew that has stopped.
+    Given two entries and 2 workers for jobs
+    When the long-running job "a" of 1 steps with 4 tasks of 1 s is submitted at entry-1
+    And 2 s pass
+    And worker-1's VM is lost permanently
+    And the store is down from now on
+    And 4 s pass
+    And the scheduler is killed
+    And 0 s pass with the store up again
+    And worker-1's attendant is asked to stop
+    And 7 s pass
+    Then 4 tasks run
+    And no task ran twice at the same time or after its end
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -157,6 +157,13 @@
     context.world.kill_daemon(name)
 
 
+@when("{name}'s attendant is asked to stop")
+def stop_attendant(context, name):
+    world = context.world
+    world.spawn(world.cell.attendant_by_name[name].shut_down)
+    world.cell.killed.add(name)
+
+
 @when("all runs on {name} end right after its new attendant's first poll")
 def end_after_poll(context, name):
     world = context.world
