--- a/properties/jobs.py
+++ b/properties/jobs.py
@@ -319,7 +319,11 @@
             )
             return running == 0
         is_active = label not in self._confirmed_cancelled
-        return is_active and running == self._count_by_label[label]
+        return is_active and self._runs_in_full(label, running)
+
+    def _runs_in_full(self, label: str, running: int) -> bool:
+        """Return whether a service has as many runs as it should have."""
+        return running == self._count_by_label[label]
 
     def _running_count(self, label: str) -> int:
         """Return how many tasks of a job have a run on any worker."""
--- a/properties/paced_jobs.py
+++ b/properties/paced_jobs.py
@@ -21,7 +21,6 @@
 _TARGET_MS = 45.0
 _BELOW_TARGET_MS = 15.0
 _OVER_TARGET_MS = 60.0
-_PACED_TASKS = 2
 _WIDE_TASKS = 32
 # Together they leave three of eight processors to other jobs.
 _WIDE_MILLICORES = 10
@@ -38,6 +37,7 @@
         super().__init__()
         self._fillers = 0
         self._has_wide_service = False
+        self._spread_services: set[str] = set()
 
     def teardown(self) -> None:
         """Let all services meet their targets, and wait for every job to end."""
@@ -45,24 +45,27 @@
             self.change_latencies(worker, False)
         super().teardown()
 
-    @initialize(entry=ENTRIES, worker=WORKERS, is_over=st.booleans())
-    def begin(self, entry: str, worker: str, is_over: bool) -> None:
+    @initialize(entry=ENTRIES, is_over=st.booleans())
+    def begin(self, entry: str, is_over: bool) -> None:
         """Begin each run with fillers beside services."""
         self.submit_paced_service(entry)
         self.submit_filler(entry, 3, 12.0)
-        self.change_latencies(worker, is_over)
+        for worker in self.world.cell.worker_by_name:
+            self.change_latencies(worker, is_over)
         self.world.advance(_SLOWDOWN_S)
 
     @rule(entry=ENTRIES)
     def submit_paced_service(self, entry: str) -> None:
-        """A caller submits a service with a latency target."""
+        """A caller submits a service with a latency target, a task for each worker."""
         if self._service_tasks or not self._is_answering(entry):
             return
-        self._service_tasks += _PACED_TASKS
-        shape = {"targetMs": _TARGET_MS, "image": "svc"}
-        self._submit_service(
-            entry, tasks=_PACED_TASKS, shape=shape, latency_ms=_BELOW_TARGET_MS
+        tasks = len(self.world.cell.worker_by_name)
+        self._service_tasks += tasks
+        shape = {"targetMs": _TARGET_MS, "image": "svc", "antiAffinity": 1}
+        label = self._submit_service(
+            entry, tasks=tasks, shape=shape, latency_ms=_BELOW_TARGET_MS
         )
+        self._spread_services.add(label)
 
     @rule(entry=ENTRIES)
     def submit_wide_service(self, entry: str) -> None:
@@ -115,6 +118,16 @@
         if self.world.cell.scheduler():
             self.restart(self.world.cell.scheduler())
 
+    @rule(worker=WORKERS)
+    def restart_as_load_falls(self, worker: str) -> None:
+        """An attendant crashes, and services meet their targets when it restarts."""
+        if self.permanent_faults.is_stopped(worker):
+            return
+        self.world.kill_daemon(worker)
+        self.change_latencies(worker, False)
+        self.world.resume(worker)
+        self.world.restart_daemon(worker)
+
     @rule()
     def lose_power(self) -> None:
         """All daemons crash and restart at the same time."""
@@ -123,9 +136,19 @@
 
     def _submit_service(
         self, entry: str, *, tasks: int, shape: dict[str, Any], **spec: Any
-    ) -> None:
+    ) -> str:
+        """Submit a service and return its label."""
         label = f"j{next(self._numbers)}"
         self._services.add(label)
         steps = make_steps(1, tasks, 1.0, longRunning=True, **shape)
         status = self.world.submit_job(entry, label, steps, lasts=True, **spec)
         self._record_answer(label, status, tasks)
+        return label
+
+    def _runs_in_full(self, label: str, running: int) -> bool:
+        """Return whether a service runs on all workers that it can run on."""
+        if label not in self._spread_services:
+            return super()._runs_in_full(label, running)
+        workers = self.world.cell.worker_by_name
+        recoverable = sum(map(self.permanent_faults.is_recoverable, workers))
+        return recoverable <= running <= len(workers)
