Start nothing on a worker whose runs wait for its new incarnation

What callers saw: tasks of a service accepted after a worker had restarted run nowhere for up to 16 s, although another worker had room.

Cause: while a new incarnation has not listed its runs (it does not answer polls), the scheduler puts the whole report off, and with it the worker's description. It went on to take the worker for reachable, as its earlier incarnation was, and placed tasks there, with starts that the attendant must ignore, since they are for another incarnation. They were held until the earlier runs were given up (16 s).

Now a worker gets nothing new until its runs are reconciled. The monitor said that the attendant held such tasks; it names the lease.

Before: tests/scheduler/lost "Work arrives while a new incarnation of a worker does not answer" failed (16 of 32 tasks run 7 s after they were accepted), and so did tests/scheduler/overdue "A worker's new incarnation does not answer" (0 tasks held by "lease" in place of 4). With the change both pass; lost, overdue, one_run, ends, rejections: 64 passed, 0 failed.

--- a/coltsfoottray/scheduler/eligibility.py
+++ b/coltsfoottray/scheduler/eligibility.py
@@ -19,10 +19,15 @@
 
 
 def is_usable(worker: Worker, service: str, now: timedelta) -> bool:
-    """Return whether a worker is open to new tasks, evacuations left aside."""
+    """Return whether a worker is open to new tasks, evacuations left aside.
+
+    While the runs of an earlier incarnation are not reconciled, the worker's
+    description is that incarnation's, and starts meant for it would be void.
+    """
     return (
         worker.service == service
         and worker.is_reachable
+        and worker.replaced_since is None
         and not worker.is_draining
         and bool(worker.life)
         and worker.session > 0
--- a/coltsfoottray/scheduler/overdue.py
+++ b/coltsfoottray/scheduler/overdue.py
@@ -41,7 +41,8 @@
     ATTENDANT = "attendant"
     """The start that its worker's attendant was ordered."""
     LEASE = "lease"
-    """The end of the lease of a worker that does not answer."""
+    """The end of the lease of a worker that does not answer, or whose new incarnation
+    has not listed its runs."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -156,4 +157,5 @@
 def _holder_of(placed: PlacedRun, worker: Worker) -> Holder:
     if not placed.is_released:
         return Holder.STORE
-    return Holder.ATTENDANT if worker.is_reachable else Holder.LEASE
+    is_answering = worker.is_reachable and worker.replaced_since is None
+    return Holder.ATTENDANT if is_answering else Holder.LEASE
--- a/tests/scheduler/lost.feature
+++ b/tests/scheduler/lost.feature
@@ -90,3 +90,16 @@
     And worker-1's VM answers polls but never accepts a start
     When the job "a" of 1 steps with 2 tasks of 1 s is submitted at entry-1
     Then the job "a" is "completed" within 60 s
+
+  Scenario: Work arrives while a new incarnation of a worker does not answer
+    # Guards against starts on a worker whose runs wait for its new incarnation.
+    Given two entries and 2 workers for jobs
+    When the service "a" of 4 tasks that need 100 of 8000 millicores is submitted
+    And 2 s pass
+    And worker-1's VM crashes and reports at once
+    And worker-1's VM stops answering
+    And 1 s pass
+    And the service "b" of 32 tasks that need 100 of 8000 millicores is submitted
+    And 7 s pass
+    Then 32 tasks of "b" run
+    And no task ran twice at the same time or after its end
--- a/tests/scheduler/overdue.feature
+++ b/tests/scheduler/overdue.feature
@@ -41,3 +41,16 @@
     And 5 s pass
     Then the metrics of worker-1's attendant show 4 runs without an order
     And a log line names 4 runs whose order is missing
+
+  Scenario: A worker's new incarnation does not answer
+    # Guards against blaming an attendant that waits for its worker.
+    Given two entries and 1 workers for jobs
+    And log lines are recorded
+    When the service "a" of 4 tasks that need 100 of 8000 millicores is submitted
+    And 2 s pass
+    And worker-1's VM crashes and reports at once
+    And worker-1's VM stops answering
+    And 13 s pass
+    Then the scheduler's metrics show 4 overdue tasks held by "lease"
+    And the scheduler's metrics show 0 overdue tasks held by "attendant"
+    And a log line names the tasks of "a" as held by "lease"
--- a/tests/steps/wide_service_steps.py
+++ b/tests/steps/wide_service_steps.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from behave import step, when
+from behave import step, then, when
 
 from tests.steps.rejection_steps import wait_for_start_order
 from tests.support.job_world import job_id
@@ -41,6 +41,14 @@
     context.started_worker.is_unhealthy = False
 
 
+@then('{count:d} tasks of "{label}" run')
+def check_running_of(context, count, label):
+    workers = context.world.cell.worker_by_name.values()
+    tasks = [task for worker in workers for task in worker.run_by_task]
+    running = [task for task in tasks if task.startswith(job_id(label))]
+    assert len(running) == count, running
+
+
 @when("that VM's attendant stops, and starts again after {seconds:d} s")
 def restart_attendant(context, seconds):
     name = context.started_worker.name
