A worker's probation also ends once a task there has stood its probe

What callers saw: a service of 32 tasks, submitted after all workers had recovered, had 8 tasks at work after 7 s and got two more each 2 s, with nearly all room free.

Cause: a worker that was blocked as unhealthy gets one task per probe (2 s) until a task placed since completes there. Tasks of services never complete, so for a worker that gets nothing else the probation, and the doubled block after it, lasted for good.

Now a run placed after the block that a report lists as making progress when it is as old as a probe lasts ends the probation too: unhealthy workers fail tasks within some tenths of a second, and a standstill is found after 1.5 s and stops the run.

tests/scheduler/health "A service is submitted after all workers have recovered" failed before (8 of 32 tasks run after 7 s), passes now.

Left: a block lasts up to 8 s after a worker has failed three probes.

--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -122,6 +122,7 @@
                 continue
             placed.update_status(status.percent, status.figure, now)
             self._apply_checkpoint(placed, status)
+        worker.end_probation(now)
         worker.recompute_usage()
         return max((end.number for end in report.ends), default=0)
 
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -79,6 +79,10 @@
             return 1.0
         return min(self.figure / _MILLI / requested, 1.0)
 
+    def is_at_work(self, now: timedelta) -> bool:
+        """Return whether a report has just listed the run as making progress."""
+        return self.listed_at == now and self.percent > 0 and not self.is_stopping
+
     def mark_ordered(self, session: int) -> None:
         """Record that its start or stop is ordered; a later session asks anew."""
         if session != self.ordered_session:
@@ -205,6 +209,20 @@
             return self.lease_end
         return max(self.lease_end, self.replaced_since + MAX_ORPHAN_TIME)
 
+    def end_probation(self, now: timedelta) -> None:
+        """End the probation if a task placed after the block is still at work.
+
+        If only completed tasks ended it, a worker that gets nothing but services would
+        be given one task per probe for good.
+        """
+        if self.health.is_on_probation and any(
+            self.blocked_until <= placed.placed_at
+            and now - placed.placed_at >= _PROBE_TIME
+            and placed.is_at_work(now)
+            for placed in self.held_by_ref.values()
+        ):
+            self.health.record_survival()
+
     def has_probe_running(self, now: timedelta) -> bool:
         """Return whether the first task after a block is still under observation.
 
--- a/coltsfoottray/scheduler/health.py
+++ b/coltsfoottray/scheduler/health.py
@@ -9,7 +9,8 @@
 
 A worker is considered unhealthy when tasks of two jobs have failed or stalled, no task
 placed since the first of them has completed, and too few others are still running. It
-is then blocked for some time, which grows with each block until a task completes there.
+is then blocked for some time, which grows with each block until a task completes there
+or has outlived the time in which it would have failed: services never complete.
 """
 
 from __future__ import annotations
@@ -73,6 +74,11 @@
             self._next_block = _FIRST_BLOCK
             self.is_on_probation = False
 
+    def record_survival(self) -> None:
+        """Record that a task placed after the block has stood its probe."""
+        self._next_block = _FIRST_BLOCK
+        self.is_on_probation = False
+
     def record_failure(
         self,
         job: JobId,
--- a/tests/scheduler/health.feature
+++ b/tests/scheduler/health.feature
@@ -85,3 +85,21 @@
     And 2 s pass
     And the job "b" of 1 steps with 8 tasks of 1 s is submitted at entry-1
     Then the job "b" is "completed" within 3 s
+
+  Scenario: A service is submitted after all workers have recovered
+    # Guards against workers on probation for good, as no task of a service completes.
+    Given two entries and 2 workers for jobs
+    And worker-1's VM fails everything it starts
+    And worker-2's VM fails everything it starts
+    When the job "a" of 1 steps with 2 tasks of 1 s is submitted at entry-1
+    And the job "b" of 1 steps with 2 tasks of 1 s is submitted at entry-1
+    And 1 s pass
+    And worker-1's VM fails nothing any more
+    And worker-2's VM fails nothing any more
+    And the job "a" is cancelled at entry-1 with status 200
+    And the job "b" is cancelled at entry-1 with status 200
+    And 3 s pass
+    And the service "s" of 32 tasks that need 100 of 8000 millicores is submitted
+    And 7 s pass
+    Then 32 tasks run
+    And no task ran twice at the same time or after its end
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -286,6 +286,11 @@
     context.world.cell.worker_by_name[name].fails_everything = True
 
 
+@when("{name}'s VM fails nothing any more")
+def recover(context, name):
+    context.world.cell.worker_by_name[name].fails_everything = False
+
+
 @given("tasks on {name}'s VM make no progress")
 def make_hung(context, name):
     context.world.cell.worker_by_name[name].is_hung = True
