--- a/tests/steps/evacuation_steps.py
+++ b/tests/steps/evacuation_steps.py
@@ -4,7 +4,6 @@
 
 from unittest import mock
 
-import eliot
 from behave import given, step, then, when
 from typer.testing import CliRunner
 
@@ -12,6 +11,7 @@
 from coltsfoottray.cli.main import app
 from coltsfoottray.http import HttpRequest
 from tests.support.job_world import JobWorld, job_id
+from tests.support.log_lines import record_log_lines
 
 # An entry reads the request, and its scheduler's next round and report follow.
 _USUALLY_IN_FORCE_AFTER_S = 1.0
@@ -25,8 +25,7 @@
     context.world.advance(3)
     context.evacuated_at = {}
     context.messages = []
-    eliot.add_destinations(context.messages.append)
-    context.closers.append(lambda: eliot.remove_destination(context.messages.append))
+    record_log_lines(context, context.messages.append)
 
 
 @step('the operator evacuates "{data_centre}"')
--- a/tests/steps/losses_steps.py
+++ b/tests/steps/losses_steps.py
@@ -7,7 +7,6 @@
 import tempfile
 from pathlib import Path
 
-import eliot
 from behave import given, then, when
 from typer.testing import CliRunner
 
@@ -17,18 +16,11 @@
 from coltsfoottray.explain.losses import Part, find_losses
 from tests.steps.job_steps import make_world, submit
 from tests.support.job_world import job_id
-
-
-def _discard(message):
-    """Drop a message."""
+from tests.support.log_lines import record_log_lines
 
 
 @given("two entries and {count:d} workers for jobs, whose log lines are recorded")
 def make_logged_world(context, count):
-    # Without a destination, eliot keeps messages for the first one: those of earlier
-    # scenarios, about jobs with the same names.
-    eliot.add_destinations(_discard)
-    eliot.remove_destination(_discard)
     make_world(context, count)
     context.messages = []
 
@@ -36,8 +28,7 @@
         # eliot stamps messages with the wall clock; the scenario runs on virtual time.
         context.messages.append({**message, "timestamp": context.world.now()})
 
-    eliot.add_destinations(record)
-    context.closers.append(lambda: eliot.remove_destination(record))
+    record_log_lines(context, record)
 
 
 @when(
--- a/tests/steps/overdue_steps.py
+++ b/tests/steps/overdue_steps.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import eliot
 from behave import given, step, then, when
 
 from tests.support.job_world import job_id, make_steps
+from tests.support.log_lines import record_log_lines
 
 
 @given("log lines are recorded")
 def record_log_lines(context):
     context.messages = []
-    eliot.add_destinations(context.messages.append)
-    context.closers.append(lambda: eliot.remove_destination(context.messages.append))
+    record_log_lines(context, context.messages.append)
 
 
 @step("{name}'s attendant ignores its orders")
@@ -57,6 +56,15 @@
         assert all(task.startswith(job_id(label)) for task in line["tasks"]), line
 
 
+@then('a log line says that "{label}" waits for "{reason}"')
+def check_wait_line(context, label, reason):
+    lines = _lines(context, "decision:wait")
+    reasons = {
+        line["lacks"] for line in lines if line["step"].startswith(job_id(label))
+    }
+    assert reason in reasons, reasons
+
+
 @then("no log line names overdue tasks")
 def check_no_overdue_line(context):
     assert not _lines(context, "scheduler:overdue")
