A silent worker's attendant reports again as soon as it has a new scheduler's session

What callers saw: tasks of services that run nowhere for 11 to 12 s after their worker left with its VM, around a change of the scheduler.

Cause: how long a silent worker may still run counts only in a report of the scheduler's own session. The first report to a new scheduler carries an earlier one, and the next came a second later, unless the lease had lapsed already.

Now the attendant reports at once, as it did for a lapsed lease.

tests/scheduler/gone: the new scenario failed without the change (2 of 4 tasks run nowhere 7 s after the last loss), 8 of 8 pass with it. one_run, lost, takeover, rejections, ends, restarted_attendants, wide_services: 72 passed.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -316,8 +316,9 @@
     def _begin_session(self, orders: Orders) -> None:
         """Begin a session; its first orders repeat all starts that are still valid."""
         self._session.begin(orders)
-        if self._has_lapsed:
-            # A scheduler accepts the lapse only in the session that it granted.
+        is_silent = self._heartbeat is not None and not self._liveness.is_answering
+        if self._has_lapsed or is_silent:
+            # A scheduler counts what is left of the lease only in its own session.
             self.request_report()
         self._runs.starting.clear()
         self._runs.stopped_by_ref.clear()
--- a/tests/scheduler/gone.feature
+++ b/tests/scheduler/gone.feature
@@ -95,3 +95,16 @@
     And 2 s pass
     Then 4 tasks run
     And no task ran twice at the same time or after its end
+
+  Scenario: A worker is lost, and its attendant ends right after a take-over
+    # Guards against a new scheduler that waits for a whole lease, since the only report
+    # of a silent worker that it gets was sent before its session.
+    Given two entries and 2 workers for jobs
+    When the long-running job "a" of 1 steps with 4 tasks of 1 s is submitted at entry-1
+    And 2 s pass
+    And worker-1's VM is lost permanently
+    And the scheduler is killed
+    And worker-1's attendant ends 700 ms after the next scheduler grants it a session
+    And 7 s pass
+    Then 4 tasks run
+    And no task ran twice at the same time or after its end
--- a/tests/steps/restart_steps.py
+++ b/tests/steps/restart_steps.py
@@ -40,3 +40,16 @@
 @given("the next {count:d} speed limits at {name} are applied late")
 def delay_speed_limits(context, count, name):
     context.world.cell.worker_by_name[name].late_paces = count
+
+
+@when(
+    "{name}'s attendant ends {milliseconds:d} ms after the next scheduler grants it a "
+    "session"
+)
+def end_attendant_after_session(context, name, milliseconds):
+    world = context.world
+    attendant = world.cell.attendant_by_name[name].attendant
+    before = attendant.session
+    world.wait_until(lambda: attendant.session > before, step_s=0.001)
+    world.advance(milliseconds / 1000)
+    world.kill_daemon(name)
