A filler whose speed is unknown does not count as stalled

What callers saw: fillers that are stopped and begun anew elsewhere, with a failure counted for their worker, although they were only slowed.

It took a run without a confirmed speed limit for one at full speed, while the attendant forgets a limit whose change was not answered, and a new attendant does not know its predecessor's.

Now a filler's standstill counts only while its speed is confirmed; other runs as before.

tests/scheduler/restarted_attendants: the two new scenarios failed without the change (a filler at 0 percent was stopped and started again on the same worker), 6 of 6 pass with it. fillers, health, overdue: 21 passed; the state machine paced-jobs: nothing in 40 runs of 15 steps.

--- a/coltsfoottray/agent/stalls.py
+++ b/coltsfoottray/agent/stalls.py
@@ -60,14 +60,15 @@
         Parameters
         ----------
         percent_by_ref : mapping
-            Speed limits of runs in percent; runs without one work at full speed.
+            Speed limits of runs in percent that the worker has confirmed. The speed of
+            a filler without one is unknown; other runs work at full speed.
         """
         progress_by_ref: dict[RunRef, _Progress] = {}
         stalled: list[RunRef] = []
         for status in running:
             order = order_by_ref.get(status.ref)
             progress = self._progress_by_ref.get(status.ref)
-            is_slowed = percent_by_ref.get(status.ref, 100) < _MIN_SPEED_PERCENT
+            is_slowed = _may_be_slowed(order, percent_by_ref.get(status.ref))
             has_progressed = progress is None or progress.percent != status.percent
             if order is not None and order.is_service:
                 has_progressed = progress is None or status.percent >= _SERVING_PERCENT
@@ -84,6 +85,13 @@
         return bool(new)
 
 
+def _may_be_slowed(order: StartOrder | None, percent: int | None) -> bool:
+    """Whether a run's speed limit may explain that it makes no progress."""
+    if percent is None:
+        return order is not None and order.is_filler
+    return percent < _MIN_SPEED_PERCENT
+
+
 def _stall_timeout(order: StartOrder) -> timedelta:
     if order.is_service:
         return _SERVICE_STALL_TIMEOUT
--- a/tests/scheduler/restarted_attendants.feature
+++ b/tests/scheduler/restarted_attendants.feature
@@ -47,3 +47,30 @@
     And 8 s pass
     And 5 s pass
     Then every filler of "f" runs at 100 percent
+
+  Scenario: Speed limits of suspended fillers are not answered
+    # Guards against a filler that is stopped as stalled although it is suspended, since
+    # its attendant takes an unknown speed for full.
+    Given two entries and 1 workers for jobs
+    When a service of 1 tasks over its latency target is submitted at entry-1
+    And the filler job "f" of 1 tasks of 10 s is submitted at entry-1
+    And 4 s pass
+    Then every filler of "f" runs at 0 percent
+    When the next 20 speed limits at worker-1 are applied late
+    And the services on worker-1 are far below their latency target
+    And 6 s pass
+    Then 2 tasks were started, each once
+    And every filler of "f" runs at 100 percent
+
+  Scenario: Speed limits of a restarted attendant are not answered
+    # Guards against a filler that is stopped as stalled although a former attendant has
+    # suspended it.
+    Given two entries and 1 workers for jobs
+    When a service of 1 tasks over its latency target is submitted at entry-1
+    And the filler job "f" of 1 tasks of 10 s is submitted at entry-1
+    And 4 s pass
+    Then every filler of "f" runs at 0 percent
+    When the next 20 speed limits at worker-1 are applied late
+    And worker-1 is killed and restarted after 1 s
+    And 6 s pass
+    Then 2 tasks were started, each once
