--- a/tests/steps/overdue_steps.py
+++ b/tests/steps/overdue_steps.py
@@ -9,7 +9,7 @@
 
 
 @given("log lines are recorded")
-def record_log_lines(context):
+def record_lines(context):
     context.messages = []
     record_log_lines(context, context.messages.append)
 
