Split all writes of the scheduler by entries and by bytes

What callers saw: nothing starts any more, for good. The store refuses a transaction over 1 MB each time, and the scheduler sends the same one for ever; its successor writes the same rows.

Cause: batches of jobs were bounded in bytes, the rows with the addresses of attendants only in number (48). All attendants of a fleet that starts in one instant are in one write.

Now one place splits all writes, whatever they are for, and counts a condition without a write as one entry, so that a write that gains a condition cannot pass the limit of 100 unnoticed. Deletions fill what is left of a transaction. The rows of attendants share transactions with those of jobs.

tests/scheduler/bounds: the scenario failed before (job "a" still queued after 10 s) and passes now. The stand-in refuses transactions over 1 MB, as the store does. By the code, no transaction could have over 100 entries before: at most 48 rows and the lease row.

Not bounded: a single row, for which the store has a limit too.

--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -25,21 +25,22 @@
 from coltsfoottray.scheduler.live import LiveJob
 from coltsfoottray.scheduler.side_rows import SideRows
 from coltsfoottray.scheduler.takeover import Claim
+from coltsfoottray.scheduler.transactions import (
+    MAX_ENTRIES,
+    WriteGroup,
+    count_entries,
+    split_groups,
+)
 
 __all__ = ["LeaseLost", "StateWriter"]
 
 _RETRY_INTERVAL = timedelta(milliseconds=100)
 
-# The store allows 100 conditions and writes in a transaction, and each row takes one of
-# both. One row is reserved for the lease.
-_ROWS_PER_COMMIT = 48
-# The store's limit is 1 MB, and base64 adds a third.
-_BYTES_PER_COMMIT = 500_000
-
 # Tasks report checkpoints every second. Per period, at most one transaction of jobs is
 # written for their checkpoints alone, so that thousands of running tasks add only one
 # write per second.
 _CHECKPOINT_PERIOD = timedelta(seconds=1)
+_MAX_CHECKPOINT_JOBS = 48
 
 
 class LeaseLost(ColtsfoottrayError):
@@ -105,15 +106,16 @@
         LeaseLost
             If another entry has taken the lease row over.
         """
-        dirty = self._jobs_to_store(jobs)
-        for batch in _split_batches(dirty):
-            await self._commit(batch, renews=self._is_renewal_due())
         now = self._clock.elapsed()
-        extra = [put for rows in self._side_rows for put in rows.due_puts(now)]
-        for start in range(0, len(extra), _ROWS_PER_COMMIT):
-            chunk = extra[start : start + _ROWS_PER_COMMIT]
-            await self._commit([], chunk, renews=self._is_renewal_due())
-        if self._garbage or (not dirty and self._is_renewal_due()):
+        groups = [self._job_group(job) for job in self._jobs_to_store(jobs)]
+        groups += [
+            WriteGroup(puts=[put])
+            for rows in self._side_rows
+            for put in rows.due_puts(now)
+        ]
+        for batch in split_groups(groups):
+            await self._commit(batch, renews=self._is_renewal_due())
+        if self._garbage or (not groups and self._is_renewal_due()):
             await self._commit([], renews=True)
 
     async def renew(self) -> None:
@@ -150,18 +152,15 @@
         if with_checkpoints and now - self._checkpoints_stored_at >= _CHECKPOINT_PERIOD:
             self._checkpoints_stored_at = now
             with_checkpoints.sort(key=lambda job: job.stored_at)
-            dirty += with_checkpoints[:_ROWS_PER_COMMIT]
+            dirty += with_checkpoints[:_MAX_CHECKPOINT_JOBS]
         return dirty
 
-    async def _commit(
-        self, jobs: list[LiveJob], extra: Sequence[Put] = (), *, renews: bool
-    ) -> None:
+    async def _commit(self, groups: Sequence[WriteGroup], *, renews: bool) -> None:
         sent = self._clock.elapsed()
-        puts = [*extra, *(put for job in jobs for put in self._job_puts(job))]
+        puts = [put for group in groups for put in group.puts]
+        checks = [check for group in groups for check in group.checks]
         deleted = {put.key for put in puts if put.is_deletion}
-        garbage = list(self._garbage)[: _ROWS_PER_COMMIT - len(puts)]
-        puts += [Put(key=key, version=self._garbage.pop(key)) for key in garbage]
-        checks: list[Check] = []
+        puts += self._take_garbage(MAX_ENTRIES - count_entries(puts, checks))
         if renews:
             self.lease = msgspec.structs.replace(
                 self.lease,
@@ -182,13 +181,18 @@
             self.renewed_at = sent
             self._must_renew = False
             self._grants.unlist(self.lease.silent_ms)
-        for job in jobs:
+        for job in [group.job for group in groups if group.job is not None]:
             key = record_key(job.id)
             version = 0 if key in deleted else versions.get(key, job.version)
             summary_version = versions.get(summary_key(job.id), job.summary_version)
             job.mark_stored(version, summary_version, sent)
 
-    def _job_puts(self, job: LiveJob) -> list[Put]:
+    def _take_garbage(self, free_entries: int) -> list[Put]:
+        """Return deletions that take at most `free_entries`, two each."""
+        keys = list(self._garbage)[: max(free_entries, 0) // 2]
+        return [Put(key=key, version=self._garbage.pop(key)) for key in keys]
+
+    def _job_group(self, job: LiveJob) -> WriteGroup:
         """Return the writes that store a job.
 
         The summary that callers ask for has a row of its own, which changes two or
@@ -205,7 +209,7 @@
         if job.has_new_summary:
             summary = job.record.summary
             puts.append(Put.of(summary_key(job.id), job.summary_version, summary))
-        return puts
+        return WriteGroup(puts=puts, job=job)
 
     async def _commit_until_available(self, transaction: Transaction) -> dict[str, int]:
         while True:
@@ -228,20 +232,3 @@
     def _is_renewal_due(self) -> bool:
         is_old = self._clock.elapsed() - self.renewed_at >= RENEWAL_INTERVAL
         return is_old or self._must_renew or self._grants.has_recovered_worker()
-
-
-def _split_batches(jobs: list[LiveJob]) -> list[list[LiveJob]]:
-    """Split jobs into batches that each fit into one transaction."""
-    batches: list[list[LiveJob]] = []
-    size = rows = 0
-    for job in jobs:
-        job_size = len(msgspec.json.encode(job.record))
-        job_rows = 1 + job.has_new_summary
-        is_full = not batches or rows + job_rows > _ROWS_PER_COMMIT
-        if is_full or size + job_size > _BYTES_PER_COMMIT:
-            batches.append([])
-            size = rows = 0
-        batches[-1].append(job)
-        size += job_size
-        rows += job_rows
-    return batches
--- a/standins/metadata_table.py
+++ b/standins/metadata_table.py
@@ -16,6 +16,8 @@
 
 WRITE_DELAY_S = 3.0
 MAX_QUEUE_S = 1.0
+MAX_ENTRIES = 100
+MAX_BYTES = 1_000_000
 
 
 class _Ref(msgspec.Struct, frozen=True):
@@ -75,6 +77,8 @@
         None. While more than `MAX_QUEUE_S` of them wait, further ones are rejected.
     calls_by_table : Counter
         Number of transactions and reads by table.
+    oversized : int
+        Number of transactions refused for their entries or bytes.
     current_by_ref : dict
         Latest change of each row that exists.
     changes : list
@@ -93,6 +97,7 @@
     withholds_changes: bool = False
     transactions_per_s: float | None = None
     calls_by_table: Counter[str] = field(default_factory=Counter)
+    oversized: int = 0
     current_by_ref: dict[_Ref, _Change] = field(default_factory=dict)
     changes: list[_Change] = field(default_factory=list)
     dropped_up_to: int = 0
@@ -134,7 +139,8 @@
         if not await self.faults.before_call():
             return HttpResponse(status=503)
         if request.path == "/v1/rows-tx":
-            return await self._transact(msgspec.json.decode(request.body, type=_Tx))
+            tx = msgspec.json.decode(request.body, type=_Tx)
+            return await self._transact(tx, size_bytes=len(request.body))
         if request.path == "/v1/rows-get":
             self.calls_by_table[request.query["table"]] += 1
             if self.failed_reads_by_table[request.query["table"]] > 0:
@@ -149,10 +155,12 @@
             return await self._feed(request.query)
         return HttpResponse(status=404)
 
-    async def _transact(self, tx: _Tx) -> HttpResponse:
+    async def _transact(self, tx: _Tx, *, size_bytes: int) -> HttpResponse:
         items = [*tx.expectedRevision, *tx.upserts, *tx.remove]
-        is_valid = len(items) <= 100 and len({item.part for item in items}) == 1
-        if not is_valid:
+        if len(items) > MAX_ENTRIES or size_bytes > MAX_BYTES:
+            self.oversized += 1
+            return HttpResponse(status=400)
+        if len({item.part for item in items}) != 1:
             return HttpResponse(status=400)
         self.calls_by_table.update({item.table for item in items})
         if not await self._wait_for_turn(items[0].part):
--- /dev/null
+++ b/tests/scheduler/bounds.feature
@@ -0,0 +1,10 @@
+Feature: No transaction of the scheduler is larger than the store accepts
+
+  Scenario: The attendants of a large fleet start in one instant
+    # Guards against a scheduler that is stopped for ever by a transaction over 1 MB.
+    Given two entries and 2 workers for jobs
+    When 120 attendants in each of 48 data centres report each second, for 6 s
+    And the job "a" of 1 steps with 2 tasks of 1 s is submitted at entry-1
+    Then the job "a" is "completed" within 10 s
+    And the store has a row of attendants for each of 48 data centres
+    And the store has refused no transaction for its size
