An overdue task counts for what has held it longest, not for whoever holds it now

The time counted from when a task was owed, the holder was the present one.

tests/scheduler/overdue, "A filler that has waited for a good place is placed at last": failed before (counted as held by the attendant), 7 of 7 pass now.

--- a/coltsfoottray/scheduler/overdue.py
+++ b/coltsfoottray/scheduler/overdue.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import enum
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from coltsfoottray.clock import Clock
@@ -54,21 +54,34 @@
     worker: str
     is_service: bool
 
-    @property
-    def is_logged(self) -> bool:
-        """Whether a log line names it if it is overdue.
+    def is_logged_as(self, holder: Holder) -> bool:
+        """Return whether a log line names it if it is overdue because of `holder`.
 
         Waiting for room is no fault, and fillers wait for good places.
         """
-        if self.holder is Holder.PLACEMENT:
+        if holder is Holder.PLACEMENT:
             return self.is_service
-        return self.holder is not Holder.ROOM
+        return holder is not Holder.ROOM
+
+
+@dataclass(kw_only=True)
+class _Wait:
+    """For how long a task has been owed, and how many checks found it with whom."""
+
+    since: timedelta
+    checks_by_holder: Counter[Holder] = field(default_factory=Counter)
+
+    @property
+    def main_holder(self) -> Holder:
+        """What has held the task for most of the time."""
+        return self.checks_by_holder.most_common(1)[0][0]
 
 
 class OverdueMonitor:
     """Records the tasks that have been owed for too long, by what holds them up.
 
-    The time of a task counts from when this scheduler first found it owed.
+    The time of a task counts from when this scheduler first found it owed. A task that
+    several have held in turn counts for the one that has held it longest.
     """
 
     def __init__(
@@ -77,7 +90,7 @@
         self._cluster = cluster
         self._clock = clock
         self._metrics = metrics
-        self._since_by_task: dict[TaskRef, timedelta] = {}
+        self._wait_by_task: dict[TaskRef, _Wait] = {}
         self._logged_at_by_holder: dict[Holder, timedelta] = {}
 
     async def run(self) -> None:
@@ -90,17 +103,23 @@
         """Update the metrics, and log what is overdue."""
         now = self._clock.elapsed()
         owed = list(self._list_owed(now))
-        self._since_by_task = {
-            each.task: self._since_by_task.get(each.task, now) for each in owed
-        }
+        self._update_waits(owed, now)
         overdue_by_holder: dict[Holder, list[_OwedTask]] = defaultdict(list)
         for each in owed:
-            if now - self._since_by_task[each.task] > _MAX_OWED_TIME:
-                overdue_by_holder[each.holder].append(each)
+            wait = self._wait_by_task[each.task]
+            if now - wait.since > _MAX_OWED_TIME:
+                overdue_by_holder[wait.main_holder].append(each)
         for holder in Holder:
             overdue = overdue_by_holder[holder]
             self._metrics.gauge("tasks_overdue", len(overdue), held_by=holder.value)
-            self._log(holder, [each for each in overdue if each.is_logged], now)
+            self._log(holder, [e for e in overdue if e.is_logged_as(holder)], now)
+
+    def _update_waits(self, owed: Sequence[_OwedTask], now: timedelta) -> None:
+        known, self._wait_by_task = self._wait_by_task, {}
+        for each in owed:
+            wait = known.get(each.task) or _Wait(since=now)
+            wait.checks_by_holder[each.holder] += 1
+            self._wait_by_task[each.task] = wait
 
     def _log(
         self, holder: Holder, overdue: Sequence[_OwedTask], now: timedelta
@@ -112,8 +131,8 @@
         if logged_at is not None and now - logged_at < _LOG_INTERVAL:
             return
         self._logged_at_by_holder[holder] = now
-        oldest = sorted(overdue, key=lambda each: self._since_by_task[each.task])
-        longest = now - self._since_by_task[oldest[0].task]
+        oldest = sorted(overdue, key=lambda each: self._wait_by_task[each.task].since)
+        longest = now - self._wait_by_task[oldest[0].task].since
         log_event(
             "scheduler:overdue",
             held_by=holder.value,
--- a/tests/scheduler/overdue.feature
+++ b/tests/scheduler/overdue.feature
@@ -66,3 +66,16 @@
     And 12 s pass
     Then a log line names the tasks of "a" as held by "placement"
     And a log line says that "a" waits for "health"
+
+  Scenario: A filler that has waited for a good place is placed at last
+    # Guards against blaming whoever holds a task at the moment for all of its wait.
+    Given two entries and 1 workers for jobs
+    And log lines are recorded
+    And the queue's policy allows only worker-2
+    When the job "f" of 4 tasks of 30 s that need tickets is submitted at entry-1
+    And 9 s pass
+    And worker-1's attendant ignores its orders
+    And the policy changes to allow only worker-1
+    And 4 s pass
+    Then the scheduler's metrics show 4 overdue tasks held by "placement"
+    And no log line names overdue tasks
