Say that a step waits for the health of workers, not for room

A service that waited while all workers with room were blocked or on probation was said to wait for room, which is no fault: the monitor of overdue tasks counted it as held by "room" and logged nothing.

Now the step lacks "health", its overdue tasks are held by "placement" and logged, and the loss report counts the time as "health".

tests/scheduler/overdue "A service waits for workers that fail everything" failed before (no line), passes now; overdue: 6 passed, 0 failed. tests/explain/losses "A job waits for the health of workers" failed without the part, passes with it; explain: 20 passed, 0 failed.

--- a/coltsfoottray/explain/losses.py
+++ b/coltsfoottray/explain/losses.py
@@ -42,6 +42,7 @@
     ROOM = "room"
     GOOD_PLACE = "good-place"
     EVACUATION = "evacuation"
+    HEALTH = "health"
     TICKET = "ticket"
     START = "start"
     """The task was placed and had not started yet."""
@@ -66,6 +67,7 @@
     "room": Part.ROOM,
     "good-place": Part.GOOD_PLACE,
     "evacuation": Part.EVACUATION,
+    "health": Part.HEALTH,
     "ticket": Part.TICKET,
 }
 
--- a/coltsfoottray/scheduler/capacity_bounds.py
+++ b/coltsfoottray/scheduler/capacity_bounds.py
@@ -2,24 +2,35 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 from datetime import timedelta
 
 from coltsfoottray.jobs.model import StepSpec
-from coltsfoottray.scheduler.eligibility import has_label, is_usable
-from coltsfoottray.scheduler.fleet import Fleet
+from coltsfoottray.scheduler.eligibility import has_label, is_present, is_usable
+from coltsfoottray.scheduler.fleet import Fleet, Worker
 from coltsfoottray.types import Resources
 
 __all__ = ["FreeCapacityBounds"]
 
 
+class _Access(enum.Enum):
+    """Whether the workers of a pool may get tasks now."""
+
+    OPEN = "open"
+    EVACUATED = "evacuated"
+    """Their data centre is evacuated."""
+    UNHEALTHY = "unhealthy"
+    """They are blocked or on probation."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class _Pool:
-    """The workers of a service with a label, in evacuated data centres or others."""
+    """The workers of a service with a label and the same access."""
 
     service: str
     label: str
-    is_evacuated: bool
+    access: _Access
 
 
 class FreeCapacityBounds:
@@ -37,13 +48,19 @@
     def may_fit(self, spec: StepSpec, *, service: str) -> bool:
         """Return whether some worker may have room for a task of a step."""
         return self._may_fit_in(
-            spec, _Pool(service=service, label=spec.label, is_evacuated=False)
+            spec, _Pool(service=service, label=spec.label, access=_Access.OPEN)
         )
 
     def may_fit_after_evacuation(self, spec: StepSpec, *, service: str) -> bool:
         """Return whether a worker in an evacuated data centre may have room for it."""
         return self._may_fit_in(
-            spec, _Pool(service=service, label=spec.label, is_evacuated=True)
+            spec, _Pool(service=service, label=spec.label, access=_Access.EVACUATED)
+        )
+
+    def may_fit_once_healthy(self, spec: StepSpec, *, service: str) -> bool:
+        """Return whether a blocked worker or one on probation may have room for it."""
+        return self._may_fit_in(
+            spec, _Pool(service=service, label=spec.label, access=_Access.UNHEALTHY)
         )
 
     def _may_fit_in(self, spec: StepSpec, pool: _Pool) -> bool:
@@ -52,12 +69,17 @@
         max_free = self._max_free_by_pool[pool]
         return max_free is not None and spec.reserved.fits_in(max_free)
 
+    def _access(self, worker: Worker, service: str) -> _Access:
+        if not is_usable(worker, service, self._now):
+            return _Access.UNHEALTHY
+        return _Access.EVACUATED if worker.is_evacuated else _Access.OPEN
+
     def _max_free(self, pool: _Pool) -> Resources | None:
         rooms = [
             worker.room
             for worker in self._fleet.worker_by_id.values()
-            if worker.is_evacuated is pool.is_evacuated
-            and is_usable(worker, pool.service, self._now)
+            if is_present(worker, pool.service, self._now)
+            and self._access(worker, pool.service) is pool.access
             and has_label(worker, pool.label)
         ]
         if not rooms:
--- a/coltsfoottray/scheduler/eligibility.py
+++ b/coltsfoottray/scheduler/eligibility.py
@@ -6,7 +6,7 @@
 
 from coltsfoottray.scheduler.fleet import Worker
 
-__all__ = ["has_label", "is_schedulable", "is_usable"]
+__all__ = ["has_label", "is_present", "is_schedulable", "is_usable"]
 
 # A worker whose last report is older gets no new tasks: two report intervals of one
 # second each, and half of one.
@@ -19,7 +19,16 @@
 
 
 def is_usable(worker: Worker, service: str, now: timedelta) -> bool:
-    """Return whether a worker is open to new tasks, evacuations left aside.
+    """Return whether a worker is open to new tasks, evacuations left aside."""
+    return (
+        is_present(worker, service, now)
+        and worker.blocked_until <= now
+        and not worker.has_probe_running(now)
+    )
+
+
+def is_present(worker: Worker, service: str, now: timedelta) -> bool:
+    """Return whether a worker is in a service's pool and alive, whatever its health.
 
     While the runs of an earlier incarnation are not reconciled, the worker's
     description is that incarnation's, and starts meant for it would be void.
@@ -32,8 +41,6 @@
         and bool(worker.life)
         and worker.session > 0
         and now - worker.last_heard < _MAX_REPORT_AGE
-        and worker.blocked_until <= now
-        and not worker.has_probe_running(now)
     )
 
 
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -120,10 +120,12 @@
         return WaitReason.ROOM
 
     def _room_reason(self, step: LiveStep, bounds: FreeCapacityBounds) -> WaitReason:
-        """Return whether a step lacks room, or only room that is not evacuated."""
+        """Return whether a step lacks room, or only room that it may use now."""
         service = self._cluster.terms_of(step.job).service
         if bounds.may_fit_after_evacuation(step.spec, service=service):
             return WaitReason.EVACUATION
+        if bounds.may_fit_once_healthy(step.spec, service=service):
+            return WaitReason.HEALTH
         return WaitReason.ROOM
 
     def _place_step(self, step: LiveStep, now: timedelta) -> list[PlacedRun]:
--- a/coltsfoottray/scheduler/wait_reason.py
+++ b/coltsfoottray/scheduler/wait_reason.py
@@ -16,5 +16,7 @@
     """Wherever there is room, it would run slowly or harm the services."""
     EVACUATION = "evacuation"
     """There is room only in data centres that are evacuated."""
+    HEALTH = "health"
+    """There is room only on workers that are blocked or on probation."""
     TICKET = "ticket"
     """Its queue's policy has not yet allowed a worker to run it."""
--- a/tests/explain/losses.feature
+++ b/tests/explain/losses.feature
@@ -10,6 +10,19 @@
     And by the log lines the job "b" lost 3 to 5 s to "room" and ran for 1 s
     And the parts of each job add up to its total time
 
+  Scenario: A job waits for the health of workers
+    # Guards against time that a job waits for a blocked worker and no part accounts for.
+    Given two entries and 1 workers for jobs, whose log lines are recorded
+    And worker-1's VM fails everything it starts
+    When the job "a" of 1 steps with 1 tasks of 1 s is submitted at entry-1
+    And the job "b" of 1 steps with 1 tasks of 1 s is submitted at entry-1
+    And 500 ms pass
+    And worker-1's VM fails nothing any more
+    And the job "c" of 1 steps with 1 tasks of 1 s is submitted at entry-1
+    Then the job "c" is "completed" within 10 s
+    And by the log lines the job "c" lost 1 to 5 s to "health" and ran for 1 s
+    And the parts of each job add up to its total time
+
   Scenario: No scheduler is active for a while
     Given two entries and 1 workers for jobs, whose log lines are recorded
     When the scheduler is killed just before the job "a" of 1 task of 1 s is submitted
--- a/tests/scheduler/overdue.feature
+++ b/tests/scheduler/overdue.feature
@@ -54,3 +54,15 @@
     Then the scheduler's metrics show 4 overdue tasks held by "lease"
     And the scheduler's metrics show 0 overdue tasks held by "attendant"
     And a log line names the tasks of "a" as held by "lease"
+
+  Scenario: A service waits for workers that fail everything
+    # Guards against blocked workers mistaken for full ones.
+    Given two entries and 2 workers for jobs
+    And worker-1's VM fails everything it starts
+    And worker-2's VM fails everything it starts
+    And log lines are recorded
+    When the job "x" of 1 steps with 8 tasks of 1 s is submitted at entry-1
+    And the service "a" of 32 tasks that need 100 of 8000 millicores is submitted
+    And 12 s pass
+    Then a log line names the tasks of "a" as held by "placement"
+    And a log line says that "a" waits for "health"
--- a/tests/steps/overdue_steps.py
+++ b/tests/steps/overdue_steps.py
@@ -57,6 +57,15 @@
         assert all(task.startswith(job_id(label)) for task in line["tasks"]), line
 
 
+@then('a log line says that "{label}" waits for "{reason}"')
+def check_wait_line(context, label, reason):
+    lines = _lines(context, "decision:wait")
+    reasons = {
+        line["lacks"] for line in lines if line["step"].startswith(job_id(label))
+    }
+    assert reason in reasons, reasons
+
+
 @then("no log line names overdue tasks")
 def check_no_overdue_line(context):
     assert not _lines(context, "scheduler:overdue")
