Ask about other workers while the tickets of a step cannot be used

What callers saw: a service whose workers had restarted, or for which there was room only on workers that it had not asked about, ran nowhere until its tickets had expired.

Cause: a step with any unexpired ticket did not ask for advice. A ticket is for one incarnation of a worker, which may have ended, be blocked or be full.

Now a step asks again unless a worker with a ticket can take a task of it. It asks about workers without a ticket only, and keeps the tickets that it has, which starts that are not carried out yet still need. For gangs a full worker counts as before: whether one fits depends on all of its workers together.

tests/scheduler/advice, with tickets for 20 s: "The workers with tickets have restarted" (0 of 12 tasks run after 2 s) and "The workers with tickets are full" (16 of 32) failed before, pass now. advice, starved, overdue, gangs, ends, health, jobs/callers, jobs/members: 62 passed, 0 failed, 1 known red. Not measured: the number of calls for advice on a fleet.

--- a/coltsfoottray/scheduler/advice.py
+++ b/coltsfoottray/scheduler/advice.py
@@ -103,11 +103,12 @@
         log_event("advice:no-answer", job=step.job.id, reason=str(error))
         return False
     expires_at = requested_at + timedelta(milliseconds=terms.validity_ms)
-    step.ticket_by_life = {
+    allowed = {
         permit.life: Ticket(value=permit.ticket, expires_at=expires_at)
         for permit in permits
     }
-    AdviceRequestSelector.record_answer(request, step.ticket_by_life, requested_at)
+    step.add_tickets(allowed, clock.elapsed())
+    AdviceRequestSelector.record_answer(request, allowed, requested_at)
     log_event(
         "decision:advised",
         step=f"{step.job.id}.{step.occurrence}.{step.number}",
--- a/coltsfoottray/scheduler/advice_requests.py
+++ b/coltsfoottray/scheduler/advice_requests.py
@@ -79,9 +79,14 @@
         return None
 
     def _lives(self, step: LiveStep, now: timedelta, *, is_fair: bool) -> list[str]:
-        """Return the incarnations to ask about: those that were not refused lately."""
+        """Return the incarnations to ask about, without a ticket or recent refusal."""
         refused = step.advice_state.refused_by_life
-        candidates = self._planner.candidate_lives(step, now)
+        valid = step.valid_lives(now)
+        candidates = [
+            life
+            for life in self._planner.candidate_lives(step, now)
+            if life not in valid
+        ]
         # If refused workers were asked about again at once, a step that no worker may
         # run would take every request, and for a step that only the last of many
         # workers may run that worker would never be reached.
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -90,6 +91,18 @@
             waiting=len(self.waiting),
         )
 
+    def add_tickets(self, by_life: Mapping[str, Ticket], now: timedelta) -> None:
+        """Add tickets to those that have not expired.
+
+        A start that is not carried out yet needs its earlier one.
+        """
+        kept = {
+            life: ticket
+            for life, ticket in self.ticket_by_life.items()
+            if ticket.expires_at > now
+        }
+        self.ticket_by_life = kept | dict(by_life)
+
     def valid_lives(self, now: timedelta) -> set[str]:
         """Return the worker incarnations with tickets that outlast sending a start."""
         return {
--- a/coltsfoottray/scheduler/places.py
+++ b/coltsfoottray/scheduler/places.py
@@ -6,11 +6,16 @@
 from datetime import timedelta
 
 from coltsfoottray.scheduler.cluster_state import ClusterState
-from coltsfoottray.scheduler.fleet import Worker
+from coltsfoottray.scheduler.eligibility import is_schedulable
+from coltsfoottray.scheduler.fleet import Fleet, Worker
 from coltsfoottray.scheduler.live import LiveStep
-from coltsfoottray.scheduler.worker_selection import Strictness, choose_worker
+from coltsfoottray.scheduler.worker_selection import (
+    Strictness,
+    can_host,
+    choose_worker,
+)
 
-__all__ = ["PlaceFinder"]
+__all__ = ["PlaceFinder", "TicketedPlaces"]
 
 
 class PlaceFinder:
@@ -50,3 +55,38 @@
         if self._cluster.terms_of(step.job).advice is None:
             return None
         return step.valid_lives(now)
+
+
+class TicketedPlaces:
+    """Tells which steps have a ticket that they can use now.
+
+    Valid for one moment, in which the workers are examined once for each service.
+    """
+
+    def __init__(self, *, fleet: Fleet, now: timedelta) -> None:
+        self._fleet = fleet
+        self._now = now
+        self._by_life_by_service: dict[str, dict[str, Worker]] = {}
+
+    def has_any(self, step: LiveStep, *, service: str) -> bool:
+        """Return whether a worker with a ticket may get a task of `step` now."""
+        lives = step.valid_lives(self._now)
+        if not lives:
+            return False
+        by_life = self._open_by_life(service)
+        workers = [by_life[life] for life in lives if life in by_life]
+        if step.spec.is_gang:
+            # Whether a gang fits depends on all of its workers together.
+            return bool(workers)
+        return any(
+            can_host(worker, step, room=worker.room, extra=0) for worker in workers
+        )
+
+    def _open_by_life(self, service: str) -> dict[str, Worker]:
+        if service not in self._by_life_by_service:
+            self._by_life_by_service[service] = {
+                worker.life: worker
+                for worker in self._fleet.worker_by_id.values()
+                if is_schedulable(worker, service, self._now)
+            }
+        return self._by_life_by_service[service]
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -13,7 +13,7 @@
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.fleet import PlacedRun, Worker
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
-from coltsfoottray.scheduler.places import PlaceFinder
+from coltsfoottray.scheduler.places import PlaceFinder, TicketedPlaces
 from coltsfoottray.scheduler.urgency import is_half_elapsed, urgency_key
 from coltsfoottray.scheduler.wait_reason import WaitReason
 from coltsfoottray.scheduler.worker_selection import (
@@ -220,17 +220,19 @@
         """Return the steps that wait for advice, the most urgent first.
 
         Steps that no worker has room for are left out: there is no worker to ask about,
-        and the most urgent of them would take all requests.
+        and the most urgent of them would take all requests. So are those that can use a
+        ticket; a ticket for a worker that has ended or is full is of no use.
         """
         bounds = FreeCapacityBounds(fleet=self._fleet, now=now)
+        places = TicketedPlaces(fleet=self._fleet, now=now)
         waiting: list[LiveStep] = []
         for step in self._ready:
             terms = self._cluster.terms_of(step.job)
             if (
                 terms.advice is not None
                 and bounds.may_fit(step.spec, service=terms.service)
-                and not step.valid_lives(now)
                 and step.can_start
+                and not places.has_any(step, service=terms.service)
             ):
                 waiting.append(step)
         return waiting
--- a/standins/advice.py
+++ b/standins/advice.py
@@ -31,6 +31,8 @@
         Time at which each issued ticket expires, in seconds.
     request_count : int
         Requests answered, without those rejected as concurrent.
+    validity_s : float
+        Time for which a ticket is valid.
     """
 
     allowed_workers: set[str] = field(default_factory=set)
@@ -38,6 +40,7 @@
     expiry_by_ticket: dict[str, float] = field(default_factory=dict)
     request_count: int = 0
     is_busy: bool = False
+    validity_s: float = VALIDITY_S
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer a request; a concurrent one is rejected with status 429."""
@@ -58,9 +61,9 @@
             if worker not in self.allowed_workers or job in self.denied_jobs:
                 continue
             ticket = f"{body['step']}@{worker}#{self.request_count}"
-            self.expiry_by_ticket[ticket] = trio.current_time() + VALIDITY_S
+            self.expiry_by_ticket[ticket] = trio.current_time() + self.validity_s
             rows.append([worker, ticket])
-        response_body = {"allowed": rows, "validityMs": VALIDITY_S * 1000}
+        response_body = {"allowed": rows, "validityMs": self.validity_s * 1000}
         return HttpResponse.of_json(response_body)
 
     def is_valid(self, ticket: str, step: str, worker: str) -> bool:
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -258,6 +258,13 @@
     context.world.run(worker.send_heartbeat)
 
 
+@step("{name} reports that its VM {does}")
+def report_draining(context, name, does):
+    worker = context.world.cell.worker_by_name[name]
+    worker.is_draining = {"drains": True, "stays": False}[does]
+    context.world.run(worker.send_heartbeat)
+
+
 @when("{name}'s VM is lost permanently")
 def destroy(context, name):
     context.world.cell.worker_by_name[name].destroy()
--- a/tests/steps/job_placement_steps.py
+++ b/tests/steps/job_placement_steps.py
@@ -33,6 +33,20 @@
     context.world.advance(1)
 
 
+@given("the queue's policy allows all workers, with tickets for {seconds:d} s")
+def allow_all_workers(context, seconds):
+    cell = context.world.cell
+    cell.advice.allowed_workers = {f"i-{name}" for name in cell.worker_by_name}
+    cell.advice.validity_s = float(seconds)
+    terms = {"decisionMs": 100, "periodMs": 20, "validityMs": seconds * 1000}
+
+    async def write():
+        cell.write_config(recommendation=terms)
+
+    context.world.run(write)
+    context.world.advance(1)
+
+
 @given('the policy allows the job "{label}" on no worker')
 def forbid_job(context, label):
     context.world.cell.advice.denied_jobs.add(job_id(label))
--- a/tests/steps/overdue_steps.py
+++ b/tests/steps/overdue_steps.py
@@ -33,7 +33,19 @@
 
 @when('the service "{label}" of {tasks:d} tasks that need a ticket is submitted')
 def submit_service_with_tickets(context, label, tasks):
-    shape = make_steps(1, tasks, 1, longRunning=True, cpu=100, memoryLimitMb=100)
+    _submit_with_tickets(context, label, tasks, cpu=100)
+
+
+@when(
+    'the service "{label}" of {tasks:d} tasks that need a ticket and a processor '
+    "is submitted"
+)
+def submit_large_service_with_tickets(context, label, tasks):
+    _submit_with_tickets(context, label, tasks, cpu=1000)
+
+
+def _submit_with_tickets(context, label, tasks, cpu):
+    shape = make_steps(1, tasks, 1, longRunning=True, cpu=cpu, memoryLimitMb=100)
     status = context.world.submit_job(
         "entry-1", label, shape, lasts=True, needs_ticket=True
     )
