Do not wait longer for an ended holder because take-overs have failed

What callers saw: after several schedulers in a row had ended while they loaded, nothing was started for more than 7 s.

Cause: others wait twice as long with each take-over that was replaced before it had loaded, up to 10.4 s, since the holder may only be reading slowly. They did so also where no process listens at its address any more.

Now a refused connection shows that the holder has ended: it is replaced once it has not renewed for 1.3 s, and that is not counted as a failed take-over. The gRPC client tells a refused connection too, as the HTTP client did.

Left: VMs that are off refuse nothing; there the wait is as long as before.

--- a/coltsfoottray/peers/grpc.py
+++ b/coltsfoottray/peers/grpc.py
@@ -141,7 +141,10 @@
         except (OSError, GRPCError, StreamTerminatedError, trio.TooSlowError) as error:
             self._discard_channel(address, channel)
             raise CommunicationError(
-                step=step, peer=str(address), detail=str(error) or type(error).__name__
+                step=step,
+                peer=str(address),
+                detail=str(error) or type(error).__name__,
+                is_refused=isinstance(error, ConnectionRefusedError),
             ) from error
         finally:
             if self._channel_by_address.get(address) is not channel:
--- a/coltsfoottray/scheduler/lease.py
+++ b/coltsfoottray/scheduler/lease.py
@@ -104,6 +104,8 @@
     ABANDONED = "abandoned"
     """The row names this process, which is not the scheduler: the answer to an
     earlier takeover was lost."""
+    ENDED = "ended"
+    """The holder does not renew, and no process listens at its address."""
     STALE = "stale"
     """The holder neither answers nor renews."""
     CUT_OFF = "cut-off"
@@ -157,13 +159,8 @@
             reply = await self._peers.call(
                 row.address, PING, Ping(), timeout=_PING_TIMEOUT
             )
-        except CommunicationError:
-            # The row may have changed during the call.
-            return (
-                HolderStatus.STALE
-                if self._row_age() > _STALE_AFTER * row.patience
-                else HolderStatus.HELD
-            )
+        except CommunicationError as error:
+            return self._status_of_silent(row, error)
         if reply.incarnation != row.incarnation:
             return HolderStatus.REPLACED
         return (
@@ -172,6 +169,20 @@
             else HolderStatus.HELD
         )
 
+    def _status_of_silent(
+        self, row: LeaseRow, error: CommunicationError
+    ) -> HolderStatus:
+        """Return the status of a holder that a call has not reached.
+
+        The row may have changed during the call.
+        """
+        if error.is_refused:
+            # A process that has ended is not slow, however many take-overs have failed.
+            is_ended = self._row_age() > _STALE_AFTER
+            return HolderStatus.ENDED if is_ended else HolderStatus.HELD
+        is_stale = self._row_age() > _STALE_AFTER * row.patience
+        return HolderStatus.STALE if is_stale else HolderStatus.HELD
+
     def _row_age(self) -> timedelta:
         """Return the time since the row last changed."""
         return self._clock.elapsed() - self.changed_at
--- a/coltsfoottray/scheduler/takeover.py
+++ b/coltsfoottray/scheduler/takeover.py
@@ -3,7 +3,8 @@
 Load pattern: the holder of a large fleet has died, all entries see it within moments of
 one another, and the one that takes over needs a while to read what is stored, over a
 link that may be thin. One take-over is in progress at a time: its holder renews the row
-while it makes progress, and where take-overs have failed, others wait longer.
+while it makes progress, and where take-overs have failed, others wait longer, unless
+its process has ended.
 """
 
 from __future__ import annotations
--- a/tests/scheduler/takeover.feature
+++ b/tests/scheduler/takeover.feature
@@ -70,3 +70,19 @@
     When the job "a" of 1 steps with 4 tasks of 1 s is submitted at entry-1
     Then the job "a" is "completed" within 20 s
     And a record of the job "a" is stored
+
+  Scenario: Several holders in a row end while they load
+    # Guards against waiting for an ended process as long as for one that reads slowly.
+    Given 6 entries and 2 workers for jobs
+    When the scheduler is killed
+    And another entry has taken over
+    And the scheduler is killed
+    And another entry has taken over
+    And the scheduler is killed
+    And another entry has taken over
+    And the scheduler is killed
+    And another entry has taken over
+    And the scheduler is killed
+    And the service "a" of 32 tasks that need 100 of 8000 millicores is submitted
+    And 7 s pass
+    Then 32 tasks run
--- a/tests/steps/channel_steps.py
+++ b/tests/steps/channel_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import socket
 from datetime import timedelta
 from unittest import mock
 
@@ -24,6 +25,7 @@
 
 _ECHO = Call(name="Echo", request_type=_EchoMessage, reply_type=_EchoMessage)
 _ANY_PORT = Address(host="127.0.0.1", port=0)
+_CALL_TIMEOUT = timedelta(seconds=5)
 
 
 @given("a peer to which the first connection takes {seconds:d} s")
@@ -66,6 +68,35 @@
     assert all(each.handler.connection_lost for each in context.opened)
 
 
+@given("a peer whose process has ended")
+def reserve_port(context):
+    with socket.socket() as unused:
+        unused.bind((_ANY_PORT.host, 0))
+        context.peer = Address(host=_ANY_PORT.host, port=unused.getsockname()[1])
+
+
+@when("it is called")
+def call_once(context):
+    async def call():
+        client = GrpcPeerClient()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(client.run)
+            try:
+                await client.call(
+                    context.peer, _ECHO, _EchoMessage("a"), timeout=_CALL_TIMEOUT
+                )
+            except CommunicationError as error:
+                context.error = error
+            nursery.cancel_scope.cancel()
+
+    trio.run(call)
+
+
+@then("the call fails because the connection was refused")
+def check_refused(context):
+    assert context.error.is_refused, context.error
+
+
 async def _call_all(timeouts):
     handlers = CallHandlers()
     handlers.add(_ECHO, _handle_echo)
--- a/tests/steps/overdue_steps.py
+++ b/tests/steps/overdue_steps.py
@@ -27,7 +27,9 @@
 )
 def submit_wide_service(context, label, tasks, millicores):
     shape = make_steps(1, tasks, 1, longRunning=True, cpu=millicores, memoryLimitMb=100)
-    status = context.world.submit_job("entry-1", label, shape, lasts=True)
+    cell = context.world.cell
+    entry = next(name for name in cell.entry_by_name if name not in cell.killed)
+    status = context.world.submit_job(entry, label, shape, lasts=True)
     assert status == 200, status
 
 
