--- a/tests/steps/overdue_steps.py
+++ b/tests/steps/overdue_steps.py
@@ -26,13 +26,27 @@
 )
 def submit_wide_service(context, label, tasks, millicores):
     shape = make_steps(1, tasks, 1, longRunning=True, cpu=millicores, memoryLimitMb=100)
-    status = context.world.submit_job("entry-1", label, shape, lasts=True)
+    cell = context.world.cell
+    entry = next(name for name in cell.entry_by_name if name not in cell.killed)
+    status = context.world.submit_job(entry, label, shape, lasts=True)
     assert status == 200, status
 
 
 @when('the service "{label}" of {tasks:d} tasks that need a ticket is submitted')
 def submit_service_with_tickets(context, label, tasks):
-    shape = make_steps(1, tasks, 1, longRunning=True, cpu=100, memoryLimitMb=100)
+    _submit_with_tickets(context, label, tasks, cpu=100)
+
+
+@when(
+    'the service "{label}" of {tasks:d} tasks that need a ticket and a processor '
+    "is submitted"
+)
+def submit_large_service_with_tickets(context, label, tasks):
+    _submit_with_tickets(context, label, tasks, cpu=1000)
+
+
+def _submit_with_tickets(context, label, tasks, cpu):
+    shape = make_steps(1, tasks, 1, longRunning=True, cpu=cpu, memoryLimitMb=100)
     status = context.world.submit_job(
         "entry-1", label, shape, lasts=True, needs_ticket=True
     )
