A job is pending until a worker has started one of its tasks

Cause: a job counted as begun, and was shown as running, once a worker was chosen for it. Change: once a report lists a run of it or its end. The summary is written first then, alone, with the next transaction, which the renewals bring within 0.5 s; until then the first write of the record depends on there being no summary. A successor takes the state from the summary, which may be newer than the record, or learns the start anew from the next report. A job that has ended is not pending, whether or not a task of it was started.

A transaction of starts alone renews the lease row, since a successor could write the same rows, and a write whose answer is lost counts as done if the rows are as written; no scenario shows that case.

--- a/coltsfoottray/jobs/records.py
+++ b/coltsfoottray/jobs/records.py
@@ -1,8 +1,9 @@
 """Stored progress of a job, written by the scheduler.
 
-Each job has two rows, which are written together: a record with the progress of each
-task, and a short summary of what callers can query. Once it has ended and none of its
-runs is left, the record is deleted, so that a new scheduler reads only active jobs.
+Each job has two rows: a record with the progress of each task, and a short summary of
+what callers can query. The record is written before a run is ordered, the summary once
+a worker is known to have started one. Once the job has ended and none of its runs is
+left, the record is deleted, so that a new scheduler reads only active jobs.
 """
 
 from __future__ import annotations
@@ -45,7 +46,7 @@
     Parameters
     ----------
     has_started : bool
-        Whether any of its tasks was ever assigned.
+        Whether a worker is known to have started one of its tasks.
     ended_ms : int
         Time at which it reached its final state, in milliseconds since 1970.
     """
@@ -106,7 +107,7 @@
     ended_ms : int
         Time at which it reached its final state, in milliseconds since 1970.
     has_started : bool
-        Whether any of its tasks was ever assigned.
+        Whether a worker is known to have started one of its tasks.
     occurrences : list
         Tasks by occurrence and step. A completed occurrence is an empty list.
     length_ms_by_step : dict
@@ -126,6 +127,12 @@
             state=self.state, has_started=self.has_started, ended_ms=self.ended_ms
         )
 
+    def apply_summary(self, summary: JobSummary) -> None:
+        """Take over what the summary says; it may have been written later."""
+        self.state = summary.state
+        self.has_started = summary.has_started
+        self.ended_ms = summary.ended_ms
+
     @classmethod
     def of_ended(cls, summary: JobSummary) -> JobRecord:
         """Return the record of an ended job, of which only a summary is left."""
--- a/coltsfoottray/jobs/view.py
+++ b/coltsfoottray/jobs/view.py
@@ -66,10 +66,17 @@
         return state
 
     def pending(self, queue: str) -> int:
-        """Return the number of the queue's jobs of which no task has started."""
+        """Return the number of the queue's jobs of which no task has started.
+
+        A job that has ended is not pending, whether or not a task of it has started.
+        """
         return sum(
             job.queue == queue
             and job.id not in self.cancelled
-            and not self._summary_by_id.get(job.id, _NOT_STARTED).has_started
+            and self._is_pending(job.id)
             for job in self.job_by_id.values()
         )
+
+    def _is_pending(self, job_id: JobId) -> bool:
+        summary = self._summary_by_id.get(job_id, _NOT_STARTED)
+        return not summary.has_started and not summary.state.is_final
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -90,6 +90,7 @@
         if not self._reconcile_incarnations(worker, report, now, now_ms):
             return 0
         self._update_description(worker, report)
+        self.jobs.mark_begun(report.listed_runs)
         ended = [
             (worker.held_by_ref[end.ref], end.kind)
             for end in report.ends
@@ -182,8 +183,7 @@
         self, worker: Worker, superseded: list[PlacedRun], report: Report, now_ms: int
     ) -> None:
         """Keep the runs that the new incarnation has; declare the others lost."""
-        present = {status.ref for status in report.running}
-        present.update(end.ref for end in report.ends)
+        present = report.listed_runs
         for placed in superseded:
             if placed.ref in present:
                 placed.life = report.life
--- a/coltsfoottray/scheduler/job_set.py
+++ b/coltsfoottray/scheduler/job_set.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from coltsfoottray.jobs.model import JobId
+from collections.abc import Iterable
+
+from coltsfoottray.jobs.model import JobId, RunRef
 from coltsfoottray.scheduler.live import LiveJob
 
 __all__ = ["JobSet"]
@@ -43,6 +45,13 @@
         self.active_by_id.pop(job_id, None)
         self.open_by_id.pop(job_id, None)
 
+    def mark_begun(self, started: Iterable[RunRef]) -> None:
+        """Record that workers have started runs."""
+        for ref in started:
+            job = self.by_id.get(ref.task.job)
+            if job is not None:
+                job.mark_begun()
+
     def close_ended(self) -> None:
         """Close the jobs that have ended and are stored as they will remain."""
         closed = [
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -197,6 +197,8 @@
         # Whether checkpoints arrived since the job was last stored, and when that was.
         self.has_new_checkpoints = False
         self.stored_at = seen.elapsed
+        # Whether its first start is known and not stored yet.
+        self.has_new_start = False
         # Since when none of its tasks has run although one could.
         self.idle_since: timedelta | None = None
         self._path = CriticalPath(
@@ -309,8 +311,20 @@
 
     @property
     def has_new_summary(self) -> bool:
-        """Whether the summary has changed since it was stored."""
-        return self.record.summary != self.stored_summary
+        """Whether the summary has changed since it was stored.
+
+        A job without a stored summary has not started.
+        """
+        return self.record.summary != (self.stored_summary or JobSummary())
+
+    @property
+    def needs_summary_check(self) -> bool:
+        """Whether its first write must depend on there being no summary.
+
+        A job that has ended has only a summary: its tasks must not start again if its
+        acceptance is taken for a new one.
+        """
+        return not (self.version or self.summary_version or self.has_new_summary)
 
     @property
     def needs_record(self) -> bool:
@@ -331,6 +345,21 @@
         self.stored_at = sent
         self.is_dirty = False
         self.has_new_checkpoints = False
+        self.has_new_start = False
+
+    def mark_begun(self) -> None:
+        """Record that a worker has started one of its tasks."""
+        if self.record.has_started or self.record.state.is_final:
+            return
+        self.record.has_started = True
+        self.record.state = JobState.RUNNING
+        self.has_new_start = True
+
+    def mark_start_stored(self, summary_version: int) -> None:
+        """Record that its first start is stored, in its summary alone."""
+        self.summary_version = summary_version
+        self.stored_summary = self.record.summary
+        self.has_new_start = False
 
     def finish(self, state: JobState, now_ms: int) -> None:
         """Enter a final state."""
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -168,6 +168,13 @@
         """Whether the worker's incarnation is known and answers its attendant."""
         return self.is_reachable and bool(self.life)
 
+    @property
+    def listed_runs(self) -> set[RunRef]:
+        """The runs that the worker has listed as running or ended."""
+        listed = {status.ref for status in self.running}
+        listed.update(end.ref for end in self.ends)
+        return listed
+
 
 class ReportReply(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """An entry's reply to a report.
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -7,7 +7,7 @@
 from coltsfoottray.clock import Moment
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.jobs.model import QueueTerms, RunRef
-from coltsfoottray.jobs.records import JobState, TaskPhase
+from coltsfoottray.jobs.records import TaskPhase
 from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.capacity_bounds import FreeCapacityBounds
 from coltsfoottray.scheduler.cluster_state import ClusterState
@@ -178,11 +178,7 @@
         record.run = ref.run
         record.worker = worker.id
         record.life = worker.life
-        job = step.job
-        job.is_dirty = True
-        job.record.has_started = True
-        if job.record.state is JobState.QUEUED:
-            job.record.state = JobState.RUNNING
+        step.job.is_dirty = True
         placed = PlacedRun(
             ref=ref, step=step, worker=worker.id, life=worker.life, placed_at=now
         )
--- a/coltsfoottray/scheduler/restore.py
+++ b/coltsfoottray/scheduler/restore.py
@@ -141,6 +141,8 @@
                 continue
             stored.record = row.decode(JobRecord)
             stored.version = row.version
+            if stored.summary is not None:
+                stored.record.apply_summary(stored.summary)
         return StoredState(
             jobs=list(stored_by_id.values()),
             orphan_version_by_key=orphans,
--- a/coltsfoottray/scheduler/transactions.py
+++ b/coltsfoottray/scheduler/transactions.py
@@ -37,11 +37,14 @@
     ----------
     job : LiveJob, optional
         The job whose rows are written.
+    is_start_only : bool
+        Whether only the job's first start is written, in its summary.
     """
 
     puts: list[Put]
     checks: list[Check] = field(default_factory=list)
     job: LiveJob | None = None
+    is_start_only: bool = False
 
     @property
     def entries(self) -> int:
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Container, Iterable, Mapping, Sequence
 from datetime import timedelta
 
 import msgspec
@@ -19,6 +19,7 @@
     Transaction,
     WatchedTable,
 )
+from coltsfoottray.platform.common import ABSENT
 from coltsfoottray.platform.retry import commit_with_retry
 from coltsfoottray.scheduler.grants import Grants
 from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL
@@ -98,9 +99,12 @@
         if job.summary_version:
             self.discard(summary_key(job.id), job.summary_version)
 
-    async def store(self, jobs: Iterable[LiveJob]) -> None:
+    async def store(self, jobs: Collection[LiveJob]) -> None:
         """Store all changes, and renew the lease row if a renewal is due.
 
+        That a job has started only matters to callers who count jobs. It is stored with
+        the next write, which the renewals bring within half a second.
+
         Raises
         ------
         LeaseLost
@@ -113,8 +117,10 @@
             for rows in self._side_rows
             for put in rows.due_puts(now)
         ]
+        if groups or self._is_renewal_due():
+            groups += self._start_groups(jobs, groups)
         for batch in split_groups(groups):
-            await self._commit(batch, renews=self._is_renewal_due())
+            await self._commit(batch, renews=self._must_renew_with(batch))
         if self._garbage or (not groups and self._is_renewal_due()):
             await self._commit([], renews=True)
 
@@ -181,11 +187,8 @@
             self.renewed_at = sent
             self._must_renew = False
             self._grants.unlist(self.lease.silent_ms)
-        for job in [group.job for group in groups if group.job is not None]:
-            key = record_key(job.id)
-            version = 0 if key in deleted else versions.get(key, job.version)
-            summary_version = versions.get(summary_key(job.id), job.summary_version)
-            job.mark_stored(version, summary_version, sent)
+        for group in groups:
+            _mark_stored(group, versions, deleted, sent)
 
     def _take_garbage(self, free_entries: int) -> list[Put]:
         """Return deletions that take at most `free_entries`, two each."""
@@ -195,21 +198,35 @@
     def _job_group(self, job: LiveJob) -> WriteGroup:
         """Return the writes that store a job.
 
-        The summary that callers ask for has a row of its own, which changes two or
-        three times per job. All entries follow these rows. If they followed the
-        records, every change of a task would send them all tasks of the job, which is
-        too much for an entry's link of 5 Mbit/s.
+        The summary that callers ask for has a row of its own, which changes once or
+        twice per job. All entries follow these rows. If they followed the records, each
+        change of a task would send them all tasks of the job, which is too much for an
+        entry's link of 5 Mbit/s.
         """
         puts = []
+        checks = []
         key = record_key(job.id)
         if job.needs_record or not self._drops_records():
             puts.append(Put.of(key, job.version, job.record))
         elif job.version:
             puts.append(Put(key=key, version=job.version))
         if job.has_new_summary:
-            summary = job.record.summary
-            puts.append(Put.of(summary_key(job.id), job.summary_version, summary))
-        return WriteGroup(puts=puts, job=job)
+            puts.append(_summary_put(job))
+        elif job.needs_summary_check:
+            checks.append(Check(key=summary_key(job.id), version=ABSENT))
+        return WriteGroup(puts=puts, checks=checks, job=job)
+
+    @staticmethod
+    def _start_groups(
+        jobs: Iterable[LiveJob], groups: Iterable[WriteGroup]
+    ) -> list[WriteGroup]:
+        """Return the writes of first starts that no other write contains."""
+        included = {group.job.id for group in groups if group.job is not None}
+        return [
+            WriteGroup(puts=[_summary_put(job)], job=job, is_start_only=True)
+            for job in jobs
+            if job.has_new_start and job.id not in included
+        ]
 
     async def _commit_until_available(self, transaction: Transaction) -> dict[str, int]:
         while True:
@@ -229,6 +246,37 @@
                 )
             return outcome.unwrap()
 
+    def _must_renew_with(self, groups: Iterable[WriteGroup]) -> bool:
+        """Return whether a renewal is due, or tells a write from that of a successor.
+
+        After a lost answer, a write counts as done if the rows are as written. What is
+        stored of a first start would be the same from any scheduler.
+        """
+        return self._is_renewal_due() or all(group.is_start_only for group in groups)
+
     def _is_renewal_due(self) -> bool:
         is_old = self._clock.elapsed() - self.renewed_at >= RENEWAL_INTERVAL
         return is_old or self._must_renew or self._grants.has_recovered_worker()
+
+
+def _summary_put(job: LiveJob) -> Put:
+    return Put.of(summary_key(job.id), job.summary_version, job.record.summary)
+
+
+def _mark_stored(
+    group: WriteGroup,
+    versions: Mapping[str, int],
+    deleted: Container[str],
+    sent: timedelta,
+) -> None:
+    """Record in a group's job that its rows are stored."""
+    job = group.job
+    if job is None:
+        return
+    summary_version = versions.get(summary_key(job.id), job.summary_version)
+    if group.is_start_only:
+        job.mark_start_stored(summary_version)
+        return
+    key = record_key(job.id)
+    version = 0 if key in deleted else versions.get(key, job.version)
+    job.mark_stored(version, summary_version, sent)
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -236,6 +236,8 @@
         if body["untilMs"] <= self.clock_ms():
             return self._make_response({"reason": "late"}, status=409)
         spec = msgspec.json.decode(body["spec"], type=dict[str, Any])
+        if spec.get("is_invalid"):
+            return HttpResponse(status=400)
         step = task.rsplit(".", 1)[0]
         ticket = body.get("ticket", "")
         if spec.get("needs_ticket") and not self._advice.is_valid(
--- a/standins/metadata_table.py
+++ b/standins/metadata_table.py
@@ -79,6 +79,10 @@
         Number of transactions and reads by table.
     oversized : int
         Number of transactions refused for their entries or bytes.
+    transactions_by_part, entries_by_part : Counter
+        Number of transactions sent, and of their entries, by part.
+    largest_transaction : int
+        Largest number of entries in a transaction.
     current_by_ref : dict
         Latest change of each row that exists.
     changes : list
@@ -98,6 +102,9 @@
     transactions_per_s: float | None = None
     calls_by_table: Counter[str] = field(default_factory=Counter)
     oversized: int = 0
+    transactions_by_part: Counter[str] = field(default_factory=Counter)
+    entries_by_part: Counter[str] = field(default_factory=Counter)
+    largest_transaction: int = 0
     current_by_ref: dict[_Ref, _Change] = field(default_factory=dict)
     changes: list[_Change] = field(default_factory=list)
     dropped_up_to: int = 0
@@ -162,6 +169,9 @@
             return HttpResponse(status=400)
         if len({item.part for item in items}) != 1:
             return HttpResponse(status=400)
+        self.transactions_by_part[items[0].part] += 1
+        self.entries_by_part[items[0].part] += len(items)
+        self.largest_transaction = max(self.largest_transaction, len(items))
         self.calls_by_table.update({item.table for item in items})
         if not await self._wait_for_turn(items[0].part):
             return HttpResponse(status=429)
--- a/tests/scheduler/bounds.feature
+++ b/tests/scheduler/bounds.feature
@@ -8,3 +8,15 @@
     Then the job "a" is "completed" within 10 s
     And the store has a row of attendants for each of 48 data centres
     And the store has refused no transaction for its size
+
+  Scenario: A burst of jobs starts while jobs that ended are deleted
+    # Guards against a scheduler that is stopped for ever by more than 100 entries.
+    Given two entries and 40 workers for jobs
+    When 300 jobs of 1 small tasks of 1 s are submitted at once
+    Then all jobs of the burst are completed within 10 s
+    When 27 s pass
+    And 300 jobs of 1 small tasks of 40 s are submitted at once
+    And 8 s pass
+    Then 600 tasks were started, each once
+    And the store has refused no transaction for its size
+    And entry-1 counts 0 pending jobs
--- a/tests/scheduler/takeover.feature
+++ b/tests/scheduler/takeover.feature
@@ -70,3 +70,12 @@
     When the job "a" of 1 steps with 4 tasks of 1 s is submitted at entry-1
     Then the job "a" is "completed" within 20 s
     And a record of the job "a" is stored
+
+  Scenario: A scheduler takes completed jobs for new ones
+    # Guards against completed jobs that start again because only a summary is left.
+    Given 6 entries and 2 workers for jobs
+    And 20 completed jobs of 2 tasks that an earlier scheduler has stored
+    When 8 s pass
+    Then 0 tasks were started in total
+    And the job "next" of 1 steps with 4 tasks of 1 s is submitted at entry-1
+    And the job "next" is "completed" within 10 s
--- a/tests/steps/bounds_steps.py
+++ b/tests/steps/bounds_steps.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from functools import partial
 
+import msgspec
+import trio
 from behave import then, when
 
+from coltsfoottray.http import HttpRequest
 from coltsfoottray.scheduler.messages import Report
 from coltsfoottray.types import Address
+from standins.job_cell import HOST, PATH_PREFIX
+from tests.support.job_world import job_id, make_steps
 
 # Long names stand for more attendants than a scenario can have.
 _NAME_LENGTH = 180
@@ -44,6 +50,49 @@
     )
 
 
+@when("{jobs:d} jobs of {tasks:d} small tasks of {seconds:d} s are submitted at once")
+def submit_burst(context, jobs, tasks, seconds):
+    world = context.world
+    bursts = getattr(context, "bursts", 0)
+    context.bursts = bursts + 1
+    context.burst = [f"{bursts}-{number}" for number in range(jobs)]
+    body = {
+        "spec": msgspec.json.encode({"work_s": seconds}).decode(),
+        "steps": make_steps(1, tasks, seconds, cpu=500),
+    }
+    statuses = []
+
+    async def submit(label):
+        request = HttpRequest(
+            method="POST",
+            target=f"{PATH_PREFIX}{job_id(label)}",
+            header_by_name={"host": HOST, "deadline-ms": "3000"},
+            body=msgspec.json.encode(body),
+        )
+        response = await world.fabric.transport("caller").send(
+            world.cell.callers("entry-1"), request, timeout=timedelta(seconds=5)
+        )
+        statuses.append(response.status)
+
+    async def submit_all():
+        async with trio.open_nursery() as nursery:
+            for label in context.burst:
+                nursery.start_soon(submit, label)
+
+    world.run(submit_all)
+    assert statuses == [200] * jobs, statuses
+
+
+@then("all jobs of the burst are completed within {seconds:d} s")
+def wait_for_burst(context, seconds):
+    world = context.world
+    deadline = world.now() + seconds
+    for label in context.burst:
+        while world.state_of("entry-1", label) != "completed":
+            assert world.now() < deadline, f"{label} is not completed"
+            world.advance(0.25)
+
+
 @then("the store has a row of attendants for each of {count:d} data centres")
 def check_attendant_rows(context, count):
     rows = context.world.cell.metadata_table.current_by_ref
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -370,5 +370,7 @@
 
 @then("{entry} counts {count:d} pending jobs")
 def check_pending(context, entry, count):
+    if entry == "the other entry":
+        entry = _other_entry(context)
     response = context.world.call("GET", entry, "")
     assert json.loads(response.body) == {"pending": count}, response
