--- a/tests/scheduler/takeover.feature
+++ b/tests/scheduler/takeover.feature
@@ -86,3 +86,12 @@
     And the service "a" of 32 tasks that need 100 of 8000 millicores is submitted
     And 7 s pass
     Then 32 tasks run
+
+  Scenario: A scheduler takes completed jobs for new ones
+    # Guards against completed jobs that start again because only a summary is left.
+    Given 6 entries and 2 workers for jobs
+    And 20 completed jobs of 2 tasks that an earlier scheduler has stored
+    When 8 s pass
+    Then 0 tasks were started in total
+    And the job "next" of 1 steps with 4 tasks of 1 s is submitted at entry-1
+    And the job "next" is "completed" within 10 s
