--- a/tests/environment.py
+++ b/tests/environment.py
@@ -5,8 +5,6 @@
 import trio
 from hypothesis import settings
 
-from tests.support.tally import TALLY
-
 settings.register_profile("ci", derandomize=True, deadline=None, database=None)
 settings.load_profile("ci")
 
@@ -19,9 +17,6 @@
 
 
 def after_scenario(context, scenario):
-    """Close what the scenario started and record its result."""
+    """Close what the scenario started."""
     for close in reversed(context.closers):
         close()
-    result = TALLY.passed if scenario.status.name == "passed" else TALLY.failed
-    if scenario.status.name not in ("skipped", "untested"):
-        result.append(scenario.name)
