Settle starts whose stop is never answered by a new session

What callers saw: tasks that run nowhere although there is room, for as long as a worker answers polls and leaves starts and stops without an answer; a gang that is never placed again.

Cause: an attendant that gives a start up after five calls without an answer stops the run first, and rejects it only once the stop is confirmed. The scheduler holds the run for it. The same for a member of a broken gang that was to be stopped. No answer, no end of it: the attendant waits for an answer about a run that nobody has.

Now a stop that is not answered three times, of a run that is not listed, makes the attendant ask for a new session. The first poll in a session settles all earlier starts: a worker that has answered it executes nothing with a lower fencing token. A run that it does not list, and for which no start is open in this session, is rejected without the answer to its stop; one that it lists goes on. An end that is listed settles its stop too.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -260,7 +260,7 @@
             lease_left_ms=math.ceil(left.total_seconds() * 1000),
             address=self._address,
             data_centre=self._data_centre,
-            session=self._session.number,
+            session=self._session.reported_number,
             looked=self._session.polled,
             running=runs.running,
             without_order=runs.without_order(),
@@ -319,9 +319,7 @@
         if self._has_lapsed:
             # A scheduler accepts the lapse only in the session that it granted.
             self.request_report()
-        self._runs.starting.clear()
-        self._runs.stopped_by_ref.clear()
-        self._runs.reason_by_ref.clear()
+        self._runs.begin_session(self._clock.elapsed())
 
     def _execute(self, orders: Orders) -> None:
         heartbeat = self._heartbeat
@@ -386,5 +384,9 @@
         if is_current and self._liveness.record_replacement(error):
             self.request_report()
 
+    def request_session(self) -> None:  # noqa: D102
+        self._session.request_next()
+        self.request_report()
+
     def request_report(self) -> None:  # noqa: D102
         self.report_requested.set()
--- a/coltsfoottray/agent/executor.py
+++ b/coltsfoottray/agent/executor.py
@@ -33,6 +33,8 @@
 # About 4 s with the timeout of an order. Users consider a job lost if none of its tasks
 # runs for 3 s.
 _MAX_UNANSWERED = 5
+# A new session costs the orders of all runs on the worker.
+_MAX_UNANSWERED_STOPS = 3
 
 
 @dataclass(frozen=True, kw_only=True, eq=False)
@@ -72,6 +74,10 @@
     def handle_replacement(self, error: WorkerReplaced) -> None:
         """Handle that another incarnation of the worker has answered."""
 
+    @abc.abstractmethod
+    def request_session(self) -> None:
+        """Request a new session, in which the worker executes no earlier starts."""
+
     @abc.abstractmethod
     def request_report(self) -> None:
         """Request a report to the scheduler without delay."""
@@ -139,6 +145,7 @@
             if not lease_end_ms or self._lease.remaining_grant(now) < _MIN_LEASE:
                 await self._clock.sleep(_RETRY_DELAY)
                 continue
+            runs.open_starts.add(order.ref)
             try:
                 await self._link.start(
                     heartbeat=scope.heartbeat,
@@ -150,6 +157,8 @@
                     lease_end_ms=lease_end_ms,
                 )
             except StartRefused as error:
+                if not unanswered and self._state.is_current(scope):
+                    runs.open_starts.discard(order.ref)
                 late += error.reason is Refusal.LATE
                 if error.reason is not Refusal.LATE or late > _MAX_LATE_REFUSALS:
                     reason = error.reason
@@ -169,6 +178,7 @@
             else:
                 self._metrics.time("start_order", self._clock.elapsed() - now)
                 runs.starting.discard(order.ref)
+                runs.open_starts.discard(order.ref)
                 runs.started_by_ref[order.ref] = self._clock.elapsed()
                 log_event("worker:started", run=str(order.ref), session=scope.session)
                 if order.is_filler and self._speeds.has_services:
@@ -223,8 +233,13 @@
         return is_known_to_worker or not has_listed_all
 
     async def stop(self, ref: RunRef, scope: OrderScope) -> None:
-        """Stop a run, retrying until the worker answers."""
+        """Stop a run, retrying until the worker answers.
+
+        If the run is not listed and no answer arrives, the worker may still execute an
+        earlier start. A new session prevents that too.
+        """
         runs = scope.runs
+        unanswered = 0
         runs.starting.discard(ref)
         while self._state.is_current(scope) and ref in runs.stopped_by_ref:
             try:
@@ -233,8 +248,12 @@
                 )
             except (CommunicationError, WorkerReplaced) as error:
                 log_event("worker:stop-unanswered", run=str(ref), reason=str(error))
+                unanswered += 1
+                if unanswered >= _MAX_UNANSWERED_STOPS and not runs.is_running(ref):
+                    self._state.request_session()
                 await self._clock.sleep(_RETRY_DELAY)
                 continue
-            runs.stopped_by_ref[ref] = self._clock.elapsed()
+            if ref in runs.stopped_by_ref:
+                runs.stopped_by_ref[ref] = self._clock.elapsed()
             log_event("worker:stopped", run=str(ref), session=scope.session)
             return
--- a/coltsfoottray/agent/runs.py
+++ b/coltsfoottray/agent/runs.py
@@ -42,6 +42,12 @@
         while the stop is not confirmed.
     reason_by_ref : dict
         Reasons of refused starts whose runs are stopped before they are rejected.
+    open_starts : set of RunRef
+        Starts sent in the current session without an answer. The worker may still
+        execute them unless it has confirmed a stop.
+    session_began_at : timedelta
+        When the current session began. From its first poll in a session on, the worker
+        executes no starts of earlier ones.
     refused_by_ref : dict
         Refused starts whose runs may exist already; a later poll shows whether they
         run or have ended.
@@ -64,6 +70,8 @@
     started_by_ref: dict[RunRef, timedelta] = field(default_factory=dict)
     stopped_by_ref: dict[RunRef, timedelta | None] = field(default_factory=dict)
     reason_by_ref: dict[RunRef, Refusal] = field(default_factory=dict)
+    open_starts: set[RunRef] = field(default_factory=set)
+    session_began_at: timedelta = timedelta(0)
     refused_by_ref: dict[RunRef, RefusedStart] = field(default_factory=dict)
     running: list[RunStatus] = field(default_factory=list)
     ends: list[RunEnd] = field(default_factory=list)
@@ -103,6 +111,20 @@
         """Return the starts whose result no poll has shown yet."""
         return [*self.starting, *self.started_by_ref, *self.refused_by_ref]
 
+    def begin_session(self, now: timedelta) -> None:
+        """Begin a session, in which the scheduler repeats its orders.
+
+        The runs of refused starts, which were to be stopped, are settled by the first
+        poll in the session.
+        """
+        self.session_began_at = now
+        self.starting.clear()
+        self.open_starts.clear()
+        self.stopped_by_ref.clear()
+        for ref, reason in self.reason_by_ref.items():
+            self.record_refusal(ref, reason, now)
+        self.reason_by_ref.clear()
+
     def record_refusal(self, ref: RunRef, reason: Refusal, now: timedelta) -> None:
         """Record that a start was refused while the state of the run is unknown."""
         self.starting.discard(ref)
@@ -111,6 +133,7 @@
     def record_rejection(self, ref: RunRef, reason: Refusal) -> None:
         """Record that a run does not and will not exist here."""
         self.starting.discard(ref)
+        self.open_starts.discard(ref)
         self.order_by_ref.pop(ref, None)
         self.rejected_by_ref[ref] = RejectedStart(ref=ref, reason=reason)
         self.reason_by_barred_ref[ref] = reason
@@ -134,6 +157,8 @@
         """
         return Runs(
             is_complete=False,
+            open_starts=self.open_starts,
+            session_began_at=self.session_began_at,
             reason_by_barred_ref=self.reason_by_barred_ref,
             ended=self.ended,
         )
@@ -159,6 +184,7 @@
         # Stop retrying starts of runs that the worker lists. If a run ended first, a
         # new incarnation of the worker, which does not know it, would start it again.
         self.starting -= seen
+        self.open_starts -= seen
         for ref, confirmed_at in list(self.started_by_ref.items()):
             if ref in seen or confirmed_at < sent_at:
                 del self.started_by_ref[ref]
@@ -175,10 +201,11 @@
         running = {status.ref for status in reply.running}
         ended = {end.ref for end in reply.ends}
         is_report_due = False
-        for ref, confirmed_at in list(self.stopped_by_ref.items()):
-            if confirmed_at is None or confirmed_at >= sent_at or ref in running:
+        for ref in list(self.stopped_by_ref):
+            if ref in running:
                 continue
-            if ref not in ended and not reply.is_complete:
+            is_absent = reply.is_complete and self._is_fenced_off(ref, sent_at)
+            if ref not in ended and not is_absent:
                 continue
             del self.stopped_by_ref[ref]
             reason = self.reason_by_ref.pop(ref, Refusal.OLD)
@@ -188,6 +215,18 @@
                 is_report_due = True
         return is_report_due
 
+    def _is_fenced_off(self, ref: RunRef, sent_at: timedelta) -> bool:
+        """Return whether a run that a poll does not show can no longer start.
+
+        That is so once its stop is confirmed. The stop may never be answered, but the
+        worker that answers a poll also executes no starts of earlier sessions.
+        """
+        confirmed_at = self.stopped_by_ref[ref]
+        if confirmed_at is not None:
+            return confirmed_at < sent_at
+        may_start = ref in self.open_starts or ref in self.started_by_ref
+        return self.session_began_at < sent_at and not may_start
+
     def _resolve_refusals(self, reply: PollReply, sent_at: timedelta) -> bool:
         """Reject the refused starts whose runs do not exist; return whether any was."""
         present = {status.ref for status in reply.running}
--- a/coltsfoottray/agent/session.py
+++ b/coltsfoottray/agent/session.py
@@ -29,6 +29,12 @@
         # The worker's incarnation that the session was granted for.
         self._life = ""
         self._started = trio.Event()
+        self._is_next_due = False
+
+    @property
+    def reported_number(self) -> int:
+        """The session to report; 0 makes the scheduler grant another one."""
+        return 0 if self._is_next_due else self.number
 
     @property
     def is_polled(self) -> bool:
@@ -39,10 +45,15 @@
         """Begin the session that `orders` belong to."""
         log_event("scheduler:session", session=orders.session, before=self.number)
         self.number = orders.session
+        self._is_next_due = False
         self._life = orders.life
         started, self._started = self._started, trio.Event()
         started.set()
 
+    def request_next(self) -> None:
+        """Request another session with the next report."""
+        self._is_next_due = True
+
     async def wait_for_next(self, timeout: timedelta) -> None:
         """Wait until another session begins, or for `timeout`."""
         with trio.move_on_after(timeout.total_seconds()):
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -80,6 +80,9 @@
         self.slow_starts = 0
         # Number of speed limits to apply late and unanswered.
         self.late_paces = 0
+        # Paths of requests that are ignored, and of those executed without an answer.
+        self.ignored_paths: set[str] = set()
+        self.unanswered_paths: set[str] = set()
         self.is_unhealthy = False
         self.is_unreachable = False
         self.is_destroyed = False
@@ -166,10 +169,10 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Serve the platform's interface of a worker."""
-        if self.is_unreachable:
+        if self.is_unreachable or request.path in self.ignored_paths:
             await trio.sleep_forever()
         response = await self._dispatch(request)
-        if self.is_destroyed:
+        if self.is_destroyed or request.path in self.unanswered_paths:
             # Requests that arrived before the destruction get no response either.
             await trio.sleep_forever()
         return response
