--- a/coltsfoottray/agent/executor.py
+++ b/coltsfoottray/agent/executor.py
@@ -33,6 +33,8 @@
 # About 4 s with the timeout of an order. Users consider a job lost if none of its tasks
 # runs for 3 s.
 _MAX_UNANSWERED = 5
+# A new session costs the orders of all runs on the worker.
+_MAX_UNANSWERED_STOPS = 3
 
 
 @dataclass(frozen=True, kw_only=True, eq=False)
@@ -69,8 +71,18 @@
         """Return the lease end to issue, on the worker's clock in ms; 0 for none."""
 
     @abc.abstractmethod
-    def handle_replacement(self, error: WorkerReplaced) -> None:
-        """Handle that another incarnation of the worker has answered."""
+    def handle_replacement(self, error: WorkerReplaced, *, has_lease: bool) -> None:
+        """Handle that another incarnation of the worker has answered.
+
+        Parameters
+        ----------
+        has_lease : bool
+            Whether the call specified the end of a lease.
+        """
+
+    @abc.abstractmethod
+    def request_session(self) -> None:
+        """Request a new session, in which the worker executes no earlier starts."""
 
     @abc.abstractmethod
     def request_report(self) -> None:
@@ -139,6 +151,7 @@
             if not lease_end_ms or self._lease.remaining_grant(now) < _MIN_LEASE:
                 await self._clock.sleep(_RETRY_DELAY)
                 continue
+            runs.open_starts.add(order.ref)
             try:
                 await self._link.start(
                     heartbeat=scope.heartbeat,
@@ -150,6 +163,8 @@
                     lease_end_ms=lease_end_ms,
                 )
             except StartRefused as error:
+                if not unanswered and self._state.is_current(scope):
+                    runs.open_starts.discard(order.ref)
                 late += error.reason is Refusal.LATE
                 if error.reason is not Refusal.LATE or late > _MAX_LATE_REFUSALS:
                     reason = error.reason
@@ -162,13 +177,14 @@
                 # settles this and cannot start a second run.
                 unanswered += 1
                 if isinstance(error, WorkerReplaced):
-                    self._state.handle_replacement(error)
+                    self._state.handle_replacement(error, has_lease=True)
                 log_event(
                     "worker:start-unanswered", run=str(order.ref), reason=str(error)
                 )
             else:
                 self._metrics.time("start_order", self._clock.elapsed() - now)
                 runs.starting.discard(order.ref)
+                runs.open_starts.discard(order.ref)
                 runs.started_by_ref[order.ref] = self._clock.elapsed()
                 log_event("worker:started", run=str(order.ref), session=scope.session)
                 if order.is_filler and self._speeds.has_services:
@@ -223,8 +239,13 @@
         return is_known_to_worker or not has_listed_all
 
     async def stop(self, ref: RunRef, scope: OrderScope) -> None:
-        """Stop a run, retrying until the worker answers."""
+        """Stop a run, retrying until the worker answers.
+
+        If the run is not listed and no answer arrives, the worker may still execute an
+        earlier start. A new session prevents that too.
+        """
         runs = scope.runs
+        unanswered = 0
         runs.starting.discard(ref)
         while self._state.is_current(scope) and ref in runs.stopped_by_ref:
             try:
@@ -233,8 +254,12 @@
                 )
             except (CommunicationError, WorkerReplaced) as error:
                 log_event("worker:stop-unanswered", run=str(ref), reason=str(error))
+                unanswered += 1
+                if unanswered >= _MAX_UNANSWERED_STOPS and not runs.is_running(ref):
+                    self._state.request_session()
                 await self._clock.sleep(_RETRY_DELAY)
                 continue
-            runs.stopped_by_ref[ref] = self._clock.elapsed()
+            if ref in runs.stopped_by_ref:
+                runs.stopped_by_ref[ref] = self._clock.elapsed()
             log_event("worker:stopped", run=str(ref), session=scope.session)
             return
