Record the log lines of a scenario without those of earlier ones

The step "log lines are recorded" also received what eliot had buffered before its first destination was added. The step drops the buffered lines; what it checks of its own scenario is the same.

--- a/tests/steps/overdue_steps.py
+++ b/tests/steps/overdue_steps.py
@@ -12,6 +12,8 @@
 def record_log_lines(context):
     context.messages = []
     eliot.add_destinations(context.messages.append)
+    # The first destination also receives buffered lines of earlier scenarios.
+    context.messages.clear()
     context.closers.append(lambda: eliot.remove_destination(context.messages.append))
 
 
