Let services probe blocked workers, and end the block with the probation

What callers saw: while all workers with room were unhealthy for 7 to 9 s, a service waited for up to 8 s more after they had recovered, then for the probes.

Cause: a block doubles up to 8 s with each failed probe. That saves tasks an attempt, but a failure of a service's task counts no attempt, and a service is owed within 7 s of calm.

Now a task of a service may probe a blocked worker, if there is no other, as soon as 2 s after its last failure or rejection, one at a time as before. A probe that lasts ends the block too. All other tasks wait for the end of the block as before.

tests/scheduler/health "All workers are unhealthy for some time while a service waits" failed before (2 of 32 tasks run 7 s after the end), passes now.

--- a/coltsfoottray/scheduler/capacity_bounds.py
+++ b/coltsfoottray/scheduler/capacity_bounds.py
@@ -31,6 +31,7 @@
     service: str
     label: str
     access: _Access
+    may_probe: bool
 
 
 class FreeCapacityBounds:
@@ -47,30 +48,30 @@
 
     def may_fit(self, spec: StepSpec, *, service: str) -> bool:
         """Return whether some worker may have room for a task of a step."""
-        return self._may_fit_in(
-            spec, _Pool(service=service, label=spec.label, access=_Access.OPEN)
-        )
+        return self._may_fit_in(spec, service, _Access.OPEN)
 
     def may_fit_after_evacuation(self, spec: StepSpec, *, service: str) -> bool:
         """Return whether a worker in an evacuated data centre may have room for it."""
-        return self._may_fit_in(
-            spec, _Pool(service=service, label=spec.label, access=_Access.EVACUATED)
-        )
+        return self._may_fit_in(spec, service, _Access.EVACUATED)
 
     def may_fit_once_healthy(self, spec: StepSpec, *, service: str) -> bool:
         """Return whether a blocked worker or one on probation may have room for it."""
-        return self._may_fit_in(
-            spec, _Pool(service=service, label=spec.label, access=_Access.UNHEALTHY)
+        return self._may_fit_in(spec, service, _Access.UNHEALTHY)
+
+    def _may_fit_in(self, spec: StepSpec, service: str, access: _Access) -> bool:
+        pool = _Pool(
+            service=service,
+            label=spec.label,
+            access=access,
+            may_probe=spec.is_service,
         )
-
-    def _may_fit_in(self, spec: StepSpec, pool: _Pool) -> bool:
         if pool not in self._max_free_by_pool:
             self._max_free_by_pool[pool] = self._max_free(pool)
         max_free = self._max_free_by_pool[pool]
         return max_free is not None and spec.reserved.fits_in(max_free)
 
-    def _access(self, worker: Worker, service: str) -> _Access:
-        if not is_usable(worker, service, self._now):
+    def _access(self, worker: Worker, pool: _Pool) -> _Access:
+        if not is_usable(worker, pool.service, self._now, may_probe=pool.may_probe):
             return _Access.UNHEALTHY
         return _Access.EVACUATED if worker.is_evacuated else _Access.OPEN
 
@@ -79,7 +80,7 @@
             worker.room
             for worker in self._fleet.worker_by_id.values()
             if is_present(worker, pool.service, self._now)
-            and self._access(worker, pool.service) is pool.access
+            and self._access(worker, pool) is pool.access
             and has_label(worker, pool.label)
         ]
         if not rooms:
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -249,7 +249,7 @@
             reason=rejected.reason.value,
         )
         if rejected.reason in _BLOCKING_REFUSALS:
-            worker.blocked_until = now + _BLOCK_TIME
+            worker.block(_BLOCK_TIME, now)
         if rejected.reason is Refusal.NO_TICKET:
             placed = worker.held_by_ref[rejected.ref]
             placed.step.ticket_by_life.pop(placed.life, None)
@@ -299,9 +299,10 @@
                 if each.is_released and not each.is_stopping
             ],
         )
+        worker.delay_probe(now)
         if block is None:
             return
-        worker.blocked_until = now + block
+        worker.block(block, now)
         log_event(
             "decision:block-worker",
             worker=worker.id,
--- a/coltsfoottray/scheduler/eligibility.py
+++ b/coltsfoottray/scheduler/eligibility.py
@@ -13,16 +13,28 @@
 _MAX_REPORT_AGE = timedelta(seconds=2.5)
 
 
-def is_schedulable(worker: Worker, service: str, now: timedelta) -> bool:
-    """Return whether a worker is in a service's pool, alive and open to new tasks."""
-    return not worker.is_evacuated and is_usable(worker, service, now)
+def is_schedulable(
+    worker: Worker, service: str, now: timedelta, *, may_probe: bool = False
+) -> bool:
+    """Return whether a worker is in a service's pool, alive and open to new tasks.
+
+    Parameters
+    ----------
+    may_probe : bool
+        Whether the task may probe a blocked worker.
+    """
+    return not worker.is_evacuated and is_usable(
+        worker, service, now, may_probe=may_probe
+    )
 
 
-def is_usable(worker: Worker, service: str, now: timedelta) -> bool:
+def is_usable(
+    worker: Worker, service: str, now: timedelta, *, may_probe: bool = False
+) -> bool:
     """Return whether a worker is open to new tasks, evacuations left aside."""
     return (
         is_present(worker, service, now)
-        and worker.blocked_until <= now
+        and (worker.blocked_until <= now or (may_probe and worker.may_be_probed(now)))
         and not worker.has_probe_running(now)
     )
 
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -23,6 +23,9 @@
 # A worker that fails its tasks does so within some tenths of a second; one on which
 # tasks make no progress is detected after 1.5 s.
 _PROBE_TIME = timedelta(seconds=2)
+# As long as the first block, so that a worker that goes on failing is probed no more
+# often than that.
+_PROBE_DELAY = timedelta(seconds=2)
 _NEVER = timedelta(days=-1)
 
 # A new incarnation of a worker that never answers its attendant cannot list its runs. A
@@ -140,6 +143,8 @@
         Until when a draining worker certainly stays.
     blocked_until : timedelta
         Until when it gets no new tasks.
+    probe_from : timedelta
+        From when it may get a probe, also during a longer block; see `may_be_probed`.
     is_evacuated : bool
         Whether its data centre is evacuated; it gets no new tasks then.
     """
@@ -167,6 +172,7 @@
     held_by_ref: dict[RunRef, PlacedRun] = field(default_factory=dict)
     orphans: set[RunRef] = field(default_factory=set)
     blocked_until: timedelta = _NEVER
+    probe_from: timedelta = _NEVER
     is_evacuated: bool = False
 
     def __post_init__(self) -> None:
@@ -209,19 +215,37 @@
             return self.lease_end
         return max(self.lease_end, self.replaced_since + MAX_ORPHAN_TIME)
 
+    def block(self, duration: timedelta, now: timedelta) -> None:
+        """Give it no new tasks for some time."""
+        self.blocked_until = now + duration
+        self.delay_probe(now)
+
+    def delay_probe(self, now: timedelta) -> None:
+        """Let no probe begin for some time after a failure or a rejection."""
+        self.probe_from = now + _PROBE_DELAY
+
+    def may_be_probed(self, now: timedelta) -> bool:
+        """Return whether a service's task may probe it although it is blocked.
+
+        Failures of services count no attempt, and services must not wait as long as the
+        longest block lasts.
+        """
+        return self.health.is_on_probation and self.probe_from <= now
+
     def end_probation(self, now: timedelta) -> None:
-        """End the probation if a task placed after the block is still at work.
+        """End the probation, and the block, if a probe is still at work.
 
         If only completed tasks ended it, a worker that gets nothing but services would
         be given one task per probe for good.
         """
         if self.health.is_on_probation and any(
-            self.blocked_until <= placed.placed_at
+            self.probe_from <= placed.placed_at
             and now - placed.placed_at >= _PROBE_TIME
             and placed.is_at_work(now)
             for placed in self.held_by_ref.values()
         ):
             self.health.record_survival()
+            self.blocked_until = min(self.blocked_until, now)
 
     def has_probe_running(self, now: timedelta) -> bool:
         """Return whether the first task after a block is still under observation.
@@ -230,8 +254,7 @@
         would fail.
         """
         return self.health.is_on_probation and any(
-            self.blocked_until <= placed.placed_at
-            and now - placed.placed_at < _PROBE_TIME
+            self.probe_from <= placed.placed_at and now - placed.placed_at < _PROBE_TIME
             for placed in self.held_by_ref.values()
         )
 
--- a/coltsfoottray/scheduler/health.py
+++ b/coltsfoottray/scheduler/health.py
@@ -75,8 +75,9 @@
             self.is_on_probation = False
 
     def record_survival(self) -> None:
-        """Record that a task placed after the block has stood its probe."""
+        """Record that a task on probation has stood its probe."""
         self._next_block = _FIRST_BLOCK
+        self._blocked_until = timedelta.min
         self.is_on_probation = False
 
     def record_failure(
--- a/coltsfoottray/scheduler/places.py
+++ b/coltsfoottray/scheduler/places.py
@@ -31,6 +31,7 @@
         *,
         avoid: Collection[str] = (),
         strictness: Strictness = Strictness.WHOLE,
+        may_probe: bool = False,
     ) -> Worker | None:
         """Return the best worker for one task of `step`, None if there is none.
 
@@ -38,6 +39,8 @@
         ----------
         avoid : collection of str
             Ids of workers that are chosen only if there is no other.
+        may_probe : bool
+            Whether the task may probe a blocked worker if there is no other.
         """
         return choose_worker(
             step,
@@ -48,6 +51,7 @@
             avoid=avoid,
             allowed=self.allowed_lives(step, now),
             strictness=strictness,
+            may_probe=may_probe,
         )
 
     def allowed_lives(self, step: LiveStep, now: timedelta) -> set[str] | None:
@@ -66,14 +70,14 @@
     def __init__(self, *, fleet: Fleet, now: timedelta) -> None:
         self._fleet = fleet
         self._now = now
-        self._by_life_by_service: dict[str, dict[str, Worker]] = {}
+        self._by_life_by_pool: dict[tuple[str, bool], dict[str, Worker]] = {}
 
     def has_any(self, step: LiveStep, *, service: str) -> bool:
         """Return whether a worker with a ticket may get a task of `step` now."""
         lives = step.valid_lives(self._now)
         if not lives:
             return False
-        by_life = self._open_by_life(service)
+        by_life = self._open_by_life(service, may_probe=step.spec.is_service)
         workers = [by_life[life] for life in lives if life in by_life]
         if step.spec.is_gang:
             # Whether a gang fits depends on all of its workers together.
@@ -82,11 +86,12 @@
             can_host(worker, step, room=worker.room, extra=0) for worker in workers
         )
 
-    def _open_by_life(self, service: str) -> dict[str, Worker]:
-        if service not in self._by_life_by_service:
-            self._by_life_by_service[service] = {
+    def _open_by_life(self, service: str, *, may_probe: bool) -> dict[str, Worker]:
+        pool = (service, may_probe)
+        if pool not in self._by_life_by_pool:
+            self._by_life_by_pool[pool] = {
                 worker.life: worker
                 for worker in self._fleet.worker_by_id.values()
-                if is_schedulable(worker, service, self._now)
+                if is_schedulable(worker, service, self._now, may_probe=may_probe)
             }
-        return self._by_life_by_service[service]
+        return self._by_life_by_pool[pool]
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -152,6 +152,7 @@
                     now,
                     avoid=step.avoid_by_index.get(index, ()),
                     strictness=strictness,
+                    may_probe=step.spec.is_service,
                 )
                 if worker is None:
                     break
--- a/coltsfoottray/scheduler/worker_selection.py
+++ b/coltsfoottray/scheduler/worker_selection.py
@@ -93,6 +93,7 @@
     avoid: Collection[str] = (),
     allowed: Collection[str] | None = None,
     strictness: Strictness = Strictness.WHOLE,
+    may_probe: bool = False,
 ) -> Worker | None:
     """Return the best worker for one task of `step`, None if there is no candidate.
 
@@ -104,12 +105,14 @@
         Incarnations of workers that may run the step; None if all may.
     strictness : Strictness
         How good a place must be if the task is a filler.
+    may_probe : bool
+        Whether the task may probe a blocked worker if there is no other.
     """
     cost = _cost_of(step, pressures)
     candidates = [
         worker
         for worker in fleet.worker_by_id.values()
-        if is_schedulable(worker, service, now)
+        if is_schedulable(worker, service, now, may_probe=may_probe)
         and (allowed is None or worker.life in allowed)
         and can_host(worker, step, room=worker.room, extra=0)
     ]
@@ -125,7 +128,12 @@
         ]
     return min(
         candidates,
-        key=lambda worker: (worker.id in avoid, cost(worker), worker.id),
+        key=lambda worker: (
+            worker.blocked_until > now,
+            worker.id in avoid,
+            cost(worker),
+            worker.id,
+        ),
         default=None,
     )
 
@@ -178,10 +186,13 @@
     candidates = [
         worker
         for worker in fleet.worker_by_id.values()
-        if is_schedulable(worker, service, now)
+        if is_schedulable(worker, service, now, may_probe=step.spec.is_service)
         and _meets_demand(worker, step.spec, worker.room)
     ]
-    return sorted(candidates, key=lambda worker: (cost(worker), worker.id))
+    return sorted(
+        candidates,
+        key=lambda worker: (worker.blocked_until > now, cost(worker), worker.id),
+    )
 
 
 def _spread_gang(
--- a/tests/scheduler/health.feature
+++ b/tests/scheduler/health.feature
@@ -103,3 +103,17 @@
     And 7 s pass
     Then 32 tasks run
     And no task ran twice at the same time or after its end
+
+  Scenario: All workers are unhealthy for some time while a service waits
+    # Guards against blocks that last longer than a service may wait.
+    Given two entries and 2 workers for jobs
+    And worker-1's VM fails everything it starts
+    And worker-2's VM fails everything it starts
+    When the job "a" of 1 steps with 2 tasks of 1 s is submitted at entry-1
+    And the service "s" of 32 tasks that need 100 of 8000 millicores is submitted
+    And 7 s pass
+    And worker-1's VM fails nothing any more
+    And worker-2's VM fails nothing any more
+    And 7 s pass
+    Then 32 tasks of "s" run
+    And no task ran twice at the same time or after its end
