One speed limit at a time is sent for each filler

Cause: a limit that is not answered yet was sent again by whatever computed limits next, which each start does. Of two limits in progress for one run, the worker may apply the older one last and answer it first.

Now a run's next limit is sent once the last one is answered or given up; the next poll, at most half a second later, makes up for what was skipped.

--- a/coltsfoottray/agent/speeds.py
+++ b/coltsfoottray/agent/speeds.py
@@ -57,6 +57,9 @@
         self.percent_by_ref: dict[RunRef, int] = {}
         # Until when a limit whose call was not answered may still be applied.
         self._unsettled_until_by_ref: dict[RunRef, timedelta] = {}
+        # Runs with a call in progress. Of two calls for one run, the worker may apply
+        # the older one last and answer it first.
+        self._pending: set[RunRef] = set()
         self.margin_by_image: dict[str, ServiceMargin] = {}
 
     def reset(self) -> None:
@@ -100,9 +103,12 @@
         async with trio.open_nursery() as nursery:
             for ref, percent in percent_by_ref.items():
                 if self._must_set(ref, percent):
+                    self._pending.add(ref)
                     nursery.start_soon(self._set_speed, heartbeat, ref, percent, fence)
 
     def _must_set(self, ref: RunRef, percent: int) -> bool:
+        if ref in self._pending:
+            return False
         before = self.percent_by_ref.get(ref)
         if before is None or ref in self._unsettled_until_by_ref:
             return True
@@ -150,6 +156,8 @@
             self._unsettled_until_by_ref[ref] = self._clock.elapsed() + _MAX_CALL_DELAY
             log_event("worker:pace-failed", run=str(ref), reason=str(error))
             return
+        finally:
+            self._pending.discard(ref)
         if sent_at >= self._unsettled_until_by_ref.get(ref, sent_at):
             self._unsettled_until_by_ref.pop(ref, None)
         if self.percent_by_ref.get(ref) != percent:
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -80,6 +80,7 @@
         self.slow_starts = 0
         # Number of speed limits to apply late and unanswered.
         self.late_paces = 0
+        self.pace_count = 0
         self.is_unhealthy = False
         self.is_unreachable = False
         self.is_destroyed = False
@@ -199,6 +200,7 @@
         return await self._handle_poll(body)
 
     async def _handle_pace(self, body: dict[str, Any]) -> HttpResponse:
+        self.pace_count += 1
         is_late = self.late_paces > 0
         if is_late:
             self.late_paces -= 1
--- a/tests/scheduler/fillers.feature
+++ b/tests/scheduler/fillers.feature
@@ -100,3 +100,14 @@
     And the service "q" of image "two" that reserves 5000 of 8000 millicores is submitted
     And 2 s pass
     Then 1 workers run no service
+
+  Scenario: Many fillers start at once beside a service
+    # Guards against speed limits that are sent again while they are not answered yet,
+    # some 5000 for 100 fillers.
+    Given two entries and 1 workers for jobs
+    When a service of 1 tasks far below its latency target is submitted at entry-1
+    And 2 s pass
+    And the filler job "f" of 100 tasks that need 70 millicores is submitted
+    And 4 s pass
+    Then worker-1 was sent at most 200 speed limits
+    And every filler of "f" runs at 100 percent
--- a/tests/steps/restart_steps.py
+++ b/tests/steps/restart_steps.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from behave import step, when
+from behave import step, then, when
 
-from tests.support.job_world import job_id
+from tests.support.job_world import job_id, make_steps
 
 _OVER_TARGET_MS = 200.0
 _FAR_BELOW_TARGET_MS = 5.0
@@ -53,3 +53,18 @@
     world.wait_until(lambda: attendant.session > before, step_s=0.001)
     world.advance(milliseconds / 1000)
     world.kill_daemon(name)
+
+
+@when(
+    'the filler job "{label}" of {tasks:d} tasks that need 70 millicores is submitted'
+)
+def submit_small_fillers(context, label, tasks):
+    shape = make_steps(1, tasks, 60.0, fills=True, image="fill", cpu=70)
+    status = context.world.submit_job("entry-1", label, shape, work_s=60.0, share=0)
+    assert status == 200, status
+
+
+@then("{name} was sent at most {count:d} speed limits")
+def check_pace_count(context, name, count):
+    sent = context.world.cell.worker_by_name[name].pace_count
+    assert sent <= count, sent
