--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -83,6 +83,7 @@
         # Paths of requests that are ignored, and of those executed without an answer.
         self.ignored_paths: set[str] = set()
         self.unanswered_paths: set[str] = set()
+        self.pace_count = 0
         self.is_unhealthy = False
         self.is_unreachable = False
         self.is_destroyed = False
@@ -202,6 +203,7 @@
         return await self._handle_poll(body)
 
     async def _handle_pace(self, body: dict[str, Any]) -> HttpResponse:
+        self.pace_count += 1
         is_late = self.late_paces > 0
         if is_late:
             self.late_paces -= 1
