--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -15,7 +15,8 @@
 from coltsfoottray.scheduler.fleet import MAX_ORPHAN_TIME, Fleet, PlacedRun, Worker
 from coltsfoottray.scheduler.job_set import JobSet
 from coltsfoottray.scheduler.lengths import LengthEstimator
-from coltsfoottray.scheduler.live import LiveJob, LiveStep
+from coltsfoottray.scheduler.live import LiveJob
+from coltsfoottray.scheduler.live_step import LiveStep
 from coltsfoottray.scheduler.messages import RejectedStart, Report
 
 __all__ = ["ClusterState"]
--- a/coltsfoottray/scheduler/overdue.py
+++ b/coltsfoottray/scheduler/overdue.py
@@ -14,7 +14,7 @@
 from coltsfoottray.metrics import Metrics
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.fleet import PlacedRun, Worker
-from coltsfoottray.scheduler.live import LiveStep
+from coltsfoottray.scheduler.live_step import LiveStep
 from coltsfoottray.scheduler.wait_reason import WaitReason
 
 __all__ = ["Holder", "OverdueMonitor"]
