--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -12,7 +12,7 @@
 from coltsfoottray.agent.lease import WorkerLease
 from coltsfoottray.agent.liveness import WorkerLiveness
 from coltsfoottray.agent.pressure_exchange import PressureExchange
-from coltsfoottray.agent.reports import describe_worker
+from coltsfoottray.agent.reports import describe_runs, describe_worker
 from coltsfoottray.agent.runs import Runs
 from coltsfoottray.agent.session import AttendantSession
 from coltsfoottray.agent.speeds import SpeedController
@@ -248,7 +248,6 @@
         Unless a worker is known to answer, the report promises for how long one may
         still run. This revokes the part of the grant that has not been issued.
         """
-        runs = self._runs
         heartbeat = self._heartbeat
         if heartbeat is None or not self._liveness.is_answering:
             self._lease.limit_to_issued()
@@ -263,18 +262,12 @@
             data_centre=self._data_centre,
             session=self._session.reported_number,
             looked=self._session.polled,
-            running=runs.running,
-            without_order=runs.without_order(),
-            starting=runs.unconfirmed_starts(),
-            ends=runs.ends,
-            rejected=list(runs.rejected_by_ref.values()),
             stalled=self._supervisor.stalled,
             pressures=self._pressures.due_pressures(),
             pressure_revision_by_service=self._pressures.revision_by_service,
             margin_by_image=self._speeds.margin_by_image,
         )
-        if heartbeat is None:
-            return report
+        report = describe_runs(report, self._runs)
         return describe_worker(report, heartbeat, self._liveness)
 
     def apply_reply(
