Say that the store holds up tasks while a write delays the round

While a write takes long, the scheduler applies no report and decides nothing. The monitor took what it last knew for the present and named other holders than the store for tasks that no report could show.

Now whatever is owed while a write takes over 1 s is held by the store. As no report is applied, tasks that run are among them; docs/OPERATIONS.md says so.

tests/scheduler/overdue "The store is down as a worker is lost" failed before (0 tasks held by "store"), passes now (32); overdue: 7 passed, 0 failed.

--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -92,9 +92,6 @@
         self._round_metrics = RoundMetrics(
             fleet=self._fleet, clock=clock, metrics=metrics
         )
-        self._overdue = OverdueMonitor(
-            cluster=self.cluster, clock=clock, metrics=metrics
-        )
         self._grants = Grants(
             epoch=claim.lease.epoch,
             acquired_at=claim.acquired_at,
@@ -117,6 +114,12 @@
             table=table,
             clock=clock,
         )
+        self._overdue = OverdueMonitor(
+            cluster=self.cluster,
+            writing_since=lambda: self._writer.writing_since,
+            clock=clock,
+            metrics=metrics,
+        )
         self._order_sender = OrderSender(fleet=self._fleet, peers=peers)
         self._inbox = Inbox()
         self._reported_by_worker: dict[str, trio.Event] = {}
--- a/coltsfoottray/scheduler/overdue.py
+++ b/coltsfoottray/scheduler/overdue.py
@@ -4,8 +4,8 @@
 
 import enum
 from collections import defaultdict
-from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from coltsfoottray.clock import Clock
@@ -25,6 +25,8 @@
 _MAX_OWED_TIME = timedelta(seconds=7)
 # A run listed by a report counts as running for two and a half report intervals.
 _LISTED_FOR = timedelta(seconds=2.5)
+# A write usually takes some 10 ms.
+_MAX_WRITE_TIME = timedelta(seconds=1)
 _LOG_INTERVAL = timedelta(seconds=5)
 _MAX_LOGGED_TASKS = 10
 
@@ -37,7 +39,7 @@
     PLACEMENT = "placement"
     """The choice of a worker, for another reason than room."""
     STORE = "store"
-    """The write of its assignment."""
+    """The write of its assignment, or one that has delayed all decisions."""
     ATTENDANT = "attendant"
     """The start that its worker's attendant was ordered."""
     LEASE = "lease"
@@ -69,12 +71,24 @@
     """Records the tasks that have been owed for too long, by what holds them up.
 
     The time of a task counts from when this scheduler first found it owed.
+
+    Parameters
+    ----------
+    writing_since : callable
+        Returns when the scheduler's write in progress was sent, None if there is none.
+        While it lasts, nothing is decided and no report of runs is applied.
     """
 
     def __init__(
-        self, *, cluster: ClusterState, clock: Clock, metrics: Metrics
+        self,
+        *,
+        cluster: ClusterState,
+        writing_since: Callable[[], timedelta | None],
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._cluster = cluster
+        self._writing_since = writing_since
         self._clock = clock
         self._metrics = metrics
         self._since_by_task: dict[TaskRef, timedelta] = {}
@@ -90,6 +104,8 @@
         """Update the metrics, and log what is overdue."""
         now = self._clock.elapsed()
         owed = list(self._list_owed(now))
+        if self._is_store_slow(now):
+            owed = [replace(each, holder=Holder.STORE) for each in owed]
         self._since_by_task = {
             each.task: self._since_by_task.get(each.task, now) for each in owed
         }
@@ -102,6 +118,10 @@
             self._metrics.gauge("tasks_overdue", len(overdue), held_by=holder.value)
             self._log(holder, [each for each in overdue if each.is_logged], now)
 
+    def _is_store_slow(self, now: timedelta) -> bool:
+        since = self._writing_since()
+        return since is not None and now - since > _MAX_WRITE_TIME
+
     def _log(
         self, holder: Holder, overdue: Sequence[_OwedTask], now: timedelta
     ) -> None:
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -75,6 +75,8 @@
         # lease row. Other entries judge the holder by its renewals only.
         self.confirmed_at = claim.acquired_at
         self.renewed_at = claim.acquired_at
+        # When the write in progress was first sent, None between writes.
+        self.writing_since: timedelta | None = None
         self._must_renew = False
         self.version = claim.version
         self._drops_records = drops_records
@@ -171,9 +173,11 @@
             puts.append(Put.of(LEASE_KEY, self.version, self.lease))
         else:
             checks.append(Check(key=LEASE_KEY, version=self.version))
+        self.writing_since = sent
         versions = await self._commit_until_available(
             Transaction(puts=puts, checks=checks)
         )
+        self.writing_since = None
         self.confirmed_at = sent
         self.version = versions.get(LEASE_KEY, self.version)
         for rows in self._side_rows:
--- a/tests/scheduler/overdue.feature
+++ b/tests/scheduler/overdue.feature
@@ -66,3 +66,16 @@
     And 12 s pass
     Then a log line names the tasks of "a" as held by "placement"
     And a log line says that "a" waits for "health"
+
+  Scenario: The store is down as a worker is lost
+    # Guards against blaming attendants whose reports wait for the store.
+    Given two entries and 2 workers for jobs
+    And log lines are recorded
+    When the service "a" of 32 tasks that need 100 of 8000 millicores is submitted
+    And 2 s pass
+    And worker-1's VM is lost permanently
+    And the store is down from now on
+    And 11 s pass
+    Then the scheduler's metrics show 32 overdue tasks held by "store"
+    And the scheduler's metrics show 0 overdue tasks held by "attendant"
+    And a log line names the tasks of "a" as held by "store"
