An overdue task counts for what has held it, not for who holds it at the moment

What operators saw: scheduler:overdue lines that name attendants and the store for tasks that had waited for room or a good place.

Cause: the time of the whole wait was put down to the present holder. A task that is placed after a long wait is held by the store, then by its attendant until a report lists its run, up to a second later; a check within that second named them.

--- a/coltsfoottray/scheduler/overdue.py
+++ b/coltsfoottray/scheduler/overdue.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import enum
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from coltsfoottray.clock import Clock
@@ -44,7 +44,7 @@
     """The end of the lease of a worker that does not answer."""
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(kw_only=True, slots=True)
 class _OwedTask:
     """A task whose turn has come and that no worker lists as running."""
 
@@ -53,15 +53,40 @@
     worker: str
     is_service: bool
 
-    @property
-    def is_logged(self) -> bool:
-        """Whether a log line names it if it is overdue.
 
-        Waiting for room is no fault, and fillers wait for good places.
+@dataclass(kw_only=True, slots=True)
+class _Wait:
+    """The time since which a task has been owed without a pause.
+
+    Parameters
+    ----------
+    holder, held_since
+        What holds the task now, and since when without a pause.
+    checks_by_holder : Counter
+        For each holder, how many checks found that it held the task.
+    """
+
+    since: timedelta
+    holder: Holder
+    held_since: timedelta
+    checks_by_holder: Counter[Holder] = field(default_factory=Counter)
+
+    def extend(self, holder: Holder, now: timedelta) -> None:
+        """Record what holds the task at a check."""
+        self.checks_by_holder[holder] += 1
+        if holder is not self.holder:
+            self.holder = holder
+            self.held_since = now
+
+    def main_holder(self, now: timedelta) -> Holder:
+        """Return what makes the task overdue.
+
+        The present holder may have got the task a moment ago, after a long wait for
+        room.
         """
-        if self.holder is Holder.PLACEMENT:
-            return self.is_service
-        return self.holder is not Holder.ROOM
+        if now - self.held_since > _MAX_OWED_TIME:
+            return self.holder
+        return self.checks_by_holder.most_common(1)[0][0]
 
 
 class OverdueMonitor:
@@ -76,7 +101,7 @@
         self._cluster = cluster
         self._clock = clock
         self._metrics = metrics
-        self._since_by_task: dict[TaskRef, timedelta] = {}
+        self._wait_by_task: dict[TaskRef, _Wait] = {}
         self._logged_at_by_holder: dict[Holder, timedelta] = {}
 
     async def run(self) -> None:
@@ -89,17 +114,24 @@
         """Update the metrics, and log what is overdue."""
         now = self._clock.elapsed()
         owed = list(self._list_owed(now))
-        self._since_by_task = {
-            each.task: self._since_by_task.get(each.task, now) for each in owed
-        }
+        self._wait_by_task = {each.task: self._extend_wait(each, now) for each in owed}
         overdue_by_holder: dict[Holder, list[_OwedTask]] = defaultdict(list)
         for each in owed:
-            if now - self._since_by_task[each.task] > _MAX_OWED_TIME:
-                overdue_by_holder[each.holder].append(each)
+            wait = self._wait_by_task[each.task]
+            if now - wait.since > _MAX_OWED_TIME:
+                overdue_by_holder[wait.main_holder(now)].append(each)
         for holder in Holder:
             overdue = overdue_by_holder[holder]
             self._metrics.gauge("tasks_overdue", len(overdue), held_by=holder.value)
-            self._log(holder, [each for each in overdue if each.is_logged], now)
+            logged = [each for each in overdue if _is_logged(each, holder)]
+            self._log(holder, logged, now)
+
+    def _extend_wait(self, owed: _OwedTask, now: timedelta) -> _Wait:
+        wait = self._wait_by_task.get(owed.task)
+        if wait is None:
+            wait = _Wait(since=now, holder=owed.holder, held_since=now)
+        wait.extend(owed.holder, now)
+        return wait
 
     def _log(
         self, holder: Holder, overdue: Sequence[_OwedTask], now: timedelta
@@ -111,8 +143,8 @@
         if logged_at is not None and now - logged_at < _LOG_INTERVAL:
             return
         self._logged_at_by_holder[holder] = now
-        oldest = sorted(overdue, key=lambda each: self._since_by_task[each.task])
-        longest = now - self._since_by_task[oldest[0].task]
+        oldest = sorted(overdue, key=lambda each: self._wait_by_task[each.task].since)
+        longest = now - self._wait_by_task[oldest[0].task].since
         log_event(
             "scheduler:overdue",
             held_by=holder.value,
@@ -138,6 +170,16 @@
                     )
 
 
+def _is_logged(owed: _OwedTask, holder: Holder) -> bool:
+    """Whether a log line names a task that is overdue because of a holder.
+
+    Waiting for room is no fault, and fillers wait for good places.
+    """
+    if holder is Holder.PLACEMENT:
+        return owed.is_service
+    return holder is not Holder.ROOM
+
+
 def _list_waiting(step: LiveStep) -> Iterator[_OwedTask]:
     lacks_room = step.wait_reason is WaitReason.ROOM
     for index in step.waiting:
