A filler avoids workers only while another is left

What callers saw: a filler job of 8 tasks of 4 s whose tasks had stalled on both workers took 40 s after the workers had recovered (trial), one task at a time.

Cause: a filler is not placed on a worker on which its task has failed or stalled, or from which it was moved. Where that was every worker, its task waited until nothing of the job ran for 1 s, when any place will do; one task was placed so, and the others waited on.

Now such a worker is excluded only while another one is open to the step.

tests/scheduler/fillers "The tasks of a filler job have stalled on all workers" failed before (8 passed, 1 failed), passes now. fillers, health, pressures, restarted_attendants: 34 passed, 0 failed.

Left: a task whose only other worker is full for long still waits for its job to be idle.

--- a/coltsfoottray/scheduler/worker_selection.py
+++ b/coltsfoottray/scheduler/worker_selection.py
@@ -117,11 +117,19 @@
         and can_host(worker, step, room=worker.room, extra=0)
     ]
     if step.spec.is_filler:
+        excluded = _excluded_for_fillers(
+            step,
+            fleet,
+            service=service,
+            now=now,
+            avoid=avoid,
+            allowed=allowed,
+            strictness=strictness,
+        )
         candidates = [
             worker
             for worker in candidates
-            # A worker that fails every task is empty, so it looks like the fastest.
-            if (strictness is Strictness.NONE or worker.id not in avoid)
+            if worker.id not in excluded
             and _is_acceptable(
                 forecast_filler(worker, step.spec, pressures), strictness
             )
@@ -138,6 +146,33 @@
     )
 
 
+def _excluded_for_fillers(
+    step: LiveStep,
+    fleet: Fleet,
+    *,
+    service: str,
+    now: timedelta,
+    avoid: Collection[str],
+    allowed: Collection[str] | None,
+    strictness: Strictness,
+) -> Collection[str]:
+    """Return the ids of the workers that a filler is not placed on.
+
+    A worker that fails every task is empty, so it looks like the fastest. If none is
+    left that is not to be avoided, the task has to run on one of them all the same.
+    """
+    if strictness is Strictness.NONE or not avoid:
+        return ()
+    has_other = any(
+        worker.id not in avoid
+        and (allowed is None or worker.life in allowed)
+        and is_schedulable(worker, service, now)
+        and has_label(worker, step.spec.label)
+        for worker in fleet.worker_by_id.values()
+    )
+    return avoid if has_other else ()
+
+
 def _is_acceptable(forecast: Forecast, strictness: Strictness) -> bool:
     """Return whether a place is good enough for a filler."""
     minimum = _MIN_SPEEDS_BY_STRICTNESS[strictness]
--- a/tests/scheduler/fillers.feature
+++ b/tests/scheduler/fillers.feature
@@ -100,3 +100,14 @@
     And the service "q" of image "two" that reserves 5000 of 8000 millicores is submitted
     And 2 s pass
     Then 1 workers run no service
+
+  Scenario: The tasks of a filler job have stalled on all workers
+    # Guards against a job that runs one task at a time, as it avoids every worker.
+    Given two entries and 2 workers for jobs
+    And tasks on worker-1's VM make no progress
+    And tasks on worker-2's VM make no progress
+    When the filler job "a" of 8 tasks of 4 s is submitted at entry-1
+    And 8 s pass
+    And tasks on worker-1's VM make progress again
+    And tasks on worker-2's VM make progress again
+    Then the job "a" is "completed" within 10 s
--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -303,6 +303,11 @@
     context.world.cell.worker_by_name[name].is_hung = True
 
 
+@when("tasks on {name}'s VM make progress again")
+def end_hang(context, name):
+    context.world.cell.worker_by_name[name].is_hung = False
+
+
 @when("{name}'s VM leaves without a notice")
 def deregister(context, name):
     worker = context.world.cell.worker_by_name[name]
