Failing: a worker, its attendant and the scheduler are lost at the same time

What callers see: tasks that run nowhere for 10 to 11 s after the loss; users allow 3 s after 4 s of calm. The next scheduler waits 9.18 s from its take-over for leases that its predecessor may have granted, and nobody is left to say less.

The scenario has 2 of 4 tasks at work 7 s after the loss. Not mended: the last grant of a predecessor that is proved dead ends 7.14 s after that proof at the latest, some 8.5 s after the loss, so that the lease of 7 s itself would have to become shorter than attendants need to restart.

--- a/tests/scheduler/gone.feature
+++ b/tests/scheduler/gone.feature
@@ -214,3 +214,16 @@
     And 7 s pass
     Then 4 tasks run
     And no task ran twice at the same time or after its end
+
+  Scenario: A worker, its attendant and the scheduler are lost at the same time
+    # Guards against a new scheduler that waits longer for a lost worker's lease than
+    # users wait for its tasks.
+    Given two entries and 2 workers for jobs
+    When the long-running job "a" of 1 steps with 4 tasks of 1 s is submitted at entry-1
+    And 2 s pass
+    And worker-1's VM is lost permanently
+    And worker-1's attendant is killed
+    And the scheduler is killed
+    And 7 s pass
+    Then 4 tasks run
+    And no task ran twice at the same time or after its end
