--- a/tests/steps/job_fault_steps.py
+++ b/tests/steps/job_fault_steps.py
@@ -152,18 +152,6 @@
     context.world.restart_daemon(name)
 
 
-@when("{name}'s attendant is killed")
-def kill_attendant(context, name):
-    context.world.kill_daemon(name)
-
-
-@when("{name}'s attendant is asked to stop")
-def stop_attendant(context, name):
-    world = context.world
-    world.spawn(world.cell.attendant_by_name[name].shut_down)
-    world.cell.killed.add(name)
-
-
 @when("all runs on {name} end right after its new attendant's first poll")
 def end_after_poll(context, name):
     world = context.world
@@ -232,13 +220,6 @@
     world.wait_until(lambda: attendant.session > before, step_s=0.001)
 
 
-@when("{name} has a session with the next scheduler")
-def wait_for_next_session(context, name):
-    attendant = context.world.cell.attendant_by_name[name].attendant
-    before = attendant.session
-    context.world.wait_until(lambda: attendant.session > before, step_s=0.001)
-
-
 @when("the answer to {name}'s next poll is lost")
 def lose_poll_reply(context, name):
     context.world.fabric.faults(f"{name}/vm").lost_replies = 1
--- a/tests/steps/restart_steps.py
+++ b/tests/steps/restart_steps.py
@@ -68,3 +68,22 @@
 def check_pace_count(context, name, count):
     sent = context.world.cell.worker_by_name[name].pace_count
     assert sent <= count, sent
+
+
+@when("{name} has a session with the next scheduler")
+def wait_for_next_session(context, name):
+    attendant = context.world.cell.attendant_by_name[name].attendant
+    before = attendant.session
+    context.world.wait_until(lambda: attendant.session > before, step_s=0.001)
+
+
+@when("{name}'s attendant is killed")
+def kill_attendant(context, name):
+    context.world.kill_daemon(name)
+
+
+@when("{name}'s attendant is asked to stop")
+def stop_attendant(context, name):
+    world = context.world
+    world.spawn(world.cell.attendant_by_name[name].shut_down)
+    world.cell.killed.add(name)
