--- a/coltsfoottray/claims/__init__.py
+++ b/coltsfoottray/claims/__init__.py
@@ -5,7 +5,8 @@
 from coltsfoottray.claims.members import ClaimMembers
 from coltsfoottray.claims.memory import ClaimMemory
 from coltsfoottray.claims.messages import Claim, MemberRow
-from coltsfoottray.claims.service import ClaimOutcome, ClaimResult, Claims
+from coltsfoottray.claims.results import ClaimOutcome, ClaimResult
+from coltsfoottray.claims.service import Claims
 
 __all__ = [
     "Claim",
--- a/coltsfoottray/claims/service.py
+++ b/coltsfoottray/claims/service.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import enum
-from dataclasses import dataclass
 from datetime import timedelta
 
 import trio
@@ -27,6 +25,7 @@
     ReleaseRequest,
     Verdict,
 )
+from coltsfoottray.claims.results import ClaimOutcome, ClaimResult
 from coltsfoottray.clock import Clock, as_microseconds
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.kernel import Service
@@ -44,30 +43,13 @@
 from coltsfoottray.requests import Place
 from coltsfoottray.types import EntryId, Incarnation, RequestId
 
-__all__ = ["ClaimOutcome", "ClaimResult", "Claims"]
+__all__ = ["Claims"]
 
 _TABLE_TIMEOUT = timedelta(seconds=1)
 _CONFLICT_RETRY_INTERVAL = timedelta(milliseconds=5)
 _MAX_ROUNDS = 20
 
 
-class ClaimOutcome(enum.Enum):
-    """Outcome of an attempt to acquire a claim."""
-
-    MINE = "mine"
-    FOLLOW = "follow"
-    UNKNOWN = "unknown"
-
-
-@dataclass(frozen=True, kw_only=True)
-class ClaimResult:
-    """The outcome, with the acquired claim, the claim to follow, or the reason."""
-
-    outcome: ClaimOutcome
-    claim: Claim | None = None
-    reason: str = ""
-
-
 class Claims(Service):
     """Acquires and releases claims to keyed requests.
 
