Failing: a foreign lease that only processes knew of which have ended

What callers see: two runs of one task at a time. A worker restarts under its id, accepts starts meant for its previous incarnation, its attendant restarts, and it falls silent as the scheduler is replaced too. Neither of the new processes knows that the worker may hold its longest lease of 10 s rather than the 6 s that attendants issue.

A new attendant that took 10 s for granted would delay all recoveries after a restart; the lease end would have to be stored with the adopted runs.

--- a/tests/scheduler/foreign_leases.feature
+++ b/tests/scheduler/foreign_leases.feature
@@ -65,3 +65,20 @@
     And 7 s pass
     Then 6 tasks run
     And no task ran twice at the same time or after its end
+
+  Scenario: Such a worker's attendant and the scheduler are both replaced
+    # Guards against a longer lease that only processes knew of which have ended.
+    Given two entries and 2 workers for jobs
+    When 10 s pass
+    And 250 ms pass
+    And worker-1's VM crashes and sends no heartbeats
+    And the long-running job "a" of 1 steps with 6 tasks of 1 s is submitted at entry-1
+    And 100 ms pass
+    And worker-1 is killed and restarted after 0 s
+    And worker-1's VM sends heartbeats again
+    And 500 ms pass
+    And worker-1's VM stops answering
+    And the scheduler is killed
+    And 20 s pass
+    Then 6 tasks run
+    And no task ran twice at the same time or after its end
