Failing: a job with more tasks at a time than a row holds stops the scheduler

Not mended; found while looking at the sizes of the scheduler's transactions. The store takes rows of at most 64 KiB, and a job's record is one row: 76 bytes for a task with a run and a checkpoint, 60 without one (names as long as on the platform), 19 for a task that waits. 863 and 1,093 tasks at a time, or 3,450 that wait, are too many. The transaction is refused each time, the scheduler sends it for ever, and so does its successor: nothing starts any more. Submission limits no number of tasks. The mend would be a record over several rows.

The stand-in now refuses such rows.

--- a/standins/metadata_table.py
+++ b/standins/metadata_table.py
@@ -18,6 +18,7 @@
 MAX_QUEUE_S = 1.0
 MAX_ENTRIES = 100
 MAX_BYTES = 1_000_000
+MAX_ROW_BYTES = 65_536
 
 
 class _Ref(msgspec.Struct, frozen=True):
@@ -78,7 +79,7 @@
     calls_by_table : Counter
         Number of transactions and reads by table.
     oversized : int
-        Number of transactions refused for their entries or bytes.
+        Number of transactions refused for their entries, bytes or rows.
     transactions_by_part, entries_by_part : Counter
         Number of transactions sent, and of their entries, by part.
     largest_transaction : int
@@ -164,7 +165,9 @@
 
     async def _transact(self, tx: _Tx, *, size_bytes: int) -> HttpResponse:
         items = [*tx.expectedRevision, *tx.upserts, *tx.remove]
-        if len(items) > MAX_ENTRIES or size_bytes > MAX_BYTES:
+        row_bytes = max((len(row.value) * 3 // 4 for row in tx.upserts), default=0)
+        is_oversized = size_bytes > MAX_BYTES or row_bytes > MAX_ROW_BYTES
+        if len(items) > MAX_ENTRIES or is_oversized:
             self.oversized += 1
             return HttpResponse(status=400)
         if len({item.part for item in items}) != 1:
--- a/tests/scheduler/bounds.feature
+++ b/tests/scheduler/bounds.feature
@@ -20,3 +20,12 @@
     Then 600 tasks were started, each once
     And the store has refused no transaction for its size
     And entry-1 counts 0 pending jobs
+
+  Scenario: A job has more tasks at a time than a row holds
+    # Guards against a scheduler that is stopped for ever by a record over 64 KiB.
+    Given two entries and 3 workers for jobs
+    When the job "a" of 2000 small tasks of 5 s is submitted at entry-1
+    And 1 s pass
+    And the job "b" of 1 steps with 1 tasks of 1 s is submitted at entry-1
+    Then the job "b" is "completed" within 20 s
+    And the store has refused no transaction for its size
