--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -16,8 +16,8 @@
 from coltsfoottray.scheduler.job_set import JobSet
 from coltsfoottray.scheduler.lengths import LengthEstimator
 from coltsfoottray.scheduler.live import LiveJob
-from coltsfoottray.scheduler.live_step import LiveStep
 from coltsfoottray.scheduler.messages import RejectedStart, Report
+from coltsfoottray.scheduler.outcomes import Outcomes
 
 __all__ = ["ClusterState"]
 
@@ -37,6 +37,9 @@
         self.pressures = PressureTable()
         self.lengths = LengthEstimator()
         self._holder = holder
+        self._outcomes = Outcomes(
+            jobs=self.jobs, fleet=fleet, max_attempts_of=self._max_attempts_of
+        )
 
     # Stored and submitted jobs.
 
@@ -77,7 +80,7 @@
         if job is None or job.record.state.is_final:
             return
         log_event("decision:cancel", job=job_id, state=job.record.state.value)
-        self._finish(job, JobState.CANCELLED, now_ms)
+        self._outcomes.finish(job, JobState.CANCELLED, now_ms)
 
     def forget(self, job_id: JobId) -> None:
         """Remove a job whose retention has passed."""
@@ -108,7 +111,7 @@
             if kind is EndKind.DONE:
                 run.record_completion(now)
         for end in report.ends:
-            self._apply_end(worker, end.ref, end.kind, end.checkpoint, now_ms)
+            self._outcomes.apply_end(worker, end.ref, end.kind, end.checkpoint, now_ms)
         self._update_health(worker, ended, now)
         self._stop_stalled(worker, report.stalled, now)
         for rejected in report.rejected:
@@ -219,7 +222,7 @@
             runs=[str(placed.ref) for placed in lost],
         )
         for placed in lost:
-            self._apply_end(worker, placed.ref, EndKind.LAPSED, "", now_ms)
+            self._outcomes.apply_end(worker, placed.ref, EndKind.LAPSED, "", now_ms)
 
     @staticmethod
     def _update_description(worker: Worker, report: Report) -> None:
@@ -264,7 +267,7 @@
             # The worker will never accept it. It counts as a failure, since otherwise
             # the job would be retried forever.
             kind = EndKind.FAILED
-        self._apply_end(worker, rejected.ref, kind, "", now_ms)
+        self._outcomes.apply_end(worker, rejected.ref, kind, "", now_ms)
 
     def _stop_stalled(
         self, worker: Worker, stalled: Sequence[RunRef], now: timedelta
@@ -316,84 +319,9 @@
             for_s=block.total_seconds(),
         )
 
-    def _apply_end(
-        self,
-        worker: Worker,
-        ref: RunRef,
-        kind: EndKind,
-        checkpoint: str,
-        now_ms: int,
-    ) -> None:
-        worker.release(ref)
-        job = self.jobs.by_id.get(ref.task.job)
-        step = None if job is None else job.find(ref.task)
-        if job is None or step is None:
-            return
-        record = step.records[ref.task.index]
-        if record.run != ref.run or record.phase is TaskPhase.DONE:
-            return
-        if record.phase is TaskPhase.WAITING and kind is not EndKind.DONE:
-            return
-        job.is_dirty = True
-        if checkpoint:
-            step.checkpoint_record(ref.task.index).checkpoint = checkpoint
-        if kind is EndKind.DONE and not step.spec.is_service:
-            self._complete_task(step, ref, now_ms)
-            return
-        record.unassign(TaskPhase.WAITING)
-        step.recount()
-        if kind is EndKind.FAILED and not step.spec.is_service:
-            self._count_failure(step, ref, now_ms)
-        if step.spec.is_gang:
-            self._stop_gang(step, ref.run)
-
-    def _complete_task(self, step: LiveStep, ref: RunRef, now_ms: int) -> None:
-        ended = [step.records[ref.task.index]]
-        if step.spec.is_gang:
-            # A gang completes as a whole, so the end of one member completes all.
-            ended = step.records
-        for record in ended:
-            record.unassign(TaskPhase.DONE)
-            record.checkpoint = ""
-        step.recount()
-        job = step.job
-        job.close_occurrence(step.occurrence)
-        if job.is_complete and not job.record.state.is_final:
-            log_event("decision:completed", job=job.id)
-            self._finish(job, JobState.COMPLETED, now_ms)
-
-    def _count_failure(self, step: LiveStep, ref: RunRef, now_ms: int) -> None:
-        record = step.records[0 if step.spec.is_gang else ref.task.index]
-        if ref.run <= record.failed_run:
-            # Several members of a gang may report the failure of one run.
-            return
-        record.failed_run = ref.run
-        record.failures += 1
-        job = step.job
-        allowed = self.terms_of(job).max_attempts
-        if record.failures >= allowed and not job.record.state.is_final:
-            log_event(
-                "decision:failed",
-                job=job.id,
-                task=str(ref.task),
-                failures=record.failures,
-                allowed=allowed,
-            )
-            self._finish(job, JobState.FAILED, now_ms)
-
-    def _stop_gang(self, step: LiveStep, run: int) -> None:
-        """Stop the rest of a gang, which would wait for the member that ended."""
-        for placed in self.fleet.placed_runs():
-            if placed.step is step and placed.ref.run == run:
-                placed.is_stopping = True
-
-    def _finish(self, job: LiveJob, state: JobState, now_ms: int) -> None:
-        job.finish(state, now_ms)
-        self.jobs.active_by_id.pop(job.id, None)
-        for placed in self.fleet.placed_runs():
-            if placed.ref.task.job == job.id:
-                placed.is_stopping = True
-
     def terms_of(self, job: LiveJob) -> QueueTerms:
         """Return the queue terms that apply to a job now."""
         return self._holder.terms_of(job.accepted.queue, default=job.accepted.terms)
+
+    def _max_attempts_of(self, job: LiveJob) -> int:
+        return self.terms_of(job).max_attempts
