--- a/coltsfoottray/agent/runs.py
+++ b/coltsfoottray/agent/runs.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass, field
 from datetime import timedelta
-from typing import Any
 
 from coltsfoottray.agent.worker import PollReply, Refusal, RunEnd, RunStatus
 from coltsfoottray.jobs.model import RunRef
+from coltsfoottray.remembered import drop_oldest
 from coltsfoottray.scheduler.messages import RejectedStart, StartOrder
 
 __all__ = ["RefusedStart", "Runs"]
@@ -137,7 +137,7 @@
         self.order_by_ref.pop(ref, None)
         self.rejected_by_ref[ref] = RejectedStart(ref=ref, reason=reason)
         self.reason_by_barred_ref[ref] = reason
-        _drop_oldest(self.reason_by_barred_ref)
+        drop_oldest(self.reason_by_barred_ref, _MAX_REMEMBERED)
 
     def reject_again(self, ref: RunRef) -> bool:
         """Reject a run once more if it was rejected before; return whether it was.
@@ -178,7 +178,7 @@
         self.ends = reply.ends
         self.is_complete = reply.is_complete
         self.ended.update(dict.fromkeys(end.ref for end in reply.ends))
-        _drop_oldest(self.ended)
+        drop_oldest(self.ended, _MAX_REMEMBERED)
         seen = {status.ref for status in reply.running}
         seen.update(end.ref for end in reply.ends)
         # Stop retrying starts of runs that the worker lists. If a run ended first, a
@@ -243,9 +243,3 @@
                 self.record_rejection(ref, start.reason)
                 is_report_due = True
         return is_report_due
-
-
-def _drop_oldest(remembered: dict[RunRef, Any]) -> None:
-    """Drop the oldest entries beyond the number that is remembered."""
-    while len(remembered) > _MAX_REMEMBERED:
-        del remembered[next(iter(remembered))]
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -111,7 +111,7 @@
             if kind is EndKind.DONE:
                 run.record_completion(now)
         for end in report.ends:
-            self._outcomes.apply_end(worker, end.ref, end.kind, end.checkpoint, now_ms)
+            self._outcomes.apply_end(worker, end, now_ms)
         self._update_health(worker, ended, now)
         self._stop_stalled(worker, report.stalled, now)
         for rejected in report.rejected:
@@ -222,7 +222,7 @@
             runs=[str(placed.ref) for placed in lost],
         )
         for placed in lost:
-            self._outcomes.apply_end(worker, placed.ref, EndKind.LAPSED, "", now_ms)
+            self._outcomes.give_up(worker, placed.ref, why, now_ms)
 
     @staticmethod
     def _update_description(worker: Worker, report: Report) -> None:
@@ -262,12 +262,7 @@
         if rejected.reason is Refusal.NO_TICKET:
             placed = worker.held_by_ref[rejected.ref]
             placed.step.ticket_by_life.pop(placed.life, None)
-        kind = EndKind.STOPPED
-        if rejected.reason is Refusal.INVALID:
-            # The worker will never accept it. It counts as a failure, since otherwise
-            # the job would be retried forever.
-            kind = EndKind.FAILED
-        self._outcomes.apply_end(worker, rejected.ref, kind, "", now_ms)
+        self._outcomes.reject(worker, rejected.ref, rejected.reason, now_ms)
 
     def _stop_stalled(
         self, worker: Worker, stalled: Sequence[RunRef], now: timedelta
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -141,6 +141,8 @@
         previous one. That incarnation's clock was ahead.
     acknowledged : int
         Ends of its current incarnation up to this number are stored.
+    applied_ends : int
+        Ends of its current incarnation up to this number have been applied.
     orphans : set of RunRef
         Runs reported by the worker that the scheduler does not expect there.
     leaves_at : timedelta
@@ -174,6 +176,7 @@
     last_heard: timedelta = _NEVER
     last_answered: timedelta = _NEVER
     acknowledged: int = 0
+    applied_ends: int = 0
     held_by_ref: dict[RunRef, PlacedRun] = field(default_factory=dict)
     orphans: set[RunRef] = field(default_factory=set)
     blocked_until: timedelta = _NEVER
@@ -274,6 +277,7 @@
         """Begin another incarnation, which has no ends and no lease yet."""
         self.life = life
         self.acknowledged = 0
+        self.applied_ends = 0
         self.foreign_lease_end = _NEVER
 
     def record_foreign_start(self, now: timedelta) -> None:
--- a/coltsfoottray/scheduler/outcomes.py
+++ b/coltsfoottray/scheduler/outcomes.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Callable
 
-from coltsfoottray.agent.worker import EndKind
+from coltsfoottray.agent.worker import EndKind, Refusal, RunEnd
 from coltsfoottray.jobs.model import RunRef
 from coltsfoottray.jobs.records import JobState, TaskPhase
 from coltsfoottray.logs import log_event
+from coltsfoottray.remembered import drop_oldest
 from coltsfoottray.scheduler.fleet import Fleet, Worker
 from coltsfoottray.scheduler.job_set import JobSet
 from coltsfoottray.scheduler.live import LiveJob
@@ -15,6 +16,9 @@
 
 __all__ = ["Outcomes"]
 
+# An end is listed within a lease of some seconds after its run was given up.
+_MAX_REMEMBERED = 5000
+
 
 class Outcomes:
     """Applies the ends of runs to the records of their tasks, and ends jobs.
@@ -35,38 +39,91 @@
         self._jobs = jobs
         self._fleet = fleet
         self._max_attempts_of = max_attempts_of
+        # Why no outcome was expected of runs any more, oldest first.
+        self._given_up: dict[RunRef, str] = {}
 
-    def apply_end(
-        self,
-        worker: Worker,
-        ref: RunRef,
-        kind: EndKind,
-        checkpoint: str,
-        now_ms: int,
-    ) -> None:
-        """Release a run that cannot exist any more, and update its task."""
+    def apply_end(self, worker: Worker, end: RunEnd, now_ms: int) -> None:
+        """Apply an end that a worker lists; reports repeat it until it is stored."""
+        worker.release(end.ref)
+        changed = self._update_task(end.ref, end.kind, end.checkpoint, now_ms)
+        is_repeated = end.number <= worker.applied_ends
+        worker.applied_ends = max(worker.applied_ends, end.number)
+        if end.kind not in (EndKind.DONE, EndKind.FAILED):
+            self._remember(end.ref, f"ended: {end.kind.value}")
+            return
+        why = self._given_up.pop(end.ref, None)
+        if why is not None or not (changed or is_repeated):
+            self._log_late(worker, end, why or "unknown", changes_task=changed)
+
+    def reject(self, worker: Worker, ref: RunRef, reason: Refusal, now_ms: int) -> None:
+        """Give up a run whose start its attendant has rejected."""
+        kind = EndKind.STOPPED
+        if reason is Refusal.INVALID:
+            # The worker will never accept it. It counts as a failure, since otherwise
+            # the job would be retried forever.
+            kind = EndKind.FAILED
+        worker.release(ref)
+        self._update_task(ref, kind, "", now_ms)
+        self._remember(ref, f"rejected: {reason.value}")
+
+    def give_up(self, worker: Worker, ref: RunRef, why: str, now_ms: int) -> None:
+        """Give up a run that cannot exist any more."""
         worker.release(ref)
+        self._update_task(ref, EndKind.LAPSED, "", now_ms)
+        self._remember(ref, why)
+
+    def _remember(self, ref: RunRef, why: str) -> None:
+        """Record why a run was given up; its end may be listed nevertheless."""
+        self._given_up[ref] = why
+        drop_oldest(self._given_up, _MAX_REMEMBERED)
+
+    def _log_late(
+        self, worker: Worker, end: RunEnd, why: str, *, changes_task: bool
+    ) -> None:
+        """Log an end that is listed after its run was given up, or superseded."""
+        job = self._jobs.by_id.get(end.ref.task.job)
+        step = None if job is None else job.find(end.ref.task)
+        if step is None:
+            return
+        record = step.records[end.ref.task.index]
+        log_event(
+            "decision:late-end",
+            worker=worker.id,
+            life=worker.life,
+            run=str(end.ref),
+            kind=end.kind.value,
+            given_up=why,
+            changes_task=changes_task,
+            phase=record.phase.name.lower(),
+            current_run=record.run,
+        )
+
+    def _update_task(
+        self, ref: RunRef, kind: EndKind, checkpoint: str, now_ms: int
+    ) -> bool:
+        """Update the task of a run that has ended; return whether that changed it."""
         job = self._jobs.by_id.get(ref.task.job)
         step = None if job is None else job.find(ref.task)
         if job is None or step is None:
-            return
+            return False
         record = step.records[ref.task.index]
         if record.run != ref.run or record.phase is TaskPhase.DONE:
-            return
+            return False
         if record.phase is TaskPhase.WAITING and kind is not EndKind.DONE:
-            return
+            return False
         job.is_dirty = True
         if checkpoint:
             step.checkpoint_record(ref.task.index).checkpoint = checkpoint
         if kind is EndKind.DONE and not step.spec.is_service:
             self._complete_task(step, ref, now_ms)
-            return
+            return True
         record.unassign(TaskPhase.WAITING)
         step.recount()
         if kind is EndKind.FAILED and not step.spec.is_service:
             self._count_failure(step, ref, now_ms)
         if step.spec.is_gang:
             self._stop_gang(step, ref.run)
+        return True
 
     def _complete_task(self, step: LiveStep, ref: RunRef, now_ms: int) -> None:
         ended = [step.records[ref.task.index]]
--- a/properties/__main__.py
+++ b/properties/__main__.py
@@ -11,6 +11,7 @@
 from properties.batch_tasks import BatchTasks
 from properties.configs import Configs
 from properties.evacuated_jobs import EvacuatedJobs
+from properties.failing_jobs import FailingJobs
 from properties.jobs import Jobs
 from properties.keyed_requests import KeyedRequests
 from properties.list_edits import ListEdits
@@ -22,6 +23,7 @@
     "jobs": Jobs,
     "evacuated-jobs": EvacuatedJobs,
     "refused-jobs": RefusedJobs,
+    "failing-jobs": FailingJobs,
     "paced-jobs": PacedJobs,
     "configs": Configs,
     "keyed": KeyedRequests,
--- a/soak/site.py
+++ b/soak/site.py
@@ -5,6 +5,7 @@
 import itertools
 import os
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 import trio
@@ -48,6 +49,7 @@
 _STORE, _ADVICE = 7006, 7007
 # Ended jobs are kept until the judgement.
 _KEEP_S = 600.0
+_MAX_ATTEMPTS = 2
 _ADVICE_TERMS = {"decisionMs": 100, "periodMs": 20, "validityMs": 3000}
 
 
@@ -61,10 +63,12 @@
 
     workers: list[JobWorkerStandIn] = field(default_factory=list)
 
-    def begin(self, task: str, run: int, worker: str) -> None:
+    def begin(
+        self, task: str, run: int, worker: str, *, has_limit: bool = False
+    ) -> None:
         for each in self.workers:
             each.expire_lease_if_due()
-        super().begin(task, run, worker)
+        super().begin(task, run, worker, has_limit=has_limit)
 
 
 @dataclass(kw_only=True)
@@ -84,7 +88,9 @@
     planted: str = ""
     table: MetadataTableStandIn = field(default_factory=MetadataTableStandIn)
     advice: AdviceStandIn = field(default_factory=AdviceStandIn)
-    observer: ExactObserver = field(default_factory=ExactObserver)
+    observer: ExactObserver = field(
+        default_factory=partial(ExactObserver, max_attempts=_MAX_ATTEMPTS)
+    )
     fabric: LoopbackFabric = field(default_factory=LoopbackFabric)
     program_by_name: dict[str, Program] = field(default_factory=dict)
     worker_by_name: dict[str, JobWorkerStandIn] = field(default_factory=dict)
@@ -125,7 +131,7 @@
             "pathPrefix": PATH,
             "service": "svc",
             "priority": 1 + version % 3,
-            "maxAttempts": 2,
+            "maxAttempts": _MAX_ATTEMPTS,
             "timeoutMs": 3000,
         }
         checked = {
--- a/standins/job_cell.py
+++ b/standins/job_cell.py
@@ -5,6 +5,7 @@
 import itertools
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
 import trio
 
@@ -23,10 +24,11 @@
 from standins.metadata_table import MetadataTableStandIn
 from standins.run_observer import RunObserver
 
-__all__ = ["HOST", "PATH_PREFIX", "JobCell"]
+__all__ = ["HOST", "MAX_ATTEMPTS", "PATH_PREFIX", "JobCell"]
 
 HOST = "jobs.example"
 PATH_PREFIX = "/rebuild/"
+MAX_ATTEMPTS = 2
 
 
 @dataclass(kw_only=True)
@@ -44,7 +46,9 @@
     data_centres: Sequence[str] = ("caerdydd",)
     metadata_table: MetadataTableStandIn = field(default_factory=MetadataTableStandIn)
     advice: AdviceStandIn = field(default_factory=AdviceStandIn)
-    observer: RunObserver = field(default_factory=RunObserver)
+    observer: RunObserver = field(
+        default_factory=partial(RunObserver, max_attempts=MAX_ATTEMPTS)
+    )
     entry_by_name: dict[str, JobEntryDaemon] = field(default_factory=dict)
     attendant_by_name: dict[str, JobAttendantDaemon] = field(default_factory=dict)
     worker_by_name: dict[str, JobWorkerStandIn] = field(default_factory=dict)
@@ -103,7 +107,7 @@
             "pathPrefix": PATH_PREFIX,
             "service": "svc",
             "priority": 1,
-            "maxAttempts": 2,
+            "maxAttempts": MAX_ATTEMPTS,
             "timeoutMs": 3000,
             **changes,
         }
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -78,6 +78,8 @@
         self.unanswered_starts = 0
         self.late_starts = 0
         self.slow_starts = 0
+        # Number of polls to carry out late and unanswered.
+        self.late_polls = 0
         # Number of speed limits to apply late and unanswered.
         self.late_paces = 0
         # Paths of requests that are ignored, and of those executed without an answer.
@@ -116,6 +118,8 @@
         self.ends: list[list[Any]] = []
         self._last_number_by_task: dict[str, int] = {}
         self._end_numbers = itertools.count(1)
+        # Ends up to this number were listed when the lease expired, and do not count.
+        self._last_void_end = 0
         self._sequence = itertools.count(1)
         self._ended = trio.Event()
 
@@ -260,7 +264,8 @@
             share=spec.get("share", 1.0),
             done_s=float(body.get("checkpoint") or 0),
         )
-        self._observer.begin(task, number, self.name)
+        has_limit = not spec.get("lasts")
+        self._observer.begin(task, number, self.name, has_limit=has_limit)
         shares = round(sum(run.share for run in self.run_by_task.values()), 3)
         self.max_concurrent_runs = max(self.max_concurrent_runs, shares)
         return self._make_response({})
@@ -276,9 +281,15 @@
 
     async def _handle_poll(self, body: dict[str, Any]) -> HttpResponse:
         self.poll_count += 1
+        if self.late_polls > 0:
+            self.late_polls -= 1
+            await trio.sleep(START_DELAY_S)
+            if body["fencingToken"] >= self.fence:
+                self._extend_lease(body.get("untilMs", 0))
+                self._acknowledge(body["ackCursor"])
+            await trio.sleep_forever()
         self._extend_lease(body.get("untilMs", 0))
-        acknowledged = body["ackCursor"]
-        self.ends = [end for end in self.ends if end[0] > acknowledged]
+        self._acknowledge(body["ackCursor"])
         born = self.born
         if not self.ends:
             with trio.move_on_after(body.get("waitMs", 0) / 1000):
@@ -302,6 +313,13 @@
         listed = self.ends[:_MAX_ENDS_PER_REPLY]
         return self._make_response({"running": rows, "finished": listed})
 
+    def _acknowledge(self, last: int) -> None:
+        """Discard the ends up to a number."""
+        for number, task, run, kind, _ in self.ends:
+            if number <= last and kind == "failed" and number > self._last_void_end:
+                self._observer.acknowledge(task, run)
+        self.ends = [end for end in self.ends if end[0] > last]
+
     def _extend_lease(self, lease_until_ms: int) -> None:
         max_until_ms = self.clock_ms() + _MAX_LEASE_MS
         self.lease_until_ms = max(
@@ -332,7 +350,8 @@
         self._discard_unacknowledged()
 
     def _discard_unacknowledged(self) -> None:
-        for _, task, _, kind, _ in self.ends:
+        for number, task, _, kind, _ in self.ends:
+            self._last_void_end = number
             if kind == "done":
                 self._observer.done.discard(task)
 
@@ -342,6 +361,8 @@
         if kind == "done":
             self._observer.done.add(run.task)
             self._observer.ever_done.add(run.task)
+        if kind == "failed":
+            self._observer.fail(run.task, run.number)
         self._last_number_by_task[run.task] = run.number
         number = next(self._end_numbers)
         self.ends.append([number, run.task, run.number, kind, self._checkpoint_of(run)])
--- /dev/null
+++ b/tests/scheduler/attempts.feature
@@ -0,0 +1,66 @@
+Feature: A task is started no more often than its failures allow
+
+  Scenario: A new incarnation accepts starts that fail, falls silent and answers again
+    # Guards against failures that are not counted, of runs that were given up too early.
+    Given two entries and 2 workers for jobs
+    When 10 s pass
+    And 250 ms pass
+    And worker-1's VM crashes and sends no heartbeats
+    And the failing job "a" of 1 steps with 6 tasks of 8 s is submitted at entry-1
+    And 100 ms pass
+    And worker-1's VM sends heartbeats again
+    And 1 s pass
+    And worker-1's VM stops answering
+    And 8 s pass
+    And worker-1's VM answers again
+    And 20 s pass
+    Then no task ran twice at the same time or after its end
+
+  Scenario: Such a worker, and its attendant restarts
+    # Guards against failures that are not counted, of runs that were given up too early.
+    Given two entries and 2 workers for jobs
+    When 10 s pass
+    And 250 ms pass
+    And worker-1's VM crashes and sends no heartbeats
+    And the failing job "a" of 1 steps with 6 tasks of 8 s is submitted at entry-1
+    And 100 ms pass
+    And worker-1 is killed and restarted after 0 s
+    And worker-1's VM sends heartbeats again
+    And 500 ms pass
+    And worker-1's VM stops answering
+    And 8 s pass
+    And worker-1's VM answers again
+    And 20 s pass
+    Then no task ran twice at the same time or after its end
+
+  Scenario: Such a worker, and the scheduler is replaced
+    # Guards against failures that are not counted, of runs that were given up too early.
+    Given two entries and 2 workers for jobs
+    When 10 s pass
+    And 250 ms pass
+    And worker-1's VM crashes and sends no heartbeats
+    And the failing job "a" of 1 steps with 6 tasks of 8 s is submitted at entry-1
+    And 100 ms pass
+    And worker-1's VM sends heartbeats again
+    And 500 ms pass
+    And worker-1's VM stops answering
+    And 200 ms pass
+    And the scheduler is killed
+    And 8 s pass
+    And worker-1's VM answers again
+    And 20 s pass
+    Then no task ran twice at the same time or after its end
+
+  Scenario: The log says why a run was given up whose end is listed later
+    # Guards against late ends that no line tells, with why they were not expected.
+    Given two entries and 2 workers for jobs
+    And log lines are recorded
+    And worker-2's VM refuses all starts
+    And the next 40 starts at worker-1 are carried out late
+    When the failing job "a" of 1 steps with 1 tasks of 3 s is submitted at entry-1
+    And 4300 ms pass
+    And worker-1's VM crashes and sends no heartbeats
+    And 4 s pass
+    And worker-1's VM sends heartbeats again
+    And 1 s pass
+    Then 1 late ends are logged, of runs given up because "ended: stopped"
--- /dev/null
+++ b/tests/steps/attempt_steps.py
@@ -0,0 +1,15 @@
+"""Steps about the ends of runs that were given up."""
+
+from __future__ import annotations
+
+from behave import then
+
+
+@then('{count:d} late ends are logged, of runs given up because "{reason}"')
+def check_late_ends(context, count, reason):
+    lines = [
+        line
+        for line in context.messages
+        if line.get("message_type") == "decision:late-end"
+    ]
+    assert [line["given_up"] for line in lines] == [reason] * count, lines
