--- a/coltsfoottray/jobs/records.py
+++ b/coltsfoottray/jobs/records.py
@@ -81,7 +81,10 @@
     checkpoint : str
         Checkpoint that the next run resumes from; empty to start from the beginning.
     failed_run : int
-        Number of the last run that is counted in `failures`, 0 for none.
+        Highest number of a run that is counted in `failures`, 0 for none.
+    failed_runs : list of int
+        Numbers of the runs that are counted in `failures`. Entries of earlier versions
+        count without it.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -91,6 +94,7 @@
     life: str = ""
     checkpoint: str = ""
     failed_run: int = 0
+    failed_runs: list[int] = msgspec.field(default_factory=list)
 
     def unassign(self, phase: TaskPhase) -> None:
         """End the assignment of its latest run."""
@@ -98,6 +102,20 @@
         self.worker = ""
         self.life = ""
 
+    def count_failure(self, run: int) -> bool:
+        """Count the failure of a run; return whether it is a new one.
+
+        Each failed run counts once, whatever has become of the task since: its end may
+        be listed again, after that of a later run, or after the run was given up.
+        """
+        is_older = run <= self.failed_run and len(self.failed_runs) < self.failures
+        if run in self.failed_runs or is_older:
+            return False
+        self.failed_runs.append(run)
+        self.failed_run = max(self.failed_run, run)
+        self.failures += 1
+        return True
+
 
 class JobRecord(msgspec.Struct, kw_only=True, omit_defaults=True):
     """Progress of one job.
--- a/coltsfoottray/scheduler/outcomes.py
+++ b/coltsfoottray/scheduler/outcomes.py
@@ -107,49 +107,70 @@
         if job is None or step is None:
             return False
         record = step.records[ref.task.index]
-        if record.run != ref.run or record.phase is TaskPhase.DONE:
-            return False
-        if record.phase is TaskPhase.WAITING and kind is not EndKind.DONE:
-            return False
-        job.is_dirty = True
-        if checkpoint:
-            step.checkpoint_record(ref.task.index).checkpoint = checkpoint
+        if job.record.state.is_final or record.phase is TaskPhase.DONE:
+            return self._release_task(step, ref)
         if kind is EndKind.DONE and not step.spec.is_service:
             self._complete_task(step, ref, now_ms)
             return True
+        changed = self._release_task(step, ref, checkpoint)
+        if kind is EndKind.FAILED and not step.spec.is_service:
+            changed = self._count_failure(step, ref, now_ms) or changed
+        return changed
+
+    def _release_task(self, step: LiveStep, ref: RunRef, checkpoint: str = "") -> bool:
+        """Let a task wait for its next run; return False if it has a later one."""
+        record = step.records[ref.task.index]
+        if record.run != ref.run or record.phase is not TaskPhase.ASSIGNED:
+            return False
+        step.job.is_dirty = True
+        if checkpoint:
+            step.checkpoint_record(ref.task.index).checkpoint = checkpoint
         record.unassign(TaskPhase.WAITING)
         step.recount()
-        if kind is EndKind.FAILED and not step.spec.is_service:
-            self._count_failure(step, ref, now_ms)
         if step.spec.is_gang:
             self._stop_gang(step, ref.run)
         return True
 
     def _complete_task(self, step: LiveStep, ref: RunRef, now_ms: int) -> None:
-        ended = [step.records[ref.task.index]]
+        """Record the result of a task, whichever of its runs has produced it."""
+        indices = [ref.task.index]
         if step.spec.is_gang:
             # A gang completes as a whole, so the end of one member completes all.
-            ended = step.records
-        for record in ended:
+            indices = list(range(len(step.records)))
+        for index in indices:
+            record = step.records[index]
+            if record.run != ref.run:
+                self._stop_run(step, index)
             record.unassign(TaskPhase.DONE)
             record.checkpoint = ""
         step.recount()
         job = step.job
+        job.is_dirty = True
         job.close_occurrence(step.occurrence)
         if job.is_complete and not job.record.state.is_final:
             log_event("decision:completed", job=job.id)
             self.finish(job, JobState.COMPLETED, now_ms)
 
-    def _count_failure(self, step: LiveStep, ref: RunRef, now_ms: int) -> None:
+    def _stop_run(self, step: LiveStep, index: int) -> None:
+        """Stop the current run of a task, if it has one."""
+        record = step.records[index]
+        worker = self._fleet.worker_by_id.get(record.worker)
+        placed = worker and worker.held_by_ref.get(
+            RunRef(task=step.ref(index), run=record.run)
+        )
+        if placed:
+            placed.is_stopping = True
+
+    def _count_failure(self, step: LiveStep, ref: RunRef, now_ms: int) -> bool:
+        """Count the failure of a run; return whether it was not counted before."""
+        # Several members of a gang may report the failure of one run.
         record = step.records[0 if step.spec.is_gang else ref.task.index]
-        if ref.run <= record.failed_run:
-            # Several members of a gang may report the failure of one run.
-            return
-        record.failed_run = ref.run
-        record.failures += 1
+        if not record.count_failure(ref.run):
+            return False
         job = step.job
+        job.is_dirty = True
         allowed = self._max_attempts_of(job)
-        if record.failures >= allowed and not job.record.state.is_final:
+        if record.failures >= allowed:
             log_event(
                 "decision:failed",
                 job=job.id,
@@ -158,6 +179,7 @@
                 allowed=allowed,
             )
             self.finish(job, JobState.FAILED, now_ms)
+        return True
 
     def _stop_gang(self, step: LiveStep, run: int) -> None:
         """Stop the rest of a gang, which would wait for the member that ended."""
