--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -191,16 +191,20 @@
         now: timedelta,
         now_ms: int,
     ) -> None:
-        """Keep the runs that the new incarnation has; declare the others lost."""
+        """Keep the runs that the new incarnation has; declare the others lost.
+
+        The stored record names the previous incarnation until the lease that came with
+        such a start has ended: the next scheduler has to know of it.
+        """
         present = report.listed_runs
         for placed in superseded:
             if placed.ref in present:
                 worker.record_foreign_start(now)
                 placed.life = report.life
-                placed.step.records[placed.ref.task.index].life = report.life
-                placed.step.job.is_dirty = True
         lost = [placed for placed in superseded if placed.ref not in present]
         self._mark_lost(worker, lost, now_ms, why="worker restarted")
+        if worker.foreign_lease_end <= now:
+            worker.store_incarnations()
 
     def _fence_lost_runs(
         self, worker: Worker, lost: Sequence[PlacedRun], now_ms: int, *, why: str
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -284,6 +284,14 @@
         """Record that its incarnation accepted a start meant for the previous one."""
         self.foreign_lease_end = now + MAX_WORKER_LEASE
 
+    def store_incarnations(self) -> None:
+        """Let the records of the held runs name the incarnation that has them."""
+        for placed in self.held_by_ref.values():
+            record = placed.step.records[placed.ref.task.index]
+            if record.run == placed.ref.run and record.life != placed.life:
+                record.life = placed.life
+                placed.step.job.is_dirty = True
+
     def receive_rejection(self, ref: RunRef, *, session: int) -> None:
         """Record a rejection if it answers the last order for the run.
 
