--- a/coltsfoottray/agent/worker.py
+++ b/coltsfoottray/agent/worker.py
@@ -150,10 +150,13 @@
     takes_orders : bool
         Whether the other incarnation has the same id, and therefore accepts orders
         that are meant for the one that was called.
+    answered_by : str
+        The other incarnation, empty if it has another id.
     """
 
     life: str
     takes_orders: bool
+    answered_by: str = ""
 
     def __str__(self) -> str:
         state = "has restarted" if self.takes_orders else "was replaced"
--- a/coltsfoottray/daemons/job_attendant.py
+++ b/coltsfoottray/daemons/job_attendant.py
@@ -8,6 +8,7 @@
 
 from coltsfoottray.agent.attendant import TaskAttendant
 from coltsfoottray.agent.evacuation import EvacuationGuard
+from coltsfoottray.agent.fencing import FencingLink
 from coltsfoottray.agent.reporter import Reporter
 from coltsfoottray.daemons.job_common import JobDaemon
 from coltsfoottray.jobs.keys import LEASE_KEY
@@ -53,7 +54,9 @@
             address=settings.peers,
             data_centre=settings.data_centre,
             evacuations=self.evacuations,
-            link=InstanceLink(transport=self.transport, clock=self.clock),
+            link=FencingLink(
+                link=InstanceLink(transport=self.transport, clock=self.clock)
+            ),
             clock=self.clock,
             metrics=self.metrics,
         )
--- a/coltsfoottray/platform/instance.py
+++ b/coltsfoottray/platform/instance.py
@@ -245,8 +245,11 @@
         born = msgspec.json.decode(response.body or b"{}", type=_StartTime).born
     except msgspec.DecodeError as error:
         raise _failed(heartbeat, str(error)) from error
-    if born and f"/{born}" != heartbeat.life[heartbeat.life.rfind("/") :]:
-        raise WorkerReplaced(life=heartbeat.life, takes_orders=True)
+    instance, _, known = heartbeat.life.rpartition("/")
+    if born and str(born) != known:
+        raise WorkerReplaced(
+            life=heartbeat.life, takes_orders=True, answered_by=f"{instance}/{born}"
+        )
 
 
 def _as_resources(capacity: _Capacity) -> Resources:
--- a/tests/scheduler/attempts.feature
+++ b/tests/scheduler/attempts.feature
@@ -95,3 +95,13 @@
     And worker-2's VM accepts starts again
     Then the job "a" is "completed" within 20 s
     And no task ran twice at the same time or after its end
+
+  Scenario: A late start reaches a new incarnation that its attendant has called
+    # Guards against a finished run that starts again on an incarnation without a token.
+    Given two entries and 1 workers for jobs
+    And the next 1 starts at worker-1 are carried out late
+    When the job "a" of 1 steps with 1 tasks of 1 s is submitted at entry-1
+    And 3 s pass
+    And worker-1's VM crashes and sends no heartbeats
+    And 3 s pass
+    Then no task ran twice at the same time or after its end
