--- a/coltsfoottray/jobs/keys.py
+++ b/coltsfoottray/jobs/keys.py
@@ -30,6 +30,7 @@
     "job_shard_prefixes",
     "member_key",
     "record_key",
+    "record_part_of",
     "summary_key",
 ]
 
@@ -63,9 +64,19 @@
     return f"{JOBS_GROUP}/{_shard(job)}/cancel.{job}"
 
 
-def record_key(job: JobId) -> str:
-    """Return the key of a job's record, which holds the progress of each task."""
-    return f"{RECORDS_PREFIX}job.{job}"
+def record_key(job: JobId, part: int = 0) -> str:
+    """Return the key of a row of a job's record, the progress of each task.
+
+    Few jobs have so many tasks that their record has more than one row.
+    """
+    name = f"part{part}" if part else "job"
+    return f"{RECORDS_PREFIX}{name}.{job}"
+
+
+def record_part_of(key: str) -> int:
+    """Return which row of a record a key belongs to."""
+    name = key.removeprefix(RECORDS_PREFIX).split(".", 1)[0]
+    return 0 if name == "job" else int(name.removeprefix("part"))
 
 
 def summary_key(job: JobId) -> str:
--- /dev/null
+++ b/coltsfoottray/jobs/record_rows.py
@@ -0,0 +1,68 @@
+"""Rows that store a job's record, which may be too large for one."""
+
+from __future__ import annotations
+
+import base64
+import zlib
+from collections.abc import Sequence
+
+import msgspec
+
+from coltsfoottray.jobs.records import JobRecord
+
+__all__ = ["decode_record", "encode_record"]
+
+# A row holds up to 64 KiB.
+_MAX_ROW_BYTES = 60_000
+# Base64 takes 4 bytes for 3.
+_MAX_PART_BYTES = _MAX_ROW_BYTES * 3 // 4 - 100
+_COMPRESSION_LEVEL = 1
+
+
+class _Part(msgspec.Struct, kw_only=True):
+    """One row of a record that does not fit into one.
+
+    An entry of an earlier version expects a list in `occurrences`. It fails to read the
+    row, where it would otherwise take the job for one that has not started.
+    """
+
+    occurrences: str
+    parts: int
+
+
+def encode_record(record: JobRecord) -> list[msgspec.Raw]:
+    """Return the values of the rows that store a record, at least one."""
+    encoded = msgspec.json.encode(record)
+    if len(encoded) <= _MAX_ROW_BYTES:
+        return [msgspec.Raw(encoded)]
+    packed = zlib.compress(encoded, _COMPRESSION_LEVEL)
+    pieces = [
+        packed[start : start + _MAX_PART_BYTES]
+        for start in range(0, len(packed), _MAX_PART_BYTES)
+    ]
+    return [
+        msgspec.Raw(
+            msgspec.json.encode(
+                _Part(occurrences=base64.b64encode(piece).decode(), parts=len(pieces))
+            )
+        )
+        for piece in pieces
+    ]
+
+
+def decode_record(values: Sequence[msgspec.Raw]) -> JobRecord:
+    """Return the record that rows store, in the order of `encode_record`.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If a row cannot be read, or one is missing.
+    """
+    first = msgspec.json.decode(values[0], type=dict[str, msgspec.Raw])
+    if "parts" not in first:
+        return msgspec.json.decode(values[0], type=JobRecord)
+    parts = [msgspec.json.decode(value, type=_Part) for value in values]
+    if len(parts) != parts[0].parts:
+        raise msgspec.DecodeError(f"got {len(parts)} of {parts[0].parts} rows")
+    packed = b"".join(base64.b64decode(part.occurrences) for part in parts)
+    return msgspec.json.decode(zlib.decompress(packed), type=JobRecord)
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -260,6 +260,7 @@
                 accepted=stored_job.accepted,
                 record=stored_job.record,
                 version=stored_job.version,
+                record_rows=stored_job.record_rows,
                 summary=stored_job.summary,
                 summary_version=stored_job.summary_version,
                 lengths=self.cluster.lengths,
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -36,7 +36,9 @@
     record : JobRecord, optional
         Its progress as stored, None for a job that has not started.
     version : int
-        Version of the record's row, 0 if there is none.
+        Version of the record's rows, 0 if there are none. All are written together.
+    record_rows : int
+        Number of these rows.
     summary : JobSummary, optional
         The part of the progress that callers ask for, stored in a row of its own.
     summary_version : int
@@ -57,6 +59,7 @@
         longest_age: timedelta = MAX_NOTICE_AGE,
         record: JobRecord | None = None,
         version: int = 0,
+        record_rows: int = 0,
         summary: JobSummary | None = None,
         summary_version: int = 0,
         lengths: LengthEstimator,
@@ -66,6 +69,7 @@
         self.summary_version = summary_version
         self.record = record or JobRecord()
         self.version = version
+        self.record_rows = record_rows
         self.is_dirty = False
         # Whether checkpoints arrived since the job was last stored, and when that was.
         self.has_new_checkpoints = False
@@ -204,7 +208,14 @@
         """Whether a new scheduler needs more than its summary."""
         return not self.record.state.is_final or not self.is_idle
 
-    def mark_stored(self, version: int, summary_version: int, sent: timedelta) -> None:
+    def mark_stored(
+        self,
+        *,
+        version: int,
+        record_rows: int,
+        summary_version: int,
+        sent: timedelta,
+    ) -> None:
         """Record that its rows are up to date, by a write sent at `sent`.
 
         Parameters
@@ -213,6 +224,7 @@
             Versions of the record and of the summary, 0 for a row that is deleted.
         """
         self.version = version
+        self.record_rows = record_rows
         self.summary_version = summary_version
         self.stored_summary = self.record.summary
         self.stored_at = sent
--- a/coltsfoottray/scheduler/restore.py
+++ b/coltsfoottray/scheduler/restore.py
@@ -17,11 +17,13 @@
     PRESSURES_KEY,
     RECORDS_PREFIX,
     job_of,
+    record_part_of,
     summary_key,
 )
 from coltsfoottray.jobs.mirror import Mirror
-from coltsfoottray.jobs.model import AcceptedJob
+from coltsfoottray.jobs.model import AcceptedJob, JobId
 from coltsfoottray.jobs.paging import RowReader
+from coltsfoottray.jobs.record_rows import decode_record
 from coltsfoottray.jobs.records import JobRecord, JobSummary
 from coltsfoottray.jobs.view import JobsView
 from coltsfoottray.logs import log_event
@@ -37,6 +39,7 @@
     accepted: AcceptedJob
     record: JobRecord | None = None
     version: int = 0
+    record_rows: int = 0
     summary: JobSummary | None = None
     summary_version: int = 0
     is_cancelled: bool = False
@@ -130,6 +133,7 @@
             for job in self._view.summarized_jobs()
             if job not in stored_by_id
         }
+        rows_by_job: dict[JobId, list[Row]] = {}
         pressures = None
         for row in rows:
             if row.key == PRESSURES_KEY:
@@ -139,10 +143,9 @@
             if stored is None:
                 orphans[row.key] = row.version
                 continue
-            stored.record = row.decode(JobRecord)
-            stored.version = row.version
-            if stored.summary is not None:
-                stored.record.apply_summary(stored.summary)
+            rows_by_job.setdefault(stored.accepted.id, []).append(row)
+        for job_id, record_rows in rows_by_job.items():
+            _set_record(stored_by_id[job_id], record_rows)
         return StoredState(
             jobs=list(stored_by_id.values()),
             orphan_version_by_key=orphans,
@@ -164,3 +167,13 @@
     @staticmethod
     def _record_failure(error: TableUnavailable) -> None:
         log_event("scheduler:load-retried", reason=str(error))
+
+
+def _set_record(stored: StoredJob, rows: list[Row]) -> None:
+    """Set the record of a job from its rows."""
+    rows.sort(key=lambda row: record_part_of(row.key))
+    stored.record = decode_record([row.value for row in rows])
+    stored.version = rows[0].version
+    stored.record_rows = len(rows)
+    if stored.summary is not None:
+        stored.record.apply_summary(stored.summary)
--- a/coltsfoottray/scheduler/transactions.py
+++ b/coltsfoottray/scheduler/transactions.py
@@ -37,6 +37,8 @@
     ----------
     job : LiveJob, optional
         The job whose rows are written.
+    record_rows : int
+        Number of rows that the job's record has after the write.
     is_start_only : bool
         Whether only the job's first start is written, in its summary.
     """
@@ -44,6 +46,7 @@
     puts: list[Put]
     checks: list[Check] = field(default_factory=list)
     job: LiveJob | None = None
+    record_rows: int = 0
     is_start_only: bool = False
 
     @property
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -11,6 +11,7 @@
 from coltsfoottray.clock import Clock
 from coltsfoottray.errors import ColtsfoottrayError
 from coltsfoottray.jobs.keys import LEASE_KEY, record_key, summary_key
+from coltsfoottray.jobs.record_rows import encode_record
 from coltsfoottray.logs import log_event
 from coltsfoottray.platform import (
     Check,
@@ -96,8 +97,8 @@
 
     def discard_job(self, job: LiveJob) -> None:
         """Delete a job's rows with the next commit."""
-        if job.version:
-            self.discard(record_key(job.id), job.version)
+        for part in range(job.record_rows):
+            self.discard(record_key(job.id, part), job.version)
         if job.summary_version:
             self.discard(summary_key(job.id), job.summary_version)
 
@@ -207,18 +208,16 @@
         change of a task would send them all tasks of the job, which is too much for an
         entry's link of 5 Mbit/s.
         """
-        puts = []
+        values = []
         checks = []
-        key = record_key(job.id)
         if job.needs_record or not self._drops_records():
-            puts.append(Put.of(key, job.version, job.record))
-        elif job.version:
-            puts.append(Put(key=key, version=job.version))
+            values = encode_record(job.record)
+        puts = _record_puts(job, values)
         if job.has_new_summary:
             puts.append(_summary_put(job))
         elif job.needs_summary_check:
             checks.append(Check(key=summary_key(job.id), version=ABSENT))
-        return WriteGroup(puts=puts, checks=checks, job=job)
+        return WriteGroup(puts=puts, checks=checks, job=job, record_rows=len(values))
 
     @staticmethod
     def _start_groups(
@@ -263,6 +262,19 @@
         return is_old or self._must_renew or self._grants.has_recovered_worker()
 
 
+def _record_puts(job: LiveJob, values: Sequence[msgspec.Raw]) -> list[Put]:
+    """Return the writes that replace the rows of a job's record by `values`."""
+    puts = []
+    for part in range(max(len(values), job.record_rows)):
+        key = record_key(job.id, part)
+        version = job.version if part < job.record_rows else ABSENT
+        if part < len(values):
+            puts.append(Put(key=key, version=version, value=values[part]))
+        else:
+            puts.append(Put(key=key, version=version))
+    return puts
+
+
 def _summary_put(job: LiveJob) -> Put:
     return Put.of(summary_key(job.id), job.summary_version, job.record.summary)
 
@@ -283,4 +295,9 @@
         return
     key = record_key(job.id)
     version = 0 if key in deleted else versions.get(key, job.version)
-    job.mark_stored(version, summary_version, sent)
+    job.mark_stored(
+        version=version,
+        record_rows=group.record_rows,
+        summary_version=summary_version,
+        sent=sent,
+    )
--- a/tests/scheduler/bounds.feature
+++ b/tests/scheduler/bounds.feature
@@ -29,3 +29,13 @@
     And the job "b" of 1 steps with 1 tasks of 1 s is submitted at entry-1
     Then the job "b" is "completed" within 20 s
     And the store has refused no transaction for its size
+
+  Scenario: The scheduler is replaced while a job has more tasks than one row holds
+    # Guards against a record of several rows that the next scheduler cannot read.
+    Given two entries and 3 workers for jobs
+    When the job "a" of 2000 small tasks of 5 s is submitted at entry-1
+    And 1 s pass
+    And the scheduler is killed
+    Then the job "a" is "completed" within 40 s
+    And 2000 tasks were started, each once
+    And no task ran twice at the same time or after its end
--- a/tests/steps/record_steps.py
+++ b/tests/steps/record_steps.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import msgspec
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from coltsfoottray.jobs.records import TaskRecord
+from coltsfoottray.jobs.record_rows import decode_record, encode_record
+from coltsfoottray.jobs.records import JobRecord, TaskPhase, TaskRecord
 
 _RUNS = st.lists(st.integers(min_value=1, max_value=6))
 
@@ -45,3 +48,53 @@
 @then("the task record has {failures:d} failures")
 def check_failures(context, failures):
     assert context.record.failures == failures, context.record
+
+
+@given("a record of {tasks:d} tasks with random checkpoints")
+def make_record(context, tasks):
+    random = Random(tasks)
+    records = [
+        TaskRecord(
+            phase=TaskPhase.ASSIGNED,
+            run=1,
+            worker=f"worker-{number % 100}",
+            checkpoint=random.randbytes(8).hex(),
+        )
+        for number in range(tasks)
+    ]
+    context.record = JobRecord(occurrences=[[records]])
+
+
+@when("the record is encoded")
+def encode(context):
+    context.rows = encode_record(context.record)
+
+
+@then("it has {rows:d} rows of at most {size:d} bytes")
+def check_rows(context, rows, size):
+    sizes = [len(bytes(row)) for row in context.rows]
+    assert len(sizes) == rows, sizes
+    assert max(sizes) <= size, sizes
+
+
+@then("it is the same once it is decoded")
+def check_decoded(context):
+    assert decode_record(context.rows) == context.record
+
+
+@then("it cannot be decoded without its last row")
+def check_incomplete(context):
+    try:
+        decode_record(context.rows[:-1])
+    except msgspec.DecodeError:
+        return
+    raise AssertionError("decoded a record with a row missing")
+
+
+@then("an entry of an earlier version cannot read its first row")
+def check_earlier_version(context):
+    try:
+        msgspec.json.decode(context.rows[0], type=JobRecord)
+    except msgspec.ValidationError:
+        return
+    raise AssertionError("read a part of a record as a whole one")
