--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -162,8 +162,13 @@
     async def _poll_worker(self, heartbeat: Heartbeat) -> None:
         sent_at = self._clock.elapsed()
         session = self._session.number
-        # The scheduler waits for the first poll of a session.
-        may_wait = self._lease.is_clock_known and self._session.is_polled
+        # The scheduler waits for the first poll of a session, and a worker that did not
+        # answer may have restarted.
+        may_wait = (
+            self._lease.is_clock_known
+            and self._session.is_polled
+            and self._liveness.is_answering
+        )
         lease_end_ms = self.issue_lease(sent_at)
         try:
             reply = await self._link.poll(
--- a/tests/scheduler/attempts.feature
+++ b/tests/scheduler/attempts.feature
@@ -60,7 +60,9 @@
     When the failing job "a" of 1 steps with 1 tasks of 3 s is submitted at entry-1
     And 4300 ms pass
     And worker-1's VM crashes and sends no heartbeats
+    And worker-1's VM ignores polls
     And 4 s pass
+    And worker-1's VM no longer ignores polls
     And worker-1's VM sends heartbeats again
     And 1 s pass
     Then 1 late ends are logged, of runs given up because "ended: stopped"
@@ -73,9 +75,11 @@
     When the failing job "a" of 1 steps with 1 tasks of 3 s is submitted at entry-1
     And 4300 ms pass
     And worker-1's VM crashes and sends no heartbeats
+    And worker-1's VM ignores polls
     And 4 s pass
+    And worker-1's VM no longer ignores polls
     And worker-1's VM sends heartbeats again
-    And 300 ms pass
+    And 3400 ms pass
     And worker-2's VM accepts starts again
     And 20 s pass
     Then the job "a" is "failed" within 10 s
@@ -89,9 +93,11 @@
     When the job "a" of 1 steps with 1 tasks of 3 s is submitted at entry-1
     And 4300 ms pass
     And worker-1's VM crashes and sends no heartbeats
+    And worker-1's VM ignores polls
     And 4 s pass
+    And worker-1's VM no longer ignores polls
     And worker-1's VM sends heartbeats again
-    And 300 ms pass
+    And 3400 ms pass
     And worker-2's VM accepts starts again
     Then the job "a" is "completed" within 20 s
     And no task ran twice at the same time or after its end
@@ -101,7 +107,7 @@
     Given two entries and 1 workers for jobs
     And the next 1 starts at worker-1 are carried out late
     When the job "a" of 1 steps with 1 tasks of 1 s is submitted at entry-1
-    And 3 s pass
+    And 3400 ms pass
     And worker-1's VM crashes and sends no heartbeats
     And 3 s pass
     Then no task ran twice at the same time or after its end
--- a/tests/steps/unanswered_steps.py
+++ b/tests/steps/unanswered_steps.py
@@ -5,6 +5,7 @@
 from behave import step
 
 _PATH_BY_KIND = {
+    "polls": "/v1/hold",
     "starts": "/v1/run-start",
     "stops": "/v1/run-stop",
     "speed limits": "/v1/pace",
