--- a/properties/failing_jobs.py
+++ b/properties/failing_jobs.py
@@ -7,8 +7,10 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from hypothesis import strategies as st
-from hypothesis.stateful import rule
+from hypothesis.stateful import initialize, rule
 
 from properties.jobs import ENTRIES, WORKERS, Jobs
 from standins.job_cell import MAX_ATTEMPTS
@@ -20,6 +22,17 @@
 # A failing job is given up at its first task that fails too often.
 _MAX_FAILING_JOBS = 12
 _DURATIONS_MS = st.sampled_from([20, 100, 300, 1200])
+_LATE_STARTS: dict[str, Any] = {
+    "entry": ENTRIES,
+    "worker": WORKERS,
+    # An attendant rejects a start after five calls without an answer.
+    "late_starts": st.integers(min_value=1, max_value=6),
+    "work_s": st.sampled_from([0.3, 2.0, 3.0]),
+    # An attendant notices within half a second that its worker has restarted, before
+    # the next of its starts is carried out.
+    "rejected_ms": st.sampled_from([3000, 3800, 4000]),
+    "unnoticed_ms": st.sampled_from([1000, 4000]),
+}
 
 
 class FailingJobs(Jobs):
@@ -67,6 +80,34 @@
         self.world.advance(ms / _MS_PER_S)
         machine.sends_heartbeats = True
 
+    @rule(**_LATE_STARTS)
+    def carry_out_after_restart(
+        self,
+        entry: str,
+        worker: str,
+        late_starts: int,
+        work_s: float,
+        rejected_ms: int,
+        unnoticed_ms: int,
+    ) -> None:
+        """A worker restarts unnoticed, and carries out starts sent to its predecessor.
+
+        By then their sender may have rejected them, and the task may have a later run.
+        """
+        machine = self.world.cell.worker_by_name[worker]
+        machine.late_starts = late_starts
+        self.submit_failing(entry, 1, work_s)
+        self.world.advance(rejected_ms / _MS_PER_S)
+        machine.sends_heartbeats = False
+        machine.crash()
+        self.world.advance(unnoticed_ms / _MS_PER_S)
+        machine.sends_heartbeats = True
+
+    @initialize(**_LATE_STARTS)
+    def begin(self, **arguments: Any) -> None:
+        """Begin each run with late starts in an idle cell."""
+        self.carry_out_after_restart(**arguments)
+
     @rule(worker=WORKERS, ms=st.sampled_from([1000, 4000, 6500, 9000]))
     def silence(self, worker: str, ms: int) -> None:
         """A worker answers nothing for a while."""
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -12,6 +12,7 @@
 
 from coltsfoottray.agent.attendant import TaskAttendant
 from coltsfoottray.agent.evacuation import EvacuationGuard, StartPermission
+from coltsfoottray.agent.fencing import FencingLink
 from coltsfoottray.agent.runs import Runs
 from coltsfoottray.claims import Claim, ClaimOutcome, ClaimResult, Claims
 from coltsfoottray.jobs.api import JobAnswer, JobApi, Verdict
@@ -34,6 +35,7 @@
     "answers_given_up_on_their_way",
     "cancel_without_tombstone",
     "claims_without_asking",
+    "earlier_calls_not_fenced_off",
     "edits_without_versions",
     "holders_silent_while_they_load",
     "leases_lapsed_without_waiting",
@@ -245,6 +247,17 @@
         yield
 
 
+@contextmanager
+def earlier_calls_not_fenced_off() -> Iterator[None]:
+    """Let a new incarnation of a worker execute calls meant for the previous one."""
+
+    async def fence_off(self: FencingLink, *_: Any) -> None:
+        del self
+
+    with mock.patch.object(FencingLink, "_fence_off", fence_off):
+        yield
+
+
 @contextmanager
 def orders_lacked_and_not_asked_for() -> Iterator[None]:
     """Let an attendant not tell which runs on its worker it has no order for."""
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -120,6 +120,7 @@
         self._end_numbers = itertools.count(1)
         # Ends up to this number were listed when the lease expired, and do not count.
         self._last_void_end = 0
+        self._is_called = False
         self._sequence = itertools.count(1)
         self._ended = trio.Event()
 
@@ -196,6 +197,7 @@
         if body["fencingToken"] < self.fence:
             return self._make_response({"reason": "fence"}, status=409)
         self.fence = body["fencingToken"]
+        self._is_called = True
         if request.path == "/v1/run-start" and self.is_unhealthy:
             return HttpResponse(status=503)
         if request.path == "/v1/run-start":
@@ -222,9 +224,12 @@
     async def _handle_start(self, body: dict[str, Any]) -> HttpResponse:
         if self.late_starts > 0:
             self.late_starts -= 1
+            born = self.born
             await trio.sleep(START_DELAY_S)
+            # Nobody can call a start back before the new incarnation is first called.
+            may_be_prevented = born == self.born or self._is_called
             if not self.is_destroyed:
-                self._start(body)
+                self._start(body, may_be_prevented=may_be_prevented)
             await trio.sleep_forever()
         response = self._start(body)
         if self.unanswered_starts > 0:
@@ -232,7 +237,9 @@
             await trio.sleep_forever()
         return response
 
-    def _start(self, body: dict[str, Any]) -> HttpResponse:
+    def _start(
+        self, body: dict[str, Any], *, may_be_prevented: bool = True
+    ) -> HttpResponse:
         self._extend_lease(body.get("untilMs", 0))
         task, number = body["task"], body["run"]
         held = self.run_by_task.get(task)
@@ -264,7 +271,7 @@
             share=spec.get("share", 1.0),
             done_s=float(body.get("checkpoint") or 0),
         )
-        has_limit = not spec.get("lasts")
+        has_limit = may_be_prevented and not spec.get("lasts")
         self._observer.begin(task, number, self.name, has_limit=has_limit)
         shares = round(sum(run.share for run in self.run_by_task.values()), 3)
         self.max_concurrent_runs = max(self.max_concurrent_runs, shares)
--- a/standins/run_observer.py
+++ b/standins/run_observer.py
@@ -56,7 +56,7 @@
         Parameters
         ----------
         has_limit : bool
-            Whether the task may fail only `max_attempts` times.
+            Whether the start is one too many after `max_attempts` failures.
         """
         self.starts.append((task, run, worker))
         if has_limit:
--- a/tests/scheduler/fuzz.feature
+++ b/tests/scheduler/fuzz.feature
@@ -56,3 +56,11 @@
   Scenario: The oracle detects a run whose attendant does not know it
     # Planted fault: an attendant does not ask for the orders that it lacks.
     Then with the planted fault "orders lacked and not asked for" the machine "paced jobs" fails in runs of 12 steps
+
+  Scenario: No sequence of faults starts a task that has failed too often
+    # Tasks fail on workers that restart unnoticed and carry out starts sent before.
+    Then the machine "failing jobs" finds nothing in 25 runs of 12 steps
+
+  Scenario: The oracle detects a start that a new incarnation carries out late
+    # Planted fault: no token is raised when another incarnation of a worker answers.
+    Then with the planted fault "earlier calls not fenced off" the machine "failing jobs" fails in runs of 5 steps
