--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -92,6 +92,7 @@
             state=self,
             lease=self._lease,
             speeds=self._speeds,
+            pressures=self._pressures,
             clock=clock,
             metrics=metrics,
         )
@@ -341,24 +342,7 @@
         self._acknowledged = max(self._acknowledged, orders.acknowledged)
         assert self._nursery is not None
         scope = OrderScope(heartbeat=heartbeat, session=orders.session, runs=self._runs)
-        for order in orders.starts:
-            if order.ref in self._runs.stopped_by_ref:
-                continue
-            if self._runs.reject_again(order.ref):
-                log_event("worker:rejected-again", run=str(order.ref))
-                self.request_report()
-                continue
-            is_repeat = self._runs.is_known(order.ref)
-            self._runs.order_by_ref[order.ref] = order
-            if not is_repeat:
-                self._runs.starting.add(order.ref)
-                if self._pressures.lacks(order):
-                    self.request_report()
-                self._nursery.start_soon(self._executor.start, order, scope)
-        for ref in orders.stops:
-            if ref not in self._runs.stopped_by_ref:
-                self._runs.stopped_by_ref[ref] = None
-                self._nursery.start_soon(self._executor.stop, ref, scope)
+        self._executor.accept(orders, scope, self._nursery)
 
     # State that the execution of orders depends on.
 
--- a/coltsfoottray/agent/executor.py
+++ b/coltsfoottray/agent/executor.py
@@ -6,8 +6,11 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import trio
+
 from coltsfoottray.agent.evacuation import StartPermission
 from coltsfoottray.agent.lease import WorkerLease
+from coltsfoottray.agent.pressure_exchange import PressureExchange
 from coltsfoottray.agent.runs import Runs
 from coltsfoottray.agent.speeds import SpeedController
 from coltsfoottray.agent.worker import (
@@ -22,7 +25,7 @@
 from coltsfoottray.jobs.model import RunRef
 from coltsfoottray.logs import log_event
 from coltsfoottray.metrics import Metrics
-from coltsfoottray.scheduler.messages import StartOrder
+from coltsfoottray.scheduler.messages import Orders, StartOrder
 
 __all__ = ["AttendantState", "OrderExecutor", "OrderScope"]
 
@@ -107,6 +110,7 @@
         state: AttendantState,
         lease: WorkerLease,
         speeds: SpeedController,
+        pressures: PressureExchange,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -114,9 +118,32 @@
         self._state = state
         self._lease = lease
         self._speeds = speeds
+        self._pressures = pressures
         self._clock = clock
         self._metrics = metrics
 
+    def accept(self, orders: Orders, scope: OrderScope, nursery: trio.Nursery) -> None:
+        """Begin to execute orders, except for those that are being executed already."""
+        runs = scope.runs
+        for order in orders.starts:
+            if order.ref in runs.stopped_by_ref:
+                continue
+            if runs.reject_again(order.ref):
+                log_event("worker:rejected-again", run=str(order.ref))
+                self._state.request_report()
+                continue
+            is_repeat = runs.is_known(order.ref)
+            runs.order_by_ref[order.ref] = order
+            if not is_repeat:
+                runs.starting.add(order.ref)
+                if self._pressures.lacks(order):
+                    self._state.request_report()
+                nursery.start_soon(self.start, order, scope)
+        for ref in orders.stops:
+            if ref not in runs.stopped_by_ref:
+                runs.stopped_by_ref[ref] = None
+                nursery.start_soon(self.stop, ref, scope)
+
     async def start(self, order: StartOrder, scope: OrderScope) -> None:
         """Start a run, retrying until the worker answers."""
         runs = scope.runs
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from datetime import timedelta
 
 import trio
@@ -23,6 +22,7 @@
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.fleet import Fleet, PlacedRun
 from coltsfoottray.scheduler.grants import Grants, is_out_of_order
+from coltsfoottray.scheduler.inbox import Inbox
 from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL, LeaseRow
 from coltsfoottray.scheduler.live import MAX_RESTORED_AGE, LiveJob
 from coltsfoottray.scheduler.messages import Orders, Report, ReportReply
@@ -51,16 +51,6 @@
 _RECONCILIATION_PERIOD = timedelta(milliseconds=150)
 
 
-@dataclass(kw_only=True)
-class Inbox:
-    """What has arrived since the last round."""
-
-    reports: list[Report] = field(default_factory=list)
-    accepted: list[AcceptedJob] = field(default_factory=list)
-    cancelled: list[JobId] = field(default_factory=list)
-    forgotten: list[JobId] = field(default_factory=list)
-
-
 class ActiveScheduler:
     """Plans, stores the plans and sends orders while it holds the lease row.
 
@@ -193,7 +183,7 @@
     def state_of(self, job_id: JobId) -> JobState | None:
         """Return the stored state of a job, None for an unknown job."""
         job = self.cluster.jobs.by_id.get(job_id)
-        return None if job is None else job.stored_state
+        return None if job is None else job.rows.state
 
     def jobs_ended_before(self, moment: timedelta) -> list[JobId]:
         """Return the jobs that ended before a given time and have no runs left.
@@ -205,9 +195,7 @@
         return [
             job.id
             for job in self.cluster.jobs.by_id.values()
-            if job.stored_state.is_final
-            and job.stored_at < moment
-            and job.id not in held
+            if job.rows.state.is_final and job.stored_at < moment and job.id not in held
         ]
 
     def forget(self, job: JobId) -> None:
@@ -259,10 +247,7 @@
             job = LiveJob(
                 accepted=stored_job.accepted,
                 record=stored_job.record,
-                version=stored_job.version,
-                record_rows=stored_job.record_rows,
-                summary=stored_job.summary,
-                summary_version=stored_job.summary_version,
+                rows=stored_job.rows,
                 lengths=self.cluster.lengths,
                 seen=now,
                 longest_age=MAX_RESTORED_AGE,
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -13,7 +13,7 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.health import WorkerHealth
 from coltsfoottray.scheduler.lengths import Progress
-from coltsfoottray.scheduler.live_step import LiveStep
+from coltsfoottray.scheduler.live import LiveStep
 from coltsfoottray.types import Address, Resources
 
 __all__ = ["MAX_ORPHAN_TIME", "Fleet", "PlacedRun", "Worker"]
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -1,11 +1,14 @@
-"""Jobs in the scheduler's memory: their stored records and state derived from them."""
+"""Jobs and their steps in the scheduler's memory: stored records and derived state."""
 
 from __future__ import annotations
 
+import dataclasses
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from coltsfoottray.clock import Moment
-from coltsfoottray.jobs.model import AcceptedJob, JobId, TaskRef
+from coltsfoottray.jobs.model import AcceptedJob, JobId, RunRef, StepSpec, TaskRef
 from coltsfoottray.jobs.records import (
     JobRecord,
     JobState,
@@ -13,12 +16,17 @@
     TaskPhase,
     TaskRecord,
 )
+from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.critical_path import CriticalPath
+from coltsfoottray.scheduler.job_rows import JobRows
 from coltsfoottray.scheduler.lengths import LengthEstimator
-from coltsfoottray.scheduler.live_step import LiveStep
+from coltsfoottray.scheduler.tickets import AdviceState, Ticket
+from coltsfoottray.scheduler.wait_reason import WaitReason
 
-__all__ = ["MAX_RESTORED_AGE", "LiveJob"]
+__all__ = ["MAX_RESTORED_AGE", "LiveJob", "LiveStep"]
 
+# Time in which a start is usually stored, sent and carried out.
+_ORDER_LATENCY = timedelta(milliseconds=300)
 # A job or an occurrence that is new to a scheduler has become due this long ago at the
 # most; more is an error of the time of day.
 MAX_NOTICE_AGE = timedelta(seconds=3)
@@ -35,14 +43,8 @@
         The acceptance as stored.
     record : JobRecord, optional
         Its progress as stored, None for a job that has not started.
-    version : int
-        Version of the record's rows, 0 if there are none. All are written together.
-    record_rows : int
-        Number of these rows.
-    summary : JobSummary, optional
-        The part of the progress that callers ask for, stored in a row of its own.
-    summary_version : int
-        Version of the summary's row, 0 if there is none.
+    rows : JobRows
+        What is stored of it.
     lengths : LengthEstimator
         Estimates how long its tasks take.
     seen : Moment
@@ -58,18 +60,12 @@
         seen: Moment,
         longest_age: timedelta = MAX_NOTICE_AGE,
         record: JobRecord | None = None,
-        version: int = 0,
-        record_rows: int = 0,
-        summary: JobSummary | None = None,
-        summary_version: int = 0,
+        rows: JobRows | None = None,
         lengths: LengthEstimator,
     ) -> None:
         self.accepted = accepted
-        self.stored_summary = summary
-        self.summary_version = summary_version
         self.record = record or JobRecord()
-        self.version = version
-        self.record_rows = record_rows
+        self.rows = rows or JobRows()
         self.is_dirty = False
         # Whether checkpoints arrived since the job was last stored, and when that was.
         self.has_new_checkpoints = False
@@ -179,20 +175,10 @@
             self.record.occurrences[number] = []
             self.steps_by_occurrence[number] = []
 
-    @property
-    def stored_state(self) -> JobState:
-        """The stored state, the only one that is reported to callers."""
-        if self.stored_summary is None:
-            return JobState.QUEUED
-        return self.stored_summary.state
-
     @property
     def has_new_summary(self) -> bool:
-        """Whether the summary has changed since it was stored.
-
-        A job without a stored summary has not started.
-        """
-        return self.record.summary != (self.stored_summary or JobSummary())
+        """Whether the summary has changed since it was stored."""
+        return self.record.summary != (self.rows.summary or JobSummary())
 
     @property
     def needs_summary_check(self) -> bool:
@@ -201,32 +187,16 @@
         A job that has ended has only a summary: its tasks must not start again if its
         acceptance is taken for a new one.
         """
-        return not (self.version or self.summary_version or self.has_new_summary)
+        return self.rows.is_empty and not self.has_new_summary
 
     @property
     def needs_record(self) -> bool:
         """Whether a new scheduler needs more than its summary."""
         return not self.record.state.is_final or not self.is_idle
 
-    def mark_stored(
-        self,
-        *,
-        version: int,
-        record_rows: int,
-        summary_version: int,
-        sent: timedelta,
-    ) -> None:
-        """Record that its rows are up to date, by a write sent at `sent`.
-
-        Parameters
-        ----------
-        version, summary_version : int
-            Versions of the record and of the summary, 0 for a row that is deleted.
-        """
-        self.version = version
-        self.record_rows = record_rows
-        self.summary_version = summary_version
-        self.stored_summary = self.record.summary
+    def mark_stored(self, rows: JobRows, sent: timedelta) -> None:
+        """Record that `rows` are up to date, by a write sent at `sent`."""
+        self.rows = rows
         self.stored_at = sent
         self.is_dirty = False
         self.has_new_checkpoints = False
@@ -242,8 +212,9 @@
 
     def mark_start_stored(self, summary_version: int) -> None:
         """Record that its first start is stored, in its summary alone."""
-        self.summary_version = summary_version
-        self.stored_summary = self.record.summary
+        self.rows = dataclasses.replace(
+            self.rows, summary=self.record.summary, summary_version=summary_version
+        )
         self.has_new_start = False
 
     def finish(self, state: JobState, now_ms: int) -> None:
@@ -281,3 +252,136 @@
             )
             for number, records in enumerate(tasks)
         ]
+
+
+@dataclass(kw_only=True, eq=False)
+class LiveStep:
+    """One step of one occurrence.
+
+    Parameters
+    ----------
+    waiting : list of int
+        Indices of the tasks without a run.
+    avoid_by_index : dict
+        For each task index, the workers on which the task failed or stalled.
+    ticket_by_life : dict
+        For each incarnation of a worker, the ticket that allows it to run the step.
+    last_tried_round : int
+        The last round in which a worker was sought for the step, 0 for none.
+    wait_reason : WaitReason, optional
+        Why the step waits, as last logged.
+    """
+
+    job: LiveJob
+    occurrence: int
+    number: int
+    spec: StepSpec
+    records: list[TaskRecord]
+    waiting: list[int] = field(default_factory=list)
+    done: int = 0
+    avoid_by_index: dict[int, set[str]] = field(default_factory=dict)
+    ticket_by_life: dict[str, Ticket] = field(default_factory=dict)
+    advice_state: AdviceState = field(default_factory=AdviceState)
+    last_tried_round: int = 0
+    wait_reason: WaitReason | None = None
+
+    def __post_init__(self) -> None:
+        self.recount()
+
+    def recount(self) -> None:
+        """Derive the counts from the records."""
+        self.waiting = [
+            index
+            for index, record in enumerate(self.records)
+            if record.phase is TaskPhase.WAITING
+        ]
+        self.done = sum(record.phase is TaskPhase.DONE for record in self.records)
+
+    def record_wait_reason(self, reason: WaitReason) -> None:
+        """Record why its waiting tasks wait, and log it if it has changed."""
+        if not self.waiting:
+            self.wait_reason = None
+            return
+        if self.wait_reason is reason:
+            return
+        self.wait_reason = reason
+        log_event(
+            "decision:wait",
+            step=f"{self.job.id}.{self.occurrence}.{self.number}",
+            lacks=reason.value,
+            waiting=len(self.waiting),
+        )
+
+    def add_tickets(self, by_life: Mapping[str, Ticket], now: timedelta) -> None:
+        """Add tickets to those that have not expired.
+
+        A start that is not carried out yet needs its earlier one.
+        """
+        kept = {
+            life: ticket
+            for life, ticket in self.ticket_by_life.items()
+            if ticket.expires_at > now
+        }
+        self.ticket_by_life = kept | dict(by_life)
+
+    def valid_lives(self, now: timedelta) -> set[str]:
+        """Return the worker incarnations with tickets that outlast sending a start."""
+        return {
+            life
+            for life, ticket in self.ticket_by_life.items()
+            if ticket.expires_at > now + _ORDER_LATENCY
+        }
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task has completed."""
+        return self.done == len(self.records)
+
+    @property
+    def is_broken_gang(self) -> bool:
+        """Whether some member of a gang has no run, so that the others must stop."""
+        return self.spec.is_gang and 0 < len(self.waiting) < len(self.records)
+
+    @property
+    def has_turn(self) -> bool:
+        """Whether the steps that it depends on are done."""
+        steps = self.job.steps_by_occurrence[self.occurrence]
+        return all(steps[number].is_done for number in self.spec.after)
+
+    @property
+    def can_start(self) -> bool:
+        """Whether it has waiting tasks and the steps that it depends on are done.
+
+        A gang starts as a whole: while one of its members may still run, no other
+        member is started.
+        """
+        if not self.waiting or self.job.record.state.is_final:
+            return False
+        return not self.is_broken_gang and self.has_turn
+
+    def checkpoint_record(self, index: int) -> TaskRecord:
+        """Return the record that holds a task's checkpoint.
+
+        The members of a gang share one checkpoint, since all must resume from the same.
+        """
+        return self.records[0 if self.spec.is_gang else index]
+
+    def ref(self, index: int) -> TaskRef:
+        """Return the reference to one of its tasks."""
+        return TaskRef(
+            job=self.job.id,
+            occurrence=self.occurrence,
+            step=self.number,
+            index=index,
+        )
+
+    def next_run(self, index: int) -> RunRef:
+        """Return the reference to a task's next run.
+
+        The members of a gang share the run number.
+        """
+        if self.spec.is_gang:
+            run = max(record.run for record in self.records) + 1
+        else:
+            run = self.records[index].run + 1
+        return RunRef(task=self.ref(index), run=run)
--- a/coltsfoottray/scheduler/restore.py
+++ b/coltsfoottray/scheduler/restore.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 from coltsfoottray.clock import Clock
@@ -24,10 +24,11 @@
 from coltsfoottray.jobs.model import AcceptedJob, JobId
 from coltsfoottray.jobs.paging import RowReader
 from coltsfoottray.jobs.record_rows import decode_record
-from coltsfoottray.jobs.records import JobRecord, JobSummary
+from coltsfoottray.jobs.records import JobRecord
 from coltsfoottray.jobs.view import JobsView
 from coltsfoottray.logs import log_event
 from coltsfoottray.platform import Row, TableUnavailable, WatchedTable
+from coltsfoottray.scheduler.job_rows import JobRows
 
 __all__ = ["LoadCost", "StateReader", "StoredJob", "StoredState"]
 
@@ -38,10 +39,7 @@
 
     accepted: AcceptedJob
     record: JobRecord | None = None
-    version: int = 0
-    record_rows: int = 0
-    summary: JobSummary | None = None
-    summary_version: int = 0
+    rows: JobRows = field(default_factory=JobRows)
     is_cancelled: bool = False
 
 
@@ -158,8 +156,8 @@
         )
         summary = self._view.summary_of(accepted.id)
         if summary is not None:
-            stored.summary = summary
-            stored.summary_version = self._mirror.version_of(summary_key(accepted.id))
+            version = self._mirror.version_of(summary_key(accepted.id))
+            stored.rows = JobRows(summary=summary, summary_version=version)
             if summary.state.is_final:
                 stored.record = JobRecord.of_ended(summary)
         return stored
@@ -173,7 +171,6 @@
     """Set the record of a job from its rows."""
     rows.sort(key=lambda row: record_part_of(row.key))
     stored.record = decode_record([row.value for row in rows])
-    stored.version = rows[0].version
-    stored.record_rows = len(rows)
-    if stored.summary is not None:
-        stored.record.apply_summary(stored.summary)
+    stored.rows = replace(stored.rows, version=rows[0].version, record_rows=len(rows))
+    if stored.rows.summary is not None:
+        stored.record.apply_summary(stored.rows.summary)
--- a/coltsfoottray/scheduler/urgency.py
+++ b/coltsfoottray/scheduler/urgency.py
@@ -14,8 +14,7 @@
 from datetime import timedelta
 
 from coltsfoottray.jobs.config import ConfigHolder
-from coltsfoottray.scheduler.live import LiveJob
-from coltsfoottray.scheduler.live_step import LiveStep
+from coltsfoottray.scheduler.live import LiveJob, LiveStep
 
 __all__ = ["is_half_elapsed", "objective", "urgency_key"]
 
--- a/coltsfoottray/scheduler/worker_selection.py
+++ b/coltsfoottray/scheduler/worker_selection.py
@@ -27,7 +27,7 @@
 from coltsfoottray.scheduler.eligibility import has_label, is_schedulable
 from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
 from coltsfoottray.scheduler.interference import Forecast, forecast_filler, speed_beside
-from coltsfoottray.scheduler.live_step import LiveStep
+from coltsfoottray.scheduler.live import LiveStep
 from coltsfoottray.types import Resources
 
 __all__ = [
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -23,6 +23,7 @@
 from coltsfoottray.platform.common import ABSENT
 from coltsfoottray.platform.retry import commit_with_retry
 from coltsfoottray.scheduler.grants import Grants
+from coltsfoottray.scheduler.job_rows import JobRows
 from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL
 from coltsfoottray.scheduler.live import LiveJob
 from coltsfoottray.scheduler.side_rows import SideRows
@@ -97,10 +98,10 @@
 
     def discard_job(self, job: LiveJob) -> None:
         """Delete a job's rows with the next commit."""
-        for part in range(job.record_rows):
-            self.discard(record_key(job.id, part), job.version)
-        if job.summary_version:
-            self.discard(summary_key(job.id), job.summary_version)
+        for part in range(job.rows.record_rows):
+            self.discard(record_key(job.id, part), job.rows.version)
+        if job.rows.summary_version:
+            self.discard(summary_key(job.id), job.rows.summary_version)
 
     async def store(self, jobs: Collection[LiveJob]) -> None:
         """Store all changes, and renew the lease row if a renewal is due.
@@ -265,9 +266,9 @@
 def _record_puts(job: LiveJob, values: Sequence[msgspec.Raw]) -> list[Put]:
     """Return the writes that replace the rows of a job's record by `values`."""
     puts = []
-    for part in range(max(len(values), job.record_rows)):
+    for part in range(max(len(values), job.rows.record_rows)):
         key = record_key(job.id, part)
-        version = job.version if part < job.record_rows else ABSENT
+        version = job.rows.version if part < job.rows.record_rows else ABSENT
         if part < len(values):
             puts.append(Put(key=key, version=version, value=values[part]))
         else:
@@ -276,7 +277,7 @@
 
 
 def _summary_put(job: LiveJob) -> Put:
-    return Put.of(summary_key(job.id), job.summary_version, job.record.summary)
+    return Put.of(summary_key(job.id), job.rows.summary_version, job.record.summary)
 
 
 def _mark_stored(
@@ -289,15 +290,16 @@
     job = group.job
     if job is None:
         return
-    summary_version = versions.get(summary_key(job.id), job.summary_version)
+    summary_version = versions.get(summary_key(job.id), job.rows.summary_version)
     if group.is_start_only:
         job.mark_start_stored(summary_version)
         return
     key = record_key(job.id)
-    version = 0 if key in deleted else versions.get(key, job.version)
-    job.mark_stored(
+    version = 0 if key in deleted else versions.get(key, job.rows.version)
+    rows = JobRows(
         version=version,
         record_rows=group.record_rows,
+        summary=job.record.summary,
         summary_version=summary_version,
-        sent=sent,
     )
+    job.mark_stored(rows, sent)
