--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -382,7 +382,9 @@
     def _progress_percent(self, run: _Run) -> float:
         if run.work_s >= _UNLIMITED_S:
             return 100.0 if run.done_s > _SERVICE_START_S else 0.0
-        return min(100.0, 100.0 * run.done_s / run.work_s)
+        if run.done_s >= run.work_s:
+            return 100.0
+        return 100.0 * run.done_s / run.work_s
 
     def _make_response(self, body: dict[str, Any], status: int = 200) -> HttpResponse:
         complete = {"clockMs": self.clock_ms(), "born": self.born, **body}
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -120,9 +120,9 @@
     observer = world.cell.observer
     begin = observer.begin
 
-    def record_start(task, run, worker):
+    def record_start(task, run, worker, **details):
         context.start_by_occurrence[int(task.split(".")[1])] = world.now()
-        begin(task, run, worker)
+        begin(task, run, worker, **details)
 
     observer.begin = record_start
 
