--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -20,7 +20,7 @@
 from coltsfoottray.peers import PeerClient
 from coltsfoottray.platform import Row, WatchedTable
 from coltsfoottray.scheduler.cluster_state import ClusterState
-from coltsfoottray.scheduler.fleet import Fleet, PlacedRun
+from coltsfoottray.scheduler.fleet import Fleet
 from coltsfoottray.scheduler.grants import Grants, is_out_of_order
 from coltsfoottray.scheduler.inbox import Inbox
 from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL, LeaseRow
@@ -29,6 +29,7 @@
 from coltsfoottray.scheduler.order_sender import OrderSender
 from coltsfoottray.scheduler.orders import missing_orders
 from coltsfoottray.scheduler.overdue import OverdueMonitor
+from coltsfoottray.scheduler.placed_run import PlacedRun
 from coltsfoottray.scheduler.planner import Planner
 from coltsfoottray.scheduler.pressure_feed import PressureFeed
 from coltsfoottray.scheduler.relocation import Relocator
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -12,12 +12,13 @@
 from coltsfoottray.jobs.model import AcceptedJob, JobId, QueueTerms, RunRef
 from coltsfoottray.jobs.records import JobState, TaskPhase
 from coltsfoottray.logs import log_event
-from coltsfoottray.scheduler.fleet import MAX_ORPHAN_TIME, Fleet, PlacedRun, Worker
+from coltsfoottray.scheduler.fleet import MAX_ORPHAN_TIME, Fleet, Worker
 from coltsfoottray.scheduler.job_set import JobSet
 from coltsfoottray.scheduler.lengths import LengthEstimator
 from coltsfoottray.scheduler.live import LiveJob
 from coltsfoottray.scheduler.messages import RejectedStart, Report
 from coltsfoottray.scheduler.outcomes import Outcomes
+from coltsfoottray.scheduler.placed_run import PlacedRun
 
 __all__ = ["ClusterState"]
 
@@ -119,11 +120,13 @@
                 self._apply_rejection(worker, rejected, now, now_ms)
         if report.pressures:
             self.pressures.update(worker.id, report.pressures)
-        worker.orphans.clear()
+        listed = [status.ref for status in report.running]
+        self._set_orphans(
+            worker, [ref for ref in listed if ref not in worker.held_by_ref]
+        )
         for status in report.running:
             placed = worker.held_by_ref.get(status.ref)
             if placed is None:
-                worker.orphans.add(status.ref)
                 continue
             placed.update_status(status.percent, status.figure, now)
             self._apply_checkpoint(placed, status)
@@ -131,6 +134,18 @@
         worker.recompute_usage()
         return max((end.number for end in report.ends), default=0)
 
+    def _set_orphans(self, worker: Worker, orphans: Sequence[RunRef]) -> None:
+        """Set the runs of a worker that nobody expects there; they are to be stopped.
+
+        Until they are, their tasks wait and their room is taken.
+        """
+        changed = worker.demand_by_orphan.keys() ^ set(orphans)
+        worker.set_orphans({ref: self.jobs.demand_of(ref) for ref in orphans})
+        for ref in changed:
+            step = self.jobs.find_step(ref.task)
+            if step is not None:
+                step.set_orphan(ref, worker.id, exists=ref in worker.demand_by_orphan)
+
     @staticmethod
     def _apply_checkpoint(placed: PlacedRun, status: RunStatus) -> None:
         index = status.ref.task.index
@@ -144,12 +159,13 @@
     def expire_leases(self, now: timedelta, now_ms: int) -> None:
         """Declare lost the runs of workers whose lease has certainly expired."""
         for worker in self.fleet.worker_by_id.values():
-            if not worker.held_by_ref or worker.runs_end_by >= now:
+            if worker.is_empty or worker.runs_end_by >= now:
                 continue
             silent_s = (now - worker.last_heard).total_seconds()
             why = f"lease expired; attendant silent for {silent_s:.1f} s"
             held = list(worker.held_by_ref.values())
             self._fence_lost_runs(worker, held, now_ms, why=why)
+            self._set_orphans(worker, [])
             worker.is_reachable = False
 
     def _reconcile_incarnations(
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -12,11 +12,10 @@
 from coltsfoottray.jobs.model import RunRef
 from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.health import WorkerHealth
-from coltsfoottray.scheduler.lengths import Progress
-from coltsfoottray.scheduler.live import LiveStep
+from coltsfoottray.scheduler.placed_run import PlacedRun
 from coltsfoottray.types import Address, Resources
 
-__all__ = ["MAX_ORPHAN_TIME", "Fleet", "PlacedRun", "Worker"]
+__all__ = ["MAX_ORPHAN_TIME", "Fleet", "Worker"]
 
 # Share of its request by which a slowed filler may speed up until the next poll.
 _FILLER_HEADROOM = 0.15
@@ -36,85 +35,6 @@
 _NO_RESOURCES = Resources()
 
 
-@dataclass(kw_only=True, eq=False)
-class PlacedRun:
-    """A run that may exist on a worker.
-
-    Parameters
-    ----------
-    is_released : bool
-        Whether its assignment is stored, so that the start may be sent to the worker.
-    is_stopping : bool
-        Whether it is to be stopped; it occupies room until its end is known.
-    ordered_session : int
-        The session in which its start or stop was last ordered, 0 for none.
-    is_rejected : bool
-        Whether the attendant has rejected it in that session.
-    placed_at : timedelta
-        When it was assigned, by the scheduler's clock.
-    listed_at : timedelta, optional
-        When a report last listed it as running, None for never.
-    percent, figure : float
-        Its last reported progress and usage; see `RunStatus`.
-    """
-
-    ref: RunRef
-    step: LiveStep
-    worker: str
-    life: str
-    placed_at: timedelta
-    is_released: bool = False
-    is_stopping: bool = False
-    is_stop_sent: bool = False
-    ordered_session: int = 0
-    is_rejected: bool = False
-    listed_at: timedelta | None = None
-    percent: float = 0.0
-    figure: float = 0.0
-
-    def __post_init__(self) -> None:
-        self.progress = Progress(placed_at=self.placed_at)
-
-    @property
-    def speed(self) -> float:
-        """Fraction of its full speed at which it runs, by the processors it uses."""
-        requested = self.step.spec.demand.processors
-        if not self.step.spec.is_filler or requested <= 0:
-            return 1.0
-        return min(self.figure / _MILLI / requested, 1.0)
-
-    def is_at_work(self, now: timedelta) -> bool:
-        """Return whether a report has just listed the run as making progress."""
-        return self.listed_at == now and self.percent > 0 and not self.is_stopping
-
-    def mark_ordered(self, session: int) -> None:
-        """Record that its start or stop is ordered; a later session asks anew."""
-        if session != self.ordered_session:
-            self.is_rejected = False
-        self.ordered_session = session
-
-    def update_status(self, percent: float, figure: float, now: timedelta) -> None:
-        """Update the progress and usage of the run."""
-        self.progress.update(percent, speed=self.speed, now=now)
-        self.listed_at = now
-        self.percent = percent
-        self.figure = figure
-        self._record_length(self.progress.length_ms())
-
-    def record_completion(self, now: timedelta) -> None:
-        """Record that the run has completed."""
-        self._record_length(self.progress.length_at_end(now, speed=self.speed))
-
-    def _record_length(self, length_ms: float | None) -> None:
-        if length_ms is not None and not self.step.spec.is_service:
-            self.step.job.record_length(self.step.number, length_ms)
-
-    @property
-    def reserved(self) -> Resources:
-        """Resources that the run reserves on its worker."""
-        return self.step.spec.reserved
-
-
 @dataclass(kw_only=True, eq=False)
 class Worker:
     """One VM that runs tasks, as described by its attendant's reports.
@@ -143,8 +63,11 @@
         Ends of its current incarnation up to this number are stored.
     applied_ends : int
         Ends of its current incarnation up to this number have been applied.
-    orphans : set of RunRef
-        Runs reported by the worker that the scheduler does not expect there.
+    demand_by_orphan : dict
+        Resources of the runs that the worker lists and the scheduler does not expect
+        there. They occupy room until they are stopped.
+    unsent_orphans : set of RunRef
+        Those among them that its attendant has not been told to stop yet.
     leaves_at : timedelta
         Until when a draining worker certainly stays.
     blocked_until : timedelta
@@ -178,7 +101,8 @@
     acknowledged: int = 0
     applied_ends: int = 0
     held_by_ref: dict[RunRef, PlacedRun] = field(default_factory=dict)
-    orphans: set[RunRef] = field(default_factory=set)
+    demand_by_orphan: dict[RunRef, Resources] = field(default_factory=dict)
+    unsent_orphans: set[RunRef] = field(default_factory=set)
     blocked_until: timedelta = _NEVER
     probe_from: timedelta = _NEVER
     is_evacuated: bool = False
@@ -311,6 +235,17 @@
         placed = self.held_by_ref.get(ref)
         return placed is not None and placed.is_rejected
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no run is held there or listed."""
+        return not self.held_by_ref and not self.demand_by_orphan
+
+    def set_orphans(self, demand_by_orphan: dict[RunRef, Resources]) -> None:
+        """Set the runs that it lists and that are not expected there."""
+        self.unsent_orphans |= demand_by_orphan.keys() - self.demand_by_orphan.keys()
+        self.unsent_orphans &= demand_by_orphan.keys()
+        self.demand_by_orphan = demand_by_orphan
+
     def hold(self, placed: PlacedRun) -> None:
         """Reserve room for a run."""
         self.held_by_ref[placed.ref] = placed
@@ -329,7 +264,9 @@
     def _recompute_sums(self) -> None:
         """Recompute all sums; incremental updates would accumulate rounding errors."""
         held = self.held_by_ref.values()
-        self.reserved = Resources.total([placed.reserved for placed in held])
+        self.reserved = Resources.total(
+            [*(placed.reserved for placed in held), *self.demand_by_orphan.values()]
+        )
         self.service_images = sorted(
             {
                 placed.step.spec.image
--- a/coltsfoottray/scheduler/job_set.py
+++ b/coltsfoottray/scheduler/job_set.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Iterable
 
-from coltsfoottray.jobs.model import JobId, RunRef
-from coltsfoottray.scheduler.live import LiveJob
+from coltsfoottray.jobs.model import JobId, RunRef, TaskRef
+from coltsfoottray.scheduler.live import LiveJob, LiveStep
+from coltsfoottray.types import Resources
 
 __all__ = ["JobSet"]
 
@@ -52,6 +53,19 @@
             if job is not None:
                 job.mark_begun()
 
+    def find_step(self, task: TaskRef) -> LiveStep | None:
+        """Return the step that contains a task, None if it is not known or done."""
+        job = self.by_id.get(task.job)
+        return None if job is None else job.find(task)
+
+    def demand_of(self, ref: RunRef) -> Resources:
+        """Return the resources that a run reserves, none for an unknown job."""
+        job = self.by_id.get(ref.task.job)
+        steps = [] if job is None else job.accepted.spec.steps
+        if ref.task.step >= len(steps):
+            return Resources()
+        return steps[ref.task.step].reserved
+
     def close_ended(self) -> None:
         """Close the jobs that have ended and are stored as they will remain."""
         closed = [
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -262,6 +262,9 @@
     ----------
     waiting : list of int
         Indices of the tasks without a run.
+    orphans : set
+        Runs of its tasks that a worker lists and that nobody expects there, with the
+        worker. Their tasks wait until they are stopped.
     avoid_by_index : dict
         For each task index, the workers on which the task failed or stalled.
     ticket_by_life : dict
@@ -279,6 +282,7 @@
     records: list[TaskRecord]
     waiting: list[int] = field(default_factory=list)
     done: int = 0
+    orphans: set[tuple[RunRef, str]] = field(default_factory=set)
     avoid_by_index: dict[int, set[str]] = field(default_factory=dict)
     ticket_by_life: dict[str, Ticket] = field(default_factory=dict)
     advice_state: AdviceState = field(default_factory=AdviceState)
@@ -290,13 +294,22 @@
 
     def recount(self) -> None:
         """Derive the counts from the records."""
+        running = {ref.task.index for ref, _ in self.orphans}
         self.waiting = [
             index
             for index, record in enumerate(self.records)
-            if record.phase is TaskPhase.WAITING
+            if record.phase is TaskPhase.WAITING and index not in running
         ]
         self.done = sum(record.phase is TaskPhase.DONE for record in self.records)
 
+    def set_orphan(self, ref: RunRef, worker: str, *, exists: bool) -> None:
+        """Record whether a worker lists a run that nobody expects there."""
+        if exists:
+            self.orphans.add((ref, worker))
+        else:
+            self.orphans.discard((ref, worker))
+        self.recount()
+
     def record_wait_reason(self, reason: WaitReason) -> None:
         """Record why its waiting tasks wait, and log it if it has changed."""
         if not self.waiting:
--- a/coltsfoottray/scheduler/order_sender.py
+++ b/coltsfoottray/scheduler/order_sender.py
@@ -9,9 +9,10 @@
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.logs import log_event
 from coltsfoottray.peers import PeerClient
-from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
+from coltsfoottray.scheduler.fleet import Fleet, Worker
 from coltsfoottray.scheduler.messages import ORDERS, Orders
 from coltsfoottray.scheduler.orders import make_orders
+from coltsfoottray.scheduler.placed_run import PlacedRun
 
 __all__ = ["OrderSender"]
 
@@ -55,11 +56,14 @@
                 for run in worker.held_by_ref.values()
                 if run.is_stopping and not run.is_stop_sent
             ]
-            if worker.address is None or not worker.session or not (starts or stops):
+            orphans = list(worker.unsent_orphans)
+            is_due = bool(starts or stops or orphans)
+            if worker.address is None or not worker.session or not is_due:
                 continue
+            worker.unsent_orphans.clear()
             for run in stops:
                 run.is_stop_sent = True
-            orders = make_orders(worker, starts=starts, stops=stops)
+            orders = make_orders(worker, starts=starts, stops=stops, orphans=orphans)
             nursery.start_soon(self._push, worker, orders)
 
     async def _push(self, worker: Worker, orders: Orders) -> None:
--- a/coltsfoottray/scheduler/orders.py
+++ b/coltsfoottray/scheduler/orders.py
@@ -5,8 +5,9 @@
 from collections.abc import Sequence
 
 from coltsfoottray.jobs.model import RunRef
-from coltsfoottray.scheduler.fleet import PlacedRun, Worker
+from coltsfoottray.scheduler.fleet import Worker
 from coltsfoottray.scheduler.messages import Orders, Report, StartOrder
+from coltsfoottray.scheduler.placed_run import PlacedRun
 
 __all__ = ["make_orders", "make_start_order", "missing_orders"]
 
@@ -32,7 +33,7 @@
         for each in worker.held_by_ref.values()
         if each.is_released and (is_new or not each.is_rejected)
     ]
-    orphans = [ref for ref in worker.orphans if ref not in worker.held_by_ref]
+    orphans = [ref for ref in worker.demand_by_orphan if ref not in worker.held_by_ref]
     return make_orders(
         worker,
         starts=[
--- a/coltsfoottray/scheduler/overdue.py
+++ b/coltsfoottray/scheduler/overdue.py
@@ -13,7 +13,8 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.metrics import Metrics
 from coltsfoottray.scheduler.cluster_state import ClusterState
-from coltsfoottray.scheduler.fleet import PlacedRun, Worker
+from coltsfoottray.scheduler.fleet import Worker
+from coltsfoottray.scheduler.placed_run import PlacedRun
 from coltsfoottray.scheduler.wait_reason import WaitReason
 
 __all__ = ["Holder", "OverdueMonitor"]
--- a/coltsfoottray/scheduler/packing.py
+++ b/coltsfoottray/scheduler/packing.py
@@ -10,7 +10,8 @@
 
 from collections.abc import Sequence
 
-from coltsfoottray.scheduler.fleet import PlacedRun, Worker
+from coltsfoottray.scheduler.fleet import Worker
+from coltsfoottray.scheduler.placed_run import PlacedRun
 from coltsfoottray.scheduler.worker_selection import can_host
 
 __all__ = ["choose_moves", "is_fully_running"]
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -11,8 +11,9 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.capacity_bounds import FreeCapacityBounds
 from coltsfoottray.scheduler.cluster_state import ClusterState
-from coltsfoottray.scheduler.fleet import PlacedRun, Worker
+from coltsfoottray.scheduler.fleet import Worker
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
+from coltsfoottray.scheduler.placed_run import PlacedRun
 from coltsfoottray.scheduler.places import PlaceFinder, TicketedPlaces
 from coltsfoottray.scheduler.urgency import is_half_elapsed, urgency_key
 from coltsfoottray.scheduler.wait_reason import WaitReason
--- a/coltsfoottray/scheduler/relocation.py
+++ b/coltsfoottray/scheduler/relocation.py
@@ -11,8 +11,9 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.eligibility import is_schedulable
-from coltsfoottray.scheduler.fleet import PlacedRun, Worker
+from coltsfoottray.scheduler.fleet import Worker
 from coltsfoottray.scheduler.packing import choose_moves, is_fully_running
+from coltsfoottray.scheduler.placed_run import PlacedRun
 from coltsfoottray.scheduler.places import PlaceFinder
 from coltsfoottray.scheduler.worker_selection import find_faster
 
--- a/coltsfoottray/scheduler/round_metrics.py
+++ b/coltsfoottray/scheduler/round_metrics.py
@@ -6,8 +6,9 @@
 
 from coltsfoottray.clock import Clock, as_milliseconds
 from coltsfoottray.metrics import Metrics
-from coltsfoottray.scheduler.fleet import Fleet, PlacedRun
+from coltsfoottray.scheduler.fleet import Fleet
 from coltsfoottray.scheduler.messages import Report
+from coltsfoottray.scheduler.placed_run import PlacedRun
 
 __all__ = ["RoundMetrics"]
 
--- a/coltsfoottray/scheduler/worker_selection.py
+++ b/coltsfoottray/scheduler/worker_selection.py
@@ -25,9 +25,10 @@
 from coltsfoottray.agent.pressure import PressureTable
 from coltsfoottray.jobs.model import StepSpec
 from coltsfoottray.scheduler.eligibility import has_label, is_schedulable
-from coltsfoottray.scheduler.fleet import Fleet, PlacedRun, Worker
+from coltsfoottray.scheduler.fleet import Fleet, Worker
 from coltsfoottray.scheduler.interference import Forecast, forecast_filler, speed_beside
 from coltsfoottray.scheduler.live import LiveStep
+from coltsfoottray.scheduler.placed_run import PlacedRun
 from coltsfoottray.types import Resources
 
 __all__ = [
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -43,6 +43,7 @@
     share: float = 1.0
     done_s: float = 0.0
     percent: int = 100
+    stops_at_s: float | None = None
 
     @property
     def figure(self) -> float:
@@ -78,6 +79,8 @@
         self.unanswered_starts = 0
         self.late_starts = 0
         self.slow_starts = 0
+        # How long a run takes to stop; it occupies room until then.
+        self.stop_time_s = 0.0
         # Number of polls to carry out late and unanswered.
         self.late_polls = 0
         # Number of speed limits to apply late and unanswered.
@@ -281,11 +284,17 @@
         task, number = body["task"], body["run"]
         held = self.run_by_task.get(task)
         if held is not None and held.number == number:
-            self._end(held, "stopped")
+            self._stop(held)
         last_number = self._last_number_by_task.get(task, 0)
         self._last_number_by_task[task] = max(last_number, number)
         return self._make_response({})
 
+    def _stop(self, run: _Run) -> None:
+        if not self.stop_time_s:
+            self._end(run, "stopped")
+        elif run.stops_at_s is None:
+            run.stops_at_s = trio.current_time() + self.stop_time_s
+
     async def _handle_poll(self, body: dict[str, Any]) -> HttpResponse:
         self.poll_count += 1
         if self.late_polls > 0:
@@ -338,6 +347,9 @@
         if self.is_hung:
             return
         for run in list(self.run_by_task.values()):
+            if run.stops_at_s is not None and run.stops_at_s <= trio.current_time():
+                self._end(run, "stopped")
+                continue
             run.done_s += _TICK_S * run.percent / 100
             if self.fails_everything and run.done_s > _FAIL_AFTER_S:
                 self._end(run, "failed")
--- a/tests/scheduler/attempts.feature
+++ b/tests/scheduler/attempts.feature
@@ -111,3 +111,37 @@
     And worker-1's VM crashes and sends no heartbeats
     And 3 s pass
     Then no task ran twice at the same time or after its end
+
+  Scenario: A new incarnation runs what nobody expects there
+    # Guards against a task that is started again beside a run that its worker lists.
+    Given two entries and 2 workers for jobs
+    And the next 20 starts at worker-1 are carried out late
+    And worker-2's VM refuses all starts
+    When the job "a" of 1 steps with 4 tasks of 30 s is submitted at entry-1
+    And 4300 ms pass
+    And worker-1's VM crashes and sends no heartbeats
+    And worker-1's VM ignores polls
+    And 4 s pass
+    And worker-2's VM accepts starts again
+    And worker-1's VM no longer ignores polls
+    And worker-1's VM sends heartbeats again
+    And 4 s pass
+    Then no task ran twice at the same time or after its end
+    And 4 tasks run
+
+  Scenario: What nobody expects on a worker takes room there
+    # Guards against a worker filled beyond its room beside runs that are being stopped.
+    Given two entries and 1 workers for jobs
+    And the next 20 starts at worker-1 are carried out late
+    When the job "a" of 1 steps with 4 tasks of 30 s is submitted at entry-1
+    And 4300 ms pass
+    And worker-1's VM crashes and sends no heartbeats
+    And worker-1's VM ignores polls
+    And worker-1's VM takes 500 ms to stop a run
+    And 4 s pass
+    And the job "b" of 1 steps with 8 tasks of 30 s is submitted at entry-1
+    And worker-1's VM no longer ignores polls
+    And worker-1's VM sends heartbeats again
+    And 4 s pass
+    Then no worker ever ran more than 8 tasks
+    And 8 tasks run
--- a/tests/steps/attempt_steps.py
+++ b/tests/steps/attempt_steps.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from behave import then
+from behave import step, then
 
 
 @then('{count:d} late ends are logged, of runs given up because "{reason}"')
@@ -13,3 +13,8 @@
         if line.get("message_type") == "decision:late-end"
     ]
     assert [line["given_up"] for line in lines] == [reason] * count, lines
+
+
+@step("{name}'s VM takes {milliseconds:d} ms to stop a run")
+def slow_stops(context, name, milliseconds):
+    context.world.cell.worker_by_name[name].stop_time_s = milliseconds / 1000
