--- a/coltsfoottray/agent/fencing.py
+++ b/coltsfoottray/agent/fencing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from datetime import timedelta
 
 from coltsfoottray.agent.worker import (
@@ -48,17 +50,14 @@
         acknowledged: int,
         wait: timedelta,
     ) -> PollReply:
-        try:
+        async with self._fenced(heartbeat, fence) as token:
             return await self._link.poll(
                 heartbeat=heartbeat,
-                fence=self._token(fence),
+                fence=token,
                 lease_end_ms=lease_end_ms,
                 acknowledged=acknowledged,
                 wait=wait,
             )
-        except WorkerReplaced as error:
-            await self._fence_off(heartbeat, fence, error)
-            raise
 
     async def start(  # noqa: D102
         self,
@@ -71,43 +70,41 @@
         fence: int,
         lease_end_ms: int,
     ) -> None:
-        try:
+        async with self._fenced(heartbeat, fence) as token:
             await self._link.start(
                 heartbeat=heartbeat,
                 ref=ref,
                 payload=payload,
                 checkpoint=checkpoint,
                 ticket=ticket,
-                fence=self._token(fence),
+                fence=token,
                 lease_end_ms=lease_end_ms,
             )
-        except WorkerReplaced as error:
-            await self._fence_off(heartbeat, fence, error)
-            raise
 
     async def stop(  # noqa: D102
         self, *, heartbeat: Heartbeat, ref: RunRef, fence: int
     ) -> None:
-        try:
-            await self._link.stop(
-                heartbeat=heartbeat, ref=ref, fence=self._token(fence)
-            )
-        except WorkerReplaced as error:
-            await self._fence_off(heartbeat, fence, error)
-            raise
+        async with self._fenced(heartbeat, fence) as token:
+            await self._link.stop(heartbeat=heartbeat, ref=ref, fence=token)
 
     async def pace(  # noqa: D102
         self, *, heartbeat: Heartbeat, ref: RunRef, percent: int, fence: int
     ) -> None:
-        try:
+        async with self._fenced(heartbeat, fence) as token:
             await self._link.pace(
                 heartbeat=heartbeat,
                 ref=ref,
                 percent=percent,
-                fence=self._token(fence),
+                fence=token,
             )
+
+    @asynccontextmanager
+    async def _fenced(self, heartbeat: Heartbeat, session: int) -> AsyncIterator[int]:
+        """Yield the fencing token for a call, and raise it if that shows the need."""
+        try:
+            yield self._token(session)
         except WorkerReplaced as error:
-            await self._fence_off(heartbeat, fence, error)
+            await self._fence_off(heartbeat, session, error)
             raise
 
     def _token(self, session: int) -> int:
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
@@ -14,6 +13,7 @@
 from coltsfoottray.http import HttpRequest, HttpResponse, HttpTransport
 from coltsfoottray.types import Address
 from standins.advice import AdviceStandIn
+from standins.job_run import UNLIMITED_S, JobRun
 from standins.run_observer import RunObserver
 
 __all__ = ["JobWorkerStandIn"]
@@ -24,33 +24,10 @@
 _SLOW_START_DELAY_S = 0.65
 _HEARTBEAT_INTERVAL_S = 1.0
 _FAIL_AFTER_S = 0.1
-# Usage that a running task reports at full speed.
-_USED_MILLICORES = 1000
-_UNLIMITED_S = 1e9
-_SERVICE_START_S = 0.3
 _MAX_LEASE_MS = 10_000
 _MAX_ENDS_PER_REPLY = 500
 
 
-@dataclass(kw_only=True)
-class _Run:
-    task: str
-    number: int
-    work_s: float
-    fails: bool
-    saves_checkpoints: bool
-    latency_ms: float
-    share: float = 1.0
-    done_s: float = 0.0
-    percent: int = 100
-    stops_at_s: float | None = None
-
-    @property
-    def figure(self) -> float:
-        """Tail latency in ms of a service's run, or millicores in use of any other."""
-        return self.latency_ms or _USED_MILLICORES * self.percent / 100
-
-
 class JobWorkerStandIn:
     """Runs tasks while its lease lasts, and serves the platform's interface.
 
@@ -117,7 +94,7 @@
         self._clock_started_at: float | None = None
         self.fence = 0
         self.lease_until_ms = 0
-        self.run_by_task: dict[str, _Run] = {}
+        self.run_by_task: dict[str, JobRun] = {}
         self.ends: list[list[Any]] = []
         self._last_number_by_task: dict[str, int] = {}
         self._end_numbers = itertools.count(1)
@@ -264,10 +241,10 @@
         ):
             self.refused_tickets += 1
             return self._make_response({"reason": "ticket"}, status=409)
-        self.run_by_task[task] = _Run(
+        self.run_by_task[task] = JobRun(
             task=task,
             number=number,
-            work_s=_UNLIMITED_S if spec.get("lasts") else spec["work_s"],
+            work_s=UNLIMITED_S if spec.get("lasts") else spec["work_s"],
             fails=spec.get("fails", False),
             saves_checkpoints=spec.get("saves", False),
             latency_ms=spec.get("latency_ms", 0.0),
@@ -289,7 +266,7 @@
         self._last_number_by_task[task] = max(last_number, number)
         return self._make_response({})
 
-    def _stop(self, run: _Run) -> None:
+    def _stop(self, run: JobRun) -> None:
         if not self.stop_time_s:
             self._end(run, "stopped")
         elif run.stops_at_s is None:
@@ -320,8 +297,8 @@
             [
                 run.task,
                 run.number,
-                self._checkpoint_of(run),
-                self._progress_percent(run),
+                run.checkpoint,
+                run.progress_percent,
                 run.figure,
             ]
             for run in self.run_by_task.values()
@@ -374,7 +351,7 @@
             if kind == "done":
                 self._observer.done.discard(task)
 
-    def _end(self, run: _Run, kind: str) -> None:
+    def _end(self, run: JobRun, kind: str) -> None:
         del self.run_by_task[run.task]
         self._observer.end(run.task)
         if kind == "done":
@@ -384,20 +361,10 @@
             self._observer.fail(run.task, run.number)
         self._last_number_by_task[run.task] = run.number
         number = next(self._end_numbers)
-        self.ends.append([number, run.task, run.number, kind, self._checkpoint_of(run)])
+        self.ends.append([number, run.task, run.number, kind, run.checkpoint])
         ended, self._ended = self._ended, trio.Event()
         ended.set()
 
-    def _checkpoint_of(self, run: _Run) -> str:
-        return str(int(run.done_s)) if run.saves_checkpoints and run.done_s >= 1 else ""
-
-    def _progress_percent(self, run: _Run) -> float:
-        if run.work_s >= _UNLIMITED_S:
-            return 100.0 if run.done_s > _SERVICE_START_S else 0.0
-        if run.done_s >= run.work_s:
-            return 100.0
-        return 100.0 * run.done_s / run.work_s
-
     def _make_response(self, body: dict[str, Any], status: int = 200) -> HttpResponse:
         complete = {"clockMs": self.clock_ms(), "born": self.born, **body}
         return HttpResponse.of_json(complete, status=status)
