--- a/coltsfoottray/scheduler/outcomes.py
+++ b/coltsfoottray/scheduler/outcomes.py
@@ -80,8 +80,7 @@
         self, worker: Worker, end: RunEnd, why: str, *, changes_task: bool
     ) -> None:
         """Log an end that is listed after its run was given up, or superseded."""
-        job = self._jobs.by_id.get(end.ref.task.job)
-        step = None if job is None else job.find(end.ref.task)
+        step = self._jobs.find_step(end.ref.task)
         if step is None:
             return
         record = step.records[end.ref.task.index]
@@ -101,12 +100,11 @@
         self, ref: RunRef, kind: EndKind, checkpoint: str, now_ms: int
     ) -> bool:
         """Update the task of a run that has ended; return whether that changed it."""
-        job = self._jobs.by_id.get(ref.task.job)
-        step = None if job is None else job.find(ref.task)
-        if job is None or step is None:
+        step = self._jobs.find_step(ref.task)
+        if step is None:
             return False
         record = step.records[ref.task.index]
-        if job.record.state.is_final or record.phase is TaskPhase.DONE:
+        if step.job.record.state.is_final or record.phase is TaskPhase.DONE:
             return self._release_task(step, ref)
         if kind is EndKind.DONE and not step.spec.is_service:
             self._complete_task(step, ref, now_ms)
