--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -368,6 +368,7 @@
             last = self.cluster.apply_report(report, now, now_ms)
             last_end_by_worker[report.worker] = last
         self.cluster.expire_leases(now, now_ms)
+        self.cluster.apply_limits(now_ms)
         self._fleet.mark_evacuated(self._evacuations.data_centres)
         self._relocator.evacuate(now)
         self._relocator.rebalance(now)
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -38,6 +38,8 @@
         self.pressures = PressureTable()
         self.lengths = LengthEstimator()
         self._holder = holder
+        # Version of the config whose limits have been applied.
+        self._limits_version = 0
         self._outcomes = Outcomes(
             jobs=self.jobs, fleet=fleet, max_attempts_of=self._max_attempts_of
         )
@@ -83,6 +85,12 @@
         log_event("decision:cancel", job=job_id, state=job.record.state.value)
         self._outcomes.finish(job, JobState.CANCELLED, now_ms)
 
+    def apply_limits(self, now_ms: int) -> None:
+        """Fail the jobs that exceed a limit of the current config."""
+        if self._limits_version != self._holder.current.version:
+            self._limits_version = self._holder.current.version
+            self._outcomes.apply_limits(now_ms)
+
     def forget(self, job_id: JobId) -> None:
         """Remove a job whose retention has passed."""
         self.jobs.remove(job_id)
--- a/coltsfoottray/scheduler/outcomes.py
+++ b/coltsfoottray/scheduler/outcomes.py
@@ -164,19 +164,33 @@
         record = step.records[0 if step.spec.is_gang else ref.task.index]
         if not record.count_failure(ref.run):
             return False
+        step.job.is_dirty = True
+        self._apply_limit(step, ref.task.index, now_ms)
+        return True
+
+    def apply_limits(self, now_ms: int) -> None:
+        """Fail the jobs that exceed a limit, which the operator may have lowered."""
+        for job in list(self._jobs.active_by_id.values()):
+            for step in job.steps():
+                for index in range(len(step.records)):
+                    self._apply_limit(step, index, now_ms)
+
+    def _apply_limit(self, step: LiveStep, index: int, now_ms: int) -> None:
+        """Fail a job if a task or gang has failed as often as is allowed."""
+        record = step.records[0 if step.spec.is_gang else index]
         job = step.job
-        job.is_dirty = True
         allowed = self._max_attempts_of(job)
-        if record.failures >= allowed:
-            log_event(
-                "decision:failed",
-                job=job.id,
-                task=str(ref.task),
-                failures=record.failures,
-                allowed=allowed,
-            )
-            self.finish(job, JobState.FAILED, now_ms)
-        return True
+        is_over = record.failures >= allowed and record.phase is not TaskPhase.DONE
+        if not record.failures or not is_over or job.record.state.is_final:
+            return
+        log_event(
+            "decision:failed",
+            job=job.id,
+            task=str(step.ref(index)),
+            failures=record.failures,
+            allowed=allowed,
+        )
+        self.finish(job, JobState.FAILED, now_ms)
 
     def _stop_gang(self, step: LiveStep, run: int) -> None:
         """Stop the rest of a gang, which would wait for the member that ended."""
--- a/tests/scheduler/attempts.feature
+++ b/tests/scheduler/attempts.feature
@@ -145,3 +145,13 @@
     And 4 s pass
     Then no worker ever ran more than 8 tasks
     And 8 tasks run
+
+  Scenario: The operator lowers a limit that a task has reached
+    # Guards against a task that is started again beyond the limit in force.
+    Given two entries and 1 workers for jobs
+    When the failing job "a" of 1 steps with 1 tasks of 4 s is submitted at entry-1
+    And 5 s pass
+    And the operator allows 1 attempts
+    Then the job "a" is "failed" within 2 s
+    When 5 s pass
+    Then 2 tasks were started in total
--- a/tests/steps/attempt_steps.py
+++ b/tests/steps/attempt_steps.py
@@ -18,3 +18,11 @@
 @step("{name}'s VM takes {milliseconds:d} ms to stop a run")
 def slow_stops(context, name, milliseconds):
     context.world.cell.worker_by_name[name].stop_time_s = milliseconds / 1000
+
+
+@step("the operator allows {count:d} attempts")
+def limit_attempts(context, count):
+    async def write():
+        context.world.cell.write_config(maxAttempts=count)
+
+    context.world.run(write)
