--- a/standins/run_observer.py
+++ b/standins/run_observer.py
@@ -56,7 +56,7 @@
         Parameters
         ----------
         has_limit : bool
-            Whether the start is one too many after `max_attempts` failures.
+            Whether a start after `max_attempts` failures is a violation.
         """
         self.starts.append((task, run, worker))
         if has_limit:
--- a/tests/scheduler/attempts.feature
+++ b/tests/scheduler/attempts.feature
@@ -15,6 +15,7 @@
     And worker-1's VM answers again
     And 20 s pass
     Then no task ran twice at the same time or after its end
+    And no task was started after its last failure allowed
 
   Scenario: Such a worker, and its attendant restarts
     # Guards against failures that are not counted, of runs that were given up too early.
@@ -32,6 +33,7 @@
     And worker-1's VM answers again
     And 20 s pass
     Then no task ran twice at the same time or after its end
+    And no task was started after its last failure allowed
 
   Scenario: Such a worker, and the scheduler is replaced
     # Guards against failures that are not counted, of runs that were given up too early.
@@ -50,6 +52,7 @@
     And worker-1's VM answers again
     And 20 s pass
     Then no task ran twice at the same time or after its end
+    And no task was started after its last failure allowed
 
   Scenario: The log says why a run was given up whose end is listed later
     # Guards against late ends that no line tells, with why they were not expected.
@@ -84,6 +87,7 @@
     And 20 s pass
     Then the job "a" is "failed" within 10 s
     And no task ran twice at the same time or after its end
+    And no task was started after its last failure allowed
 
   Scenario: A rejected start is carried out by a new incarnation, and completes
     # Guards against a task that runs again although one of its runs has completed.
@@ -102,6 +106,21 @@
     Then the job "a" is "completed" within 20 s
     And no task ran twice at the same time or after its end
 
+  Scenario: A silent worker's result is listed while the task's next run works
+    # Guards against a result that is dropped, and work that nobody needs any more.
+    Given two entries and 2 workers for jobs
+    And worker-2's VM refuses all starts
+    When the job "a" of 1 steps with 1 tasks of 5 s is submitted at entry-1
+    And 1 s pass
+    And worker-1's VM stops answering
+    And worker-2's VM accepts starts again
+    And 8 s pass
+    And worker-1's VM answers again
+    Then the job "a" is "completed" within 2 s
+    When 1 s pass
+    Then nothing runs on worker-2
+    And 2 tasks were started in total
+
   Scenario: A late start reaches a new incarnation that its attendant has called
     # Guards against a finished run that starts again on an incarnation without a token.
     Given two entries and 1 workers for jobs
--- a/tests/steps/attempt_steps.py
+++ b/tests/steps/attempt_steps.py
@@ -26,3 +26,9 @@
         context.world.cell.write_config(maxAttempts=count)
 
     context.world.run(write)
+
+
+@then("no task was started after its last failure allowed")
+def check_attempts(context):
+    violations = context.world.cell.observer.violations
+    assert not [text for text in violations if "failures" in text], violations
