--- a/coltsfoottray/jobs/records.py
+++ b/coltsfoottray/jobs/records.py
@@ -108,6 +108,7 @@
         Each failed run counts once, whatever has become of the task since: its end may
         be listed again, after that of a later run, or after the run was given up.
         """
+        # Of the failures that an earlier version counted, only the last run is known.
         is_older = run <= self.failed_run and len(self.failed_runs) < self.failures
         if run in self.failed_runs or is_older:
             return False
