A worker lost with its attendant and the scheduler runs its tasks elsewhere in 7 s

What callers saw: tasks that last do not run for 10 to 11 s, where users allow 7.

Cause: nobody is left who could say what remains of the lost worker's lease, and the next scheduler waits from its take-over for the longest lease that any holder might have granted by its last write: 9.2 s, after 1.3 s until the row is free.

Change: a new scheduler counts what the last holder can have granted. A refused connection or another process at its address shows that it has ended; it has granted nothing since, and at most 6.4 s in one reply before. Its row says so (max_grant_ms), and how long leases of holders before it may last (prior_left_ms). The grant is 6.4 s instead of 7, since 7 s and drift cannot end within 7. The row is free at the second refused check, since the lease that a worker holds when the scheduler dies is 0.6 s shorter. A round begins as a lease ends, not up to half a second later. A holder that only falls silent may go on granting: its row's last change counts, and 9.7 s from there. A scheduler that closes its listener before it has resigned grants nothing more.

Why it is safe: each of the bounds is one that the former holder keeps to; rows of an earlier version, which do not say how long they grant, count as before.

--- a/coltsfoottray/agent/reporter.py
+++ b/coltsfoottray/agent/reporter.py
@@ -25,7 +25,7 @@
 
 __all__ = ["Reporter"]
 
-# Short enough to renew a lease of 7 s in time and to detect a lost scheduler early.
+# Short enough to renew a lease of 6.4 s in time and to detect a lost scheduler early.
 _REPORT_INTERVAL = timedelta(seconds=1)
 _TIMEOUT = timedelta(milliseconds=800)
 _LEASE_RETRY_DELAY = timedelta(milliseconds=100)
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -45,6 +45,8 @@
 # Everything that arrives within this interval is decided together and stored in one
 # transaction.
 _MIN_ROUND_INTERVAL = timedelta(milliseconds=15)
+# A lease has expired after its end, not at it.
+_PAST_LEASE_END = timedelta(milliseconds=1)
 # After a takeover, no tasks are placed for this long while workers that held runs have
 # yet to report them. After a power loss workers report within a tenth of a second of
 # each other; without the wait, the first two were filled with all waiting tasks,
@@ -85,7 +87,7 @@
         )
         self._grants = Grants(
             epoch=claim.lease.epoch,
-            acquired_at=claim.acquired_at,
+            prior_end=claim.grants_end,
             silent_until=claim.silent_until,
             fleet=self._fleet,
             clock=clock,
@@ -321,6 +323,13 @@
             ):
                 run.is_stopping = True
 
+    def withhold_leases(self) -> None:
+        """Grant no lease from now on.
+
+        Others take a process that does not listen any more for one that has ended.
+        """
+        self._grants.withhold()
+
     def resign(self) -> None:
         """Release the lease row after the current round."""
         self._is_resigning = True
@@ -328,12 +337,22 @@
 
     async def _wait_for_changes(self) -> None:
         due = self._writer.renewed_at + RENEWAL_INTERVAL - self._clock.elapsed()
-        due = min(due, self._time_to_next_plan())
+        due = min(due, self._time_to_next_plan(), self._time_to_lease_end())
         with trio.move_on_after(max(due.total_seconds(), 0.0)):
             await self._wake.wait()
             await self._clock.sleep(_MIN_ROUND_INTERVAL)
         self._wake = trio.Event()
 
+    def _time_to_lease_end(self) -> timedelta:
+        """Return the time until the next lease has ended, at most one interval.
+
+        Tasks of a lost worker that waited for the next round would start up to half a
+        second later.
+        """
+        now = self._clock.elapsed()
+        end = self._fleet.next_lease_end(before=now + RENEWAL_INTERVAL)
+        return RENEWAL_INTERVAL if end is None else end - now + _PAST_LEASE_END
+
     def _time_to_next_plan(self) -> timedelta:
         """Return the time until planning resumes or the next occurrence is due."""
         if self._is_reconciling():
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -197,7 +197,7 @@
     def expire_leases(self, now: timedelta, now_ms: int) -> None:
         """Declare lost the runs of workers whose lease has certainly expired."""
         for worker in self.fleet.worker_by_id.values():
-            if worker.is_empty:
+            if worker.is_empty or worker.leases.settled_runs_end_by >= now:
                 continue
             is_over = worker.runs_end_by < now
             lost = worker.runs_ended_before(now)
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -136,6 +136,14 @@
             return self.leases.runs_end_by
         return max(self.run_ends_by(placed) for placed in self.held_by_ref.values())
 
+    @property
+    def first_run_ends_by(self) -> timedelta | None:
+        """When the first of these runs cannot exist any more, None if there is none."""
+        ends = [self.run_ends_by(placed) for placed in self.held_by_ref.values()]
+        if self.demand_by_orphan:
+            ends.append(self.leases.runs_end_by)
+        return min(ends, default=None)
+
     def runs_ended_before(self, now: timedelta) -> list[PlacedRun]:
         """Return the held runs that cannot exist any more."""
         return [
@@ -311,6 +319,15 @@
         for worker in self.worker_by_id.values():
             worker.is_evacuated = worker.data_centre in data_centres
 
+    def next_lease_end(self, before: timedelta) -> timedelta | None:
+        """Return when the next runs have to be declared lost, None if not by then."""
+        ends = [
+            each.first_run_ends_by
+            for each in self.worker_by_id.values()
+            if not each.is_empty and each.leases.settled_runs_end_by < before
+        ]
+        return min((end for end in ends if end is not None), default=None)
+
     def placed_runs(self) -> list[PlacedRun]:
         """Return every run that may exist on any worker."""
         return [
--- a/coltsfoottray/scheduler/grants.py
+++ b/coltsfoottray/scheduler/grants.py
@@ -10,24 +10,21 @@
 from coltsfoottray.clock import Clock
 from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.fleet import Fleet, Worker
-from coltsfoottray.scheduler.lease import MAX_LEASE_AFTER_WRITE, as_remaining_ms
+from coltsfoottray.scheduler.lease import (
+    DRIFT_FACTOR,
+    MAX_GRANT,
+    MAX_LEASE_AFTER_WRITE,
+    as_remaining_ms,
+)
 from coltsfoottray.scheduler.messages import Report
 from coltsfoottray.scheduler.worker_leases import PriorLeases
 
 __all__ = ["Grants", "is_out_of_order"]
 
-# Longest lease granted in reply to one report. The runs of a lost worker are declared
-# lost once the lease has expired. An attendant must restart before then, or its worker
-# stops all tasks; an ordinary outage of a VM lasts 3.5 s.
-_MAX_LEASE = timedelta(seconds=7)
-
 # A worker is listed as silent if no report has shown it alive for this long: two and
 # a half report intervals of one second.
 _SILENT_AFTER = timedelta(seconds=2.5)
 
-# Two monotonic clocks drift apart by at most 2% over a lease.
-_DRIFT_FACTOR = 1.02
-
 # Smaller reductions of a lease are not logged, since every report brings one.
 _MIN_LOGGED_REDUCTION = timedelta(milliseconds=500)
 
@@ -43,8 +40,8 @@
     ----------
     epoch : int
         Epoch of the lease row.
-    acquired_at : timedelta
-        When the lease row was taken over.
+    prior_end : timedelta
+        When all leases of earlier schedulers are certain to have expired.
     silent_until : mapping
         For each worker that the lease row lists as silent since it was taken over, when
         its lease is certain to have expired.
@@ -54,13 +51,13 @@
         self,
         *,
         epoch: int,
-        acquired_at: timedelta,
+        prior_end: timedelta,
         silent_until: Mapping[str, timedelta],
         fleet: Fleet,
         clock: Clock,
     ) -> None:
         self._epoch = epoch
-        self._acquired_at = acquired_at
+        self._prior_end = prior_end
         self._silent_until = silent_until
         self._is_loading = True
         # The workers that the stored lease row lists as silent, or one being written.
@@ -69,6 +66,7 @@
         self._clock = clock
         self._session_count = 0
         self._settled_life_by_worker: Mapping[str, str] = {}
+        self._is_withholding = False
 
     def renew(self, worker: Worker, report: Report, confirmed_at: timedelta) -> int:
         """Return the worker's new lease, 0 unless the report shows it alive.
@@ -117,9 +115,9 @@
         is_settled = report.is_worker_alive and report.life == leases.settled_life
         left = timedelta(milliseconds=0 if is_settled else report.foreign_left_ms)
         if 0 < worker.session == report.session:
-            leases.set_foreign_left(left * _DRIFT_FACTOR, worker.last_heard)
+            leases.set_foreign_left(left * DRIFT_FACTOR, worker.last_heard)
         else:
-            leases.extend_foreign(left * _DRIFT_FACTOR, worker.last_heard)
+            leases.extend_foreign(left * DRIFT_FACTOR, worker.last_heard)
 
     def grant(self, worker: Worker, confirmed_at: timedelta) -> int:
         """Return a lease and record when it is certain to have expired.
@@ -135,10 +133,10 @@
             Length of the lease in milliseconds, 0 if none can be granted.
         """
         now = self._clock.elapsed()
-        granted = min(now + _MAX_LEASE, confirmed_at + MAX_LEASE_AFTER_WRITE) - now
-        if granted <= timedelta(0) or worker.id in self._listed:
+        granted = min(now + MAX_GRANT, confirmed_at + MAX_LEASE_AFTER_WRITE) - now
+        if granted <= timedelta(0) or worker.id in self._listed or self._is_withholding:
             return 0
-        worker.leases.end = max(worker.leases.end, now + granted * _DRIFT_FACTOR)
+        worker.leases.end = max(worker.leases.end, now + granted * DRIFT_FACTOR)
         return math.floor(granted.total_seconds() * 1000)
 
     def is_pending(self, worker: Worker, confirmed_at: timedelta) -> bool:
@@ -155,7 +153,7 @@
         single notice that the lease has expired would be lost with the scheduler that
         received it, and the next scheduler would wait for a whole lease.
         """
-        end = worker.last_heard + remaining * _DRIFT_FACTOR
+        end = worker.last_heard + remaining * DRIFT_FACTOR
         if worker.held_by_ref and worker.leases.end - end > _MIN_LOGGED_REDUCTION:
             log_event(
                 "scheduler:lease-shortened",
@@ -193,8 +191,8 @@
             return PriorLeases(
                 end=listed, foreign_end=listed, settled_life=settled_life
             )
-        end = self._acquired_at + MAX_LEASE_AFTER_WRITE * _DRIFT_FACTOR
-        foreign_end = end + MAX_WORKER_LEASE * _DRIFT_FACTOR
+        end = self._prior_end
+        foreign_end = end + MAX_WORKER_LEASE * DRIFT_FACTOR
         return PriorLeases(end=end, foreign_end=foreign_end, settled_life=settled_life)
 
     def list_silent(self) -> dict[str, int]:
@@ -220,6 +218,10 @@
         self._listed.update(silent)
         return {each: as_remaining_ms(end_by_id[each], now) for each in silent}
 
+    def prior_left_ms(self) -> int:
+        """Return how long leases of earlier schedulers may still last."""
+        return as_remaining_ms(self._prior_end, self._clock.elapsed())
+
     def mark_loaded(self) -> None:
         """Record that the fleet contains all workers that hold runs."""
         self._is_loading = False
@@ -236,6 +238,10 @@
         worker = self._fleet.worker_by_id.get(worker_id)
         return worker is not None and now - worker.last_answered <= _SILENT_AFTER
 
+    def withhold(self) -> None:
+        """Grant no lease from now on."""
+        self._is_withholding = True
+
     def unlist(self, silent_ms: Mapping[str, int]) -> None:
         """Allow leases again for workers that the stored lease row does not list."""
         self._listed = set(silent_ms)
--- a/coltsfoottray/scheduler/lease.py
+++ b/coltsfoottray/scheduler/lease.py
@@ -21,6 +21,8 @@
 from coltsfoottray.types import Address
 
 __all__ = [
+    "DRIFT_FACTOR",
+    "MAX_GRANT",
     "MAX_LEASE_AFTER_WRITE",
     "RENEWAL_INTERVAL",
     "HolderStatus",
@@ -34,11 +36,22 @@
 # of 9 s that only some processes see stops a task.
 MAX_LEASE_AFTER_WRITE = timedelta(seconds=9)
 
+# Longest lease granted in reply to one report. The runs of a lost worker are declared
+# lost once the lease has expired, and users count them as lost after 7 s. An attendant
+# must restart before then, or its worker stops all tasks; an ordinary outage of a VM
+# lasts 3.5 s.
+MAX_GRANT = timedelta(milliseconds=6400)
+
+# Two monotonic clocks drift apart by at most 2% over a lease.
+DRIFT_FACTOR = 1.02
+
 # The holder writes the row at least this often.
 RENEWAL_INTERVAL = timedelta(milliseconds=500)
 
 # Three missed renewals, less the time until a change is visible.
 _STALE_AFTER = timedelta(milliseconds=1300)
+# A holder has ended once two checks in a row were refused.
+_ENDED_AFTER = timedelta(milliseconds=150)
 # A holder that answers but has not renewed for this long cannot reach the table, while
 # others can. Six renewals, since with a table 70 times slower than usual one renewal
 # takes almost two intervals.
@@ -75,6 +88,11 @@
         time of this write. The holder grants no lease to a listed worker, so that the
         next holder does not have to wait longer. A holder that takes the row over
         continues the list, since it may be replaced before it knows who holds runs.
+    max_grant_ms : int
+        Longest lease that the holder grants in reply to one report. 0 in a row of an
+        earlier version, which grants up to 7 s.
+    prior_left_ms : int
+        How long leases of earlier holders may last from the time of this write.
     """
 
     epoch: int
@@ -86,6 +104,8 @@
     is_loading: bool = False
     failed_takeovers: int = 0
     silent_ms: dict[str, int] = msgspec.field(default_factory=dict)
+    max_grant_ms: int = 0
+    prior_left_ms: int = 0
 
     @property
     def patience(self) -> int:
@@ -135,7 +155,11 @@
         self._clock = clock
         self.row: LeaseRow | None = None
         self.version = 0
-        self.changed_at = clock.elapsed()
+        self._started_at = clock.elapsed()
+        self.changed_at = self._started_at
+        # The process that the last check found to have ended, and when the first did.
+        self._ended_incarnation = ""
+        self._ended_at = self._started_at
 
     def observe(self, row: LeaseRow, version: int) -> None:
         """Record the row's current value and version."""
@@ -154,6 +178,7 @@
         if row.incarnation == self._incarnation:
             return HolderStatus.ABANDONED
         if row.holder == self._name:
+            self._record_end(row, self._started_at)
             return HolderStatus.REPLACED
         try:
             reply = await self._peers.call(
@@ -162,7 +187,9 @@
         except CommunicationError as error:
             return self._status_of_silent(row, error)
         if reply.incarnation != row.incarnation:
+            self._record_end(row, self._clock.elapsed())
             return HolderStatus.REPLACED
+        self._ended_incarnation = ""
         return (
             HolderStatus.CUT_OFF
             if self._row_age() > _CUT_OFF_AFTER * row.patience
@@ -177,12 +204,37 @@
         The row may have changed during the call.
         """
         if error.is_refused:
+            self._record_end(row, self._clock.elapsed())
             # A process that has ended is not slow, however many take-overs have failed.
-            is_ended = self._row_age() > _STALE_AFTER
+            is_ended = self._clock.elapsed() - self._ended_at > _ENDED_AFTER
             return HolderStatus.ENDED if is_ended else HolderStatus.HELD
         is_stale = self._row_age() > _STALE_AFTER * row.patience
         return HolderStatus.STALE if is_stale else HolderStatus.HELD
 
+    def _record_end(self, row: LeaseRow, at: timedelta) -> None:
+        """Record that the holder's process was found to have ended by then."""
+        if self._ended_incarnation != row.incarnation:
+            self._ended_incarnation = row.incarnation
+            self._ended_at = at
+
+    def grants_end(self, row: LeaseRow) -> timedelta:
+        """Return when the leases that a holder and earlier ones granted have expired.
+
+        No lease reaches far beyond the holder's last write, and after half a second
+        each write is one that others see. A process that is known to have ended has
+        granted none since: its leases end earlier.
+        """
+        write_age = RENEWAL_INTERVAL + MAX_LEASE_AFTER_WRITE
+        end = self.changed_at + write_age * DRIFT_FACTOR
+        if not row.max_grant_ms or row.incarnation != self._ended_incarnation:
+            return end
+        max_grant = timedelta(milliseconds=row.max_grant_ms)
+        prior_left = timedelta(milliseconds=row.prior_left_ms)
+        ended = max(
+            self._ended_at + max_grant * DRIFT_FACTOR, self.changed_at + prior_left
+        )
+        return min(end, ended)
+
     def _row_age(self) -> timedelta:
         """Return the time since the row last changed."""
         return self._clock.elapsed() - self.changed_at
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -136,6 +136,8 @@
         with trio.move_on_after(_RESIGN_TIMEOUT.total_seconds()):
             while self.active is not None:
                 await self._clock.sleep(_RESIGN_POLL_INTERVAL)
+        if self.active is not None:
+            self.active.withhold_leases()
 
     # Calls from this entry.
 
--- a/coltsfoottray/scheduler/takeover.py
+++ b/coltsfoottray/scheduler/takeover.py
@@ -20,6 +20,9 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
 from coltsfoottray.scheduler.lease import (
+    DRIFT_FACTOR,
+    MAX_GRANT,
+    MAX_LEASE_AFTER_WRITE,
     HolderStatus,
     LeaseRow,
     LeaseWatch,
@@ -43,6 +46,8 @@
         Version of the row.
     acquired_at : timedelta
         When the write that took it over was sent.
+    grants_end : timedelta
+        When all leases of earlier holders are certain to have expired.
     silent_until : dict
         For each worker that the previous holder listed as silent, when its lease is
         certain to have expired.
@@ -51,6 +56,7 @@
     lease: LeaseRow
     version: int
     acquired_at: timedelta
+    grants_end: timedelta
     silent_until: dict[str, timedelta]
 
 
@@ -99,6 +105,7 @@
     ) -> Claim | None:
         sent = self._clock.elapsed()
         silent_until = self._silent_until(previous)
+        grants_end = self._grants_end(previous, sent)
         lease = LeaseRow(
             epoch=1 if previous is None else previous.epoch + 1,
             holder=self._name,
@@ -110,6 +117,8 @@
                 worker: as_remaining_ms(end, sent)
                 for worker, end in silent_until.items()
             },
+            max_grant_ms=as_remaining_ms(MAX_GRANT, timedelta(0)),
+            prior_left_ms=as_remaining_ms(grants_end, sent),
         )
         put = Put.of(LEASE_KEY, version, lease)
         try:
@@ -130,15 +139,22 @@
             epoch=lease.epoch,
             name=self._name,
             why=status.value,
+            leases_left_s=round((grants_end - sent).total_seconds(), 3),
             failed_takeovers=lease.failed_takeovers,
         )
         return Claim(
             lease=lease,
             version=new_version,
             acquired_at=sent,
+            grants_end=grants_end,
             silent_until=silent_until,
         )
 
+    def _grants_end(self, previous: LeaseRow | None, sent: timedelta) -> timedelta:
+        """Return when all leases of earlier holders are certain to have expired."""
+        end = sent + MAX_LEASE_AFTER_WRITE * DRIFT_FACTOR
+        return end if previous is None else min(end, self._watch.grants_end(previous))
+
     def _silent_until(self, previous: LeaseRow | None) -> dict[str, timedelta]:
         if previous is None:
             return {}
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -186,6 +186,7 @@
                 self.lease,
                 renewals=self.lease.renewals + 1,
                 silent_ms=self._grants.list_silent(),
+                prior_left_ms=self._grants.prior_left_ms(),
             )
             puts.append(Put.of(LEASE_KEY, self.version, self.lease))
         else:
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -23,7 +23,7 @@
 from coltsfoottray.scheduler.active import ActiveScheduler
 from coltsfoottray.scheduler.fleet import Worker
 from coltsfoottray.scheduler.grants import Grants
-from coltsfoottray.scheduler.lease import LeaseRow
+from coltsfoottray.scheduler.lease import MAX_GRANT, LeaseRow
 from coltsfoottray.scheduler.messages import Orders, Report, ReportReply
 from coltsfoottray.tasks import StoredTask, TaskStore
 from coltsfoottray.types import ListVersion, TaskState
@@ -52,7 +52,6 @@
 ]
 
 # The longest lease that a scheduler grants a worker.
-_MAX_LEASE = timedelta(seconds=7)
 
 
 @contextmanager
@@ -169,7 +168,7 @@
         reply = original(self, report)
         if not report.is_reachable or not report.life:
             worker = self._fleet.worker_by_id[report.worker]
-            lease_end = self._clock.elapsed() + _MAX_LEASE
+            lease_end = self._clock.elapsed() + MAX_GRANT
             worker.leases.end = max(worker.leases.end, lease_end)
         return reply
 
--- a/tests/scheduler/gone.feature
+++ b/tests/scheduler/gone.feature
@@ -227,3 +227,26 @@
     And 7 s pass
     Then 4 tasks run
     And no task ran twice at the same time or after its end
+
+  Scenario Outline: A worker, its attendant and the scheduler are lost one after another
+    # Guards against the same, whichever is lost first.
+    Given two entries and 2 workers for jobs
+    When the long-running job "a" of 1 steps with 4 tasks of 1 s is submitted at entry-1
+    And 2 s pass
+    And <first>
+    And <gap> ms pass
+    And <second>
+    And <gap> ms pass
+    And <third>
+    And 7 s pass
+    Then 4 tasks run
+    And no task ran twice at the same time or after its end
+
+    Examples:
+      | first                             | gap  | second                            | third                             |
+      | worker-1's VM is lost permanently | 300  | the scheduler is killed           | worker-1's attendant is killed    |
+      | worker-1's VM is lost permanently | 1300 | worker-1's attendant is killed    | the scheduler is killed           |
+      | the scheduler is killed           | 600  | worker-1's VM is lost permanently | worker-1's attendant is killed    |
+      | the scheduler is killed           | 2000 | worker-1's attendant is killed    | worker-1's VM is lost permanently |
+      | worker-1's attendant is killed    | 1000 | worker-1's VM is lost permanently | the scheduler is killed           |
+      | worker-1's attendant is killed    | 2600 | the scheduler is killed           | worker-1's VM is lost permanently |
