--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from coltsfoottray.clock import Clock, Moment, as_milliseconds
+from coltsfoottray.clock import Clock, Moment
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.jobs.evacuations import Evacuations
 from coltsfoottray.jobs.model import AcceptedJob, JobId
@@ -35,6 +35,7 @@
 from coltsfoottray.scheduler.relocation import Relocator
 from coltsfoottray.scheduler.restore import LoadCost, StoredState
 from coltsfoottray.scheduler.round_metrics import RoundMetrics
+from coltsfoottray.scheduler.round_timer import RoundTimer
 from coltsfoottray.scheduler.side_rows import AttendantRows, PressureRow
 from coltsfoottray.scheduler.takeover import Claim
 from coltsfoottray.scheduler.writer import StateWriter
@@ -42,17 +43,6 @@
 
 __all__ = ["ActiveScheduler"]
 
-# Everything that arrives within this interval is decided together and stored in one
-# transaction.
-_MIN_ROUND_INTERVAL = timedelta(milliseconds=15)
-# A lease has expired after its end, not at it.
-_PAST_LEASE_END = timedelta(milliseconds=1)
-# After a takeover, no tasks are placed for this long while workers that held runs have
-# yet to report them. After a power loss workers report within a tenth of a second of
-# each other; without the wait, the first two were filled with all waiting tasks,
-# services among them.
-_RECONCILIATION_PERIOD = timedelta(milliseconds=150)
-
 
 class ActiveScheduler:
     """Plans, stores the plans and sends orders while it holds the lease row.
@@ -116,9 +106,8 @@
         self._order_sender = OrderSender(fleet=self._fleet, peers=peers)
         self._inbox = Inbox()
         self._reported_by_worker: dict[str, trio.Event] = {}
-        self._wake = trio.Event()
+        self._timer = RoundTimer(cluster=self.cluster, clock=clock)
         self._is_resigning = False
-        self._loaded_at = timedelta(0)
 
     @property
     def version(self) -> int:
@@ -146,7 +135,7 @@
         for rejected in report.rejected:
             worker.receive_rejection(rejected.ref, session=report.session)
         self._inbox.reports.append(report)
-        self._wake.set()
+        self._timer.wake()
         orders = Orders(session=worker.session, life=report.life)
         if self.is_loaded and worker.session:
             orders = missing_orders(worker, report)
@@ -176,12 +165,12 @@
     def notify_accepted(self, job: AcceptedJob) -> None:
         """Queue a job whose acceptance is stored."""
         self._inbox.accepted.append(job)
-        self._wake.set()
+        self._timer.wake()
 
     def notify_cancelled(self, job: JobId) -> None:
         """Queue a cancellation that is stored."""
         self._inbox.cancelled.append(job)
-        self._wake.set()
+        self._timer.wake()
 
     def state_of(self, job_id: JobId) -> JobState | None:
         """Return the stored state of a job, None for an unknown job."""
@@ -204,11 +193,11 @@
     def forget(self, job: JobId) -> None:
         """Drop a job whose acceptance has been deleted."""
         self._inbox.forgotten.append(job)
-        self._wake.set()
+        self._timer.wake()
 
     def wake(self) -> None:
         """Start a new round, because something outside has changed."""
-        self._wake.set()
+        self._timer.wake()
 
     # Rounds.
 
@@ -265,7 +254,7 @@
             if stored_job.is_cancelled:
                 self.cluster.cancel(stored_job.accepted.id, now.time_ms)
         self.is_loaded = True
-        self._loaded_at = now.elapsed
+        self._timer.mark_loaded(now.elapsed)
         self._grants.mark_loaded()
         self._writer.mark_loaded()
         log_event(
@@ -295,7 +284,7 @@
         async with trio.open_nursery() as nursery, trio.open_nursery() as monitors:
             monitors.start_soon(self._overdue.run)
             while not self._is_resigning:
-                await self._wait_for_changes()
+                await self._timer.wait(renewed_at=self._writer.renewed_at)
                 started_at = self._clock.elapsed()
                 placed, last_end_by_worker = self._decide()
                 await self._writer.store(self.cluster.jobs.open_by_id.values())
@@ -333,34 +322,7 @@
     def resign(self) -> None:
         """Release the lease row after the current round."""
         self._is_resigning = True
-        self._wake.set()
-
-    async def _wait_for_changes(self) -> None:
-        due = self._writer.renewed_at + RENEWAL_INTERVAL - self._clock.elapsed()
-        due = min(due, self._time_to_next_plan(), self._time_to_lease_end())
-        with trio.move_on_after(max(due.total_seconds(), 0.0)):
-            await self._wake.wait()
-            await self._clock.sleep(_MIN_ROUND_INTERVAL)
-        self._wake = trio.Event()
-
-    def _time_to_lease_end(self) -> timedelta:
-        """Return the time until the next lease has ended, at most one interval.
-
-        Tasks of a lost worker that waited for the next round would start up to half a
-        second later.
-        """
-        now = self._clock.elapsed()
-        end = self._fleet.next_lease_end(before=now + RENEWAL_INTERVAL)
-        return RENEWAL_INTERVAL if end is None else end - now + _PAST_LEASE_END
-
-    def _time_to_next_plan(self) -> timedelta:
-        """Return the time until planning resumes or the next occurrence is due."""
-        if self._is_reconciling():
-            return self._loaded_at + _RECONCILIATION_PERIOD - self._clock.elapsed()
-        next_due_ms = self.cluster.jobs.next_due_ms()
-        if next_due_ms is None:
-            return RENEWAL_INTERVAL
-        return timedelta(milliseconds=next_due_ms - as_milliseconds(self._clock.now()))
+        self._timer.wake()
 
     def _decide(self) -> tuple[list[PlacedRun], dict[str, int]]:
         """Apply what has arrived to the cluster state, and plan.
@@ -394,14 +356,6 @@
         self._relocator.evacuate(now)
         self._relocator.rebalance(now)
         self._relocator.pack_services(now, is_wanted=self.planner.has_waiting_fillers)
-        if self._is_reconciling():
+        if self._timer.is_reconciling:
             return [], last_end_by_worker
         return self.planner.plan(moment), last_end_by_worker
-
-    def _is_reconciling(self) -> bool:
-        """Return whether to wait for workers to report the runs that they held."""
-        if self._clock.elapsed() - self._loaded_at >= _RECONCILIATION_PERIOD:
-            return False
-        return any(
-            worker.has_unconfirmed_runs for worker in self._fleet.worker_by_id.values()
-        )
--- a/coltsfoottray/scheduler/advice.py
+++ b/coltsfoottray/scheduler/advice.py
@@ -107,7 +107,7 @@
         permit.life: Ticket(value=permit.ticket, expires_at=expires_at)
         for permit in permits
     }
-    step.add_tickets(allowed, clock.elapsed())
+    step.tickets.add(allowed, clock.elapsed())
     AdviceRequestSelector.record_answer(request, allowed, requested_at)
     log_event(
         "decision:advised",
--- a/coltsfoottray/scheduler/advice_requests.py
+++ b/coltsfoottray/scheduler/advice_requests.py
@@ -81,7 +81,7 @@
     def _lives(self, step: LiveStep, now: timedelta, *, is_fair: bool) -> list[str]:
         """Return the incarnations to ask about, without a ticket or recent refusal."""
         refused = step.advice_state.refused_by_life
-        valid = step.valid_lives(now)
+        valid = step.tickets.valid_lives(now)
         candidates = [
             life
             for life in self._planner.candidate_lives(step, now)
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -322,7 +322,7 @@
             worker.block(_BLOCK_TIME, now)
         if rejected.reason is Refusal.NO_TICKET:
             placed = worker.held_by_ref[rejected.ref]
-            placed.step.ticket_by_life.pop(placed.life, None)
+            placed.step.tickets.discard(placed.life)
         self._outcomes.reject(worker, rejected.ref, rejected.reason, now_ms)
 
     def _stop_stalled(
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -20,13 +19,11 @@
 from coltsfoottray.scheduler.critical_path import CriticalPath
 from coltsfoottray.scheduler.job_rows import JobRows
 from coltsfoottray.scheduler.lengths import LengthEstimator
-from coltsfoottray.scheduler.tickets import AdviceState, Ticket
+from coltsfoottray.scheduler.tickets import AdviceState, StepTickets
 from coltsfoottray.scheduler.wait_reason import WaitReason
 
 __all__ = ["MAX_RESTORED_AGE", "LiveJob", "LiveStep"]
 
-# Time in which a start is usually stored, sent and carried out.
-_ORDER_LATENCY = timedelta(milliseconds=300)
 # A job or an occurrence that is new to a scheduler has become due this long ago at the
 # most; more is an error of the time of day.
 MAX_NOTICE_AGE = timedelta(seconds=3)
@@ -270,8 +267,8 @@
         worker. Their tasks wait until they are stopped.
     avoid_by_index : dict
         For each task index, the workers on which the task failed or stalled.
-    ticket_by_life : dict
-        For each incarnation of a worker, the ticket that allows it to run the step.
+    tickets : StepTickets
+        Permissions of the queue's policy to run the step.
     last_tried_round : int
         The last round in which a worker was sought for the step, 0 for none.
     wait_reason : WaitReason, optional
@@ -287,7 +284,7 @@
     done: int = 0
     orphans: set[tuple[RunRef, str]] = field(default_factory=set)
     avoid_by_index: dict[int, set[str]] = field(default_factory=dict)
-    ticket_by_life: dict[str, Ticket] = field(default_factory=dict)
+    tickets: StepTickets = field(default_factory=StepTickets)
     advice_state: AdviceState = field(default_factory=AdviceState)
     last_tried_round: int = 0
     wait_reason: WaitReason | None = None
@@ -328,26 +325,6 @@
             waiting=len(self.waiting),
         )
 
-    def add_tickets(self, by_life: Mapping[str, Ticket], now: timedelta) -> None:
-        """Add tickets to those that have not expired.
-
-        A start that is not carried out yet needs its earlier one.
-        """
-        kept = {
-            life: ticket
-            for life, ticket in self.ticket_by_life.items()
-            if ticket.expires_at > now
-        }
-        self.ticket_by_life = kept | dict(by_life)
-
-    def valid_lives(self, now: timedelta) -> set[str]:
-        """Return the worker incarnations with tickets that outlast sending a start."""
-        return {
-            life
-            for life, ticket in self.ticket_by_life.items()
-            if ticket.expires_at > now + _ORDER_LATENCY
-        }
-
     @property
     def is_done(self) -> bool:
         """Whether every task has completed."""
--- a/coltsfoottray/scheduler/orders.py
+++ b/coltsfoottray/scheduler/orders.py
@@ -90,5 +90,5 @@
 
 
 def _ticket_of(placed: PlacedRun) -> str:
-    ticket = placed.step.ticket_by_life.get(placed.life)
+    ticket = placed.step.tickets.get(placed.life)
     return "" if ticket is None else ticket.value
--- a/coltsfoottray/scheduler/places.py
+++ b/coltsfoottray/scheduler/places.py
@@ -58,7 +58,7 @@
         """Return the worker incarnations that may run a step, None if all may."""
         if self._cluster.terms_of(step.job).advice is None:
             return None
-        return step.valid_lives(now)
+        return step.tickets.valid_lives(now)
 
 
 class TicketedPlaces:
@@ -74,7 +74,7 @@
 
     def has_any(self, step: LiveStep, *, service: str) -> bool:
         """Return whether a worker with a ticket may get a task of `step` now."""
-        lives = step.valid_lives(self._now)
+        lives = step.tickets.valid_lives(self._now)
         if not lives:
             return False
         by_life = self._open_by_life(service, may_probe=step.spec.is_service)
