A state machine of processes replaced while a worker that restarted is unheard

The scenario of the failure had one order of events. replaced_jobs draws the order of heartbeat, silence, one scheduler's and two attendants' restarts, and the time in between.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 	$(BIN)/python -m properties refused-jobs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties paced-jobs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties failing-jobs $(RUNS) $(STEPS)
+	$(BIN)/python -m properties replaced-jobs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties takeovers $(RUNS) $(STEPS)
 	$(BIN)/python -m properties configs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties keyed $(RUNS) $(STEPS)
--- a/properties/__main__.py
+++ b/properties/__main__.py
@@ -17,6 +17,7 @@
 from properties.list_edits import ListEdits
 from properties.paced_jobs import PacedJobs
 from properties.refused_jobs import RefusedJobs
+from properties.replaced_jobs import ReplacedJobs
 from properties.takeovers import Takeovers
 
 MACHINE_BY_NAME = {
@@ -25,6 +26,7 @@
     "refused-jobs": RefusedJobs,
     "failing-jobs": FailingJobs,
     "paced-jobs": PacedJobs,
+    "replaced-jobs": ReplacedJobs,
     "configs": Configs,
     "keyed": KeyedRequests,
     "tasks": BatchTasks,
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -13,6 +13,7 @@
 from coltsfoottray.agent.attendant import TaskAttendant
 from coltsfoottray.agent.evacuation import EvacuationGuard, StartPermission
 from coltsfoottray.agent.fencing import FencingLink
+from coltsfoottray.agent.lease import WorkerLease
 from coltsfoottray.agent.runs import Runs
 from coltsfoottray.claims import Claim, ClaimOutcome, ClaimResult, Claims
 from coltsfoottray.jobs.api import JobAnswer, JobApi, Verdict
@@ -257,6 +258,15 @@
         yield
 
 
+@contextmanager
+def leases_taken_unheard() -> Iterator[None]:
+    """Let an attendant count only the leases that its predecessor issued."""
+    with mock.patch.object(
+        WorkerLease, "remaining_foreign", lambda self, now: timedelta(0)
+    ):
+        yield
+
+
 @contextmanager
 def orders_lacked_and_not_asked_for() -> Iterator[None]:
     """Let an attendant not tell which runs on its worker it has no order for."""
--- a/tests/scheduler/fuzz.feature
+++ b/tests/scheduler/fuzz.feature
@@ -64,3 +64,11 @@
   Scenario: The oracle detects a start that a new incarnation carries out late
     # Planted fault: no token is raised when another incarnation of a worker answers.
     Then with the planted fault "earlier calls not fenced off" the machine "failing jobs" fails in runs of 5 steps
+
+  Scenario: No task runs twice as processes that know of its runs are replaced
+    # Attendants and schedulers are replaced while a worker that restarted is unheard.
+    Then the machine "replaced jobs" finds nothing in 40 runs of 4 steps
+
+  Scenario: The oracle detects a lease that no process is left to know
+    # Planted fault: an attendant counts only the leases that its predecessor issued.
+    Then with the planted fault "leases taken unheard" the machine "replaced jobs" fails in runs of 2 steps
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -17,6 +17,7 @@
     paced_jobs,
     planted,
     refused_jobs,
+    replaced_jobs,
     takeovers,
 )
 
@@ -28,6 +29,7 @@
     "refused jobs": refused_jobs.RefusedJobs,
     "failing jobs": failing_jobs.FailingJobs,
     "paced jobs": paced_jobs.PacedJobs,
+    "replaced jobs": replaced_jobs.ReplacedJobs,
     "configs": configs.Configs,
     "list edits": list_edits.ListEdits,
     "takeovers": takeovers.Takeovers,
@@ -39,6 +41,7 @@
     "cancel without tombstone": planted.cancel_without_tombstone,
     "earlier calls not fenced off": planted.earlier_calls_not_fenced_off,
     "edits without versions": planted.edits_without_versions,
+    "leases taken unheard": planted.leases_taken_unheard,
     "leases renewed for workers out of reach": planted.leases_renewed_out_of_reach,
     "ledger without bounds": planted.ledger_without_bounds,
     "running tasks loaded as queued": planted.running_tasks_loaded_as_queued,
