Time without a scheduler: a frozen one takes over a second, one that has ended less

The scenario kills the scheduler, and presumes the 1.3 s that a killed one was waited for; since it is replaced at the second refused check. What it guards is that `losses` attributes such time.

--- a/tests/explain/losses.feature
+++ b/tests/explain/losses.feature
@@ -25,11 +25,19 @@
 
   Scenario: No scheduler is active for a while
     Given two entries and 1 workers for jobs, whose log lines are recorded
-    When the scheduler is killed just before the job "a" of 1 task of 1 s is submitted
+    When the scheduler freezes just before the job "a" of 1 task of 1 s is submitted
     Then the job "a" is "completed" within 10 s
     And by the log lines the job "a" lost 1 to 3 s to "scheduler" and ran for 1 s
     And the parts of each job add up to its total time
 
+  Scenario: No scheduler is active until one that has ended is replaced
+    # Guards against a short wait for a scheduler that is not told.
+    Given two entries and 1 workers for jobs, whose log lines are recorded
+    When the scheduler is killed just before the job "a" of 1 task of 1 s is submitted
+    Then the job "a" is "completed" within 10 s
+    And by the log lines the job "a" lost 0.1 to 1 s to "scheduler" and ran for 1 s
+    And the parts of each job add up to its total time
+
   Scenario: A task fails and is run again
     Given log lines of a job whose task failed after 2 s and then took 3 s at half speed
     When the time of jobs is computed from these lines
