Failing: a late start reaches a new incarnation whose attendant has restarted

Cause: what bars such a start is the attendant's first call to the new incarnation; a new attendant has heard no worker and calls nothing.

--- a/tests/scheduler/attempts.feature
+++ b/tests/scheduler/attempts.feature
@@ -131,6 +131,18 @@
     And 3 s pass
     Then no task ran twice at the same time or after its end
 
+  Scenario: A late start reaches a new incarnation whose attendant has restarted
+    # Guards against a finished run that starts again, since the new attendant has not heard
+    # of the worker and calls nothing there.
+    Given two entries and 1 workers for jobs
+    And the next 1 starts at worker-1 are carried out late
+    When the job "a" of 1 steps with 1 tasks of 1 s is submitted at entry-1
+    And 3400 ms pass
+    And worker-1 is killed and restarted after 0 s
+    And worker-1's VM crashes and sends no heartbeats
+    And 3 s pass
+    Then no task ran twice at the same time or after its end
+
   Scenario: A new incarnation runs what nobody expects there
     # Guards against a task that is started again beside a run that its worker lists.
     Given two entries and 2 workers for jobs
