--- a/coltsfoottray/jobs/records.py
+++ b/coltsfoottray/jobs/records.py
@@ -82,13 +82,13 @@
         Checkpoint that the next run resumes from; empty to start from the beginning.
     failed_run : int
         Highest number of a run that is counted in `failures`, 0 for none.
-    is_settled : bool
-        Whether that incarnation has listed the run, which no other can have then, and
-        held no lease meant for an earlier one: the run lasts no longer than the leases
-        that its attendant issues.
     failed_runs : list of int
         Numbers of the runs that are counted in `failures`. Entries of earlier versions
         count without it.
+    is_settled : bool
+        Whether the incarnation `life` has confirmed the run, which no other can have
+        then, and held no lease meant for an earlier one: the run lasts no longer than
+        the leases that its attendant issues.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -184,8 +184,7 @@
         incarnation, and leases that it took from such calls have expired. Which runs it
         had then stands, even if it does not answer any more.
         """
-        is_fenced = 0 < worker.session == report.session == report.looked
-        if not is_fenced or report.is_replaced:
+        if not _is_polled_in_session(worker, report) or report.is_replaced:
             return
         if not worker.leases.settle(report.life, now):
             return
@@ -240,7 +239,7 @@
             leases.replaced_since = now
         if now - leases.replaced_since > MAX_ORPHAN_TIME:
             return True
-        return 0 < worker.session == report.session == report.looked
+        return _is_polled_in_session(worker, report)
 
     def _adopt_runs(
         self,
@@ -381,3 +380,8 @@
 
     def _max_attempts_of(self, job: LiveJob) -> int:
         return self.terms_of(job).max_attempts
+
+
+def _is_polled_in_session(worker: Worker, report: Report) -> bool:
+    """Return whether a poll in the worker's session has fenced off earlier calls."""
+    return 0 < worker.session == report.session == report.looked
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -326,7 +326,9 @@
             for each in self.worker_by_id.values()
             if not each.is_empty and each.leases.settled_runs_end_by < before
         ]
-        return min((end for end in ends if end is not None), default=None)
+        return min(
+            (end for end in ends if end is not None and end < before), default=None
+        )
 
     def placed_runs(self) -> list[PlacedRun]:
         """Return every run that may exist on any worker."""
--- a/coltsfoottray/scheduler/grants.py
+++ b/coltsfoottray/scheduler/grants.py
@@ -96,7 +96,7 @@
         self._update_foreign_end(worker, report)
         if report.is_worker_alive:
             return self.grant(worker, confirmed_at)
-        if 0 < worker.session == report.session:
+        if _is_in_session(worker, report):
             # A report of another session is ignored: another attendant may have
             # replaced the sender in the meantime.
             self._shorten_lease(worker, timedelta(milliseconds=report.lease_left_ms))
@@ -114,7 +114,7 @@
             leases.settled_life = report.life
         is_settled = report.is_worker_alive and report.life == leases.settled_life
         left = timedelta(milliseconds=0 if is_settled else report.foreign_left_ms)
-        if 0 < worker.session == report.session:
+        if _is_in_session(worker, report):
             leases.set_foreign_left(left * DRIFT_FACTOR, worker.last_heard)
         else:
             leases.extend_foreign(left * DRIFT_FACTOR, worker.last_heard)
@@ -288,6 +288,11 @@
         return self._epoch * _SESSIONS_PER_EPOCH + self._session_count
 
 
+def _is_in_session(worker: Worker, report: Report) -> bool:
+    """Return whether a report was sent in the worker's current session."""
+    return 0 < worker.session == report.session
+
+
 def is_out_of_order(worker: Worker, report: Report) -> bool:
     """Return whether a later report of the same attendant has been processed.
 
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -41,6 +41,7 @@
     "holders_silent_while_they_load",
     "leases_lapsed_without_waiting",
     "leases_renewed_out_of_reach",
+    "leases_taken_unheard",
     "ledger_without_bounds",
     "orders_lacked_and_not_asked_for",
     "refusals_without_proof",
@@ -52,8 +53,6 @@
     "starts_without_judgement",
 ]
 
-# The longest lease that a scheduler grants a worker.
-
 
 @contextmanager
 def claims_without_asking() -> Iterator[None]:
