Jobs can be deferred by least cost while not all can be on time

Cause: in the order of deadlines each late job makes the next one late; on the users' refunds deployment 26 of 54 long jobs ended late, at a median of 24.6 s where 23 s was in time (as reported with the issue). Change: work left by job, the rate at which fillers are worked on, and Moore and Hodgson's rule as a fluid, behind the setting overload.order, which is off.

--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -123,6 +123,7 @@
             random=self.random,
             retention=timedelta(seconds=settings.keep_s),
             adviser=self._make_adviser(settings),
+            job_order=settings.overload.order,
             metrics=self.metrics,
         )
         self.scheduler.add_handlers(self.handlers)
--- /dev/null
+++ b/coltsfoottray/overload/capacity.py
@@ -0,0 +1,71 @@
+"""Rate at which workers do the work that fillers need.
+
+Load pattern: fillers that press on services. They find few places beside them and are
+slowed there, so that a pool works at a fraction of its idle processors. The fraction
+depends on the images that happen to run and is therefore measured.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from datetime import timedelta
+
+from coltsfoottray.overload.demand import Pool
+
+__all__ = ["CapacityMeter", "PoolUsage"]
+
+# The usage of a filler is reported with a lag of up to a second and swings with the
+# load of the services beside it.
+_SMOOTHING_TIME = timedelta(seconds=2)
+# Fillers slower than this fraction of what they request use all that they can get.
+_SATURATED_FRACTION = 0.8
+
+
+@dataclass(frozen=True, kw_only=True)
+class PoolUsage:
+    """The processors of a pool at one moment.
+
+    Parameters
+    ----------
+    used : float
+        Processors that fillers use.
+    requested : float
+        Processors that they would use at full speed.
+    idle : float
+        Processors that nothing uses.
+    has_waiting : bool
+        Whether fillers wait for a place.
+    """
+
+    used: float
+    requested: float
+    idle: float
+    has_waiting: bool
+
+    @property
+    def is_saturated(self) -> bool:
+        """Whether fillers get all that they can, so that `used` is the rate."""
+        return self.has_waiting or self.used < self.requested * _SATURATED_FRACTION
+
+
+class CapacityMeter:
+    """Measures the rate of each pool while fillers get less than they request."""
+
+    def __init__(self) -> None:
+        self._rate_by_pool: dict[Pool, float] = {}
+        self._updated_at: timedelta | None = None
+
+    def update(self, usage_by_pool: dict[Pool, PoolUsage], now: timedelta) -> None:
+        """Update the rates by the usage at `now`."""
+        updated_at = now if self._updated_at is None else self._updated_at
+        weight = 1.0 - math.exp(-((now - updated_at) / _SMOOTHING_TIME))
+        self._updated_at = now
+        for pool, usage in usage_by_pool.items():
+            rate = usage.used if usage.is_saturated else usage.used + usage.idle
+            before = self._rate_by_pool.get(pool, usage.used + usage.idle)
+            self._rate_by_pool[pool] = before + weight * (rate - before)
+
+    def rate_by_pool(self) -> dict[Pool, float]:
+        """Return the processors that each pool works with."""
+        return dict(self._rate_by_pool)
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -17,6 +17,7 @@
 from coltsfoottray.jobs.records import JobState
 from coltsfoottray.logs import log_event
 from coltsfoottray.metrics import Metrics
+from coltsfoottray.overload.order import JobOrder
 from coltsfoottray.peers import PeerClient
 from coltsfoottray.platform import Row, WatchedTable
 from coltsfoottray.scheduler.cluster_state import ClusterState
@@ -29,6 +30,7 @@
 from coltsfoottray.scheduler.order_sender import OrderSender
 from coltsfoottray.scheduler.orders import missing_orders
 from coltsfoottray.scheduler.overdue import OverdueMonitor
+from coltsfoottray.scheduler.overload import OverloadControl
 from coltsfoottray.scheduler.placed_run import PlacedRun
 from coltsfoottray.scheduler.planner import Planner
 from coltsfoottray.scheduler.pressure_feed import PressureFeed
@@ -64,6 +66,7 @@
         evacuations: Evacuations,
         clock: Clock,
         metrics: Metrics,
+        job_order: JobOrder = JobOrder.DEADLINE,
     ) -> None:
         self.is_loaded = False
         self._clock = clock
@@ -71,6 +74,9 @@
         self._fleet = Fleet()
         self.cluster = ClusterState(holder=holder, fleet=self._fleet)
         self.planner = Planner(cluster=self.cluster, holder=holder)
+        self._overload: OverloadControl | None = None
+        if job_order is JobOrder.LEAST_COST:
+            self._overload = OverloadControl(cluster=self.cluster, metrics=metrics)
         self._relocator = Relocator(cluster=self.cluster)
         self._round_metrics = RoundMetrics(
             fleet=self._fleet, clock=clock, metrics=metrics
@@ -358,4 +364,6 @@
         self._relocator.pack_services(now, is_wanted=self.planner.has_waiting_fillers)
         if self._timer.is_reconciling:
             return [], last_end_by_worker
+        if self._overload is not None:
+            self._overload.update(now)
         return self.planner.plan(moment), last_end_by_worker
--- a/coltsfoottray/scheduler/critical_path.py
+++ b/coltsfoottray/scheduler/critical_path.py
@@ -43,6 +43,11 @@
         self._update()
         return self._length_ms
 
+    def expected_ms(self, step: int) -> float:
+        """Return how long a task of a step is expected to take, in ms."""
+        self._update()
+        return self._expected_ms[step]
+
     def left_ms(self, is_done_by_step: Sequence[bool]) -> float:
         """Return the length in ms of the critical path through unfinished steps."""
         self._update()
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -71,6 +71,8 @@
         self.has_newly_settled = False
         # Whether its first start is known and not stored yet.
         self.has_new_start = False
+        # Occurrences that are deferred so that other jobs can be on time.
+        self.deferred_occurrences: set[int] = set()
         # Since when none of its tasks has run although one could.
         self.idle_since: timedelta | None = None
         self._path = CriticalPath(
@@ -151,6 +153,10 @@
         steps = self.steps_by_occurrence[occurrence]
         return self._path.left_ms([step.is_done for step in steps])
 
+    def expected_length_ms(self, step: int) -> float:
+        """Return how long a task of a step is expected to take, in ms."""
+        return self._path.expected_ms(step)
+
     def record_length(self, step: int, seen_ms: float) -> None:
         """Record how long a task of a step took, or is likely to take."""
         self._path.record(step, seen_ms)
@@ -352,6 +358,11 @@
             return False
         return not self.is_broken_gang and self.has_turn
 
+    @property
+    def is_deferred(self) -> bool:
+        """Whether it is deferred so that other jobs can be on time."""
+        return self.occurrence in self.job.deferred_occurrences
+
     def checkpoint_record(self, index: int) -> TaskRecord:
         """Return the record that holds a task's checkpoint.
 
--- /dev/null
+++ b/coltsfoottray/scheduler/overload.py
@@ -0,0 +1,81 @@
+"""Deferral of jobs while not all can be on time."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from coltsfoottray.logs import log_event
+from coltsfoottray.metrics import Metrics
+from coltsfoottray.overload.capacity import CapacityMeter
+from coltsfoottray.overload.demand import JobDemand, JobKey, Pool
+from coltsfoottray.overload.order import select_deferred
+from coltsfoottray.scheduler.cluster_state import ClusterState
+from coltsfoottray.scheduler.demand import list_demands, measure_pools
+
+__all__ = ["OverloadControl"]
+
+# Reports arrive once a second from each worker; between two of them little changes but
+# what jobs have come.
+_PERIOD = timedelta(milliseconds=250)
+
+
+class OverloadControl:
+    """Marks the jobs that are deferred, for the planner and the attendants."""
+
+    def __init__(self, *, cluster: ClusterState, metrics: Metrics) -> None:
+        self._cluster = cluster
+        self._metrics = metrics
+        self._meter = CapacityMeter()
+        self._deferred: set[JobKey] = set()
+        self._updated_at: timedelta | None = None
+
+    def update(self, now: timedelta) -> None:
+        """Decide anew which jobs are deferred, if that is due."""
+        if self._updated_at is not None and now - self._updated_at < _PERIOD:
+            return
+        self._updated_at = now
+        self._meter.update(measure_pools(self._cluster, now), now)
+        rate_by_pool = self._meter.rate_by_pool()
+        demands = list_demands(self._cluster)
+        deferred = select_deferred(
+            demands, rate_by_pool, now, deferred_before=self._deferred
+        )
+        self._log_changes(demands, deferred, rate_by_pool, now)
+        self._deferred = deferred
+        self._mark_jobs()
+        self._metrics.gauge("jobs_deferred", len(deferred))
+
+    def _mark_jobs(self) -> None:
+        occurrences_by_job: dict[str, set[int]] = {}
+        for key in self._deferred:
+            occurrences_by_job.setdefault(key.job, set()).add(key.occurrence)
+        for job in self._cluster.jobs.active_by_id.values():
+            job.deferred_occurrences = occurrences_by_job.get(job.id, set())
+        for worker in self._cluster.fleet.worker_by_id.values():
+            worker.recompute_usage()
+
+    def _log_changes(
+        self,
+        demands: list[JobDemand],
+        deferred: set[JobKey],
+        rate_by_pool: dict[Pool, float],
+        now: timedelta,
+    ) -> None:
+        for demand in demands:
+            is_deferred = demand.key in deferred
+            if is_deferred == (demand.key in self._deferred):
+                continue
+            rate = rate_by_pool.get(demand.pool)
+            log_event(
+                "decision:defer" if is_deferred else "decision:undefer",
+                job=demand.key.job,
+                occurrence=demand.key.occurrence,
+                queue=demand.queue,
+                priority=demand.priority,
+                due_in_s=round((demand.due - now).total_seconds(), 2),
+                work_left=round(demand.work_left, 1),
+                path_left_s=round(demand.path_left.total_seconds(), 2),
+                processors=None if rate is None else round(rate, 1),
+            )
+            if is_deferred:
+                self._metrics.count("deferrals", queue=demand.queue)
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -20,6 +20,7 @@
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
 from coltsfoottray.metrics import Metrics
+from coltsfoottray.overload.order import JobOrder
 from coltsfoottray.peers import CallHandlers, PeerClient
 from coltsfoottray.platform import WatchedTable
 from coltsfoottray.scheduler.active import ActiveScheduler
@@ -77,6 +78,7 @@
         retention: timedelta,
         metrics: Metrics,
         adviser: Adviser | None = None,
+        job_order: JobOrder = JobOrder.DEADLINE,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
@@ -93,6 +95,7 @@
         self._retention = retention
         self._metrics = metrics
         self._adviser = adviser
+        self._job_order = job_order
         self._claimer = LeaseClaimer(
             name=name,
             incarnation=incarnation,
@@ -207,6 +210,7 @@
             evacuations=self._evacuations,
             clock=self._clock,
             metrics=self._metrics,
+            job_order=self._job_order,
         )
 
     async def _run_active(self, active: ActiveScheduler) -> None:
--- a/coltsfoottray/scheduler/urgency.py
+++ b/coltsfoottray/scheduler/urgency.py
@@ -14,9 +14,16 @@
 from datetime import timedelta
 
 from coltsfoottray.jobs.config import ConfigHolder
+from coltsfoottray.jobs.model import QueueTerms
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
 
-__all__ = ["is_half_elapsed", "objective", "urgency_key"]
+__all__ = [
+    "MIN_EXPECTED_FRACTION",
+    "due_time",
+    "is_half_elapsed",
+    "objective",
+    "urgency_key",
+]
 
 # A job that takes more than three times its objective is worthless to its caller, by
 # the users' own measure of late work.
@@ -24,7 +31,7 @@
 
 # A job counts as late only if even this fraction of its expected length would not end
 # in time.
-_MIN_EXPECTED_FRACTION = 0.7
+MIN_EXPECTED_FRACTION = 0.7
 
 _SERVICE, _ON_TIME, _LATE, _USELESS = range(4)
 
@@ -32,6 +39,15 @@
 def objective(job: LiveJob, holder: ConfigHolder) -> timedelta:
     """Return how long the job may take to be on time."""
     terms = holder.terms_of(job.accepted.queue, default=job.accepted.terms)
+    return _allowed_time(job, terms)
+
+
+def due_time(job: LiveJob, occurrence: int, terms: QueueTerms) -> timedelta:
+    """Return until when an occurrence is on time, by the scheduler's steady clock."""
+    return job.start_of(occurrence) + _allowed_time(job, terms)
+
+
+def _allowed_time(job: LiveJob, terms: QueueTerms) -> timedelta:
     length_ms = terms.slowdown_factor * job.critical_path_ms
     return timedelta(milliseconds=length_ms + terms.target_latency_ms)
 
@@ -47,8 +63,10 @@
     """Return the sort key of a step; the smallest goes first."""
     job = step.job
     terms = holder.terms_of(job.accepted.queue, default=job.accepted.terms)
-    due = job.start_of(step.occurrence) + objective(job, holder)
-    return terms.priority, _rank(step, now, holder), due
+    rank = _rank(step, now, holder)
+    if rank is _ON_TIME and step.is_deferred:
+        rank = _LATE
+    return terms.priority, rank, due_time(job, step.occurrence, terms)
 
 
 def _rank(step: LiveStep, now: timedelta, holder: ConfigHolder) -> int:
@@ -58,6 +76,6 @@
     elapsed = now - step.job.start_of(step.occurrence)
     if elapsed > _USEFUL_FACTOR * allowed:
         return _USELESS
-    left_ms = step.job.critical_path_left_ms(step.occurrence) * _MIN_EXPECTED_FRACTION
+    left_ms = step.job.critical_path_left_ms(step.occurrence) * MIN_EXPECTED_FRACTION
     left = timedelta(milliseconds=left_ms)
     return _ON_TIME if elapsed + left <= allowed else _LATE
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -14,6 +14,7 @@
     field_validator,
 )
 
+from coltsfoottray.overload.order import JobOrder
 from coltsfoottray.types import Address
 
 __all__ = [
@@ -227,6 +228,18 @@
     log: LogSettings = LogSettings()
 
 
+class OverloadSettings(_Model):
+    """What an entry does while not all jobs can be on time.
+
+    Parameters
+    ----------
+    order : JobOrder
+        In which order jobs of one priority get free capacity.
+    """
+
+    order: JobOrder = JobOrder.DEADLINE
+
+
 class JobEntrySettings(JobDaemonSettings):
     """Settings of an entry that accepts jobs and may become the scheduler.
 
@@ -243,6 +256,8 @@
     region_by_data_centre : dict
         The deployment's data centres; the operator's request to evacuate another one
         is logged as unknown. Empty if they are not known.
+    overload : OverloadSettings
+        What it does while not all jobs can be on time.
     """
 
     role: Literal["job-entry"]
@@ -252,6 +267,7 @@
     keep_s: Seconds = 120.0
     grace_s: Seconds = 6.0
     region_by_data_centre: OptionalMapping = {}
+    overload: OverloadSettings = OverloadSettings()
 
 
 class JobAttendantSettings(JobDaemonSettings):
