Pools of reserved processors have a rate

Cause: only fillers had a rate, so neither the order nor a backlog could say how long jobs that reserve processors wait. Change: their rate is what services leave of the workers that accept tasks, and is not averaged. Both kinds of pool leave out workers in evacuated data centres, which accept no tasks.

--- a/coltsfoottray/overload/capacity.py
+++ b/coltsfoottray/overload/capacity.py
@@ -1,8 +1,9 @@
-"""Rate at which workers do the work that fillers need.
+"""Rate at which workers do the work that jobs need.
 
 Load pattern: fillers that press on services. They find few places beside them and are
 slowed there, so that a pool works at a fraction of its idle processors. The fraction
-depends on the images that happen to run and is therefore measured.
+depends on the images that happen to run and is therefore measured. The rate of tasks
+that reserve processors is known: what services leave of the workers.
 """
 
 from __future__ import annotations
@@ -11,7 +12,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from coltsfoottray.overload.demand import Pool
+from coltsfoottray.overload.demand import Pool, PoolKind
 
 __all__ = ["CapacityMeter", "PoolUsage"]
 
@@ -29,19 +30,19 @@
     Parameters
     ----------
     used : float
-        Processors that fillers use.
+        Processors that fillers use, or that tasks of jobs reserve.
     requested : float
-        Processors that they would use at full speed.
+        Processors that fillers would use at full speed.
     idle : float
-        Processors that nothing uses.
+        Processors that nothing uses, or that nothing reserves.
     has_waiting : bool
         Whether fillers wait for a place.
     """
 
     used: float
-    requested: float
     idle: float
-    has_waiting: bool
+    requested: float = 0.0
+    has_waiting: bool = False
 
     @property
     def is_saturated(self) -> bool:
@@ -63,6 +64,11 @@
         self._updated_at = now
         for pool, usage in usage_by_pool.items():
             rate = usage.used if usage.is_saturated else usage.used + usage.idle
+            if pool.kind is PoolKind.RESERVED:
+                # Not averaged: it changes in steps, as workers and services come and
+                # go, and an average would lag while workers report to a new scheduler.
+                self._rate_by_pool[pool] = rate
+                continue
             before = self._rate_by_pool.get(pool, usage.used + usage.idle)
             self._rate_by_pool[pool] = before + weight * (rate - before)
 
--- a/coltsfoottray/scheduler/demand.py
+++ b/coltsfoottray/scheduler/demand.py
@@ -10,7 +10,7 @@
 from coltsfoottray.overload.capacity import PoolUsage
 from coltsfoottray.overload.demand import JobDemand, JobKey, Pool, PoolKind
 from coltsfoottray.scheduler.cluster_state import ClusterState
-from coltsfoottray.scheduler.eligibility import is_usable
+from coltsfoottray.scheduler.eligibility import is_schedulable
 from coltsfoottray.scheduler.fleet import Worker
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
 from coltsfoottray.scheduler.placed_run import PlacedRun
@@ -86,7 +86,7 @@
 
 
 def measure_pools(cluster: ClusterState, now: timedelta) -> dict[Pool, PoolUsage]:
-    """Return the processors that fillers of each service use, and what is idle."""
+    """Return the processors that the jobs of each service use, and what is idle."""
     waiting = {
         cluster.terms_of(job).service
         for job in cluster.jobs.active_by_id.values()
@@ -95,17 +95,35 @@
     }
     workers_by_service: dict[str, list[Worker]] = {}
     for worker in cluster.fleet.worker_by_id.values():
-        if is_usable(worker, worker.service, now):
+        if is_schedulable(worker, worker.service, now):
             workers_by_service.setdefault(worker.service, []).append(worker)
-    return {
-        Pool(service=service, kind=PoolKind.SPARE): _usage_of(
+    usage_by_pool: dict[Pool, PoolUsage] = {}
+    for service, workers in workers_by_service.items():
+        spare = Pool(service=service, kind=PoolKind.SPARE)
+        usage_by_pool[spare] = _usage_of_fillers(
             workers, has_waiting=service in waiting
         )
-        for service, workers in workers_by_service.items()
-    }
+        reserved = Pool(service=service, kind=PoolKind.RESERVED)
+        usage_by_pool[reserved] = _reserved_usage(workers)
+    return usage_by_pool
+
+
+def _reserved_usage(workers: Iterable[Worker]) -> PoolUsage:
+    """Return the processors that tasks of jobs reserve and what is left beside them."""
+    used = idle = 0.0
+    for worker in workers:
+        by_services = by_jobs = 0.0
+        for placed in worker.held_by_ref.values():
+            if placed.step.spec.is_service:
+                by_services += placed.reserved.processors
+            else:
+                by_jobs += placed.reserved.processors
+        used += by_jobs
+        idle += max(worker.capacity.processors - by_services - by_jobs, 0.0)
+    return PoolUsage(used=used, idle=idle)
 
 
-def _usage_of(workers: Iterable[Worker], *, has_waiting: bool) -> PoolUsage:
+def _usage_of_fillers(workers: Iterable[Worker], *, has_waiting: bool) -> PoolUsage:
     used = requested = idle = 0.0
     for worker in workers:
         idle += max(worker.idle_processors, 0.0)
