Entries learn the backlog from the scheduler

Cause: an entry accepts each job, since it does not know how much work is ahead of it. Change: with the order least-cost, the scheduler computes the work, the wait and the rate by queue at most twice a second, and sends them with its answers to pings and notifications to entries that have an older version. The answer names the version that an entry has already, so that only the scheduler that computed it confirms it, and only while its rounds are not held up. Entries that use no backlog ask for none.

--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -30,12 +30,15 @@
 from coltsfoottray.jobs.view import JobsView
 from coltsfoottray.kernel import Kernel, Service, ServiceName
 from coltsfoottray.logs import log_event
+from coltsfoottray.overload.backlog import KnownBacklog
+from coltsfoottray.overload.order import JobOrder
 from coltsfoottray.peers.relay import RELAY, Relay
 from coltsfoottray.platform import Row
 from coltsfoottray.platform.advice import AdviceClient
 from coltsfoottray.platform.ingress import JobIngress
 from coltsfoottray.platform.operator import parse_config, read_evacuated_data_centre
 from coltsfoottray.scheduler.advice import Adviser
+from coltsfoottray.scheduler.backlog_watch import BacklogWatch
 from coltsfoottray.scheduler.lease import LeaseRow, LeaseWatch
 from coltsfoottray.scheduler.service import Scheduler
 from coltsfoottray.settings import JobEntrySettings
@@ -78,10 +81,21 @@
         self.holder = ConfigHolder()
         self.view = JobsView()
         self._is_draining = False
+        overload = settings.overload
+        self.backlog = KnownBacklog(
+            max_age=timedelta(seconds=overload.backlog_max_age_s)
+        )
+        backlog_watch = BacklogWatch(
+            known=self.backlog,
+            is_enabled=overload.order is JobOrder.LEAST_COST,
+            clock=self.clock,
+            metrics=self.metrics,
+        )
         self._lease_watch = LeaseWatch(
             name=settings.name,
             incarnation=self.incarnation,
             peers=self.peers,
+            backlog=backlog_watch,
             clock=self.clock,
         )
         self._config_mirror = Mirror(
@@ -119,11 +133,12 @@
             peers=self.peers,
             holder=self.holder,
             evacuations=self.evacuations,
+            backlog=backlog_watch,
             clock=self.clock,
             random=self.random,
             retention=timedelta(seconds=settings.keep_s),
             adviser=self._make_adviser(settings),
-            job_order=settings.overload.order,
+            job_order=overload.order,
             metrics=self.metrics,
         )
         self.scheduler.add_handlers(self.handlers)
--- a/coltsfoottray/overload/backlog.py
+++ b/coltsfoottray/overload/backlog.py
@@ -6,11 +6,28 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+from collections.abc import Collection, Iterable, Mapping
 from datetime import timedelta
+from typing import NamedTuple
 
 import msgspec
 
-__all__ = ["Backlog", "KnownBacklog", "QueueBacklog"]
+from coltsfoottray.overload.demand import JobDemand, JobKey, Pool
+
+__all__ = ["Backlog", "KnownBacklog", "QueueBacklog", "QueueRank", "make_backlog"]
+
+# A pool whose rate is almost 0 would have a wait without bound. No objective is longer.
+_MAX_WAIT_MS = 3_600_000
+# Coarse enough that an idle deployment keeps its backlog instead of sending a new one.
+_DIGITS = 1
+
+
+class QueueRank(NamedTuple):
+    """What the jobs of a queue compete for, and with which priority."""
+
+    pool: Pool
+    priority: int
 
 
 class QueueBacklog(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -45,6 +62,61 @@
     by_queue: dict[str, QueueBacklog] = msgspec.field(default_factory=dict)
 
 
+def make_backlog(
+    demands: Iterable[JobDemand],
+    *,
+    deferred: Collection[JobKey],
+    rate_by_pool: Mapping[Pool, float],
+    rank_by_queue: Mapping[str, QueueRank],
+    version: int,
+) -> Backlog:
+    """Return the work ahead of a job that is submitted now, by queue.
+
+    A queue whose pool has no rate is left out, since its wait is unknown.
+
+    Parameters
+    ----------
+    deferred : collection of JobKey
+        Jobs that come after a new one.
+    """
+    work_by_rank: dict[QueueRank, float] = defaultdict(float)
+    for demand in demands:
+        if demand.key not in deferred:
+            rank = QueueRank(pool=demand.pool, priority=demand.priority)
+            work_by_rank[rank] += demand.work_left
+    backlog_by_rank = {
+        rank: _backlog_of(rank, work_by_rank, rate_by_pool[rank.pool])
+        for rank in set(rank_by_queue.values())
+        if rank.pool in rate_by_pool
+    }
+    return Backlog(
+        version=version,
+        by_queue={
+            queue: backlog_by_rank[rank]
+            for queue, rank in rank_by_queue.items()
+            if rank in backlog_by_rank
+        },
+    )
+
+
+def _backlog_of(
+    rank: QueueRank, work_by_rank: Mapping[QueueRank, float], rate: float
+) -> QueueBacklog:
+    work = sum(
+        work
+        for other, work in work_by_rank.items()
+        if other.pool == rank.pool and other.priority <= rank.priority
+    )
+    wait_ms = _MAX_WAIT_MS
+    if work * 1000 < rate * _MAX_WAIT_MS:
+        wait_ms = round(work / rate * 1000)
+    return QueueBacklog(
+        work=round(work, _DIGITS),
+        wait_ms=wait_ms if work > 0 else 0,
+        rate=round(rate, _DIGITS),
+    )
+
+
 class KnownBacklog:
     """The latest backlog that a process knows.
 
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -20,6 +20,8 @@
 from coltsfoottray.overload.order import JobOrder
 from coltsfoottray.peers import PeerClient
 from coltsfoottray.platform import Row, WatchedTable
+from coltsfoottray.scheduler.backlog_feed import NO_NEWS, BacklogFeed, BacklogNews
+from coltsfoottray.scheduler.backlog_watch import BacklogWatch
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.fleet import Fleet
 from coltsfoottray.scheduler.grants import Grants, is_out_of_order
@@ -53,6 +55,8 @@
     ----------
     claim : Claim
         The lease row as it was taken over.
+    backlog : BacklogWatch
+        Is told of the backlog whenever it is computed.
     """
 
     def __init__(
@@ -64,6 +68,7 @@
         peers: PeerClient,
         holder: ConfigHolder,
         evacuations: Evacuations,
+        backlog: BacklogWatch,
         clock: Clock,
         metrics: Metrics,
         job_order: JobOrder = JobOrder.DEADLINE,
@@ -76,7 +81,15 @@
         self.planner = Planner(cluster=self.cluster, holder=holder)
         self._overload: OverloadControl | None = None
         if job_order is JobOrder.LEAST_COST:
-            self._overload = OverloadControl(cluster=self.cluster, metrics=metrics)
+            feed = BacklogFeed(
+                epoch=claim.lease.epoch,
+                holder=holder,
+                publish=backlog.publish,
+                metrics=metrics,
+            )
+            self._overload = OverloadControl(
+                cluster=self.cluster, backlog_feed=feed, metrics=metrics
+            )
         self._relocator = Relocator(cluster=self.cluster)
         self._round_metrics = RoundMetrics(
             fleet=self._fleet, clock=clock, metrics=metrics
@@ -183,6 +196,13 @@
         job = self.cluster.jobs.by_id.get(job_id)
         return None if job is None else job.rows.state
 
+    def backlog_news(self, known_version: int | None) -> BacklogNews:
+        """Return what an entry that knows a version of the backlog lacks."""
+        if self._overload is None:
+            return NO_NEWS
+        now = self._clock.elapsed()
+        return self._overload.backlog_feed.news_for(known_version, now)
+
     def jobs_ended_before(self, moment: timedelta) -> list[JobId]:
         """Return the jobs that ended before a given time and have no runs left.
 
--- a/coltsfoottray/scheduler/lease.py
+++ b/coltsfoottray/scheduler/lease.py
@@ -17,6 +17,7 @@
 from coltsfoottray.clock import Clock
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.peers import PeerClient
+from coltsfoottray.scheduler.backlog_watch import BacklogWatch
 from coltsfoottray.scheduler.messages import PING, Ping
 from coltsfoottray.types import Address
 
@@ -144,14 +145,23 @@
     ----------
     name, incarnation : str
         Name and incarnation of this process.
+    backlog : BacklogWatch
+        Receives what the holder answers about the backlog.
     """
 
     def __init__(
-        self, *, name: str, incarnation: str, peers: PeerClient, clock: Clock
+        self,
+        *,
+        name: str,
+        incarnation: str,
+        peers: PeerClient,
+        backlog: BacklogWatch,
+        clock: Clock,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
         self._peers = peers
+        self._backlog = backlog
         self._clock = clock
         self.row: LeaseRow | None = None
         self.version = 0
@@ -182,10 +192,14 @@
             return HolderStatus.REPLACED
         try:
             reply = await self._peers.call(
-                row.address, PING, Ping(), timeout=_PING_TIMEOUT
+                row.address,
+                PING,
+                Ping(backlog_version=self._backlog.version),
+                timeout=_PING_TIMEOUT,
             )
         except CommunicationError as error:
             return self._status_of_silent(row, error)
+        self._backlog.receive(reply)
         if reply.incarnation != row.incarnation:
             self._record_end(row, self._clock.elapsed())
             return HolderStatus.REPLACED
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -9,6 +9,7 @@
 from coltsfoottray.jobs.evacuations import EvacuationNotice
 from coltsfoottray.jobs.model import AcceptedJob, JobId, RunRef
 from coltsfoottray.jobs.records import JobState
+from coltsfoottray.overload.backlog import Backlog
 from coltsfoottray.peers import Call
 from coltsfoottray.types import Address, Resources
 
@@ -239,22 +240,33 @@
 
 
 class JobNotification(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """Stored acceptances and cancellations, sent because the change feed is slower."""
+    """Stored acceptances and cancellations, sent because the change feed is slower.
+
+    Parameters
+    ----------
+    backlog_version : int, optional
+        See `Ping`.
+    """
 
     accepted: list[AcceptedJob] = msgspec.field(default_factory=list)
     cancelled: list[JobId] = msgspec.field(default_factory=list)
+    backlog_version: int | None = None
 
 
-class Acknowledged(msgspec.Struct, frozen=True, kw_only=True):
+class Acknowledged(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Acknowledges a call.
 
     Parameters
     ----------
     is_scheduler : bool
         False if an entry that received a `JobNotification` is not the scheduler.
+    backlog, backlog_version
+        See `PingReply`.
     """
 
     is_scheduler: bool = True
+    backlog: Backlog | None = None
+    backlog_version: int = 0
 
 
 class StateQuery(msgspec.Struct, frozen=True, kw_only=True):
@@ -269,11 +281,20 @@
     state: JobState | None = None
 
 
-class Ping(msgspec.Struct, frozen=True, kw_only=True):
-    """Asks for the incarnation of the process at an address."""
+class Ping(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Asks for the incarnation of the process at an address.
+
+    Parameters
+    ----------
+    backlog_version : int, optional
+        Version of the latest backlog that the sender knows, 0 for none; None from a
+        sender that uses no backlog, as one of an earlier version.
+    """
+
+    backlog_version: int | None = None
 
 
-class PingReply(msgspec.Struct, frozen=True, kw_only=True):
+class PingReply(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """The replying process.
 
     Parameters
@@ -282,10 +303,16 @@
         Its incarnation.
     epoch : int
         Its epoch as the scheduler, 0 if it is not the scheduler.
+    backlog : Backlog, optional
+        The scheduler's backlog, if it is newer than the one that the sender knows.
+    backlog_version : int
+        Version of the scheduler's backlog, if the sender knows it already; else 0.
     """
 
     incarnation: str
     epoch: int = 0
+    backlog: Backlog | None = None
+    backlog_version: int = 0
 
 
 REPORT = Call(name="Report", request_type=Report, reply_type=ReportReply)
--- a/coltsfoottray/scheduler/overload.py
+++ b/coltsfoottray/scheduler/overload.py
@@ -1,4 +1,4 @@
-"""Deferral of jobs while not all can be on time."""
+"""Deferral of jobs while not all can be on time, and the backlog."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from coltsfoottray.overload.capacity import CapacityMeter
 from coltsfoottray.overload.demand import JobDemand, JobKey, Pool
 from coltsfoottray.overload.order import select_deferred
+from coltsfoottray.scheduler.backlog_feed import BacklogFeed
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.demand import list_demands, measure_pools
 
@@ -20,10 +21,19 @@
 
 
 class OverloadControl:
-    """Marks the jobs that are deferred, for the planner and the attendants."""
+    """Marks the jobs that are deferred, for the planner and the attendants.
 
-    def __init__(self, *, cluster: ClusterState, metrics: Metrics) -> None:
+    Parameters
+    ----------
+    backlog_feed : BacklogFeed
+        Is updated with the work that is not deferred.
+    """
+
+    def __init__(
+        self, *, cluster: ClusterState, backlog_feed: BacklogFeed, metrics: Metrics
+    ) -> None:
         self._cluster = cluster
+        self.backlog_feed = backlog_feed
         self._metrics = metrics
         self._meter = CapacityMeter()
         self._deferred: set[JobKey] = set()
@@ -44,6 +54,9 @@
         self._deferred = deferred
         self._mark_jobs()
         self._metrics.gauge("jobs_deferred", len(deferred))
+        self.backlog_feed.update(
+            demands, deferred=deferred, rate_by_pool=rate_by_pool, now=now
+        )
 
     def _mark_jobs(self) -> None:
         occurrences_by_job: dict[str, set[int]] = {}
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -26,6 +26,7 @@
 from coltsfoottray.scheduler.active import ActiveScheduler
 from coltsfoottray.scheduler.advice import Adviser, run_advice_loop
 from coltsfoottray.scheduler.announcements import Announcements
+from coltsfoottray.scheduler.backlog_watch import BacklogWatch
 from coltsfoottray.scheduler.lease import LeaseWatch
 from coltsfoottray.scheduler.messages import (
     JOB_NOTIFICATION,
@@ -73,6 +74,7 @@
         peers: PeerClient,
         holder: ConfigHolder,
         evacuations: Evacuations,
+        backlog: BacklogWatch,
         clock: Clock,
         random: Random,
         retention: timedelta,
@@ -90,6 +92,7 @@
         self._peers = peers
         self._holder = holder
         self._evacuations = evacuations
+        self._backlog = backlog
         self._clock = clock
         self._random = random
         self._retention = retention
@@ -149,14 +152,18 @@
         if self.active is not None:
             self.active.notify_accepted(job)
             return
-        await self._notify(JobNotification(accepted=[job]))
+        await self._notify(
+            JobNotification(accepted=[job], backlog_version=self._backlog.version)
+        )
 
     async def notify_cancelled(self, job: JobId) -> None:
         """Notify the scheduler of a cancellation that has just been stored."""
         if self.active is not None:
             self.active.notify_cancelled(job)
             return
-        await self._notify(JobNotification(cancelled=[job]))
+        await self._notify(
+            JobNotification(cancelled=[job], backlog_version=self._backlog.version)
+        )
 
     async def query_state(self, job: JobId) -> JobState | None:
         """Return the state of a job from the scheduler, None if unavailable."""
@@ -198,6 +205,7 @@
                 claim = await self._claimer.try_claim()
                 if claim is not None:
                     return self._make_active(claim)
+            self._backlog.check()
             await self._clock.sleep(_POLL_INTERVAL)
 
     def _make_active(self, claim: Claim) -> ActiveScheduler:
@@ -208,6 +216,7 @@
             peers=self._peers,
             holder=self._holder,
             evacuations=self._evacuations,
+            backlog=self._backlog,
             clock=self._clock,
             metrics=self._metrics,
             job_order=self._job_order,
@@ -275,8 +284,17 @@
     # Handlers of calls.
 
     async def _handle_ping(self, ping: Ping) -> PingReply:
-        epoch = 0 if self.active is None else self.active.lease.epoch
-        return PingReply(incarnation=self._incarnation, epoch=epoch)
+        if self.active is None:
+            return PingReply(incarnation=self._incarnation)
+        # Nothing else would notice that the rounds here are held up.
+        self._backlog.check()
+        news = self.active.backlog_news(ping.backlog_version)
+        return PingReply(
+            incarnation=self._incarnation,
+            epoch=self.active.lease.epoch,
+            backlog=news.backlog,
+            backlog_version=news.version,
+        )
 
     async def _handle_report(self, report: Report) -> ReportReply:
         if self.active is not None:
@@ -291,7 +309,8 @@
             self.active.notify_accepted(job)
         for job_id in notification.cancelled:
             self.active.notify_cancelled(job_id)
-        return Acknowledged()
+        news = self.active.backlog_news(notification.backlog_version)
+        return Acknowledged(backlog=news.backlog, backlog_version=news.version)
 
     async def _handle_state(self, query: StateQuery) -> StateReply:
         state = None if self.active is None else self.active.state_of(query.job)
@@ -302,12 +321,14 @@
         if row is None or row.is_resigned:
             return
         try:
-            await self._peers.call(
+            reply = await self._peers.call(
                 row.address, JOB_NOTIFICATION, notification, timeout=_CALL_TIMEOUT
             )
         except CommunicationError as error:
             # The scheduler reads it from the table's changes shortly afterwards.
             log_event("scheduler:tell-failed", peer=str(row.address), reason=str(error))
+            return
+        self._backlog.receive(reply)
 
 
 def _flatten(group: BaseExceptionGroup[LeaseLost]) -> list[BaseException]:
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -25,6 +25,7 @@
     "JobDaemonSettings",
     "JobEntrySettings",
     "LogSettings",
+    "OverloadSettings",
     "TimingSettings",
     "UpstreamSettings",
     "WorkerSettings",
@@ -235,9 +236,12 @@
     ----------
     order : JobOrder
         In which order jobs of one priority get free capacity.
+    backlog_max_age_s : float
+        An entry does not use a backlog that it learned longer ago.
     """
 
     order: JobOrder = JobOrder.DEADLINE
+    backlog_max_age_s: Seconds = 3.0
 
 
 class JobEntrySettings(JobDaemonSettings):
