--- a/standins/job_cell.py
+++ b/standins/job_cell.py
@@ -16,7 +16,11 @@
 from coltsfoottray.http import Handler
 from coltsfoottray.kernel import Kernel
 from coltsfoottray.peers.http import HttpPeerClient
-from coltsfoottray.settings import JobAttendantSettings, JobEntrySettings
+from coltsfoottray.settings import (
+    JobAttendantSettings,
+    JobEntrySettings,
+    OverloadSettings,
+)
 from coltsfoottray.types import Address
 from standins.advice import AdviceStandIn
 from standins.fabric import MemoryFabric
@@ -36,6 +40,11 @@
     """Starts entries, attendants and workers in `nursery`, over a network in memory.
 
     The entries are in the first data centre; workers are in each of them in turn.
+
+    Parameters
+    ----------
+    overload : OverloadSettings
+        What the entries do while not all jobs can be on time.
     """
 
     fabric: MemoryFabric
@@ -44,6 +53,7 @@
     workers: int
     processors: int = 8
     data_centres: Sequence[str] = ("caerdydd",)
+    overload: OverloadSettings = field(default_factory=OverloadSettings)
     metadata_table: MetadataTableStandIn = field(default_factory=MetadataTableStandIn)
     advice: AdviceStandIn = field(default_factory=AdviceStandIn)
     observer: RunObserver = field(
@@ -79,6 +89,7 @@
                 advice=self._advice_address,
                 keep_s=30.0,
                 region_by_data_centre=dict.fromkeys(self.data_centres, "cymru"),
+                overload=self.overload,
             )
             await self.start_daemon(name)
         for number in range(1, self.workers + 1):
