The objective and the useful time of a job are computed from its terms

Cause: the admission of jobs needs the objective, the time in which late work is of use and the critical path at entries, where there are no live jobs. Change: USEFUL_FACTOR and QueueTerms.objective_ms in jobs/model.py, longest_path exported; the scheduler uses the same. No behaviour changes.

--- a/coltsfoottray/jobs/model.py
+++ b/coltsfoottray/jobs/model.py
@@ -10,6 +10,7 @@
 from coltsfoottray.types import Resources
 
 __all__ = [
+    "USEFUL_FACTOR",
     "AcceptedJob",
     "AdviceTerms",
     "JobId",
@@ -23,6 +24,10 @@
 
 JobId = NewType("JobId", str)
 
+USEFUL_FACTOR = 3.0
+"""A job that takes more than this times its objective is worthless to its caller, by
+the users' own measure of late work."""
+
 
 class TaskRef(msgspec.Struct, frozen=True, array_like=True, order=True):
     """Identifies a task: job, occurrence of the job, step, index in the step."""
@@ -178,6 +183,10 @@
         """Whether a job can be on time: its terms allow more than the critical path."""
         return self.slowdown_factor > 1.0 or self.target_latency_ms > 0.0
 
+    def objective_ms(self, path_ms: float) -> float:
+        """Return how long a job with this critical path may take to be on time."""
+        return self.slowdown_factor * path_ms + self.target_latency_ms
+
 
 class AcceptedJob(msgspec.Struct, frozen=True, kw_only=True):
     """A job as stored on acceptance; the row never changes.
--- a/coltsfoottray/scheduler/critical_path.py
+++ b/coltsfoottray/scheduler/critical_path.py
@@ -7,7 +7,7 @@
 from coltsfoottray.jobs.model import AcceptedJob, StepSpec
 from coltsfoottray.scheduler.lengths import LengthEstimator
 
-__all__ = ["CriticalPath"]
+__all__ = ["CriticalPath", "longest_path"]
 
 
 class CriticalPath:
@@ -57,7 +57,7 @@
                 is_done_by_step, self._expected_ms, strict=False
             )
         ]
-        return _longest_path(self._accepted.spec.steps[: len(left)], left)
+        return longest_path(self._accepted.spec.steps[: len(left)], left)
 
     def record(self, step: int, seen_ms: float) -> None:
         """Record how long a task of a step took, or is likely to take."""
@@ -80,7 +80,7 @@
             self._expected_length_ms(number, step.estimate_ms)
             for number, step in enumerate(steps)
         ]
-        self._length_ms = _longest_path(steps, self._expected_ms)
+        self._length_ms = longest_path(steps, self._expected_ms)
 
     def _expected_length_ms(self, step: int, declared_ms: float) -> float:
         """Return how long a task of a step is expected to take, in ms."""
@@ -94,7 +94,7 @@
         return self._lengths.expected_ms(self._accepted.queue, declared_ms)
 
 
-def _longest_path(steps: Sequence[StepSpec], length_ms: Sequence[float]) -> float:
+def longest_path(steps: Sequence[StepSpec], length_ms: Sequence[float]) -> float:
     """Return the length of the critical path through the steps, in ms."""
     ends: list[float] = []
     for number, step in enumerate(steps):
--- a/coltsfoottray/scheduler/urgency.py
+++ b/coltsfoottray/scheduler/urgency.py
@@ -14,7 +14,7 @@
 from datetime import timedelta
 
 from coltsfoottray.jobs.config import ConfigHolder
-from coltsfoottray.jobs.model import QueueTerms
+from coltsfoottray.jobs.model import USEFUL_FACTOR, QueueTerms
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
 
 __all__ = [
@@ -25,10 +25,6 @@
     "urgency_key",
 ]
 
-# A job that takes more than three times its objective is worthless to its caller, by
-# the users' own measure of late work.
-_USEFUL_FACTOR = 3.0
-
 # A job counts as late only if even this fraction of its expected length would not end
 # in time.
 MIN_EXPECTED_FRACTION = 0.7
@@ -48,8 +44,7 @@
 
 
 def _allowed_time(job: LiveJob, terms: QueueTerms) -> timedelta:
-    length_ms = terms.slowdown_factor * job.critical_path_ms
-    return timedelta(milliseconds=length_ms + terms.target_latency_ms)
+    return timedelta(milliseconds=terms.objective_ms(job.critical_path_ms))
 
 
 def is_half_elapsed(job: LiveJob, holder: ConfigHolder, now: timedelta) -> bool:
@@ -74,7 +69,7 @@
         return _SERVICE
     allowed = objective(step.job, holder)
     elapsed = now - step.job.start_of(step.occurrence)
-    if elapsed > _USEFUL_FACTOR * allowed:
+    if elapsed > USEFUL_FACTOR * allowed:
         return _USELESS
     left_ms = step.job.critical_path_left_ms(step.occurrence) * MIN_EXPECTED_FRACTION
     left = timedelta(milliseconds=left_ms)
