Entries can reject jobs that can be of no use

Change: the setting overload.admission, all (default) or useful. With useful, submit decides before any write by the backlog that the entry knows, not for a job that is known or uncertain. Nothing fills the backlog yet, so entries accept everything.

--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -12,6 +12,7 @@
 from coltsfoottray.daemons.common import HTTP_SERVER
 from coltsfoottray.daemons.job_common import JobDaemon
 from coltsfoottray.http import HttpRequest, HttpResponse
+from coltsfoottray.jobs.admission import JobAdmission
 from coltsfoottray.jobs.api import JobApi
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.jobs.evacuations import Evacuations
@@ -30,6 +31,8 @@
 from coltsfoottray.jobs.view import JobsView
 from coltsfoottray.kernel import Kernel, Service, ServiceName
 from coltsfoottray.logs import log_event
+from coltsfoottray.overload.admission import AdmissionPolicy
+from coltsfoottray.overload.backlog import KnownBacklog
 from coltsfoottray.peers.relay import RELAY, Relay
 from coltsfoottray.platform import Row
 from coltsfoottray.platform.advice import AdviceClient
@@ -60,6 +63,10 @@
 # ready.
 _MAX_COPY_AGE = timedelta(seconds=4)
 
+# The scheduler computes a backlog every 0.5 s. One that is older than this says little
+# about jobs that take some seconds.
+_MAX_BACKLOG_AGE = timedelta(seconds=3)
+
 # The load balancer checks readiness once a second and reacts to the second failure.
 _DRAIN_TIME = timedelta(seconds=3)
 _LAST_RESPONSES_TIMEOUT = timedelta(seconds=1)
@@ -77,6 +84,7 @@
         self.settings = settings
         self.holder = ConfigHolder()
         self.view = JobsView()
+        self.backlog = KnownBacklog(max_age=_MAX_BACKLOG_AGE)
         self._is_draining = False
         self._lease_watch = LeaseWatch(
             name=settings.name,
@@ -137,6 +145,8 @@
             scheduler=self.scheduler,
             clock=self.clock,
             metrics=self.metrics,
+            backlog=self.backlog,
+            admission=self._make_admission(settings),
         )
         ingress = JobIngress(
             holder=self.holder, job_api=job_api, spawn=self._background_tasks.spawn
@@ -148,6 +158,16 @@
             return None
         return AdviceClient(address=settings.advice, transport=self.transport)
 
+    def _make_admission(self, settings: JobEntrySettings) -> JobAdmission | None:
+        if settings.overload.admission is AdmissionPolicy.ALL:
+            return None
+        return JobAdmission(
+            clock=self.clock,
+            random=self.random,
+            count_entries=lambda: len(self.members.entries()) + 1,
+            metrics=self.metrics,
+        )
+
     def _register_services(
         self, settings: JobEntrySettings, ingress: JobIngress
     ) -> None:
--- a/coltsfoottray/jobs/api.py
+++ b/coltsfoottray/jobs/api.py
@@ -16,6 +16,7 @@
 from returns.result import Failure
 
 from coltsfoottray.clock import Clock, as_milliseconds
+from coltsfoottray.jobs.admission import JobAdmission
 from coltsfoottray.jobs.config import Queue
 from coltsfoottray.jobs.keys import accepted_key, cancel_key
 from coltsfoottray.jobs.mirror import Mirror
@@ -24,6 +25,7 @@
 from coltsfoottray.jobs.view import JobsView
 from coltsfoottray.logs import log_event
 from coltsfoottray.metrics import Metrics
+from coltsfoottray.overload.backlog import KnownBacklog
 from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
 from coltsfoottray.scheduler.service import Scheduler
 
@@ -46,6 +48,10 @@
 # deadline of 3 s, and a few per second become uncertain while the table is down.
 _MAX_UNCERTAIN = 1000
 
+# The table answers a read within some ms. A job of which it does not tell in this time
+# whether it is stored is not rejected.
+_MAX_CHECK_TIME = timedelta(milliseconds=300)
+
 # An outage lasts several seconds. A caller that retries after one second either
 # succeeds or is refused again without delay.
 _RETRY_AFTER = timedelta(seconds=1)
@@ -83,7 +89,15 @@
 
 
 class JobApi:
-    """Answers callers from the table, the view of its rows and the scheduler."""
+    """Answers callers from the table, the view of its rows and the scheduler.
+
+    Parameters
+    ----------
+    backlog : KnownBacklog
+        The backlog by which jobs are rejected.
+    admission : JobAdmission, optional
+        Rejects jobs that can be of no use; None to accept all.
+    """
 
     def __init__(
         self,
@@ -94,6 +108,8 @@
         scheduler: Scheduler,
         clock: Clock,
         metrics: Metrics,
+        backlog: KnownBacklog,
+        admission: JobAdmission | None = None,
     ) -> None:
         self._table = table
         self._mirror = mirror
@@ -101,6 +117,8 @@
         self._scheduler = scheduler
         self._clock = clock
         self._metrics = metrics
+        self._backlog = backlog
+        self._admission = admission
         self._uncertain_jobs: dict[JobId, None] = {}
 
     async def submit(
@@ -110,6 +128,13 @@
         started = self._clock.elapsed()
         if job_id in self._view.job_by_id:
             return _DONE
+        if self._admission is not None and job_id not in self._uncertain_jobs:
+            rejected = await self._try_to_reject(
+                self._admission, queue, job_id, spec, deadline
+            )
+            if rejected is not None:
+                return rejected
+            deadline -= self._clock.elapsed() - started
         job = AcceptedJob(
             id=job_id,
             queue=queue.name,
@@ -135,6 +160,44 @@
             self._view.job_by_id.setdefault(job_id, job)
         return answer
 
+    async def _try_to_reject(
+        self,
+        admission: JobAdmission,
+        queue: Queue,
+        job_id: JobId,
+        spec: JobSpec,
+        deadline: timedelta,
+    ) -> JobAnswer | None:
+        """Return the answer to a job that is not to be stored now, None for others.
+
+        Another entry may have accepted the job since the view was updated, and an
+        accepted job is never rejected. The table is therefore asked first.
+        """
+        rejection = admission.check(queue, job_id, spec, self._backlog)
+        if rejection is None:
+            return None
+        is_stored = await self._check_stored(job_id, deadline)
+        if is_stored is None:
+            return None
+        if is_stored:
+            return _DONE
+        admission.record(rejection)
+        return JobAnswer(
+            verdict=Verdict.NOT_DONE, retry_after=rejection.decision.retry_after
+        )
+
+    async def _check_stored(self, job_id: JobId, deadline: timedelta) -> bool | None:
+        """Return whether a job is stored, None if the table does not tell in time."""
+        if self._mirror.failing_for() > _TABLE_DOWN_AFTER:
+            return None
+        time_left = min(_MAX_CHECK_TIME, deadline / 2)
+        with trio.move_on_after(time_left.total_seconds()):
+            try:
+                return await self._exists(job_id)
+            except TableUnavailable as error:
+                log_event("jobs:check-failed", job=job_id, reason=str(error))
+        return None
+
     def _apply_earlier_outcome(self, job_id: JobId, answer: JobAnswer) -> JobAnswer:
         """Return the answer to a submission, given the outcome of earlier ones.
 
--- a/coltsfoottray/overload/returns.py
+++ b/coltsfoottray/overload/returns.py
@@ -104,10 +104,6 @@
             del self._return_by_job[next(iter(self._return_by_job))]
         return retry_after
 
-    def forget(self, job: JobId) -> None:
-        """Forget a job that was stored."""
-        self._return_by_job.pop(job, None)
-
     def _next_return(
         self,
         queue: str,
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -14,6 +14,7 @@
     field_validator,
 )
 
+from coltsfoottray.overload.admission import AdmissionPolicy
 from coltsfoottray.overload.order import JobOrder
 from coltsfoottray.types import Address
 
@@ -25,6 +26,7 @@
     "JobDaemonSettings",
     "JobEntrySettings",
     "LogSettings",
+    "OverloadSettings",
     "TimingSettings",
     "UpstreamSettings",
     "WorkerSettings",
@@ -235,9 +237,12 @@
     ----------
     order : JobOrder
         In which order jobs of one priority get free capacity.
+    admission : AdmissionPolicy
+        Which jobs it accepts.
     """
 
     order: JobOrder = JobOrder.DEADLINE
+    admission: AdmissionPolicy = AdmissionPolicy.ALL
 
 
 class JobEntrySettings(JobDaemonSettings):
--- a/standins/job_cell.py
+++ b/standins/job_cell.py
@@ -16,7 +16,11 @@
 from coltsfoottray.http import Handler
 from coltsfoottray.kernel import Kernel
 from coltsfoottray.peers.http import HttpPeerClient
-from coltsfoottray.settings import JobAttendantSettings, JobEntrySettings
+from coltsfoottray.settings import (
+    JobAttendantSettings,
+    JobEntrySettings,
+    OverloadSettings,
+)
 from coltsfoottray.types import Address
 from standins.advice import AdviceStandIn
 from standins.fabric import MemoryFabric
@@ -45,6 +49,7 @@
     processors: int = 8
     data_centres: Sequence[str] = ("caerdydd",)
     metadata_table: MetadataTableStandIn = field(default_factory=MetadataTableStandIn)
+    overload: OverloadSettings = field(default_factory=OverloadSettings)
     advice: AdviceStandIn = field(default_factory=AdviceStandIn)
     observer: RunObserver = field(
         default_factory=partial(RunObserver, max_attempts=MAX_ATTEMPTS)
@@ -79,6 +84,7 @@
                 advice=self._advice_address,
                 keep_s=30.0,
                 region_by_data_centre=dict.fromkeys(self.data_centres, "cymru"),
+                overload=self.overload,
             )
             await self.start_daemon(name)
         for number in range(1, self.workers + 1):
