No caller is told to come back before the backlog has drained

Cause: Retry-After was cut at 10 minutes from now, so that a caller at a backlog that drains in 956 s was told 373 s. Change: the limit of 10 minutes is on the spread behind the drain. An early return does not become the latest of those remembered, and the memory needs no removal of stored jobs, since the oldest are dropped.

--- a/coltsfoottray/overload/returns.py
+++ b/coltsfoottray/overload/returns.py
@@ -28,9 +28,9 @@
 _MAX_RETURNS = 1000
 # `Retry-After` has whole seconds, and 0 would repeat the request at once.
 _SECOND = timedelta(seconds=1)
-# A peak of demand lasts seconds and its backlog minutes at most; a longer time would
-# be a guess about demand that nobody has seen yet.
-_MAX_RETRY_AFTER = timedelta(minutes=10)
+# A peak of demand lasts seconds, and its backlog minutes at most. Returns further ahead
+# would only keep a pool that has nearly stopped from being asked after it recovers.
+_MAX_SPREAD = timedelta(minutes=10)
 _ZERO = timedelta(0)
 
 
@@ -89,13 +89,13 @@
         work_time : timedelta
             Time in which the whole pool does the work of the job.
         """
-        known = self._return_by_job.pop(job, None)
+        known = self._return_by_job.get(job)
         if known is not None and now < known.return_at:
-            self._return_by_job[job] = known
             return _whole_seconds(known.return_at - now)
         earliest = now + max(drained_in, _ZERO)
-        return_at = self._next_return(queue, earliest, work_time, now)
+        return_at = self._next_return(queue, earliest, work_time)
         retry_after = _whole_seconds(return_at - now)
+        self._return_by_job.pop(job, None)
         self._return_by_job[job] = _Return(
             first_attempt_at=now if known is None else known.first_attempt_at,
             return_at=now + retry_after,
@@ -105,19 +105,14 @@
         return retry_after
 
     def _next_return(
-        self,
-        queue: str,
-        earliest: timedelta,
-        work_time: timedelta,
-        now: timedelta,
+        self, queue: str, earliest: timedelta, work_time: timedelta
     ) -> timedelta:
         share_time = work_time * max(self._count_entries(), 1)
         return_at = self._assigned_until_by_queue.get(queue, _ZERO)
         if return_at < earliest:
             return_at = earliest + share_time * self._random.random()
-        if return_at - now > _MAX_RETRY_AFTER:
-            # The drain is assigned as far as it is predicted.
-            return now + _MAX_RETRY_AFTER * self._random.uniform(0.5, 1.0)
+        if return_at - earliest > _MAX_SPREAD:
+            return earliest + _MAX_SPREAD * self._random.uniform(0.5, 1.0)
         self._assigned_until_by_queue[queue] = return_at + share_time
         return return_at
 
