Entries can reject jobs that would be of no use

Cause: every well-formed job was accepted, also one that would end after three times its objective. Change: merge of the admission of jobs and their return times with the backlog; the age bound of the backlog is the setting overload.backlog_max_age_s. A job is rejected only if it is of no use with every length from a tenth to ten times the declared one, as declared lengths are off by up to 0.9.

--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -12,6 +12,7 @@
 from coltsfoottray.daemons.common import HTTP_SERVER
 from coltsfoottray.daemons.job_common import JobDaemon
 from coltsfoottray.http import HttpRequest, HttpResponse
+from coltsfoottray.jobs.admission import JobAdmission
 from coltsfoottray.jobs.api import JobApi
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.jobs.evacuations import Evacuations
@@ -30,6 +31,7 @@
 from coltsfoottray.jobs.view import JobsView
 from coltsfoottray.kernel import Kernel, Service, ServiceName
 from coltsfoottray.logs import log_event
+from coltsfoottray.overload.admission import AdmissionPolicy
 from coltsfoottray.overload.backlog import KnownBacklog
 from coltsfoottray.overload.order import JobOrder
 from coltsfoottray.peers.relay import RELAY, Relay
@@ -152,6 +154,8 @@
             scheduler=self.scheduler,
             clock=self.clock,
             metrics=self.metrics,
+            backlog=self.backlog,
+            admission=self._make_admission(settings),
         )
         ingress = JobIngress(
             holder=self.holder, job_api=job_api, spawn=self._background_tasks.spawn
@@ -163,6 +167,16 @@
             return None
         return AdviceClient(address=settings.advice, transport=self.transport)
 
+    def _make_admission(self, settings: JobEntrySettings) -> JobAdmission | None:
+        if settings.overload.admission is AdmissionPolicy.ALL:
+            return None
+        return JobAdmission(
+            clock=self.clock,
+            random=self.random,
+            count_entries=lambda: len(self.members.entries()) + 1,
+            metrics=self.metrics,
+        )
+
     def _register_services(
         self, settings: JobEntrySettings, ingress: JobIngress
     ) -> None:
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -14,6 +14,7 @@
     field_validator,
 )
 
+from coltsfoottray.overload.admission import AdmissionPolicy
 from coltsfoottray.overload.order import JobOrder
 from coltsfoottray.types import Address
 
@@ -236,11 +237,15 @@
     ----------
     order : JobOrder
         In which order jobs of one priority get free capacity.
+    admission : AdmissionPolicy
+        Which jobs it accepts.
     backlog_max_age_s : float
-        An entry does not use a backlog that it learned longer ago.
+        An entry does not use a backlog that it learned longer ago: it says little about
+        jobs that take some seconds.
     """
 
     order: JobOrder = JobOrder.DEADLINE
+    admission: AdmissionPolicy = AdmissionPolicy.ALL
     backlog_max_age_s: Seconds = 3.0
 
 
