Proposals of claims and their rows in the table have modules of their own

Cause: claims/service.py (391 lines) acquired and released claims, sent proposals to the other members, and wrote claims to the table. ClaimTable returns the claim to follow and Claims records it, so that ClaimTable needs no memory. Behaviour, log lines and messages are unchanged.

--- a/coltsfoottray/claims/results.py
+++ b/coltsfoottray/claims/results.py
@@ -25,3 +25,12 @@
     outcome: ClaimOutcome
     claim: Claim | None = None
     reason: str = ""
+
+    @classmethod
+    def unknown(cls, reason: str) -> ClaimResult:
+        """Return a result that leaves open whether the key has run.
+
+        This attempt was not run, but a caller that repeats a key asks about the key:
+        "not run" would be false if another entry had run it.
+        """
+        return cls(outcome=ClaimOutcome.UNKNOWN, reason=reason)
--- a/coltsfoottray/claims/service.py
+++ b/coltsfoottray/claims/service.py
@@ -1,4 +1,4 @@
-"""Acquisition of claims, which every member or the table must record."""
+"""Acquisition and release of claims, and decisions on those of other entries."""
 
 from __future__ import annotations
 
@@ -6,15 +6,12 @@
 
 import trio
 from msgspec.structs import replace
-from returns.result import Success
 
-from coltsfoottray.claims.batcher import CLAIM_TIMEOUT, ProposalBatcher
+from coltsfoottray.claims.batcher import CLAIM_TIMEOUT
 from coltsfoottray.claims.members import ClaimMembers
 from coltsfoottray.claims.memory import ClaimMemory
 from coltsfoottray.claims.messages import (
     CLAIM,
-    CLAIM_PREFIX,
-    MEMBER_PREFIX,
     RELEASE,
     Claim,
     ClaimReply,
@@ -25,27 +22,20 @@
     ReleaseRequest,
     Verdict,
 )
+from coltsfoottray.claims.proposer import ClaimProposer
 from coltsfoottray.claims.results import ClaimOutcome, ClaimResult
+from coltsfoottray.claims.table import ClaimTable
 from coltsfoottray.clock import Clock, as_microseconds
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
 from coltsfoottray.peers import CallHandlers, PeerClient
-from coltsfoottray.platform import (
-    Check,
-    Put,
-    TableService,
-    TableUnavailable,
-    Transaction,
-)
-from coltsfoottray.platform.common import ABSENT
-from coltsfoottray.platform.retry import commit_with_retry
+from coltsfoottray.platform import TableService
 from coltsfoottray.requests import Place
 from coltsfoottray.types import EntryId, Incarnation, RequestId
 
 __all__ = ["Claims"]
 
-_TABLE_TIMEOUT = timedelta(seconds=1)
 _CONFLICT_RETRY_INTERVAL = timedelta(milliseconds=5)
 _MAX_ROUNDS = 20
 
@@ -76,11 +66,18 @@
         self._members = members
         self._memory = memory
         self._peers = peers
-        self._table = table
         self._clock = clock
+        self._proposer = ClaimProposer(
+            incarnation=incarnation, members=members, peers=peers, clock=clock
+        )
+        self._table = ClaimTable(
+            entry=entry,
+            incarnation=incarnation,
+            members=members,
+            table=table,
+            clock=clock,
+        )
         self._in_progress: set[RequestId] = set()
-        self._batcher_by_entry: dict[EntryId, ProposalBatcher] = {}
-        self._nursery: trio.Nursery | None = None
 
     def add_handlers(self, handlers: CallHandlers) -> None:
         """Register the handlers of other entries' calls."""
@@ -90,10 +87,7 @@
     async def run(  # noqa: D102
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            task_status.started()
-            await trio.sleep_forever()
+        await self._proposer.run(task_status=task_status)
 
     async def handle_claim(self, request: ClaimRequest) -> ClaimReply:
         """Handle `CLAIM`: decide on each proposal."""
@@ -203,17 +197,17 @@
 
     def _refusal(self, request: RequestId) -> ClaimResult | None:
         if not self._members.is_joined:
-            return _unknown("this entry has not joined yet")
+            return ClaimResult.unknown("this entry has not joined yet")
         if not self._members.is_confirmed:
-            return _unknown(
+            return ClaimResult.unknown(
                 "this entry has been unable to reach the table for too long"
             )
         held = self._memory.find(request)
         is_own = held is not None and held.incarnation == self._incarnation
         if self._members.is_in_quarantine and not is_own:
-            return _unknown("all entries were lost recently")
+            return ClaimResult.unknown("all entries were lost recently")
         if held is None and self._memory.is_full:
-            return _unknown("the maximum number of keys is in use")
+            return ClaimResult.unknown("the maximum number of keys is in use")
         return None
 
     async def _request_consent(
@@ -227,12 +221,12 @@
             place=place,
             attempt=self._next_attempt(held),
         )
-        verdict = await self._batcher(held.entry).propose(Proposal(claim=claim))
+        verdict = await self._proposer.propose(held.entry, Proposal(claim=claim))
         if verdict is None:
             return ClaimResult(outcome=ClaimOutcome.FOLLOW, claim=held)
         if verdict.verdict is Verdict.NOT_MEMBER:
             self._members.leave()
-            return _unknown("this entry must rejoin")
+            return ClaimResult.unknown("this entry must rejoin")
         if verdict.taken is not None:
             if verdict.taken.incarnation != self._incarnation:
                 self._memory.put(verdict.taken)
@@ -242,11 +236,12 @@
     async def _complete(self, claim: Claim, supersedes: Incarnation) -> ClaimResult:
         rival: Claim | None = None
         for _ in range(_MAX_ROUNDS):
-            verdict_by_entry = await self._propose_to_all(claim, supersedes)
+            proposal = Proposal(claim=claim, supersedes=supersedes)
+            verdict_by_entry = await self._proposer.propose_to_all(proposal)
             verdicts = list(verdict_by_entry.values())
             if any(v is not None and v.verdict is Verdict.NOT_MEMBER for v in verdicts):
                 self._members.leave()
-                return _unknown("this entry must rejoin")
+                return ClaimResult.unknown("this entry must rejoin")
             rival = _find_rival(verdicts)
             if rival is None:
                 return await self._finish(claim, supersedes, verdicts)
@@ -285,107 +280,25 @@
         supersedes: Incarnation,
         verdicts: list[ClaimVerdict | None],
     ) -> ClaimResult:
+        """Complete the claim, by a row in the table unless all members recorded it.
+
+        If the outcome of the write is uncertain, the claim stays in memory as
+        incomplete. A later claim then gets a higher number than this one, whose
+        row may still appear.
+        """
         complete = replace(claim, is_complete=True)
         is_unanimous = bool(verdicts) and all(v is not None for v in verdicts)
         if not is_unanimous:
-            refusal = await self._write(complete, supersedes)
+            refusal = await self._table.write(complete, supersedes)
             if refusal is not None:
+                if refusal.claim is not None:
+                    self._memory.put(refusal.claim)
                 return refusal
         self._memory.put(complete)
         return ClaimResult(outcome=ClaimOutcome.MINE, claim=complete)
 
-    async def _write(self, claim: Claim, supersedes: Incarnation) -> ClaimResult | None:
-        """Write the claim to the table; return None if that succeeds.
-
-        The table decides if a member is unreachable. That member, cut off or
-        paused, may be claiming the same key. It reaches no other member either,
-        so it writes to the table too, and one of the two writes fails. A row that
-        is already there is followed, unless its claimant's claim may be replaced.
-
-        If the outcome of the write is uncertain, the claim stays in memory as
-        incomplete. A later claim then gets a higher number than this one, whose
-        row may still appear.
-        """
-        key = CLAIM_PREFIX + claim.request
-        with trio.move_on_after(_TABLE_TIMEOUT.total_seconds()):
-            try:
-                return await self._write_row(key, claim, supersedes)
-            except TableUnavailable as error:
-                return _unknown(f"a member is unreachable, and {error}")
-        return _unknown("a member is unreachable, and the table does not answer")
-
-    async def _write_row(
-        self, key: str, claim: Claim, supersedes: Incarnation
-    ) -> ClaimResult | None:
-        found = await self._table.get(key)
-        version = ABSENT if found is None else found.version
-        if found is not None:
-            earlier = found.decode(Claim)
-            is_replaceable = earlier.incarnation == self._incarnation or (
-                earlier.incarnation == supersedes and earlier.attempt < claim.attempt
-            )
-            if not is_replaceable:
-                self._memory.put(earlier)
-                return ClaimResult(outcome=ClaimOutcome.FOLLOW, claim=earlier)
-        own_row = Check(
-            key=MEMBER_PREFIX + self._entry, version=self._members.row_version
-        )
-        outcome = await commit_with_retry(
-            self._table,
-            Transaction(puts=[Put.of(key, version, claim)], checks=[own_row]),
-            clock=self._clock,
-        )
-        if isinstance(outcome, Success):
-            self._members.record_row(key, outcome.unwrap()[key])
-            return None
-        rows = {row.key: row for row in outcome.failure().rows}
-        if key in rows:
-            rival = rows[key].decode(Claim)
-            self._memory.put(rival)
-            return ClaimResult(outcome=ClaimOutcome.FOLLOW, claim=rival)
-        self._members.leave()
-        return _unknown("this entry must rejoin")
-
-    async def _propose_to_all(
-        self, claim: Claim, supersedes: Incarnation
-    ) -> dict[EntryId, ClaimVerdict | None]:
-        proposal = Proposal(claim=claim, supersedes=supersedes)
-        verdict_by_entry: dict[EntryId, ClaimVerdict | None] = {}
-
-        async def propose(entry: EntryId) -> None:
-            verdict_by_entry[entry] = await self._batcher(entry).propose(proposal)
-
-        async with trio.open_nursery() as nursery:
-            for entry in self._members.others():
-                nursery.start_soon(propose, entry)
-        return verdict_by_entry
-
-    def _batcher(self, entry: EntryId) -> ProposalBatcher:
-        batcher = self._batcher_by_entry.get(entry)
-        if batcher is None:
-            batcher = ProposalBatcher(
-                entry=entry,
-                incarnation=self._incarnation,
-                members=self._members,
-                peers=self._peers,
-                clock=self._clock,
-            )
-            self._batcher_by_entry[entry] = batcher
-            assert self._nursery is not None
-            self._nursery.start_soon(batcher.run)
-        return batcher
-
 
 def _find_rival(verdicts: list[ClaimVerdict | None]) -> Claim | None:
     """Return the conflicting claim, preferring a complete one, then the newest."""
     taken = [v.taken for v in verdicts if v is not None and v.taken is not None]
     return max(taken, key=lambda c: (c.is_complete, c.attempt), default=None)
-
-
-def _unknown(reason: str) -> ClaimResult:
-    """Return a result that leaves open whether the key has run.
-
-    This attempt was not run, but a caller that repeats a key asks about the key:
-    "not run" would be false if another entry had run it.
-    """
-    return ClaimResult(outcome=ClaimOutcome.UNKNOWN, reason=reason)
