--- a/coltsfoottray/agent/learning.py
+++ b/coltsfoottray/agent/learning.py
@@ -12,24 +12,28 @@
 
 import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from datetime import timedelta
 
+from coltsfoottray.agent.job_margins import JobMargin
 from coltsfoottray.agent.margins import MarginFilter
+from coltsfoottray.agent.observations import (
+    MAX_MARGIN,
+    Observation,
+    ServiceHistory,
+    SmoothedUsage,
+)
 from coltsfoottray.agent.pressure import (
     PRIOR,
     Estimate,
     ImagePair,
     Pressure,
 )
-from coltsfoottray.agent.swings import SwingPredictor
 
 __all__ = ["Observation", "PressureLearner"]
 
 # Minimum standard deviation of shared pressures, which may differ slightly here.
 _MIN_SHARED_SPREAD = 1.0
 _MAX_PRESSURE = 30.0
-_MAX_MARGIN = 6.0
 
 # Process noise: variance added per second, for a load that may swing by half in 10 s.
 _MARGIN_DRIFT = 0.01
@@ -40,115 +44,38 @@
 # Ratio by which slopes decay per second, because the load turns within a few seconds.
 _SLOPE_DECAY = 0.8
 
-# Standard deviations of an observed margin, for load that differs between tasks of a
-# job, and of a latency in ms, for its rounding to whole ms.
-_MARGIN_NOISE = 0.2
-_ROUNDING_MS = 0.3
-# Additional standard deviation of an unsmoothed margin: while a latency far above the
-# usual one falls, the unsmoothed value is mostly noise.
-_UNSMOOTHING_NOISE = 0.6
-
 # Below this margin the latency no longer depends on how strong the pressure is.
 _SATURATED_MARGIN = 0.3
 
-# Polls to skip after the start of a service: it is disturbed less at first than later.
-_WARM_UP_POLLS = 4
 # Initial margin without fillers, which polls with fillers cannot show. Its standard
 # deviation is large enough that the first polls without fillers replace it.
 _INITIAL_MARGIN = 2.6
 _INITIAL_MARGIN_SPREAD = 0.8
 _INITIAL_SLOPE_SPREAD = 0.4
 
-# Workers smooth latencies exponentially: this share of a value is left after half a
-# second. The usage of fillers is smoothed in the same way before the two are compared,
-# or heavy pairs would appear lighter than they are. Undoing the smoothing adds noise,
-# so this is done only if the previous latency was higher by the ratio below.
-_SMOOTHING = 0.35
-_HALF_SECOND = timedelta(milliseconds=500)
-_MIN_LATENCY_DROP = 1.5
-# Lower bound of an unsmoothed latency, as a share of the smoothed one.
-_MIN_UNSMOOTHED = 0.4
-
-# A smaller share of the worker's processors counts as unused.
-_MIN_SHARE = 0.001
-
 # Prediction horizon in seconds: until the next poll and the speed limits set after it.
 _PREDICTION_S = 0.5
 # A filler starts within these times, in seconds: the scheduler decides by a report that
 # is up to a second old, and the start takes some time.
 _START_TIMES_S = (0.5, 1.0, 1.5)
-# Share of the previous value in the smoothed deviation of a task from its job.
-_DEVIATION_SMOOTHING = 0.5
-# Weight of a poll in the usual margin, which averages out swings of 10 s and more.
-_USUAL_SMOOTHING = 0.04
-
-# Share of its distance to the usual margin by which the least margin recovers per poll.
-_LEAST_RECOVERY = 0.02
 
 _FILLER = "filler:"
 _MARGIN = "margin:"
 _SLOPE = "slope:"
 
 
-@dataclass(frozen=True, kw_only=True)
-class Observation:
-    """State of one service as returned by a poll.
-
-    Parameters
-    ----------
-    service : str
-        Identifies the run.
-    job : str
-        Identifies the job, whose tasks share the same load.
-    image : str
-        Image of the service.
-    latency_ms, target_ms : float
-        Tail latency, and the target it must stay below.
-    """
-
-    service: str
-    job: str
-    image: str
-    latency_ms: float
-    target_ms: float
-
-    @property
-    def margin(self) -> float:
-        """Target divided by tail latency, limited to `_MAX_MARGIN`."""
-        return min(self.target_ms / self.latency_ms, _MAX_MARGIN)
-
-
-@dataclass(kw_only=True)
-class _ServiceHistory:
-    """State of one service that is kept between polls.
-
-    Parameters
-    ----------
-    deviation : float
-        Smoothed difference of its margin from the margin predicted for its job.
-    """
-
-    poll_count: int = 0
-    polled_at: timedelta = timedelta(0)
-    latency_ms: float = 0.0
-    deviation: float = 0.0
-
-
 class PressureLearner:
     """Estimates pressures and margins on one worker."""
 
     def __init__(self) -> None:
         self._model_by_image: dict[str, MarginFilter] = {}
-        self._service_by_run: dict[str, _ServiceHistory] = {}
-        self._usual_by_job: dict[str, float] = {}
-        self._least_by_job: dict[str, float] = {}
-        self._swing_by_job: dict[str, SwingPredictor] = {}
+        self._service_by_run: dict[str, ServiceHistory] = {}
+        self._margin_by_job: dict[str, JobMargin] = {}
         self._shared_by_pair: dict[ImagePair, Estimate] = {}
         # Weight of the initial estimate of a pair, which was not learned here.
         self._initial_weight_by_pair: dict[ImagePair, float] = {}
         self._updated_at: timedelta | None = None
-        # Usage of fillers by image, smoothed like the latency.
-        self._smoothed_share_by_image: dict[str, float] = {}
+        self._usage = SmoothedUsage()
 
     def update_shared_pressures(self, pressures: Iterable[Pressure]) -> None:
         """Update the pressures that all workers together have learned."""
@@ -206,11 +133,9 @@
 
     def _predict(self, model: MarginFilter, job: str, ahead_s: float) -> float:
         """Return the margin of a job's services in `ahead_s` seconds."""
-        swing = self._swing_by_job.get(job)
-        by_swing = None if swing is None else swing.predict(ahead_s)
-        if by_swing is not None:
-            return by_swing
-        return model.mean[_MARGIN + job] + ahead_s * model.mean[_SLOPE + job]
+        known = self._margin_by_job.get(job)
+        by_swing = None if known is None else known.predict_swing(ahead_s)
+        return _predict_trend(model, job, ahead_s) if by_swing is None else by_swing
 
     def _deviation_of(self, observation: Observation) -> float:
         """Return how far a service's margin is below that of its job, as at most 0."""
@@ -219,11 +144,13 @@
 
     def usual_margin(self, observation: Observation) -> float:
         """Return the average margin without fillers."""
-        return self._usual_by_job.get(observation.job, observation.margin)
+        known = self._margin_by_job.get(observation.job)
+        return observation.margin if known is None else known.usual
 
     def least_margin(self, observation: Observation) -> float:
         """Return the margin without fillers at load peaks."""
-        return self._least_by_job.get(observation.job, observation.margin)
+        known = self._margin_by_job.get(observation.job)
+        return observation.margin if known is None else known.least
 
     def learn(
         self,
@@ -251,12 +178,10 @@
             model = self._model_by_image.get(image)
             if model is None or _MARGIN + job not in model.mean:
                 continue
-            margin = model.mean[_MARGIN + job]
-            by_trend = margin + _PREDICTION_S * model.mean[_SLOPE + job]
-            if job not in self._swing_by_job:
-                self._swing_by_job[job] = SwingPredictor(margin=margin)
-            self._swing_by_job[job].update(
-                now.total_seconds(), margin, by_trend=by_trend
+            self._margin_by_job[job].update_swing(
+                now.total_seconds(),
+                model.mean[_MARGIN + job],
+                by_trend=_predict_trend(model, job, _PREDICTION_S),
             )
 
     def _remove_ended(self, observations: list[Observation]) -> None:
@@ -269,33 +194,22 @@
                 kind, _, name = state.partition(":")
                 if kind + ":" in (_MARGIN, _SLOPE) and name not in jobs:
                     model.remove(state)
-        for job in [job for job in self._usual_by_job if job not in jobs]:
-            del self._usual_by_job[job]
-            self._least_by_job.pop(job, None)
-            self._swing_by_job.pop(job, None)
+        for job in [job for job in self._margin_by_job if job not in jobs]:
+            del self._margin_by_job[job]
 
     def _advance(self, now: timedelta, share_by_image: Mapping[str, float]) -> None:
         """Advance margins along their slopes and add process noise to all states."""
         span = timedelta(0) if self._updated_at is None else now - self._updated_at
         span_s = span.total_seconds()
         self._updated_at = now
-        retained = _SMOOTHING ** (span / _HALF_SECOND)
-        smoothed_share_by_image: dict[str, float] = {}
-        for image in {*self._smoothed_share_by_image, *share_by_image}:
-            before = self._smoothed_share_by_image.get(image, 0.0)
-            share = retained * before + (1.0 - retained) * share_by_image.get(
-                image, 0.0
-            )
-            if share > _MIN_SHARE:
-                smoothed_share_by_image[image] = share
-        self._smoothed_share_by_image = smoothed_share_by_image
+        self._usage.update(span, share_by_image)
         for model in self._model_by_image.values():
             for state in list(model.mean):
                 if state.startswith(_MARGIN):
                     slope = _SLOPE + state.removeprefix(_MARGIN)
                     model.advance(state, slope, span_s)
                     model.decay(slope, _SLOPE_DECAY**span_s)
-                    model.add_variance(state, _MARGIN_DRIFT * span_s, _MAX_MARGIN**2)
+                    model.add_variance(state, _MARGIN_DRIFT * span_s, MAX_MARGIN**2)
                     model.add_variance(
                         slope, _SLOPE_DRIFT * span_s, _MAX_SLOPE_VARIANCE
                     )
@@ -308,36 +222,29 @@
         observation: Observation,
         now: timedelta,
     ) -> None:
-        history = self._service_by_run.setdefault(
-            observation.service, _ServiceHistory()
-        )
-        history.poll_count += 1
-        margin, noise = _unsmooth(observation, history, now)
-        history.polled_at, history.latency_ms = now, observation.latency_ms
-        if history.poll_count <= _WARM_UP_POLLS:
+        history = self._service_by_run.setdefault(observation.service, ServiceHistory())
+        measured = history.add(observation, now)
+        if measured is None:
             return
         model = self._model_by_image.setdefault(observation.image, MarginFilter())
         factors = self._factors(model, observation)
         expected = model.predict(factors)
-        if margin < _SATURATED_MARGIN and expected < _SATURATED_MARGIN:
+        if measured.margin < _SATURATED_MARGIN and expected < _SATURATED_MARGIN:
             return
-        model.update(margin, factors, noise)
+        model.update(measured.margin, factors, measured.noise)
         for state, value in model.mean.items():
             if state.startswith(_FILLER):
                 model.mean[state] = min(max(value, 0.0), _MAX_PRESSURE)
             elif state.startswith(_MARGIN):
-                model.mean[state] = min(max(value, 0.0), _MAX_MARGIN)
-        residual = margin - model.predict(factors)
-        history.deviation += (residual - history.deviation) * (
-            1.0 - _DEVIATION_SMOOTHING
-        )
+                model.mean[state] = min(max(value, 0.0), MAX_MARGIN)
+        history.add_residual(measured.margin - model.predict(factors))
 
     def _factors(
         self, model: MarginFilter, observation: Observation
     ) -> dict[str, float]:
         """Return the factors of the states in a margin, adding states that are new."""
         factors: dict[str, float] = {}
-        for filler, share in self._smoothed_share_by_image.items():
+        for filler, share in self._usage.share_by_image.items():
             state = _FILLER + filler
             if state not in model.mean:
                 pair = ImagePair(filler=filler, service=observation.image)
@@ -356,33 +263,16 @@
         if model is None or _MARGIN + observation.job not in model.mean:
             return
         margin = model.mean[_MARGIN + observation.job]
-        usual = self._usual_by_job.setdefault(observation.job, margin)
-        self._usual_by_job[observation.job] += (margin - usual) * _USUAL_SMOOTHING
-        least = self._least_by_job.get(observation.job, margin)
-        least = min(margin, least + max(usual - least, 0.0) * _LEAST_RECOVERY)
-        self._least_by_job[observation.job] = least
+        known = self._margin_by_job.setdefault(
+            observation.job, JobMargin(margin=margin)
+        )
+        known.update(margin)
 
     def _initial_estimate(self, pair: ImagePair) -> Estimate:
         """Return the estimate with which learning of a pair starts here."""
         return self._shared_by_pair.get(pair, PRIOR)
 
 
-def _unsmooth(
-    observation: Observation, history: _ServiceHistory, now: timedelta
-) -> tuple[float, float]:
-    """Return the margin since the last poll and its standard deviation.
-
-    Undoes the smoothing if the latency has dropped.
-    """
-    latency = observation.latency_ms
-    unsmoothing = 0.0
-    if history.latency_ms > latency * _MIN_LATENCY_DROP:
-        retained = _SMOOTHING ** ((now - history.polled_at) / _HALF_SECOND)
-        unsmoothed = (latency - retained * history.latency_ms) / max(
-            1.0 - retained, 0.1
-        )
-        latency = max(unsmoothed, _MIN_UNSMOOTHED * latency)
-        unsmoothing = _UNSMOOTHING_NOISE
-    margin = min(observation.target_ms / latency, _MAX_MARGIN)
-    rounding = margin * _ROUNDING_MS / latency
-    return margin, math.hypot(_MARGIN_NOISE, rounding, unsmoothing)
+def _predict_trend(model: MarginFilter, job: str, ahead_s: float) -> float:
+    """Return the margin of a job's services in `ahead_s` seconds at its slope."""
+    return model.mean[_MARGIN + job] + ahead_s * model.mean[_SLOPE + job]
