Fillers are slowed by the slack of their jobs

Change: a start tells the expected length of a task and when it must end; the attendant slows the fillers with the most slack first, and those of deferred and late jobs before all others. The scheduler does not count deferred fillers when it looks for a place. Only with overload.order least-cost.

--- a/coltsfoottray/agent/executor.py
+++ b/coltsfoottray/agent/executor.py
@@ -125,6 +125,7 @@
     def accept(self, orders: Orders, scope: OrderScope, nursery: trio.Nursery) -> None:
         """Begin to execute orders, except for those that are being executed already."""
         runs = scope.runs
+        runs.deferred = set(orders.deferred)
         for order in orders.starts:
             if order.ref in runs.stopped_by_ref:
                 continue
@@ -134,6 +135,9 @@
                 continue
             is_repeat = runs.is_known(order.ref)
             runs.order_by_ref[order.ref] = order
+            if order.length_ms:
+                time_left = timedelta(milliseconds=order.time_left_ms)
+                runs.end_by_ref[order.ref] = self._clock.elapsed() + time_left
             if not is_repeat:
                 runs.starting.add(order.ref)
                 if self._pressures.lacks(order):
--- a/coltsfoottray/agent/pacing.py
+++ b/coltsfoottray/agent/pacing.py
@@ -9,19 +9,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+import math
+from collections.abc import Iterable, Mapping, Sequence
 from datetime import timedelta
 
 from coltsfoottray.agent.learning import Observation, PressureLearner
 from coltsfoottray.agent.pressure import MAX_LIGHT_PRESSURE, ServiceMargin
+from coltsfoottray.agent.ranked_speeds import (
+    FULL_SPEED,
+    MIN_PERCENT,
+    FillerRun,
+    ServiceBudget,
+    rank_speeds,
+)
 from coltsfoottray.jobs.model import RunRef
 from coltsfoottray.logs import log_event
 
 __all__ = ["FULL_SPEED", "SAFETY_MARGIN", "FillerRun", "Pacer", "is_significant_change"]
 
-FULL_SPEED = 100
-
 # Margin left to services, because predicted margins have errors.
 SAFETY_MARGIN = 1.4
 # Margin that light fillers leave to a service that has exceeded its target, until its
@@ -34,17 +39,6 @@
 # Fillers are stopped when a service has exceeded its target for this long. Users allow
 # 4 s, of which a poll and an order take up to 0.7 s.
 _MAX_OVERRUN = timedelta(seconds=2)
-# A stopped filler never ends, and its pressure cannot be learned.
-_MIN_PERCENT = 2
-
-
-@dataclass(frozen=True, kw_only=True)
-class FillerRun:
-    """Run of a filler, with the share of the worker it uses at full speed."""
-
-    ref: RunRef
-    image: str
-    share: float
 
 
 class Pacer:
@@ -54,6 +48,7 @@
         self._learner = learner
         self._over_since_by_service: dict[str, timedelta] = {}
         self._percent_by_image: dict[str, int] = {}
+        self._percent_by_ref: dict[RunRef, int] = {}
         # Services that have exceeded their target, for which light fillers are slowed.
         self._protected_services: set[str] = set()
 
@@ -81,17 +76,76 @@
         for filler in fillers:
             share = share_by_image.get(filler.image, 0.0)
             share_by_image[filler.image] = share + filler.share * scale
+        if any(filler.is_ranked for filler in fillers):
+            percent_by_ref = rank_speeds(
+                fillers,
+                [self._budget(each, share_by_image) for each in observations],
+                self._percent_by_ref,
+                available_share=available_share,
+            )
+            self._percent_by_image = {
+                filler.image: percent_by_ref[filler.ref] for filler in fillers
+            }
+        else:
+            self._percent_by_image = self._adjust_images(observations, share_by_image)
+            percent_by_ref = {
+                filler.ref: self._percent_by_image[filler.image] for filler in fillers
+            }
+        if any(
+            now - since > _MAX_OVERRUN for since in self._over_since_by_service.values()
+        ):
+            self._percent_by_image = dict.fromkeys(share_by_image, 0)
+            percent_by_ref = dict.fromkeys(percent_by_ref, 0)
+        self._percent_by_ref = percent_by_ref
+        return percent_by_ref
+
+    def _adjust_images(
+        self,
+        observations: Sequence[Observation],
+        share_by_image: Mapping[str, float],
+    ) -> dict[str, int]:
+        """Return the new speed limit in percent of the fillers of each image."""
         percent_by_image = dict.fromkeys(share_by_image, FULL_SPEED)
         for observation in observations:
             allowed = self._allow(observation, share_by_image)
             for image, percent in allowed.items():
                 percent_by_image[image] = min(percent_by_image[image], percent)
-        if any(
-            now - since > _MAX_OVERRUN for since in self._over_since_by_service.values()
-        ):
-            percent_by_image = dict.fromkeys(share_by_image, 0)
-        self._percent_by_image = percent_by_image
-        return {filler.ref: percent_by_image[filler.image] for filler in fillers}
+        return percent_by_image
+
+    def _budget(
+        self, observation: Observation, share_by_image: Mapping[str, float]
+    ) -> ServiceBudget:
+        """Return what the fillers on the worker may use of a service's margin."""
+        light_by_image, heavy_by_image = self._pressures_on(observation, share_by_image)
+        light = sum(
+            pressure * share_by_image[image]
+            for image, pressure in light_by_image.items()
+        )
+        margin = self._learner.undisturbed_margin(observation)
+        self._light_percent(observation, light, margin)
+        is_protected = observation.service in self._protected_services
+        return ServiceBudget(
+            heavy_by_image=heavy_by_image,
+            light_by_image=light_by_image,
+            spare=margin - SAFETY_MARGIN - light,
+            light_spare=margin - _MIN_MARGIN if is_protected else math.inf,
+            is_over=observation.margin <= 1.0,
+        )
+
+    def _pressures_on(
+        self, observation: Observation, images: Iterable[str]
+    ) -> tuple[dict[str, float], dict[str, float]]:
+        """Return the cautious pressures on a service of light and of heavy images."""
+        light_by_image: dict[str, float] = {}
+        heavy_by_image: dict[str, float] = {}
+        for image in images:
+            pressure = self._learner.pressure(image, observation.image)
+            upper_bound = pressure.upper_bound(_CAUTION)
+            if upper_bound < MAX_LIGHT_PRESSURE:
+                light_by_image[image] = upper_bound
+            else:
+                heavy_by_image[image] = upper_bound
+        return light_by_image, heavy_by_image
 
     def margins(self, observations: Sequence[Observation]) -> dict[str, ServiceMargin]:
         """Return the smallest margins without fillers, by service image."""
@@ -135,29 +189,27 @@
         }
 
     def _allow(
-        self, observation: Observation, share_by_image: dict[str, float]
+        self, observation: Observation, share_by_image: Mapping[str, float]
     ) -> dict[str, int]:
         """Return the speed limit in percent of each filler image for one service."""
-        light_by_image: dict[str, float] = {}
-        heavy_by_image: dict[str, float] = {}
-        for image, share in share_by_image.items():
-            pressure = self._learner.pressure(image, observation.image)
-            upper_bound = pressure.upper_bound(_CAUTION)
-            if upper_bound < MAX_LIGHT_PRESSURE:
-                light_by_image[image] = upper_bound * share
-            else:
-                heavy_by_image[image] = upper_bound * share
+        light_by_image, heavy_by_image = self._pressures_on(observation, share_by_image)
         margin = self._learner.undisturbed_margin(observation)
-        light = sum(light_by_image.values())
+        light = sum(
+            pressure * share_by_image[image]
+            for image, pressure in light_by_image.items()
+        )
         light_percent = self._light_percent(observation, light, margin)
         allowed = dict.fromkeys(light_by_image, light_percent)
-        heavy = sum(heavy_by_image.values())
+        heavy = sum(
+            pressure * share_by_image[image]
+            for image, pressure in heavy_by_image.items()
+        )
         percent = _affordable_percent(heavy, margin - SAFETY_MARGIN - light)
         for image in heavy_by_image:
             allowed[image] = percent
             if observation.margin <= 1.0:
                 before = self._percent_by_image.get(image, FULL_SPEED)
-                allowed[image] = min(percent, max(before // 2, _MIN_PERCENT))
+                allowed[image] = min(percent, max(before // 2, MIN_PERCENT))
         return allowed
 
     def _light_percent(
@@ -183,7 +235,7 @@
     spare = max(spare, 0.0)
     if demand <= spare:
         return FULL_SPEED
-    return max(int(spare / demand * FULL_SPEED), _MIN_PERCENT)
+    return max(int(spare / demand * FULL_SPEED), MIN_PERCENT)
 
 
 def is_significant_change(before: int, percent: int) -> bool:
--- a/coltsfoottray/agent/runs.py
+++ b/coltsfoottray/agent/runs.py
@@ -51,6 +51,10 @@
     refused_by_ref : dict
         Refused starts whose runs may exist already; a later poll shows whether they
         run or have ended.
+    end_by_ref : dict
+        When a run must end for its job to be on time, as far as that was ordered.
+    deferred : set of RunRef
+        Fillers that give way to others, as last ordered.
     running, ends : list
         Runs and ends that the last poll returned.
     is_complete : bool
@@ -73,6 +77,8 @@
     open_starts: set[RunRef] = field(default_factory=set)
     session_began_at: timedelta = timedelta(0)
     refused_by_ref: dict[RunRef, RefusedStart] = field(default_factory=dict)
+    end_by_ref: dict[RunRef, timedelta] = field(default_factory=dict)
+    deferred: set[RunRef] = field(default_factory=set)
     running: list[RunStatus] = field(default_factory=list)
     ends: list[RunEnd] = field(default_factory=list)
     is_complete: bool = True
@@ -135,6 +141,7 @@
         self.starting.discard(ref)
         self.open_starts.discard(ref)
         self.order_by_ref.pop(ref, None)
+        self.end_by_ref.pop(ref, None)
         self.rejected_by_ref[ref] = RejectedStart(ref=ref, reason=reason)
         self.reason_by_barred_ref[ref] = reason
         drop_oldest(self.reason_by_barred_ref, _MAX_REMEMBERED)
@@ -194,6 +201,7 @@
         present.update(self.starting, self.started_by_ref)
         for ref in [ref for ref in self.order_by_ref if ref not in present]:
             del self.order_by_ref[ref]
+            self.end_by_ref.pop(ref, None)
         return is_report_due
 
     def _resolve_stops(self, reply: PollReply, sent_at: timedelta) -> bool:
--- a/coltsfoottray/agent/speeds.py
+++ b/coltsfoottray/agent/speeds.py
@@ -21,10 +21,12 @@
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.jobs.model import RunRef
 from coltsfoottray.logs import log_event
+from coltsfoottray.scheduler.messages import StartOrder
 
 __all__ = ["SpeedController"]
 
 _MILLI = 1000.0
+_FULL_PERCENT = 100.0
 # A worker may carry out a call that it has not answered this long after it was sent.
 _MAX_CALL_DELAY = timedelta(seconds=15)
 
@@ -89,7 +91,7 @@
     async def set_speeds(self, heartbeat: Heartbeat, runs: Runs, fence: int) -> None:
         """Set the speeds of all fillers, including those that have just started."""
         observations = self._observations
-        fillers = _fillers(heartbeat, runs)
+        fillers = _fillers(heartbeat, runs, self._clock.elapsed())
         percent_by_ref = self._pacer.adjust(
             observations,
             fillers,
@@ -183,12 +185,29 @@
     return max(1.0 - used / capacity, 0.0)
 
 
-def _fillers(heartbeat: Heartbeat, runs: Runs) -> list[FillerRun]:
+def _fillers(heartbeat: Heartbeat, runs: Runs, now: timedelta) -> list[FillerRun]:
     capacity = max(heartbeat.capacity.processors, 1e-9)
-    present = {status.ref for status in runs.running}
-    present.update(runs.started_by_ref)
+    percent_by_ref = dict.fromkeys(runs.started_by_ref, 0.0)
+    percent_by_ref.update({status.ref: status.percent for status in runs.running})
     return [
-        FillerRun(ref=ref, image=order.image, share=order.processors / capacity)
+        FillerRun(
+            ref=ref,
+            image=order.image,
+            share=order.processors / capacity,
+            slack=_slack(order, runs.end_by_ref.get(ref), percent_by_ref[ref], now),
+            length=timedelta(milliseconds=order.length_ms),
+            is_deferred=ref in runs.deferred,
+        )
         for ref, order in runs.order_by_ref.items()
-        if order.is_filler and ref in present
+        if order.is_filler and ref in percent_by_ref
     ]
+
+
+def _slack(
+    order: StartOrder, end_by: timedelta | None, percent: float, now: timedelta
+) -> timedelta | None:
+    """Return how much time a run can lose before its job is late, if known."""
+    if end_by is None:
+        return None
+    left_ms = order.length_ms * (1.0 - percent / _FULL_PERCENT)
+    return end_by - now - timedelta(milliseconds=left_ms)
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -23,6 +23,7 @@
 from coltsfoottray.scheduler.backlog_feed import NO_NEWS, BacklogFeed, BacklogNews
 from coltsfoottray.scheduler.backlog_watch import BacklogWatch
 from coltsfoottray.scheduler.cluster_state import ClusterState
+from coltsfoottray.scheduler.deadlines import Deadlines
 from coltsfoottray.scheduler.fleet import Fleet
 from coltsfoottray.scheduler.grants import Grants, is_out_of_order
 from coltsfoottray.scheduler.inbox import Inbox
@@ -80,6 +81,7 @@
         self.cluster = ClusterState(holder=holder, fleet=self._fleet)
         self.planner = Planner(cluster=self.cluster, holder=holder)
         self._overload: OverloadControl | None = None
+        self._deadlines: Deadlines | None = None
         if job_order is JobOrder.LEAST_COST:
             feed = BacklogFeed(
                 epoch=claim.lease.epoch,
@@ -90,6 +92,7 @@
             self._overload = OverloadControl(
                 cluster=self.cluster, backlog_feed=feed, metrics=metrics
             )
+            self._deadlines = Deadlines(terms_of=self.cluster.terms_of, clock=clock)
         self._relocator = Relocator(cluster=self.cluster)
         self._round_metrics = RoundMetrics(
             fleet=self._fleet, clock=clock, metrics=metrics
@@ -122,7 +125,9 @@
             clock=clock,
             metrics=metrics,
         )
-        self._order_sender = OrderSender(fleet=self._fleet, peers=peers)
+        self._order_sender = OrderSender(
+            fleet=self._fleet, peers=peers, deadlines=self._deadlines
+        )
         self._inbox = Inbox()
         self._reported_by_worker: dict[str, trio.Event] = {}
         self._timer = RoundTimer(cluster=self.cluster, clock=clock)
@@ -157,7 +162,7 @@
         self._timer.wake()
         orders = Orders(session=worker.session, life=report.life)
         if self.is_loaded and worker.session:
-            orders = missing_orders(worker, report)
+            orders = missing_orders(worker, report, deadlines=self._deadlines)
         update = self._pressure_feed.changes_for(
             worker.service_images, report.pressure_revision_by_service
         )
--- a/coltsfoottray/scheduler/critical_path.py
+++ b/coltsfoottray/scheduler/critical_path.py
@@ -59,6 +59,11 @@
         ]
         return longest_path(self._accepted.spec.steps[: len(left)], left)
 
+    def after_ms(self, step: int) -> float:
+        """Return the length in ms of the longest chain of steps after a step."""
+        self._update()
+        return _longest_chain_after(step, self._accepted.spec.steps, self._expected_ms)
+
     def record(self, step: int, seen_ms: float) -> None:
         """Record how long a task of a step took, or is likely to take."""
         if step not in self._seen_ms_by_step:
@@ -101,3 +106,17 @@
         before = [ends[each] for each in step.after if each < number]
         ends.append(max(before, default=0.0) + length_ms[number])
     return max(ends, default=0.0)
+
+
+def _longest_chain_after(
+    step: int, steps: Sequence[StepSpec], length_ms: Sequence[float]
+) -> float:
+    """Return the length of the longest chain of steps that wait for a step, in ms."""
+    return max(
+        (
+            length_ms[number] + _longest_chain_after(number, steps, length_ms)
+            for number, each in enumerate(steps)
+            if number > step and step in each.after
+        ),
+        default=0.0,
+    )
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -11,6 +11,7 @@
 from coltsfoottray.jobs.model import RunRef
 from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.health import WorkerHealth
+from coltsfoottray.scheduler.live import LiveStep
 from coltsfoottray.scheduler.placed_run import PlacedRun
 from coltsfoottray.scheduler.worker_leases import PriorLeases, WorkerLeases
 from coltsfoottray.types import Address, Resources
@@ -65,6 +66,8 @@
         From when it may get a probe, also during a longer block; see `may_be_probed`.
     is_evacuated : bool
         Whether its data centre is evacuated; it gets no new tasks then.
+    has_new_deferred : bool
+        Whether other fillers are deferred than its attendant has been told.
     """
 
     id: str
@@ -93,6 +96,7 @@
     blocked_until: timedelta = _NEVER
     probe_from: timedelta = _NEVER
     is_evacuated: bool = False
+    has_new_deferred: bool = False
 
     def __post_init__(self) -> None:
         self.health = WorkerHealth()
@@ -101,6 +105,10 @@
         self.margin_by_image: dict[str, ServiceMargin] = {}
         self.service_images: list[str] = []
         self.filler_share_by_image: dict[str, float] = {}
+        # The part of the usage that deferred fillers give up for others.
+        self._deferred: set[RunRef] = set()
+        self.deferred_processors = 0.0
+        self.deferred_share_by_image: dict[str, float] = {}
 
     @property
     def room(self) -> Resources:
@@ -112,6 +120,25 @@
         """Processors that its runs are not expected to use."""
         return self.capacity.processors - self.busy_processors
 
+    def idle_for(self, step: LiveStep) -> float:
+        """Return the processors that tasks of a step can use."""
+        if step.is_deferred:
+            return self.idle_processors
+        return self.idle_processors + self.deferred_processors
+
+    def filler_share_beside(self, step: LiveStep) -> Mapping[str, float]:
+        """Return the share of the worker that fillers use beside a step, by image."""
+        if step.is_deferred or not self.deferred_share_by_image:
+            return self.filler_share_by_image
+        return {
+            image: share - self.deferred_share_by_image.get(image, 0.0)
+            for image, share in self.filler_share_by_image.items()
+        }
+
+    def deferred_fillers(self) -> list[RunRef]:
+        """Return the fillers that give way to others here."""
+        return [ref for ref, placed in self.held_by_ref.items() if placed.is_deferred]
+
     def share_of(self, processors: float) -> float:
         """Return `processors` as a fraction of the worker's capacity."""
         return processors / max(self.capacity.processors, 1e-9)
@@ -249,6 +276,15 @@
         self._recompute_sums()
         return placed
 
+    def update_deferred(self) -> None:
+        """Update the usage by fillers after other jobs have been deferred."""
+        deferred = set(self.deferred_fillers())
+        if deferred == self._deferred:
+            return
+        self._deferred = deferred
+        self.has_new_deferred = True
+        self._recompute_sums()
+
     def recompute_usage(self) -> None:
         """Recompute the sums after a report has updated the usage of runs."""
         self._recompute_sums()
@@ -267,11 +303,17 @@
             }
         )
         self.filler_share_by_image = defaultdict(float)
+        self.deferred_share_by_image = defaultdict(float)
+        self.deferred_processors = 0.0
         for placed in held:
             spec = placed.step.spec
-            if spec.is_filler:
-                share = self.share_of(spec.demand.processors)
-                self.filler_share_by_image[spec.image] += share
+            if not spec.is_filler:
+                continue
+            share = self.share_of(spec.demand.processors)
+            self.filler_share_by_image[spec.image] += share
+            if placed.is_deferred:
+                self.deferred_share_by_image[spec.image] += share
+                self.deferred_processors += _expected_usage(placed)
         self.busy_processors = sum(_expected_usage(placed) for placed in held)
 
 
--- a/coltsfoottray/scheduler/interference.py
+++ b/coltsfoottray/scheduler/interference.py
@@ -14,8 +14,8 @@
     PressureTable,
     ServiceMargin,
 )
-from coltsfoottray.jobs.model import StepSpec
 from coltsfoottray.scheduler.fleet import Worker
+from coltsfoottray.scheduler.live import LiveStep
 
 __all__ = ["Forecast", "forecast_filler", "speed_beside"]
 
@@ -34,12 +34,12 @@
 _START_CAUTION = 1.5
 
 
-def speed_beside(worker: Worker, spec: StepSpec, pressures: PressureTable) -> float:
+def speed_beside(worker: Worker, step: LiveStep, pressures: PressureTable) -> float:
     """Return the fraction of its full speed that a filler on `worker` can reach."""
     return min(
         (
             each.speed(0.0)
-            for each in _list_interference(worker, spec, pressures)
+            for each in _list_interference(worker, step, pressures)
             if not each.is_light
         ),
         default=1.0,
@@ -75,13 +75,13 @@
 
 
 def forecast_filler(
-    worker: Worker, spec: StepSpec, pressures: PressureTable
+    worker: Worker, step: LiveStep, pressures: PressureTable
 ) -> Forecast:
-    """Return the forecast for one more filler on `worker`."""
-    wanted = max(spec.demand.processors, 1e-9)
-    interference = _list_interference(worker, spec, pressures)
+    """Return the forecast for one more filler of `step` on `worker`."""
+    wanted = max(step.spec.demand.processors, 1e-9)
+    interference = _list_interference(worker, step, pressures)
     return Forecast(
-        cpu_limited=min(1.0, max(worker.idle_processors, 0.0) / wanted),
+        cpu_limited=min(1.0, max(worker.idle_for(step), 0.0) / wanted),
         service_limited=min(
             (each.speed(each.added) for each in interference), default=1.0
         ),
@@ -127,20 +127,21 @@
 
 
 def _list_interference(
-    worker: Worker, spec: StepSpec, pressures: PressureTable
+    worker: Worker, step: LiveStep, pressures: PressureTable
 ) -> list[_Interference]:
     """Return the interference on `worker` for each image of a service there."""
     return [
-        _interference_with(worker, spec, pressures, service)
+        _interference_with(worker, step, pressures, service)
         for service in worker.service_images
     ]
 
 
 def _interference_with(
-    worker: Worker, spec: StepSpec, pressures: PressureTable, service: str
+    worker: Worker, step: LiveStep, pressures: PressureTable, service: str
 ) -> _Interference:
+    spec = step.spec
     light = heavy = worst = 0.0
-    for image, share in worker.filler_share_by_image.items():
+    for image, share in worker.filler_share_beside(step).items():
         pressure = pressures.get(image, service)
         worst += pressure.upper_bound(_START_CAUTION) * share
         if pressure.value < MAX_LIGHT_PRESSURE:
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -158,6 +158,10 @@
         """Return how long a task of a step is expected to take, in ms."""
         return self._path.expected_ms(step)
 
+    def path_after_ms(self, step: int) -> float:
+        """Return the expected length of the steps that wait for a step, in ms."""
+        return self._path.after_ms(step)
+
     def record_length(self, step: int, seen_ms: float) -> None:
         """Record how long a task of a step took, or is likely to take."""
         self._path.record(step, seen_ms)
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -46,6 +46,11 @@
     ----------
     ticket : str
         Proves to the worker that the queue's policy allows it to run the step.
+    length_ms : int
+        Expected length of the task at full speed, 0 if unknown.
+    time_left_ms : int
+        Time within which the run must end for its job to be on time. Without a length
+        it means nothing.
     processors, estimate_ms, is_service, is_filler, target_latency_ms
         See `StepSpec`. The attendant throttles fillers to protect services that have
         a target latency.
@@ -61,6 +66,8 @@
     is_service: bool = False
     is_filler: bool = False
     target_latency_ms: float = 0.0
+    length_ms: int = 0
+    time_left_ms: int = 0
 
 
 class Orders(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -76,6 +83,9 @@
         other incarnation for the same reason.
     acknowledged : int
         Run ends up to this number are stored.
+    deferred : list of RunRef
+        Fillers on the worker that give way to others there, because their jobs are
+        deferred.
     """
 
     session: int
@@ -83,6 +93,7 @@
     starts: list[StartOrder] = msgspec.field(default_factory=list)
     stops: list[RunRef] = msgspec.field(default_factory=list)
     acknowledged: int = 0
+    deferred: list[RunRef] = msgspec.field(default_factory=list)
 
 
 class RejectedStart(msgspec.Struct, frozen=True, kw_only=True):
--- a/coltsfoottray/scheduler/order_sender.py
+++ b/coltsfoottray/scheduler/order_sender.py
@@ -9,6 +9,7 @@
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.logs import log_event
 from coltsfoottray.peers import PeerClient
+from coltsfoottray.scheduler.deadlines import Deadlines
 from coltsfoottray.scheduler.fleet import Fleet, Worker
 from coltsfoottray.scheduler.messages import ORDERS, Orders
 from coltsfoottray.scheduler.orders import make_orders
@@ -22,9 +23,12 @@
 class OrderSender:
     """Sends each attendant what has changed for its worker."""
 
-    def __init__(self, *, fleet: Fleet, peers: PeerClient) -> None:
+    def __init__(
+        self, *, fleet: Fleet, peers: PeerClient, deadlines: Deadlines | None = None
+    ) -> None:
         self._fleet = fleet
         self._peers = peers
+        self._deadlines = deadlines
 
     def send(
         self,
@@ -57,13 +61,20 @@
                 if run.is_stopping and not run.is_stop_sent
             ]
             orphans = list(worker.unsent_orphans)
-            is_due = bool(starts or stops or orphans)
+            is_due = bool(starts or stops or orphans or worker.has_new_deferred)
             if worker.address is None or not worker.session or not is_due:
                 continue
             worker.unsent_orphans.clear()
+            worker.has_new_deferred = False
             for run in stops:
                 run.is_stop_sent = True
-            orders = make_orders(worker, starts=starts, stops=stops, orphans=orphans)
+            orders = make_orders(
+                worker,
+                starts=starts,
+                stops=stops,
+                orphans=orphans,
+                deadlines=self._deadlines,
+            )
             nursery.start_soon(self._push, worker, orders)
 
     async def _push(self, worker: Worker, orders: Orders) -> None:
--- a/coltsfoottray/scheduler/orders.py
+++ b/coltsfoottray/scheduler/orders.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from coltsfoottray.jobs.model import RunRef
+from coltsfoottray.scheduler.deadlines import Deadlines
 from coltsfoottray.scheduler.fleet import Worker
 from coltsfoottray.scheduler.messages import Orders, Report, StartOrder
 from coltsfoottray.scheduler.placed_run import PlacedRun
@@ -12,7 +13,9 @@
 __all__ = ["make_orders", "make_start_order", "missing_orders"]
 
 
-def missing_orders(worker: Worker, report: Report) -> Orders:
+def missing_orders(
+    worker: Worker, report: Report, *, deadlines: Deadlines | None = None
+) -> Orders:
     """Return the orders that the worker lacks according to a report.
 
     A worker that reports another incarnation than the known one gets no orders yet.
@@ -36,6 +39,7 @@
     orphans = [ref for ref in worker.demand_by_orphan if ref not in worker.held_by_ref]
     return make_orders(
         worker,
+        deadlines=deadlines,
         starts=[
             each
             for each in held
@@ -52,6 +56,7 @@
     starts: Sequence[PlacedRun],
     stops: Sequence[PlacedRun],
     orphans: Sequence[RunRef] = (),
+    deadlines: Deadlines | None = None,
 ) -> Orders:
     """Return orders in the worker's session, and record that they are given in it.
 
@@ -59,19 +64,24 @@
     ----------
     orphans : sequence of RunRef
         Runs to stop that the scheduler does not expect on the worker.
+    deadlines : Deadlines, optional
+        Set if attendants slow fillers by the urgency of their jobs.
     """
     for each in (*starts, *stops):
         each.mark_ordered(worker.session)
     return Orders(
         session=worker.session,
         life=worker.life,
-        starts=[make_start_order(each) for each in starts],
+        starts=[make_start_order(each, deadlines) for each in starts],
         stops=[*(each.ref for each in stops), *orphans],
         acknowledged=worker.acknowledged,
+        deferred=worker.deferred_fillers(),
     )
 
 
-def make_start_order(placed: PlacedRun) -> StartOrder:
+def make_start_order(
+    placed: PlacedRun, deadlines: Deadlines | None = None
+) -> StartOrder:
     """Return the order that starts a run."""
     spec = placed.step.spec
     checkpoint_record = placed.step.checkpoint_record(placed.ref.task.index)
@@ -86,6 +96,8 @@
         is_service=spec.is_service,
         is_filler=spec.is_filler,
         target_latency_ms=spec.target_latency_ms,
+        length_ms=0 if deadlines is None else deadlines.length_ms(placed.step),
+        time_left_ms=0 if deadlines is None else deadlines.time_left_ms(placed.step),
     )
 
 
--- a/coltsfoottray/scheduler/overload.py
+++ b/coltsfoottray/scheduler/overload.py
@@ -68,7 +68,7 @@
         for job in self._cluster.jobs.active_by_id.values():
             job.deferred_work_by_occurrence = work_by_job.get(job.id, {})
         for worker in self._cluster.fleet.worker_by_id.values():
-            worker.recompute_usage()
+            worker.update_deferred()
 
     def _log_changes(
         self,
--- a/coltsfoottray/scheduler/placed_run.py
+++ b/coltsfoottray/scheduler/placed_run.py
@@ -66,6 +66,11 @@
             return 1.0
         return min(self.figure / _MILLI / requested, 1.0)
 
+    @property
+    def is_deferred(self) -> bool:
+        """Whether it is a filler that gives way to others, as its job is deferred."""
+        return self.step.spec.is_filler and self.step.is_deferred
+
     def is_at_work(self, now: timedelta) -> bool:
         """Return whether a report has just listed the run as making progress."""
         return self.listed_at == now and self.percent > 0 and not self.is_stopping
--- a/coltsfoottray/scheduler/worker_selection.py
+++ b/coltsfoottray/scheduler/worker_selection.py
@@ -131,9 +131,7 @@
             worker
             for worker in candidates
             if worker.id not in excluded
-            and _is_acceptable(
-                forecast_filler(worker, step.spec, pressures), strictness
-            )
+            and _is_acceptable(forecast_filler(worker, step, pressures), strictness)
         ]
     return min(
         candidates,
@@ -268,7 +266,7 @@
     minimum = _MIN_SPEEDS_BY_STRICTNESS[Strictness.WHOLE].cpu_limited
     needed = step.spec.demand.processors * minimum
     return any(
-        worker.idle_processors >= needed and is_schedulable(worker, service, now)
+        worker.idle_for(step) >= needed and is_schedulable(worker, service, now)
         for worker in fleet.worker_by_id.values()
     )
 
@@ -311,14 +309,14 @@
             opens_worker = not worker.service_images and not _fills_half(worker, step)
             return is_far, float(opens_worker), float(len(others)), free_share
         if spec.is_filler:
-            forecast = forecast_filler(worker, spec, pressures)
+            forecast = forecast_filler(worker, step, pressures)
             risk = float(not forecast.is_safe)
             return (
                 is_far,
                 risk,
                 -round(forecast.speed, 1),
                 _opportunity_cost(worker, forecast),
-                -worker.idle_processors,
+                -worker.idle_for(step),
             )
         return is_far, worker.busy_processors / max(worker.capacity.processors, 1e-9)
 
@@ -353,8 +351,7 @@
 ) -> Worker | None:
     """Return a worker on which a slow filler would run much faster, if any."""
     worker = fleet.worker_by_id[placed.worker]
-    spec = placed.step.spec
-    if speed_beside(worker, spec, pressures) >= _SLOW_SPEED:
+    if speed_beside(worker, placed.step, pressures) >= _SLOW_SPEED:
         return None
     place = choose_worker(
         placed.step, fleet, pressures, service=service, now=now, avoid=[worker.id]
@@ -362,5 +359,7 @@
     if place is None or place is worker:
         return None
     return (
-        place if forecast_filler(place, spec, pressures).speed >= _FAST_SPEED else None
+        place
+        if forecast_filler(place, placed.step, pressures).speed >= _FAST_SPEED
+        else None
     )
--- a/tests/agent/pressures.feature
+++ b/tests/agent/pressures.feature
@@ -51,3 +51,50 @@
     And 2 fillers of "heavy" join them for 30 s
     Then the pressure of "heavy" is estimated within 30 percent
     And the service exceeded its target in at most 5 percent of its polls
+
+  Scenario: A filler far from its deadline runs beside one with little time left
+    # Guards against slowing both alike, so that the urgent job ends late.
+    Given a worker with 3 tasks of a service whose load has a 10 s period
+    And a filler image "early" that disturbs it heavily
+    And a filler image "urgent" that disturbs it heavily
+    When 1 fillers of "early" run there for 15 s
+    And 1 fillers of "urgent" join them for 5 s
+    And the jobs of "early" fillers can lose 9 s
+    And the jobs of "urgent" fillers can lose 1 s
+    And 0 fillers of "urgent" join them for 30 s
+    Then in the last 29 s "early" ran at 5 percent or less while "urgent" was slowed
+    And the service exceeded its target in at most 3 percent of its polls
+
+  Scenario: A filler is late whatever its speed
+    # Guards against a job that is lost anyway being taken for the most urgent one.
+    Given a worker with 3 tasks of a service whose load has a 10 s period
+    And a filler image "late" that disturbs it heavily
+    And a filler image "urgent" that disturbs it heavily
+    When 1 fillers of "late" run there for 15 s
+    And 1 fillers of "urgent" join them for 5 s
+    And the jobs of "late" fillers can lose -5 s
+    And the jobs of "urgent" fillers can lose 1 s
+    And 0 fillers of "urgent" join them for 30 s
+    Then in the last 29 s "late" ran at 5 percent or less while "urgent" was slowed
+
+  Scenario: A deferred filler runs beside one whose job can be on time
+    # Guards against a job that is late anyway taking the margin from one that is not.
+    Given a worker with 3 tasks of a service whose load has a 10 s period
+    And a filler image "late" that disturbs it heavily
+    And a filler image "urgent" that disturbs it heavily
+    When 1 fillers of "late" run there for 15 s
+    And 1 fillers of "urgent" join them for 5 s
+    And the fillers of "late" are deferred
+    And 0 fillers of "urgent" join them for 30 s
+    Then in the last 30 s "late" ran at 5 percent or less while "urgent" was slowed
+    And no filler of "late" was stopped
+    And the service exceeded its target in at most 3 percent of its polls
+
+  Scenario: All fillers on a worker are deferred
+    # Guards against slowing fillers for others that do not exist.
+    Given a worker with 3 tasks of a service whose load has a 10 s period
+    And a filler image "light" that disturbs it lightly
+    When 3 fillers of "light" run there for 5 s
+    And the fillers of "light" are deferred
+    And 0 fillers of "light" join them for 10 s
+    Then fillers of "light" ran at full speed from 5 s on
--- a/tests/steps/pressure_steps.py
+++ b/tests/steps/pressure_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections import Counter
 from datetime import timedelta
 from random import Random
@@ -69,6 +70,23 @@
         _poll(context)
 
 
+@step('the jobs of "{image}" fillers can lose {seconds:d} s')
+def set_slack(context, image, seconds):
+    slack = timedelta(seconds=seconds)
+    context.fillers = [
+        dataclasses.replace(each, slack=slack) if each.image == image else each
+        for each in context.fillers
+    ]
+
+
+@step('the fillers of "{image}" are deferred')
+def defer_fillers(context, image):
+    context.fillers = [
+        dataclasses.replace(each, is_deferred=True) if each.image == image else each
+        for each in context.fillers
+    ]
+
+
 @step("no filler runs there for {seconds:d} s")
 def run_no_fillers(context, seconds):
     context.told_by_poll = []
@@ -158,3 +176,25 @@
 def check_margins(context, percent):
     over = sum(margin <= 1.0 for margin in context.margins)
     assert over <= len(context.margins) * percent / 100, (over, len(context.margins))
+
+
+@then(
+    'in the last {seconds:d} s "{slow}" ran at {limit:d} percent or less while "{fast}"'
+    " was slowed"
+)
+def check_priority(context, seconds, slow, limit, fast):
+    polls = round(seconds / POLL_INTERVAL_S)
+    pairs = zip(
+        context.percents_by_image[fast][-polls:],
+        context.percents_by_image[slow][-polls:],
+        strict=True,
+    )
+    slowed = [low for (_, high), (_, low) in pairs if high < FULL_SPEED]
+    assert slowed
+    assert max(slowed) <= limit, slowed
+
+
+@then('no filler of "{image}" was stopped')
+def check_not_stopped(context, image):
+    stopped = [each for each in context.percents_by_image[image] if each[1] == 0]
+    assert not stopped, stopped
