The work of a deferred job is bounded in the sort key

Change: work counts as at most 1e12 processor-seconds in the key. A path that itself exceeds a timedelta overflows as before.

--- a/coltsfoottray/scheduler/urgency.py
+++ b/coltsfoottray/scheduler/urgency.py
@@ -37,6 +37,10 @@
 # in time.
 MIN_EXPECTED_FRACTION = 0.7
 
+# Declared lengths are not bounded; the work of a job with many tasks may be more than a
+# timedelta can hold.
+_MAX_WORK_S = 1e12
+
 _SERVICE, _ON_TIME, _LAST_CHANCE, _DEFERRED, _LATE, _USELESS = range(6)
 
 
@@ -76,7 +80,7 @@
     rank = _rank(step, now - start, allowed)
     if rank in (_DEFERRED, _LAST_CHANCE):
         work = job.deferred_work_by_occurrence[step.occurrence]
-        return terms.priority, rank, timedelta(seconds=work)
+        return terms.priority, rank, timedelta(seconds=min(work, _MAX_WORK_S))
     return terms.priority, rank, start + allowed
 
 
--- a/tests/overload/order.feature
+++ b/tests/overload/order.feature
@@ -36,6 +36,13 @@
     And 4 jobs of 4 s arrive within 4 s
     Then by least cost the 4 jobs are on time
 
+  Scenario: A job that declares a length of thousands of years
+    # Guards against a declared length that ends the scheduler by an overflow.
+    Given a pool of 20 processors
+    When 4 jobs of 4 s arrive within 4 s
+    And a job of 100 tasks arrives that declares 100000000000 times its length
+    Then by least cost the 4 jobs are on time
+
   Scenario: The setting is off
     # Guards against a change of the order where no deployment has asked for it.
     Given a pool of 100 processors
--- a/tests/steps/order_steps.py
+++ b/tests/steps/order_steps.py
@@ -93,6 +93,11 @@
     context.largest = _add(context, seconds, length_s, tasks=_TASKS * factor)
 
 
+@when("a job of {tasks:d} tasks arrives that declares {factor:d} times its length")
+def add_misdeclared(context, tasks, factor):
+    _add(context, 0.0, 8.0, tasks=tasks, declared_factor=float(factor))
+
+
 @when("jobs of a higher priority that need {percent:d}% arrive for {span:d} s")
 def add_urgent(context, percent, span):
     interval_s = 20.0 / (percent / 100 * context.rate_at(0.0))
