The lengths of ended jobs' tasks can be exported and restored

Cause: a new scheduler knows only the observations in the records of jobs that have not ended, so that after a takeover it expects other lengths than the last one. Change: the estimator also keeps the sums of ended jobs alone. These can be exported for a number of queues and restored; the others are in the records as before, so that each observation is restored from one place. Once sums are restored, records of ended jobs add nothing. CapacityMeter can continue from given rates. Nothing calls the export or the restore yet.

--- a/coltsfoottray/overload/capacity.py
+++ b/coltsfoottray/overload/capacity.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -66,6 +67,10 @@
             before = self._rate_by_pool.get(pool, usage.used + usage.idle)
             self._rate_by_pool[pool] = before + weight * (rate - before)
 
+    def restore(self, rate_by_pool: Mapping[Pool, float]) -> None:
+        """Continue from rates that were measured earlier."""
+        self._rate_by_pool.update(rate_by_pool)
+
     def rate_by_pool(self) -> dict[Pool, float]:
         """Return the processors that each pool works with."""
         return dict(self._rate_by_pool)
--- a/coltsfoottray/scheduler/critical_path.py
+++ b/coltsfoottray/scheduler/critical_path.py
@@ -20,6 +20,8 @@
         are added to it.
     lengths : LengthEstimator
         Estimates how long tasks take by what is declared.
+    has_ended : bool
+        Whether the job had ended when it was stored.
     """
 
     def __init__(
@@ -28,6 +30,7 @@
         accepted: AcceptedJob,
         seen_ms_by_step: dict[int, int],
         lengths: LengthEstimator,
+        has_ended: bool = False,
     ) -> None:
         self._accepted = accepted
         self._seen_ms_by_step = seen_ms_by_step
@@ -35,8 +38,15 @@
         self._lengths_revision = -1
         self._expected_ms: list[float] = []
         self._length_ms = 0.0
+        # Restored sums contain the observations of all jobs that had ended when they
+        # were stored, and none of others: these are added from their records. Those of
+        # a job that ended after the last write of the sums are lost.
+        if has_ended and lengths.has_restored_sums:
+            return
         for step, seen_ms in seen_ms_by_step.items():
             self._report(step, seen_ms)
+        if has_ended:
+            self.mark_ended()
 
     def length_ms(self) -> float:
         """Return the length of the critical path in ms."""
@@ -65,6 +75,15 @@
             self._seen_ms_by_step[step] = round(seen_ms)
             self._report(step, self._seen_ms_by_step[step])
 
+    def mark_ended(self) -> None:
+        """Record that the job has ended."""
+        for step, seen_ms in self._seen_ms_by_step.items():
+            self._lengths.mark_ended(
+                self._accepted.queue,
+                declared_ms=self._accepted.spec.steps[step].estimate_ms,
+                seen_ms=seen_ms,
+            )
+
     def _report(self, step: int, seen_ms: float) -> None:
         declared_ms = self._accepted.spec.steps[step].estimate_ms
         self._lengths.add_observation(
--- a/coltsfoottray/scheduler/lengths.py
+++ b/coltsfoottray/scheduler/lengths.py
@@ -9,11 +9,14 @@
 
 from __future__ import annotations
 
+import copy
 import math
-from dataclasses import dataclass
+from collections.abc import Mapping
 from datetime import timedelta
 
-__all__ = ["LengthEstimator", "Progress"]
+import msgspec
+
+__all__ = ["LengthEstimator", "LengthSums", "Progress"]
 
 # Weight of the declared lengths, as a number of observed steps.
 _DECLARED_WEIGHT = 4.0
@@ -22,6 +25,8 @@
 _MILLI = 1000.0
 _FULL_PERCENT = 100.0
 _MIN_MS = 1.0
+# Upper bound on the logarithm of a length in ms, 150,000 years.
+_MAX_LOG = 36.0
 
 
 class Progress:
@@ -79,8 +84,7 @@
         return self._time_at_full_speed.total_seconds() * _MILLI * _FULL_PERCENT / done
 
 
-@dataclass
-class _Sums:
+class LengthSums(msgspec.Struct, array_like=True):
     """Sums over a queue's steps of the logarithms of declared and observed lengths."""
 
     count: int = 0
@@ -90,12 +94,30 @@
     product: float = 0.0
 
     def add(self, declared: float, observed: float) -> None:
+        """Add the logarithms of the lengths of one step."""
         self.count += 1
         self.declared += declared
         self.observed += observed
         self.declared_squared += declared * declared
         self.product += declared * observed
 
+    @property
+    def is_plausible(self) -> bool:
+        """Whether the sums can be those of lengths."""
+        limit = self.count * _MAX_LOG
+        sums = (self.declared, self.observed)
+        squares = (self.declared_squared, self.product)
+        # NaN is in no range.
+        return (
+            self.count > 0
+            and all(0 <= each <= limit for each in sums)
+            and all(0 <= each <= limit * _MAX_LOG for each in squares)
+            and self._variance() > -_DECLARED_WEIGHT / 2
+        )
+
+    def _variance(self) -> float:
+        return self.declared_squared - self.declared * self.declared / self.count
+
     def predict(self, declared: float) -> float:
         """Return the logarithm of the length expected for a step.
 
@@ -113,23 +135,52 @@
 class LengthEstimator:
     """Predicts the length of a queue's tasks from their declared length.
 
+    Observations are stored in the record of their job until it ends, and in sums by
+    queue from then on; each is restored from one of the two.
+
     Attributes
     ----------
     revision : int
         Increases with each observed length.
+    has_restored_sums : bool
+        Whether it contains the observations of jobs that earlier schedulers have ended.
     """
 
     def __init__(self) -> None:
-        self._sums_by_queue: dict[str, _Sums] = {}
+        self._sums_by_queue: dict[str, LengthSums] = {}
+        # The part of them that comes from ended jobs; the queue seen last is the last.
+        self._ended_by_queue: dict[str, LengthSums] = {}
         self.revision = 0
+        self.has_restored_sums = False
 
     def add_observation(
         self, queue: str, *, declared_ms: float, seen_ms: float
     ) -> None:
         """Add the observed length of the tasks of one step."""
-        sums = self._sums_by_queue.setdefault(queue, _Sums())
+        sums = self._sums_by_queue.setdefault(queue, LengthSums())
+        sums.add(_log(declared_ms), _log(seen_ms))
+        self.revision += 1
+
+    def mark_ended(self, queue: str, *, declared_ms: float, seen_ms: float) -> None:
+        """Record that the job of an observation has ended."""
+        sums = self._ended_by_queue.pop(queue, LengthSums())
         sums.add(_log(declared_ms), _log(seen_ms))
+        self._ended_by_queue[queue] = sums
+
+    def export(self, max_queues: int) -> dict[str, LengthSums]:
+        """Return the sums of ended jobs, for the queues seen last."""
+        queues = list(self._ended_by_queue)[-max_queues:]
+        exported = {queue: copy.copy(self._ended_by_queue[queue]) for queue in queues}
+        # A caller may declare any length; it must not make the others unreadable.
+        return {queue: sums for queue, sums in exported.items() if sums.is_plausible}
+
+    def restore(self, ended_by_queue: Mapping[str, LengthSums]) -> None:
+        """Continue from exported sums, before any observation is added."""
+        for queue, sums in ended_by_queue.items():
+            self._ended_by_queue[queue] = copy.copy(sums)
+            self._sums_by_queue[queue] = copy.copy(sums)
         self.revision += 1
+        self.has_restored_sums = True
 
     def expected_ms(self, queue: str, declared_ms: float) -> float:
         """Return the expected length of a task of a queue, in ms."""
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -79,6 +79,7 @@
             accepted=accepted,
             seen_ms_by_step=self.record.length_ms_by_step,
             lengths=lengths,
+            has_ended=self.record.state.is_final,
         )
         self.steps_by_occurrence: list[list[LiveStep]] = [
             self._make_steps(number, tasks)
@@ -228,6 +229,7 @@
         self.record.state = state
         self.record.ended_ms = now_ms
         self.is_dirty = True
+        self._path.mark_ended()
 
     @property
     def is_idle(self) -> bool:
--- a/coltsfoottray/scheduler/overload.py
+++ b/coltsfoottray/scheduler/overload.py
@@ -29,6 +29,11 @@
         self._deferred: set[JobKey] = set()
         self._updated_at: timedelta | None = None
 
+    @property
+    def meter(self) -> CapacityMeter:
+        """Measures the rates of the pools."""
+        return self._meter
+
     def update(self, now: timedelta) -> None:
         """Decide anew which jobs are deferred, if that is due."""
         if self._updated_at is not None and now - self._updated_at < _PERIOD:
