A scheduler stores and restores what it has learned

Cause: the observed lengths of ended jobs and the measured rates of pools were lost with the scheduler; its successor worked a burst off in another order. Only with overload.order least-cost; otherwise nothing more is read or written. The group is a new one.

--- a/coltsfoottray/jobs/keys.py
+++ b/coltsfoottray/jobs/keys.py
@@ -16,6 +16,8 @@
     "ATTENDANTS_PREFIX",
     "CONFIG_KEY",
     "JOBS_GROUP",
+    "LEARNED_KEY",
+    "LEARNED_PREFIX",
     "LEASE_KEY",
     "MEMBERS_GROUP",
     "OPERATOR_GROUP",
@@ -51,6 +53,10 @@
 RECORDS_PREFIX = f"{_RECORDS_GROUP}/scheduler/"
 PRESSURES_KEY = f"{RECORDS_PREFIX}pressures"
 ATTENDANTS_PREFIX = "attendants/scheduler/"
+# In a group of its own: entries of earlier versions take each unknown row among the
+# records for that of a job, and either delete it or fail to read the others.
+LEARNED_PREFIX = "learned/scheduler/"
+LEARNED_KEY = f"{LEARNED_PREFIX}estimates"
 
 
 def accepted_key(job: JobId) -> str:
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -24,6 +24,7 @@
 from coltsfoottray.scheduler.fleet import Fleet
 from coltsfoottray.scheduler.grants import Grants, is_out_of_order
 from coltsfoottray.scheduler.inbox import Inbox
+from coltsfoottray.scheduler.learned_row import LearnedRow
 from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL, LeaseRow
 from coltsfoottray.scheduler.live import MAX_RESTORED_AGE, LiveJob
 from coltsfoottray.scheduler.messages import Orders, Report, ReportReply
@@ -75,8 +76,15 @@
         self.cluster = ClusterState(holder=holder, fleet=self._fleet)
         self.planner = Planner(cluster=self.cluster, holder=holder)
         self._overload: OverloadControl | None = None
+        self.learned_row: LearnedRow | None = None
         if job_order is JobOrder.LEAST_COST:
             self._overload = OverloadControl(cluster=self.cluster, metrics=metrics)
+            self.learned_row = LearnedRow(
+                lengths=self.cluster.lengths,
+                meter=self._overload.meter,
+                clock=clock,
+                now=claim.acquired_at,
+            )
         self._relocator = Relocator(cluster=self.cluster)
         self._round_metrics = RoundMetrics(
             fleet=self._fleet, clock=clock, metrics=metrics
@@ -98,7 +106,11 @@
         self._writer = StateWriter(
             claim=claim,
             grants=self._grants,
-            side_rows=[self._pressure_row, self._attendant_rows],
+            side_rows=[
+                self._pressure_row,
+                self._attendant_rows,
+                *([self.learned_row] if self.learned_row is not None else []),
+            ],
             drops_records=drops_records,
             table=table,
             clock=clock,
@@ -243,6 +255,8 @@
         if stored.pressures is not None:
             self._pressure_row.restore(stored.pressures)
             self._pressure_feed.restore()
+        if self.learned_row is not None and stored.learned is not None:
+            self.learned_row.restore(stored.learned)
         for stored_job in stored.jobs:
             job = LiveJob(
                 accepted=stored_job.accepted,
--- a/coltsfoottray/scheduler/restore.py
+++ b/coltsfoottray/scheduler/restore.py
@@ -14,6 +14,8 @@
 from coltsfoottray.clock import Clock
 from coltsfoottray.jobs.keys import (
     ATTENDANTS_PREFIX,
+    LEARNED_KEY,
+    LEARNED_PREFIX,
     PRESSURES_KEY,
     RECORDS_PREFIX,
     job_of,
@@ -53,11 +55,14 @@
         Versions of the scheduler's rows for jobs whose acceptance has been deleted.
     pressures : Row, optional
         The measured interference between images.
+    learned : Row, optional
+        The observed lengths of tasks and rates of pools, if they were to be read.
     """
 
     jobs: list[StoredJob]
     orphan_version_by_key: dict[str, int]
     pressures: Row | None = None
+    learned: Row | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -108,7 +113,7 @@
         """Return the rows with the addresses of attendants."""
         return (await self._reader.read(ATTENDANTS_PREFIX)).rows
 
-    async def read_jobs(self, version: int) -> StoredState:
+    async def read_jobs(self, version: int, *, with_learned: bool) -> StoredState:
         """Return the state of all jobs.
 
         Parameters
@@ -116,11 +121,17 @@
         version : int
             Version of the lease row as this scheduler has written it. No other
             scheduler has written any of the rows since.
+        with_learned : bool
+            Whether to read what earlier schedulers have learned.
         """
         await self._mirror.wait_for(version)
         self._copied = version
         rows = (await self._reader.read(RECORDS_PREFIX)).rows
-        return self._assemble(rows)
+        stored = self._assemble(rows)
+        if with_learned:
+            learned = (await self._reader.read(LEARNED_PREFIX)).rows
+            stored.learned = next((r for r in learned if r.key == LEARNED_KEY), None)
+        return stored
 
     def _assemble(self, rows: list[Row]) -> StoredState:
         stored_by_id = {
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -251,7 +251,9 @@
             rows = await reader.read_attendants()
             address_by_worker = active.restore_attendants(rows)
             nursery.start_soon(self._announce, active, address_by_worker)
-            stored = await reader.read_jobs(active.version)
+            stored = await reader.read_jobs(
+                active.version, with_learned=active.learned_row is not None
+            )
             loaded.set()
         cost = reader.cost()
         active.load(stored, cost)
--- a/coltsfoottray/scheduler/side_rows.py
+++ b/coltsfoottray/scheduler/side_rows.py
@@ -5,6 +5,7 @@
 import abc
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
+from typing import ClassVar
 
 import msgspec
 
@@ -33,7 +34,15 @@
 
 
 class SideRows(abc.ABC):
-    """Rows that are compared at an interval with what they were last stored as."""
+    """Rows that are compared at an interval with what they were last stored as.
+
+    Attributes
+    ----------
+    is_urgent : bool
+        Whether a change causes a write, instead of being stored with the next one.
+    """
+
+    is_urgent: ClassVar[bool] = True
 
     @abc.abstractmethod
     def due_puts(self, now: timedelta) -> list[Put]:
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -118,18 +118,25 @@
         """
         now = self._clock.elapsed()
         groups = [self._job_group(job) for job in self._jobs_to_store(jobs)]
-        groups += [
-            WriteGroup(puts=[put])
-            for rows in self._side_rows
-            for put in rows.due_puts(now)
-        ]
+        groups += self._side_groups(now, urgent=True)
         if groups or self._is_renewal_due():
             groups += self._start_groups(jobs, groups)
+            # After the jobs: what was learned from jobs that have ended may be stored
+            # only once these are stored as ended.
+            groups += self._side_groups(now, urgent=False)
         for batch in split_groups(groups):
             await self._commit(batch, renews=self._must_renew_with(batch))
         if self._garbage or (not groups and self._is_renewal_due()):
             await self._commit([], renews=True)
 
+    def _side_groups(self, now: timedelta, *, urgent: bool) -> list[WriteGroup]:
+        return [
+            WriteGroup(puts=[put])
+            for rows in self._side_rows
+            if rows.is_urgent is urgent
+            for put in rows.due_puts(now)
+        ]
+
     async def renew(self) -> None:
         """Renew the lease row."""
         await self._commit([], renews=True)
