A restored run that ends unreported gives no observation

Cause: a run that a new scheduler restored, and that ended before its progress was reported, counted as begun at the takeover. In a burst of 2 s jobs, this added a length of about 12 ms (from the sums before and after) and lowered the length expected of a job that declares 100 ms from 1436 to 1036 ms. Change: it gives no observation where learned sums were restored. Without them the lengths are as before, so that other deployments decide as before.

--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -71,6 +71,9 @@
                     is_released=True,
                     is_stopping=is_stopping,
                     is_settled=task.is_settled,
+                    # Without stored sums, such runs count as begun at the takeover, as
+                    # in earlier versions, although the lengths observed are too short.
+                    has_full_time=not self.lengths.has_restored_sums,
                 )
                 self._restore_worker(task.worker, prior_leases).hold(placed)
 
--- a/coltsfoottray/scheduler/lengths.py
+++ b/coltsfoottray/scheduler/lengths.py
@@ -36,10 +36,14 @@
     ----------
     placed_at : timedelta
         When the run was placed.
+    has_full_time : bool
+        Whether it has run only since then, so that a run that ends without a report of
+        its progress took the time from then on.
     """
 
-    def __init__(self, *, placed_at: timedelta) -> None:
+    def __init__(self, *, placed_at: timedelta, has_full_time: bool = True) -> None:
         self._updated_at = placed_at
+        self._has_full_time = has_full_time
         self._first_percent: float | None = None
         self._percent = 0.0
         self._time_at_full_speed = timedelta(0)
@@ -70,6 +74,8 @@
     def length_at_end(self, now: timedelta, *, speed: float) -> float | None:
         """Return the length of a completed task in ms, None if too little was seen."""
         if self._first_percent is None:
+            if not self._has_full_time:
+                return None
             return (now - self._updated_at).total_seconds() * _MILLI
         self._time_at_full_speed += (now - self._updated_at) * speed
         self._updated_at = now
--- a/coltsfoottray/scheduler/placed_run.py
+++ b/coltsfoottray/scheduler/placed_run.py
@@ -34,6 +34,8 @@
         attendant issues.
     placed_at : timedelta
         When it was assigned, by the scheduler's clock.
+    has_full_time : bool
+        Whether it has run only since `placed_at`. A restored run began earlier.
     listed_at : timedelta, optional
         When a report last listed it as running, None for never.
     percent, figure : float
@@ -51,12 +53,15 @@
     ordered_session: int = 0
     is_rejected: bool = False
     is_settled: bool = False
+    has_full_time: bool = True
     listed_at: timedelta | None = None
     percent: float = 0.0
     figure: float = 0.0
 
     def __post_init__(self) -> None:
-        self.progress = Progress(placed_at=self.placed_at)
+        self.progress = Progress(
+            placed_at=self.placed_at, has_full_time=self.has_full_time
+        )
 
     @property
     def speed(self) -> float:
