--- a/standins/job_cell.py
+++ b/standins/job_cell.py
@@ -15,8 +15,13 @@
 from coltsfoottray.daemons.job_entry import JobEntryDaemon
 from coltsfoottray.http import Handler
 from coltsfoottray.kernel import Kernel
+from coltsfoottray.overload.order import JobOrder
 from coltsfoottray.peers.http import HttpPeerClient
-from coltsfoottray.settings import JobAttendantSettings, JobEntrySettings
+from coltsfoottray.settings import (
+    JobAttendantSettings,
+    JobEntrySettings,
+    OverloadSettings,
+)
 from coltsfoottray.types import Address
 from standins.advice import AdviceStandIn
 from standins.fabric import MemoryFabric
@@ -45,6 +50,7 @@
     processors: int = 8
     data_centres: Sequence[str] = ("caerdydd",)
     metadata_table: MetadataTableStandIn = field(default_factory=MetadataTableStandIn)
+    job_order: JobOrder = JobOrder.DEADLINE
     advice: AdviceStandIn = field(default_factory=AdviceStandIn)
     observer: RunObserver = field(
         default_factory=partial(RunObserver, max_attempts=MAX_ATTEMPTS)
@@ -78,6 +84,7 @@
                 table=self._table,
                 advice=self._advice_address,
                 keep_s=30.0,
+                overload=OverloadSettings(order=self.job_order),
                 region_by_data_centre=dict.fromkeys(self.data_centres, "cymru"),
             )
             await self.start_daemon(name)
--- a/tests/support/job_world.py
+++ b/tests/support/job_world.py
@@ -10,6 +10,7 @@
 
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.http import HttpRequest, HttpResponse
+from coltsfoottray.overload.order import JobOrder
 from standins.job_cell import HOST, PATH_PREFIX, JobCell
 from standins.metadata_table import MetadataTableStandIn
 from tests.support.world import World
@@ -53,7 +54,9 @@
         workers: int = 0,
         metadata_table: MetadataTableStandIn | None = None,
         data_centres: Sequence[str] = ("caerdydd",),
+        job_order: JobOrder = JobOrder.DEADLINE,
     ) -> None:
+        self._job_order = job_order
         self._data_centres = data_centres
         self._metadata_table = metadata_table or MetadataTableStandIn()
         super().__init__(entries=entries, instances=1, workers=workers)
@@ -129,5 +132,6 @@
             processors=int(self._deployment.workers.processors),
             metadata_table=self._metadata_table,
             data_centres=self._data_centres,
+            job_order=self._job_order,
         )
         await self.cell.start()
