--- a/coltsfoottray/scheduler/advice_requests.py
+++ b/coltsfoottray/scheduler/advice_requests.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from coltsfoottray.scheduler.live import LiveStep
+from coltsfoottray.scheduler.live_step import LiveStep
 from coltsfoottray.scheduler.planner import Planner
 
 __all__ = ["AdviceRequest", "AdviceRequestSelector"]
--- a/coltsfoottray/scheduler/job_set.py
+++ b/coltsfoottray/scheduler/job_set.py
@@ -5,7 +5,8 @@
 from collections.abc import Iterable
 
 from coltsfoottray.jobs.model import JobId, RunRef, TaskRef
-from coltsfoottray.scheduler.live import LiveJob, LiveStep
+from coltsfoottray.scheduler.live import LiveJob
+from coltsfoottray.scheduler.live_step import LiveStep
 from coltsfoottray.types import Resources
 
 __all__ = ["JobSet"]
--- a/coltsfoottray/scheduler/outcomes.py
+++ b/coltsfoottray/scheduler/outcomes.py
@@ -11,7 +11,8 @@
 from coltsfoottray.remembered import drop_oldest
 from coltsfoottray.scheduler.fleet import Fleet, Worker
 from coltsfoottray.scheduler.job_set import JobSet
-from coltsfoottray.scheduler.live import LiveJob, LiveStep
+from coltsfoottray.scheduler.live import LiveJob
+from coltsfoottray.scheduler.live_step import LiveStep
 
 __all__ = ["Outcomes"]
 
--- a/coltsfoottray/scheduler/placed_run.py
+++ b/coltsfoottray/scheduler/placed_run.py
@@ -7,7 +7,7 @@
 
 from coltsfoottray.jobs.model import RunRef
 from coltsfoottray.scheduler.lengths import Progress
-from coltsfoottray.scheduler.live import LiveStep
+from coltsfoottray.scheduler.live_step import LiveStep
 from coltsfoottray.types import Resources
 
 __all__ = ["PlacedRun"]
--- a/coltsfoottray/scheduler/places.py
+++ b/coltsfoottray/scheduler/places.py
@@ -8,7 +8,7 @@
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.eligibility import is_schedulable
 from coltsfoottray.scheduler.fleet import Fleet, Worker
-from coltsfoottray.scheduler.live import LiveStep
+from coltsfoottray.scheduler.live_step import LiveStep
 from coltsfoottray.scheduler.worker_selection import (
     Strictness,
     can_host,
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -12,7 +12,8 @@
 from coltsfoottray.scheduler.capacity_bounds import FreeCapacityBounds
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.fleet import Worker
-from coltsfoottray.scheduler.live import LiveJob, LiveStep
+from coltsfoottray.scheduler.live import LiveJob
+from coltsfoottray.scheduler.live_step import LiveStep
 from coltsfoottray.scheduler.placed_run import PlacedRun
 from coltsfoottray.scheduler.places import PlaceFinder, TicketedPlaces
 from coltsfoottray.scheduler.urgency import is_half_elapsed, urgency_key
--- a/coltsfoottray/scheduler/urgency.py
+++ b/coltsfoottray/scheduler/urgency.py
@@ -15,7 +15,8 @@
 
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.jobs.model import QueueTerms
-from coltsfoottray.scheduler.live import LiveJob, LiveStep
+from coltsfoottray.scheduler.live import LiveJob
+from coltsfoottray.scheduler.live_step import LiveStep
 
 __all__ = [
     "MIN_EXPECTED_FRACTION",
