--- a/coltsfoottray/overload/capacity.py
+++ b/coltsfoottray/overload/capacity.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -72,6 +73,10 @@
             before = self._rate_by_pool.get(pool, usage.used + usage.idle)
             self._rate_by_pool[pool] = before + weight * (rate - before)
 
+    def restore(self, rate_by_pool: Mapping[Pool, float]) -> None:
+        """Continue from rates that were measured earlier."""
+        self._rate_by_pool.update(rate_by_pool)
+
     def rate_by_pool(self) -> dict[Pool, float]:
         """Return the processors that each pool works with."""
         return dict(self._rate_by_pool)
--- a/coltsfoottray/scheduler/deadlines.py
+++ b/coltsfoottray/scheduler/deadlines.py
@@ -7,7 +7,8 @@
 
 from coltsfoottray.clock import Clock
 from coltsfoottray.jobs.model import QueueTerms
-from coltsfoottray.scheduler.live import LiveJob, LiveStep
+from coltsfoottray.scheduler.live import LiveJob
+from coltsfoottray.scheduler.live_step import LiveStep
 from coltsfoottray.scheduler.urgency import due_time
 
 __all__ = ["Deadlines"]
--- a/coltsfoottray/scheduler/demand.py
+++ b/coltsfoottray/scheduler/demand.py
@@ -12,7 +12,8 @@
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.eligibility import is_schedulable
 from coltsfoottray.scheduler.fleet import Worker
-from coltsfoottray.scheduler.live import LiveJob, LiveStep
+from coltsfoottray.scheduler.live import LiveJob
+from coltsfoottray.scheduler.live_step import LiveStep
 from coltsfoottray.scheduler.placed_run import PlacedRun
 from coltsfoottray.scheduler.urgency import MIN_EXPECTED_FRACTION, due_time
 
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -11,7 +11,7 @@
 from coltsfoottray.jobs.model import RunRef
 from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.health import WorkerHealth
-from coltsfoottray.scheduler.live import LiveStep
+from coltsfoottray.scheduler.live_step import LiveStep
 from coltsfoottray.scheduler.placed_run import PlacedRun
 from coltsfoottray.scheduler.worker_leases import PriorLeases, WorkerLeases
 from coltsfoottray.types import Address, Resources
--- a/coltsfoottray/scheduler/interference.py
+++ b/coltsfoottray/scheduler/interference.py
@@ -15,7 +15,7 @@
     ServiceMargin,
 )
 from coltsfoottray.scheduler.fleet import Worker
-from coltsfoottray.scheduler.live import LiveStep
+from coltsfoottray.scheduler.live_step import LiveStep
 
 __all__ = ["Forecast", "forecast_filler", "speed_beside"]
 
--- a/coltsfoottray/scheduler/urgency.py
+++ b/coltsfoottray/scheduler/urgency.py
@@ -19,7 +19,8 @@
 from coltsfoottray.jobs.config import ConfigHolder
 from coltsfoottray.jobs.model import USEFUL_FACTOR, QueueTerms
 from coltsfoottray.overload.order import DeferredTurn, deferred_turn
-from coltsfoottray.scheduler.live import LiveJob, LiveStep
+from coltsfoottray.scheduler.live import LiveJob
+from coltsfoottray.scheduler.live_step import LiveStep
 
 __all__ = [
     "MIN_EXPECTED_FRACTION",
--- a/standins/fluid_pool.py
+++ b/standins/fluid_pool.py
@@ -18,7 +18,8 @@
 from coltsfoottray.overload.demand import JobDemand, JobKey, Pool, PoolKind
 from coltsfoottray.overload.order import JobOrder, select_deferred
 from coltsfoottray.scheduler.lengths import LengthEstimator
-from coltsfoottray.scheduler.live import LiveJob, LiveStep
+from coltsfoottray.scheduler.live import LiveJob
+from coltsfoottray.scheduler.live_step import LiveStep
 from coltsfoottray.scheduler.urgency import (
     MIN_EXPECTED_FRACTION,
     due_time,
