Fillers beside services are slowed by their deadlines, not by their slack

Change: the order is that of the times at which the runs must end, and a run that ends too late even if it is a short one comes last.

--- a/coltsfoottray/agent/ranked_speeds.py
+++ b/coltsfoottray/agent/ranked_speeds.py
@@ -2,9 +2,10 @@
 
 Load pattern: fillers of several jobs press on the same services, which can bear only
 some of them at full speed. If all were slowed alike, most steps would have a task that
-is slowed, and their jobs would end late. The fillers whose jobs can lose the least time
-work at full speed instead, and the others get what is left: a job that is far from its
-deadline loses nothing by it, and as its slack shrinks its fillers come first.
+is slowed, and their jobs would end late. The fillers that must end first work at full
+speed instead, and the others get what is left: a job that is far from its deadline
+loses nothing by it. The order does not depend on the progress of runs, so that two
+fillers do not take turns in being slowed.
 """
 
 from __future__ import annotations
@@ -21,12 +22,10 @@
 MIN_PERCENT = 2
 """A stopped filler never ends, and its pressure cannot be learned."""
 
-# Tasks of a step differ in length by about this fraction.
-_MAX_LENGTH_ERROR = 0.3
 # Services use less than their reservation at times. A limit at the usual rest would
 # then leave processors idle.
 _PROCESSOR_OVERCOMMIT = 1.25
-_NO_HURRY = timedelta(days=1)
+_NO_HURRY = timedelta(days=1_000_000)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -35,10 +34,11 @@
 
     Parameters
     ----------
-    slack : timedelta, optional
-        Time that it can lose before its job is late, None if its job cannot be late.
-    length : timedelta
-        Expected length of its task at full speed.
+    end_by : timedelta, optional
+        When it must end for its job to be on time, by the attendant's steady clock;
+        None if its job cannot be late.
+    is_late : bool
+        Whether its job is late whatever its speed.
     is_deferred : bool
         Whether its job is deferred, so that it gets what the other fillers leave.
     """
@@ -46,30 +46,28 @@
     ref: RunRef
     image: str
     share: float
-    slack: timedelta | None = None
-    length: timedelta = timedelta(0)
+    end_by: timedelta | None = None
+    is_late: bool = False
     is_deferred: bool = False
 
     @property
     def is_ranked(self) -> bool:
         """Whether its urgency is known."""
-        return self.slack is not None or self.is_deferred
+        return self.end_by is not None or self.is_deferred
 
     @property
     def gives_way(self) -> bool:
-        """Whether its job is deferred, or late even if lengths are overestimated."""
-        if self.is_deferred or self.slack is None:
-            return self.is_deferred
-        return self.slack < -self.length * _MAX_LENGTH_ERROR
+        """Whether it gets only what fillers leave whose jobs can be on time."""
+        return self.is_deferred or self.is_late
 
     @property
     def rank(self) -> tuple[bool, timedelta, RunRef]:
         """Sort key; the smallest is slowed last."""
-        slack = _NO_HURRY if self.slack is None else self.slack
+        end_by = _NO_HURRY if self.end_by is None else self.end_by
         if self.gives_way:
             # The one that is least late is the most likely to be on time after all.
-            return True, -slack, self.ref
-        return False, slack, self.ref
+            return True, -end_by, self.ref
+        return False, end_by, self.ref
 
 
 @dataclass(kw_only=True)
--- a/coltsfoottray/agent/speeds.py
+++ b/coltsfoottray/agent/speeds.py
@@ -27,6 +27,8 @@
 
 _MILLI = 1000.0
 _FULL_PERCENT = 100.0
+# Tasks of a step differ in length by about this fraction.
+_MAX_LENGTH_ERROR = 0.3
 # A worker may carry out a call that it has not answered this long after it was sent.
 _MAX_CALL_DELAY = timedelta(seconds=15)
 
@@ -194,8 +196,8 @@
             ref=ref,
             image=order.image,
             share=order.processors / capacity,
-            slack=_slack(order, runs.end_by_ref.get(ref), percent_by_ref[ref], now),
-            length=timedelta(milliseconds=order.length_ms),
+            end_by=runs.end_by_ref.get(ref),
+            is_late=_is_late(order, runs.end_by_ref.get(ref), percent_by_ref[ref], now),
             is_deferred=ref in runs.deferred,
         )
         for ref, order in runs.order_by_ref.items()
@@ -203,11 +205,11 @@
     ]
 
 
-def _slack(
+def _is_late(
     order: StartOrder, end_by: timedelta | None, percent: float, now: timedelta
-) -> timedelta | None:
-    """Return how much time a run can lose before its job is late, if known."""
+) -> bool:
+    """Return whether a run ends too late for its job, even if it is a short one."""
     if end_by is None:
-        return None
-    left_ms = order.length_ms * (1.0 - percent / _FULL_PERCENT)
-    return end_by - now - timedelta(milliseconds=left_ms)
+        return False
+    left_ms = order.length_ms * (1.0 - percent / _FULL_PERCENT - _MAX_LENGTH_ERROR)
+    return now + timedelta(milliseconds=left_ms) > end_by
