Faults that a review of the decisions under overload has found

An attendant ended when a filler that requests no processors ran beside a service with little margin (0.0 / 0.0). The longest chain after a step took exponential time and recursed as deep as there are steps: a job of 1,000 steps ended the scheduler. A run past its end counted as the most urgent from 70% on, as the error of its length was subtracted, not scaled. A filler that is a service counted as late. A takeover cleared the deferred runs until its first decision. A stopped filler counted as using all that it requests. Deferred work of a higher priority was not ahead of a new job: the expected wait in tests/overload/backlog.feature was wrong in this (5,000 in place of 55,000 ms). Return times were delayed without a bound by one large job. With admission useful and the order of deadlines an entry never asked for the backlog.

--- a/coltsfoottray/agent/executor.py
+++ b/coltsfoottray/agent/executor.py
@@ -125,7 +125,8 @@
     def accept(self, orders: Orders, scope: OrderScope, nursery: trio.Nursery) -> None:
         """Begin to execute orders, except for those that are being executed already."""
         runs = scope.runs
-        runs.deferred = set(orders.deferred)
+        if orders.deferred is not None:
+            runs.deferred = set(orders.deferred)
         for order in orders.starts:
             if order.ref in runs.stopped_by_ref:
                 continue
--- a/coltsfoottray/agent/pacing.py
+++ b/coltsfoottray/agent/pacing.py
@@ -20,6 +20,7 @@
     MIN_PERCENT,
     FillerRun,
     ServiceBudget,
+    affordable_percent,
     rank_speeds,
 )
 from coltsfoottray.jobs.model import RunRef
@@ -83,9 +84,7 @@
                 self._percent_by_ref,
                 available_share=available_share,
             )
-            self._percent_by_image = {
-                filler.image: percent_by_ref[filler.ref] for filler in fillers
-            }
+            self._percent_by_image = _highest_by_image(fillers, percent_by_ref)
         else:
             self._percent_by_image = self._adjust_images(observations, share_by_image)
             percent_by_ref = {
@@ -204,7 +203,7 @@
             pressure * share_by_image[image]
             for image, pressure in heavy_by_image.items()
         )
-        percent = _affordable_percent(heavy, margin - SAFETY_MARGIN - light)
+        percent = affordable_percent(heavy, margin - SAFETY_MARGIN - light)
         for image in heavy_by_image:
             allowed[image] = percent
             if observation.margin <= 1.0:
@@ -220,7 +219,7 @@
         Light fillers work at full speed until the service has exceeded its target:
         predicted margins are too uncertain to slow fillers that appear harmless.
         """
-        percent = _affordable_percent(light, margin - _MIN_MARGIN)
+        percent = affordable_percent(light, margin - _MIN_MARGIN)
         if observation.margin <= 1.0:
             self._protected_services.add(observation.service)
         elif percent == FULL_SPEED:
@@ -230,16 +229,19 @@
         )
 
 
-def _affordable_percent(demand: float, spare: float) -> int:
-    """Return the percentage of `demand` that fits in `spare`, at least a minimum."""
-    spare = max(spare, 0.0)
-    if demand <= spare:
-        return FULL_SPEED
-    return max(int(spare / demand * FULL_SPEED), MIN_PERCENT)
-
-
 def is_significant_change(before: int, percent: int) -> bool:
     """Whether the speed stops, resumes, becomes full or changes by at least a tenth."""
     if percent in (0, FULL_SPEED) or before == 0:
         return percent != before
     return abs(percent - before) * 10 >= before
+
+
+def _highest_by_image(
+    fillers: Iterable[FillerRun], percent_by_ref: Mapping[RunRef, int]
+) -> dict[str, int]:
+    """Return the highest speed limit of the fillers of each image."""
+    highest: dict[str, int] = {}
+    for filler in fillers:
+        percent = percent_by_ref[filler.ref]
+        highest[filler.image] = max(highest.get(filler.image, 0), percent)
+    return highest
--- a/coltsfoottray/agent/ranked_speeds.py
+++ b/coltsfoottray/agent/ranked_speeds.py
@@ -1,6 +1,6 @@
 """Speed limits of fillers on one worker by the urgency of their jobs.
 
-Load pattern: fillers of several jobs press on the same services, which can bear only
+Load pattern: fillers of several jobs press on the same services, which tolerate only
 some of them at full speed. If all were slowed alike, most steps would have a task that
 is slowed, and their jobs would end late. The fillers that must end first work at full
 speed instead, and the others get what is left: a job that is far from its deadline
@@ -16,7 +16,14 @@
 
 from coltsfoottray.jobs.model import RunRef
 
-__all__ = ["FULL_SPEED", "MIN_PERCENT", "FillerRun", "ServiceBudget", "rank_speeds"]
+__all__ = [
+    "FULL_SPEED",
+    "MIN_PERCENT",
+    "FillerRun",
+    "ServiceBudget",
+    "affordable_percent",
+    "rank_speeds",
+]
 
 FULL_SPEED = 100
 MIN_PERCENT = 2
@@ -25,15 +32,17 @@
 # Services use less than their reservation at times. A limit at the usual rest would
 # then leave processors idle.
 _PROCESSOR_OVERCOMMIT = 1.25
-_NO_HURRY = timedelta(days=1_000_000)
+_NO_DEADLINE = timedelta(days=1_000_000)
 
 
 @dataclass(frozen=True, kw_only=True)
 class FillerRun:
-    """Run of a filler, with the share of the worker it uses at full speed.
+    """Run of a filler.
 
     Parameters
     ----------
+    share : float
+        Fraction of the worker's processors that it uses at full speed.
     end_by : timedelta, optional
         When it must end for its job to be on time, by the attendant's steady clock;
         None if its job cannot be late.
@@ -56,15 +65,15 @@
         return self.end_by is not None or self.is_deferred
 
     @property
-    def gives_way(self) -> bool:
+    def is_ranked_last(self) -> bool:
         """Whether it gets only what fillers leave whose jobs can be on time."""
         return self.is_deferred or self.is_late
 
     @property
     def rank(self) -> tuple[bool, timedelta, RunRef]:
         """Sort key; the smallest is slowed last."""
-        end_by = _NO_HURRY if self.end_by is None else self.end_by
-        if self.gives_way:
+        end_by = _NO_DEADLINE if self.end_by is None else self.end_by
+        if self.is_ranked_last:
             # The one that is least late is the most likely to be on time after all.
             return True, -end_by, self.ref
         return False, end_by, self.ref
@@ -79,7 +88,8 @@
     heavy_by_image, light_by_image : mapping
         Pressures of the images on it; those of light images are low.
     spare : float
-        Margin that is left to heavy fillers.
+        Margin that is left to heavy fillers: the target divided by the latency, less
+        what the service keeps.
     light_spare : float
         Margin that is left to light fillers, infinite if they are not limited for it.
     is_over : bool
@@ -94,7 +104,7 @@
     used: float = field(default=0.0, init=False)
     light_used: float = field(default=0.0, init=False)
 
-    def affordable_percent(self, filler: FillerRun, before: int) -> int:
+    def allowed_percent(self, filler: FillerRun, before: int) -> int:
         """Return the speed limit in percent of the next filler for this service.
 
         Parameters
@@ -104,12 +114,13 @@
         """
         light = self.light_by_image.get(filler.image)
         if light is not None:
-            return _affordable(light * filler.share, self.light_spare - self.light_used)
+            spare = self.light_spare - self.light_used
+            return affordable_percent(light * filler.share, spare)
         heavy = self.heavy_by_image.get(filler.image, 0.0)
-        percent = _affordable(heavy * filler.share, self.spare - self.used)
+        percent = affordable_percent(heavy * filler.share, self.spare - self.used)
         if not self.is_over or heavy <= 0:
             return percent
-        if filler.gives_way:
+        if filler.is_ranked_last:
             return MIN_PERCENT
         return min(percent, max(before // 2, MIN_PERCENT))
 
@@ -132,7 +143,7 @@
     Parameters
     ----------
     budgets : sequence of ServiceBudget
-        What each service on the worker can bear; used up by the call.
+        What each service on the worker tolerates; used up by the call.
     before_by_ref : mapping
         The speed limits so far.
     available_share : float
@@ -143,10 +154,10 @@
     for filler in sorted(fillers, key=lambda each: each.rank):
         before = before_by_ref.get(filler.ref, FULL_SPEED)
         percent = min(
-            (budget.affordable_percent(filler, before) for budget in budgets),
+            (budget.allowed_percent(filler, before) for budget in budgets),
             default=FULL_SPEED,
         )
-        percent = min(percent, _affordable(filler.share, processors_left))
+        percent = min(percent, affordable_percent(filler.share, processors_left))
         processors_left -= filler.share * percent / FULL_SPEED
         for budget in budgets:
             budget.spend(filler, percent)
@@ -154,8 +165,9 @@
     return percent_by_ref
 
 
-def _affordable(demand: float, spare: float) -> int:
+def affordable_percent(demand: float, spare: float) -> int:
     """Return the percentage of `demand` that fits in `spare`, at least a minimum."""
+    spare = max(spare, 0.0)
     if demand <= spare:
         return FULL_SPEED
-    return max(int(max(spare, 0.0) / demand * FULL_SPEED), MIN_PERCENT)
+    return max(int(spare / demand * FULL_SPEED), MIN_PERCENT)
--- a/coltsfoottray/agent/speeds.py
+++ b/coltsfoottray/agent/speeds.py
@@ -189,19 +189,21 @@
 
 def _fillers(heartbeat: Heartbeat, runs: Runs, now: timedelta) -> list[FillerRun]:
     capacity = max(heartbeat.capacity.processors, 1e-9)
-    percent_by_ref = dict.fromkeys(runs.started_by_ref, 0.0)
-    percent_by_ref.update({status.ref: status.percent for status in runs.running})
+    progress_by_ref = dict.fromkeys(runs.started_by_ref, 0.0)
+    progress_by_ref.update({status.ref: status.percent for status in runs.running})
     return [
         FillerRun(
             ref=ref,
             image=order.image,
             share=order.processors / capacity,
             end_by=runs.end_by_ref.get(ref),
-            is_late=_is_late(order, runs.end_by_ref.get(ref), percent_by_ref[ref], now),
+            is_late=_is_late(
+                order, runs.end_by_ref.get(ref), progress_by_ref[ref], now
+            ),
             is_deferred=ref in runs.deferred,
         )
         for ref, order in runs.order_by_ref.items()
-        if order.is_filler and ref in percent_by_ref
+        if order.is_filler and ref in progress_by_ref
     ]
 
 
@@ -211,5 +213,6 @@
     """Return whether a run ends too late for its job, even if it is a short one."""
     if end_by is None:
         return False
-    left_ms = order.length_ms * (1.0 - percent / _FULL_PERCENT - _MAX_LENGTH_ERROR)
+    shortest_ms = order.length_ms * (1.0 - _MAX_LENGTH_ERROR)
+    left_ms = shortest_ms * (1.0 - percent / _FULL_PERCENT)
     return now + timedelta(milliseconds=left_ms) > end_by
--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -33,7 +33,6 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.overload.admission import AdmissionPolicy
 from coltsfoottray.overload.backlog import KnownBacklog
-from coltsfoottray.overload.order import JobOrder
 from coltsfoottray.peers.relay import RELAY, Relay
 from coltsfoottray.platform import Row
 from coltsfoottray.platform.advice import AdviceClient
@@ -89,7 +88,7 @@
         )
         backlog_watch = BacklogWatch(
             known=self.backlog,
-            is_enabled=overload.order is JobOrder.LEAST_COST,
+            is_enabled=overload.uses_backlog,
             clock=self.clock,
             metrics=self.metrics,
         )
--- a/coltsfoottray/jobs/admission.py
+++ b/coltsfoottray/jobs/admission.py
@@ -101,7 +101,9 @@
     def _make_request(
         self, queue: Queue, job_id: JobId, spec: JobSpec, now: timedelta
     ) -> AdmissionRequest:
-        lengths_ms = [min(step.estimate_ms, _MAX_DECLARED_MS) for step in spec.steps]
+        lengths_ms = [
+            min(max(step.estimate_ms, 0.0), _MAX_DECLARED_MS) for step in spec.steps
+        ]
         work = sum(
             step.count * step.demand.processors * length_ms / _MILLI
             for step, length_ms in zip(spec.steps, lengths_ms, strict=True)
--- a/coltsfoottray/overload/backlog.py
+++ b/coltsfoottray/overload/backlog.py
@@ -77,15 +77,20 @@
     Parameters
     ----------
     deferred : collection of JobKey
-        Jobs that come after a new one.
+        Jobs that come after a new one of the same priority.
     """
     work_by_rank: dict[QueueRank, float] = defaultdict(float)
+    deferred_by_rank: dict[QueueRank, float] = defaultdict(float)
     for demand in demands:
-        if demand.key not in deferred:
-            rank = QueueRank(pool=demand.pool, priority=demand.priority)
+        rank = QueueRank(pool=demand.pool, priority=demand.priority)
+        if demand.key in deferred:
+            deferred_by_rank[rank] += demand.work_left
+        else:
             work_by_rank[rank] += demand.work_left
     backlog_by_rank = {
-        rank: _backlog_of(rank, work_by_rank, rate_by_pool[rank.pool])
+        rank: _backlog_of(
+            _work_ahead(rank, work_by_rank, deferred_by_rank), rate_by_pool[rank.pool]
+        )
         for rank in set(rank_by_queue.values())
         if rank.pool in rate_by_pool
     }
@@ -99,14 +104,27 @@
     )
 
 
-def _backlog_of(
-    rank: QueueRank, work_by_rank: Mapping[QueueRank, float], rate: float
-) -> QueueBacklog:
-    work = sum(
+def _work_ahead(
+    rank: QueueRank,
+    work_by_rank: Mapping[QueueRank, float],
+    deferred_by_rank: Mapping[QueueRank, float],
+) -> float:
+    """Return the work that comes before a new job.
+
+    Deferred jobs come after it at its own priority, and before it at a higher one.
+    """
+    return sum(
         work
         for other, work in work_by_rank.items()
         if other.pool == rank.pool and other.priority <= rank.priority
+    ) + sum(
+        work
+        for other, work in deferred_by_rank.items()
+        if other.pool == rank.pool and other.priority < rank.priority
     )
+
+
+def _backlog_of(work: float, rate: float) -> QueueBacklog:
     wait_ms = _MAX_WAIT_MS
     if work * 1000 < rate * _MAX_WAIT_MS:
         wait_ms = round(work / rate * 1000)
--- a/coltsfoottray/overload/returns.py
+++ b/coltsfoottray/overload/returns.py
@@ -92,7 +92,7 @@
         known = self._return_by_job.get(job)
         if known is not None and now < known.return_at:
             return _whole_seconds(known.return_at - now)
-        earliest = now + max(drained_in, _ZERO)
+        earliest = now + min(max(drained_in, _ZERO), _MAX_SPREAD)
         return_at = self._next_return(queue, earliest, work_time)
         retry_after = _whole_seconds(return_at - now)
         self._return_by_job.pop(job, None)
@@ -107,13 +107,14 @@
     def _next_return(
         self, queue: str, earliest: timedelta, work_time: timedelta
     ) -> timedelta:
-        share_time = work_time * max(self._count_entries(), 1)
+        share_time = min(work_time * max(self._count_entries(), 1), _MAX_SPREAD)
         return_at = self._assigned_until_by_queue.get(queue, _ZERO)
         if return_at < earliest:
             return_at = earliest + share_time * self._random.random()
-        if return_at - earliest > _MAX_SPREAD:
+        if return_at - earliest >= _MAX_SPREAD:
             return earliest + _MAX_SPREAD * self._random.uniform(0.5, 1.0)
-        self._assigned_until_by_queue[queue] = return_at + share_time
+        assigned_until = min(return_at + share_time, earliest + _MAX_SPREAD)
+        self._assigned_until_by_queue[queue] = assigned_until
         return return_at
 
 
--- a/coltsfoottray/scheduler/critical_path.py
+++ b/coltsfoottray/scheduler/critical_path.py
@@ -131,11 +131,10 @@
     step: int, steps: Sequence[StepSpec], length_ms: Sequence[float]
 ) -> float:
     """Return the length of the longest chain of steps that wait for a step, in ms."""
-    return max(
-        (
-            length_ms[number] + _longest_chain_after(number, steps, length_ms)
-            for number, each in enumerate(steps)
-            if number > step and step in each.after
-        ),
-        default=0.0,
-    )
+    after_ms = [0.0] * len(steps)
+    for number in range(len(steps) - 1, step, -1):
+        chain_ms = length_ms[number] + after_ms[number]
+        for before in steps[number].after:
+            if before < number:
+                after_ms[before] = max(after_ms[before], chain_ms)
+    return after_ms[step]
--- a/coltsfoottray/scheduler/deadlines.py
+++ b/coltsfoottray/scheduler/deadlines.py
@@ -33,7 +33,10 @@
 
     def length_ms(self, step: LiveStep) -> int:
         """Return the expected length of a filler's task, 0 if it cannot be late."""
-        if not step.spec.is_filler or not self._terms_of(step.job).has_objective:
+        spec = step.spec
+        if spec.is_service or not spec.is_filler:
+            return 0
+        if not self._terms_of(step.job).has_objective:
             return 0
         return max(round(step.job.expected_length_ms(step.number)), 1)
 
--- a/coltsfoottray/scheduler/demand.py
+++ b/coltsfoottray/scheduler/demand.py
@@ -137,6 +137,6 @@
 
 def _processors_used(placed: PlacedRun) -> float:
     """Return the processors that a filler uses; all that it requests until reported."""
-    if placed.figure <= 0:
+    if placed.listed_at is None:
         return placed.step.spec.demand.processors
     return placed.figure / _MILLI
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -105,8 +105,8 @@
         self.margin_by_image: dict[str, ServiceMargin] = {}
         self.service_images: list[str] = []
         self.filler_share_by_image: dict[str, float] = {}
-        # The part of the usage that deferred fillers give up for others.
-        self._deferred: set[RunRef] = set()
+        # The part of the usage that is that of deferred fillers.
+        self._deferred: set[RunRef] | None = None
         self.deferred_processors = 0.0
         self.deferred_share_by_image: dict[str, float] = {}
 
@@ -135,8 +135,10 @@
             for image, share in self.filler_share_by_image.items()
         }
 
-    def deferred_fillers(self) -> list[RunRef]:
-        """Return the fillers that give way to others here."""
+    def deferred_fillers(self) -> list[RunRef] | None:
+        """Return the fillers that are deferred here, None before the first decision."""
+        if self._deferred is None:
+            return None
         return [ref for ref, placed in self.held_by_ref.items() if placed.is_deferred]
 
     def share_of(self, processors: float) -> float:
@@ -278,10 +280,12 @@
 
     def update_deferred(self) -> None:
         """Update the usage by fillers after other jobs have been deferred."""
-        deferred = set(self.deferred_fillers())
-        if deferred == self._deferred:
+        deferred = {
+            ref for ref, placed in self.held_by_ref.items() if placed.is_deferred
+        }
+        before, self._deferred = self._deferred, deferred
+        if deferred == (before or set()):
             return
-        self._deferred = deferred
         self.has_new_deferred = True
         self._recompute_sums()
 
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -83,9 +83,9 @@
         other incarnation for the same reason.
     acknowledged : int
         Run ends up to this number are stored.
-    deferred : list of RunRef
-        Fillers on the worker that give way to others there, because their jobs are
-        deferred.
+    deferred : list of RunRef, optional
+        Fillers on the worker that get what others there leave, because their jobs are
+        deferred; None if the scheduler has not decided it yet.
     """
 
     session: int
@@ -93,7 +93,7 @@
     starts: list[StartOrder] = msgspec.field(default_factory=list)
     stops: list[RunRef] = msgspec.field(default_factory=list)
     acknowledged: int = 0
-    deferred: list[RunRef] = msgspec.field(default_factory=list)
+    deferred: list[RunRef] | None = None
 
 
 class RejectedStart(msgspec.Struct, frozen=True, kw_only=True):
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -248,6 +248,17 @@
     admission: AdmissionPolicy = AdmissionPolicy.ALL
     backlog_max_age_s: Seconds = 3.0
 
+    @property
+    def uses_backlog(self) -> bool:
+        """Whether the entry asks the scheduler for the backlog.
+
+        A scheduler computes it only with `JobOrder.LEAST_COST`.
+        """
+        return (
+            self.order is JobOrder.LEAST_COST
+            or self.admission is AdmissionPolicy.USEFUL
+        )
+
 
 class JobEntrySettings(JobDaemonSettings):
     """Settings of an entry that accepts jobs and may become the scheduler.
--- a/tests/agent/pressures.feature
+++ b/tests/agent/pressures.feature
@@ -99,3 +99,13 @@
     And the fillers of "light" are deferred
     And 0 fillers of "light" join them for 10 s
     Then fillers of "light" ran at full speed from 5 s on
+
+  Scenario: A filler that requests no processors runs beside an overloaded service
+    # Guards against an attendant that ends because such a filler uses nothing.
+    Given a worker with 3 tasks of a service whose load has a 10 s period
+    And a filler image "heavy" that disturbs it heavily
+    When 4 fillers of "heavy" run there for 5 s
+    And a filler of "heavy" without processors joins them
+    And the fillers of "heavy" must end within 60 s
+    And 0 fillers of "heavy" join them for 20 s
+    Then no filler of "heavy" without processors was slowed
--- a/tests/overload/backlog.feature
+++ b/tests/overload/backlog.feature
@@ -6,10 +6,10 @@
 
   Scenario: Work that a new job overtakes is not ahead of it
     # Guards against rejections because of work in another pool, of a lower priority or
-    # deferred.
+    # deferred at the same one. Deferred work of a higher priority is ahead.
     When the unfinished jobs are "short reserved 8, builds spare 20, nightly spare 30, builds spare 500 deferred"
     And 2 s of rounds go by
-    Then the waits in ms are "builds=2000 nightly=5000 short=2000"
+    Then the waits in ms are "builds=2000 nightly=55000 short=2000"
 
   Scenario: A queue without unfinished jobs remains in the pool of its last ones
     # Guards against queues whose first jobs in each wave are all accepted.
--- a/tests/steps/backlog_steps.py
+++ b/tests/steps/backlog_steps.py
@@ -122,7 +122,7 @@
 
 
 @then("the entry's backlog is {state} after {count:d} were sent")
-def check_known(context, state, count):
+def check_entry_backlog(context, state, count):
     context.watch.check()
     current = context.known.current(context.now)
     assert (current is None) == (state == "unknown"), current
@@ -190,7 +190,7 @@
 
 
 @step('the backlog is known at "{roles}"')
-def check_known(context, roles):
+def check_entries_that_know(context, roles):
     known = _backlog_by_entry(context)
     expected = {context.entry_by_role.get(role) for role in roles.split()} - {None}
     assert known.keys() == expected, known
@@ -213,7 +213,7 @@
     latest = 0
     while latest // _VERSIONS_PER_EPOCH <= context.epoch:
         assert context.world.now() < end, latest
-        check_known(context, roles)
+        check_entries_that_know(context, roles)
         latest = min(each.version for each in _backlog_by_entry(context).values())
         context.world.advance(0.1)
 
--- a/tests/steps/pressure_steps.py
+++ b/tests/steps/pressure_steps.py
@@ -12,6 +12,7 @@
 from coltsfoottray.agent.learning import Observation, PressureLearner
 from coltsfoottray.agent.pacing import FULL_SPEED, FillerRun, Pacer
 from coltsfoottray.agent.pressure import MAX_LIGHT_PRESSURE
+from coltsfoottray.agent.ranked_speeds import MIN_PERCENT
 from coltsfoottray.jobs.model import JobId, RunRef, TaskRef
 from standins.interference import POLL_INTERVAL_S, InterferedService
 
@@ -87,6 +88,20 @@
     ]
 
 
+@step('a filler of "{image}" without processors joins them')
+def add_filler_without_processors(context, image):
+    task = TaskRef(job=JobId("0" * 16), occurrence=0, step=0, index=0)
+    ref = RunRef(task=task, run=1)
+    context.fillers.append(FillerRun(ref=ref, image=image, share=0.0))
+
+
+@then('no filler of "{image}" without processors was slowed')
+def check_without_processors(context, image):
+    idle = [each for each in context.fillers if each.image == image and not each.share]
+    percents = {context.percent_by_ref[each.ref] for each in idle}
+    assert percents <= {FULL_SPEED, MIN_PERCENT}, percents
+
+
 @step('the fillers of "{image}" are deferred')
 def defer_fillers(context, image):
     context.fillers = [
