The times at which rejected callers retry are named as such

Cause: a module named as a library that this project uses, and names that a reader takes for figures of speech.

--- a/coltsfoottray/jobs/admission.py
+++ b/coltsfoottray/jobs/admission.py
@@ -14,7 +14,7 @@
 from coltsfoottray.metrics import Metrics
 from coltsfoottray.overload.admission import Admission, AdmissionRequest, Rejected
 from coltsfoottray.overload.backlog import KnownBacklog
-from coltsfoottray.overload.returns import ReturnTimes
+from coltsfoottray.overload.retry_times import RetryTimes
 from coltsfoottray.scheduler.critical_path import longest_path
 
 __all__ = ["JobAdmission", "Rejection"]
@@ -53,8 +53,8 @@
     ) -> None:
         self._clock = clock
         self._metrics = metrics
-        self._returns = ReturnTimes(random=random, count_entries=count_entries)
-        self._admission = Admission(returns=self._returns)
+        self._retry_times = RetryTimes(random=random, count_entries=count_entries)
+        self._admission = Admission(retry_times=self._retry_times)
 
     def check(
         self, queue: Queue, job_id: JobId, spec: JobSpec, known: KnownBacklog
@@ -115,7 +115,7 @@
             terms=queue.terms,
             work=max(work, 0.0),
             path=timedelta(milliseconds=path_ms),
-            waited=self._returns.waited(job_id, now),
+            waited=self._retry_times.waited(job_id, now),
             is_exempt=self._is_exempt(spec),
         )
 
--- a/coltsfoottray/overload/admission.py
+++ b/coltsfoottray/overload/admission.py
@@ -12,7 +12,7 @@
 
 from coltsfoottray.jobs.model import USEFUL_FACTOR, JobId, QueueTerms
 from coltsfoottray.overload.backlog import Backlog, QueueBacklog
-from coltsfoottray.overload.returns import ReturnTimes
+from coltsfoottray.overload.retry_times import RetryTimes
 
 __all__ = [
     "ACCEPTED",
@@ -99,7 +99,7 @@
     Parameters
     ----------
     retry_after : timedelta
-        When the caller is to come back, in whole seconds.
+        When the caller is to retry, in whole seconds.
     wait : timedelta
         Wait that was predicted at this moment.
     predicted_end, useful_until : timedelta
@@ -146,9 +146,9 @@
     """
 
     def __init__(
-        self, *, returns: ReturnTimes, max_length_ratio: float = MAX_LENGTH_RATIO
+        self, *, retry_times: RetryTimes, max_length_ratio: float = MAX_LENGTH_RATIO
     ) -> None:
-        self._returns = returns
+        self._retry_times = retry_times
         self._max_length_ratio = max_length_ratio
         # For each queue that rejects, the wait with which it no longer does.
         self._reopen_wait_by_queue: dict[str, timedelta] = {}
@@ -212,7 +212,7 @@
         is_close = end > forecast.useful_until * _REOPEN_FRACTION
         if reopen_wait is None or not is_close:
             return None
-        if self._returns.is_due(request.job, now):
+        if self._retry_times.is_due(request.job, now):
             return None
         return RejectionReason.NOT_DRAINED
 
@@ -250,7 +250,7 @@
         work_time = _DEFAULT_WORK_TIME
         if ahead.rate > 0.0:
             work_time = _as_duration(request.work / ahead.rate)
-        return self._returns.assign(
+        return self._retry_times.assign(
             request.job,
             request.queue,
             drained_in=wait - max(forecast.reopen_wait, _ZERO),
@@ -260,4 +260,4 @@
 
 
 def _as_duration(seconds: float) -> timedelta:
-    return timedelta(seconds=min(seconds, _MAX_S))
+    retry timedelta(seconds=min(seconds, _MAX_S))
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -20,7 +20,7 @@
 from coltsfoottray.overload.order import JobOrder
 from coltsfoottray.peers import PeerClient
 from coltsfoottray.platform import Row, WatchedTable
-from coltsfoottray.scheduler.backlog_feed import NO_NEWS, BacklogFeed, BacklogNews
+from coltsfoottray.scheduler.backlog_feed import NO_UPDATE, BacklogFeed, BacklogUpdate
 from coltsfoottray.scheduler.backlog_watch import BacklogWatch
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.deadlines import Deadlines
@@ -213,12 +213,12 @@
         job = self.cluster.jobs.by_id.get(job_id)
         return None if job is None else job.rows.state
 
-    def backlog_news(self, known_version: int | None) -> BacklogNews:
+    def backlog_update(self, known_version: int | None) -> BacklogUpdate:
         """Return what an entry that knows a version of the backlog lacks."""
         if self._overload is None:
-            return NO_NEWS
+            return NO_UPDATE
         now = self._clock.elapsed()
-        return self._overload.backlog_feed.news_for(known_version, now)
+        return self._overload.backlog_feed.update_for(known_version, now)
 
     def jobs_ended_before(self, moment: timedelta) -> list[JobId]:
         """Return the jobs that ended before a given time and have no runs left.
--- a/coltsfoottray/scheduler/backlog_feed.py
+++ b/coltsfoottray/scheduler/backlog_feed.py
@@ -19,7 +19,7 @@
 from coltsfoottray.overload.demand import JobDemand, JobKey, Pool
 from coltsfoottray.overload.queue_ranks import QueueRanks
 
-__all__ = ["NO_NEWS", "BacklogFeed", "BacklogNews"]
+__all__ = ["NO_UPDATE", "BacklogFeed", "BacklogUpdate"]
 
 _INTERVAL = timedelta(milliseconds=500)
 # Each attendant reports within a second. Before that, the rates are those of the few
@@ -39,14 +39,14 @@
 _MAX_LINES = 5
 
 
-class BacklogNews(msgspec.Struct, frozen=True, kw_only=True):
+class BacklogUpdate(msgspec.Struct, frozen=True, kw_only=True):
     """The part of an answer that concerns the backlog; see `PingReply`."""
 
     backlog: Backlog | None = None
     version: int = 0
 
 
-NO_NEWS = BacklogNews()
+NO_UPDATE = BacklogUpdate()
 
 
 class BacklogFeed:
@@ -107,17 +107,17 @@
         self._computed_at = now
         self._publish(self._latest)
 
-    def news_for(self, known_version: int | None, now: timedelta) -> BacklogNews:
+    def update_for(self, known_version: int | None, now: timedelta) -> BacklogUpdate:
         """Return what to answer to an entry, given the version that it knows."""
         if self._latest is None or known_version is None:
-            return NO_NEWS
+            return NO_UPDATE
         if now - self._computed_at > _MAX_SENT_AGE:
-            return NO_NEWS
+            return NO_UPDATE
         if self._latest.version > known_version:
-            return BacklogNews(backlog=self._latest)
+            return BacklogUpdate(backlog=self._latest)
         if self._latest.version == known_version:
-            return BacklogNews(version=known_version)
-        return NO_NEWS
+            return BacklogUpdate(version=known_version)
+        return NO_UPDATE
 
     def _record_gauges(self, backlog: Backlog) -> None:
         before = {} if self._latest is None else self._latest.by_queue
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -290,12 +290,12 @@
             return PingReply(incarnation=self._incarnation)
         # Nothing else would notice that the rounds here are held up.
         self._backlog.check()
-        news = self.active.backlog_news(ping.backlog_version)
+        update = self.active.backlog_update(ping.backlog_version)
         return PingReply(
             incarnation=self._incarnation,
             epoch=self.active.lease.epoch,
-            backlog=news.backlog,
-            backlog_version=news.version,
+            backlog=update.backlog,
+            backlog_version=update.version,
         )
 
     async def _handle_report(self, report: Report) -> ReportReply:
@@ -311,8 +311,8 @@
             self.active.notify_accepted(job)
         for job_id in notification.cancelled:
             self.active.notify_cancelled(job_id)
-        news = self.active.backlog_news(notification.backlog_version)
-        return Acknowledged(backlog=news.backlog, backlog_version=news.version)
+        update = self.active.backlog_update(notification.backlog_version)
+        return Acknowledged(backlog=update.backlog, backlog_version=update.version)
 
     async def _handle_state(self, query: StateQuery) -> StateReply:
         state = None if self.active is None else self.active.state_of(query.job)
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -15,7 +15,7 @@
     RejectionReason,
 )
 from coltsfoottray.overload.backlog import Backlog, QueueBacklog
-from coltsfoottray.overload.returns import ReturnTimes
+from coltsfoottray.overload.retry_times import RetryTimes
 
 _QUEUE = "q"
 _RATE = 100.0
@@ -35,8 +35,8 @@
     context.terms = QueueTerms(
         service="svc", slowdown_factor=factor, target_latency_ms=ms
     )
-    context.returns = ReturnTimes(random=Random(0), count_entries=lambda: 1)
-    context.admission = Admission(returns=context.returns)
+    context.retry_times = RetryTimes(random=Random(0), count_entries=lambda: 1)
+    context.admission = Admission(retry_times=context.retry_times)
     context.now_s = _START_S
     context.decisions = []
     context.return_s_by_label = {}
@@ -50,7 +50,7 @@
         terms=context.terms,
         work=work,
         path=_seconds(_PATH_S),
-        waited=context.returns.waited(JobId(label), now),
+        waited=context.retry_times.waited(JobId(label), now),
     )
     ahead = QueueBacklog(wait_ms=int(wait_s * 1000), rate=_RATE)
     backlog = Backlog(version=1, by_queue={_QUEUE: ahead})
@@ -146,7 +146,7 @@
 @given("{count:d} entries that know the same backlog, which drains in {seconds:d} s")
 def make_entries(context, count, seconds):
     context.entries = [
-        ReturnTimes(random=Random(number), count_entries=lambda: count)
+        RetryTimes(random=Random(number), count_entries=lambda: count)
         for number in range(count)
     ]
     context.drained_s = _START_S + seconds
--- a/tests/steps/backlog_steps.py
+++ b/tests/steps/backlog_steps.py
@@ -14,7 +14,7 @@
 from coltsfoottray.overload.backlog import KnownBacklog
 from coltsfoottray.overload.demand import JobDemand, JobKey, Pool, PoolKind
 from coltsfoottray.overload.order import JobOrder
-from coltsfoottray.scheduler.backlog_feed import NO_NEWS, BacklogFeed
+from coltsfoottray.scheduler.backlog_feed import NO_UPDATE, BacklogFeed
 from coltsfoottray.scheduler.backlog_watch import BacklogWatch
 from coltsfoottray.scheduler.messages import PING, Acknowledged, Ping, PingReply
 from coltsfoottray.settings import OverloadSettings
@@ -86,7 +86,7 @@
                 now=context.now,
             )
         if "pings" in activities:
-            news = context.feed.news_for(context.watch.version, context.now)
+            news = context.feed.update_for(context.watch.version, context.now)
             context.sent += news.backlog is not None
             context.watch.receive(
                 Acknowledged(backlog=news.backlog, backlog_version=news.version)
@@ -137,14 +137,14 @@
 
 @then("an earlier version and this one can read each other's messages")
 def check_earlier_version(context):
-    backlog = context.feed.news_for(0, context.now).backlog
+    backlog = context.feed.update_for(0, context.now).backlog
     read = _transfer(PingReply(incarnation="i", backlog=backlog), _FormerReply)
     assert (read.incarnation, read.epoch) == ("i", 0), read
     _transfer(Ping(backlog_version=7), _FormerPing)
     assert _transfer(_FormerReply("i", 3), PingReply).epoch == 3
     assert _transfer(_FormerPing(), Acknowledged) == Acknowledged()
     version = _transfer(_FormerPing(), Ping).backlog_version
-    assert context.feed.news_for(version, context.now) == NO_NEWS
+    assert context.feed.update_for(version, context.now) == NO_UPDATE
 
 
 @given(
