--- a/coltsfoottray/overload/admission.py
+++ b/coltsfoottray/overload/admission.py
@@ -260,4 +260,4 @@
 
 
 def _as_duration(seconds: float) -> timedelta:
-    retry timedelta(seconds=min(seconds, _MAX_S))
+    return timedelta(seconds=min(seconds, _MAX_S))
