A large deferred job is resumed at its last chance

Cause: under lasting overload the jobs on time need all of the pool, so a deferred job got nothing until it was of no use.

Change: of the deferred jobs with at least twice the mean work of their queue, the one whose use ends first is resumed before its last chance has passed, one at a time of each pool and priority. It ranks with the jobs on time as if due when it has to start, and the others are selected around its work. A run of a resumed job that starts then is urgent until the end of its use. decision:defer and decision:undefer have a field reason.

--- a/coltsfoottray/overload/demand.py
+++ b/coltsfoottray/overload/demand.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import enum
+from collections import defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import NamedTuple
 
 from coltsfoottray.jobs.model import JobId
 
-__all__ = ["JobDemand", "JobKey", "Pool", "PoolKind"]
+__all__ = ["MIN_RATE", "JobDemand", "JobKey", "Pool", "PoolKind", "mean_work_by_queue"]
+
+# A pool may have no processors at all for a time.
+MIN_RATE = 1e-6
 
 
 class PoolKind(enum.Enum):
@@ -45,6 +50,8 @@
         0 is scheduled first.
     due : timedelta
         Until when it is on time, by the scheduler's steady clock.
+    useful_until : timedelta
+        Until when its end is of use to its caller, by the same clock.
     work_left, work_total : float
         Work at full speed in processor-seconds.
     path_left : timedelta
@@ -56,6 +63,24 @@
     pool: Pool
     priority: int
     due: timedelta
+    useful_until: timedelta
     work_left: float
     work_total: float
     path_left: timedelta
+
+    def length_s(self, rate: float) -> float:
+        """Return how long a pool that works at `rate` needs for it alone, in seconds.
+
+        More processors do not shorten its critical path.
+        """
+        return max(self.path_left.total_seconds(), self.work_left / max(rate, MIN_RATE))
+
+
+def mean_work_by_queue(demands: Iterable[JobDemand]) -> dict[str, float]:
+    """Return the mean work, also of what is done, of the jobs of each queue."""
+    total: dict[str, float] = defaultdict(float)
+    count: dict[str, int] = defaultdict(int)
+    for demand in demands:
+        total[demand.queue] += demand.work_total
+        count[demand.queue] += 1
+    return {queue: total[queue] / count[queue] for queue in total}
--- a/coltsfoottray/overload/order.py
+++ b/coltsfoottray/overload/order.py
@@ -10,7 +10,8 @@
 Deferred jobs get what those on time leave, the shortest work first, so that as many as
 possible still end while they are of use. A long job would get nothing in that order for
 as long as shorter ones arrive; the bound is its last chance to be of use, when it comes
-before other deferred jobs.
+before other deferred jobs. If even this is not enough, overload/last_chance.py resumes
+it.
 """
 
 from __future__ import annotations
@@ -21,9 +22,16 @@
 from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from datetime import timedelta
+from types import MappingProxyType
 from typing import NamedTuple
 
-from coltsfoottray.overload.demand import JobDemand, JobKey, Pool
+from coltsfoottray.overload.demand import (
+    MIN_RATE,
+    JobDemand,
+    JobKey,
+    Pool,
+    mean_work_by_queue,
+)
 
 __all__ = ["DeferredTurn", "JobOrder", "deferred_turn", "select_deferred"]
 
@@ -32,7 +40,6 @@
 _HYSTERESIS = 1.25
 # A deferred job gets only a part of the pool, so its path takes longer than expected.
 _LAST_CHANCE_MARGIN = 2.0
-_MIN_RATE = 1e-6
 
 
 class JobOrder(enum.Enum):
@@ -95,6 +102,7 @@
     now: timedelta,
     *,
     deferred_before: Collection[JobKey] = (),
+    resumed: Mapping[JobKey, timedelta] = MappingProxyType({}),
 ) -> set[JobKey]:
     """Return the jobs that cannot be on time, or whose deferral lets others be.
 
@@ -105,14 +113,16 @@
         enough for all that can be on time.
     deferred_before : collection of JobKey
         The jobs deferred by the previous call.
+    resumed : mapping
+        Jobs that are not deferred, with the times that they rank by as if due then.
     """
     by_pool: dict[Pool, list[JobDemand]] = defaultdict(list)
     for demand in demands:
         by_pool[demand.pool].append(demand)
     deferred: set[JobKey] = set()
     for pool, competing in by_pool.items():
-        rate = max(rate_by_pool.get(pool, math.inf), _MIN_RATE)
-        deferred |= _select_in_pool(competing, rate, now, deferred_before)
+        rate = max(rate_by_pool.get(pool, math.inf), MIN_RATE)
+        deferred |= _select_in_pool(competing, rate, now, deferred_before, resumed)
     return deferred
 
 
@@ -121,8 +131,9 @@
     rate: float,
     now: timedelta,
     deferred_before: Collection[JobKey],
+    resumed: Mapping[JobKey, timedelta],
 ) -> set[JobKey]:
-    mean_work_by_queue = _mean_work_by_queue(demands)
+    mean_work = mean_work_by_queue(demands)
     deferred: set[JobKey] = set()
     work_of_higher = 0.0
     by_priority: dict[int, list[JobDemand]] = defaultdict(list)
@@ -132,15 +143,18 @@
         # The selected jobs of this priority, the one to defer first at the front.
         selected: list[_Selected] = []
         work = work_of_higher
-        for demand in sorted(by_priority[priority], key=lambda each: each.due):
-            benefit = demand.work_left / _value(demand, mean_work_by_queue)
+        for demand in sorted(
+            by_priority[priority], key=lambda each: resumed.get(each.key, each.due)
+        ):
+            if demand.key in resumed:
+                # It is not in `selected`, so that it is deferred for no other.
+                work += demand.work_left
+                continue
+            benefit = demand.work_left / _value(demand, mean_work)
             if demand.key in deferred_before:
                 benefit *= _HYSTERESIS
             new = _Selected(-benefit, -demand.due, demand.key, demand.work_left)
-            # More processors do not shorten its critical path, which it needs after the
-            # work ahead of it.
-            length_s = max(demand.path_left.total_seconds(), demand.work_left / rate)
-            slack_s = (demand.due - now).total_seconds() - length_s
+            slack_s = (demand.due - now).total_seconds() - demand.length_s(rate)
             if work / rate <= slack_s:
                 heapq.heappush(selected, new)
                 work += new.work
@@ -164,20 +178,11 @@
     return bool(selected) and selected[0] < new and selected[0].work >= excess
 
 
-def _mean_work_by_queue(demands: Sequence[JobDemand]) -> dict[str, float]:
-    total: dict[str, float] = defaultdict(float)
-    count: dict[str, int] = defaultdict(int)
-    for demand in demands:
-        total[demand.queue] += demand.work_total
-        count[demand.queue] += 1
-    return {queue: total[queue] / count[queue] for queue in total}
-
-
-def _value(demand: JobDemand, mean_work_by_queue: Mapping[str, float]) -> float:
+def _value(demand: JobDemand, mean_work: Mapping[str, float]) -> float:
     """Return what a job that is on time is worth to callers, relative to others.
 
     Each job has a caller who waits for it; a job with more work is worth more to its
     caller, but not in proportion.
     """
-    mean = mean_work_by_queue[demand.queue]
+    mean = mean_work[demand.queue]
     return 1.0 + (demand.work_total / mean if mean > 0 else 0.0)
--- a/coltsfoottray/scheduler/deadlines.py
+++ b/coltsfoottray/scheduler/deadlines.py
@@ -8,7 +8,7 @@
 from coltsfoottray.clock import Clock
 from coltsfoottray.jobs.model import QueueTerms
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
-from coltsfoottray.scheduler.urgency import due_time
+from coltsfoottray.scheduler.urgency import due_time, useful_until
 
 __all__ = ["Deadlines"]
 
@@ -37,9 +37,14 @@
         return max(round(step.job.expected_length_ms(step.number)), 1)
 
     def time_left_ms(self, step: LiveStep) -> int:
-        """Return the time within which a filler's task must end, in ms."""
+        """Return the time within which a filler's task must end, in ms.
+
+        That is for its job to be on time, or of use if it is at its last chance.
+        """
         if not self.length_ms(step):
             return 0
-        due = due_time(step.job, step.occurrence, self._terms_of(step.job))
+        is_resumed = step.occurrence in step.job.resumed_due_by_occurrence
+        end_of = useful_until if is_resumed else due_time
+        due = end_of(step.job, step.occurrence, self._terms_of(step.job))
         left = (due - self._clock.elapsed()) / _MILLISECOND
         return round(left - step.job.path_after_ms(step.number))
--- a/coltsfoottray/scheduler/demand.py
+++ b/coltsfoottray/scheduler/demand.py
@@ -14,7 +14,11 @@
 from coltsfoottray.scheduler.fleet import Worker
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
 from coltsfoottray.scheduler.placed_run import PlacedRun
-from coltsfoottray.scheduler.urgency import MIN_EXPECTED_FRACTION, due_time
+from coltsfoottray.scheduler.urgency import (
+    MIN_EXPECTED_FRACTION,
+    due_time,
+    useful_until,
+)
 
 __all__ = ["list_demands", "measure_pools"]
 
@@ -54,6 +58,7 @@
         pool=Pool(service=terms.service, kind=_kind_of(steps)),
         priority=terms.priority,
         due=due_time(job, occurrence, terms),
+        useful_until=useful_until(job, occurrence, terms),
         work_left=sum(
             _task_work(step) * _tasks_left(step, percent_by_ref) for step in steps
         ),
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -74,6 +74,8 @@
         # Work left, in processor-seconds, by occurrence that is deferred so that other
         # jobs can be on time.
         self.deferred_work_by_occurrence: dict[int, float] = {}
+        # When occurrences count as due that are resumed at their last chance.
+        self.resumed_due_by_occurrence: dict[int, timedelta] = {}
         # Since when none of its tasks has run although one could.
         self.idle_since: timedelta | None = None
         self._path = CriticalPath(
--- a/coltsfoottray/scheduler/overload.py
+++ b/coltsfoottray/scheduler/overload.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from datetime import timedelta
 
 from coltsfoottray.jobs.model import JobId
@@ -9,6 +10,7 @@
 from coltsfoottray.metrics import Metrics
 from coltsfoottray.overload.capacity import CapacityMeter
 from coltsfoottray.overload.demand import JobDemand, JobKey, Pool
+from coltsfoottray.overload.last_chance import deferral_reason, select_resumed
 from coltsfoottray.overload.order import select_deferred
 from coltsfoottray.scheduler.backlog_feed import BacklogFeed
 from coltsfoottray.scheduler.cluster_state import ClusterState
@@ -38,6 +40,7 @@
         self._metrics = metrics
         self._meter = CapacityMeter()
         self._deferred: set[JobKey] = set()
+        self._resumed: dict[JobKey, timedelta] = {}
         self._updated_at: timedelta | None = None
 
     def update(self, now: timedelta) -> None:
@@ -48,8 +51,19 @@
         self._meter.update(measure_pools(self._cluster, now), now)
         rate_by_pool = self._meter.rate_by_pool()
         demands = list_demands(self._cluster)
+        self._resumed = select_resumed(
+            demands,
+            rate_by_pool,
+            now,
+            deferred_before=self._deferred,
+            resumed_before=self._resumed,
+        )
         deferred = select_deferred(
-            demands, rate_by_pool, now, deferred_before=self._deferred
+            demands,
+            rate_by_pool,
+            now,
+            deferred_before=self._deferred,
+            resumed=self._resumed,
         )
         self._log_changes(demands, deferred, rate_by_pool, now)
         self._deferred = deferred
@@ -60,13 +74,16 @@
         )
 
     def _mark_jobs(self, demands: list[JobDemand]) -> None:
-        work_by_job: dict[JobId, dict[int, float]] = {}
+        work_by_job: dict[JobId, dict[int, float]] = defaultdict(dict)
+        due_by_job: dict[JobId, dict[int, timedelta]] = defaultdict(dict)
         for demand in demands:
             if demand.key in self._deferred:
-                work = work_by_job.setdefault(demand.key.job, {})
-                work[demand.key.occurrence] = demand.work_left
+                work_by_job[demand.key.job][demand.key.occurrence] = demand.work_left
+        for key, due in self._resumed.items():
+            due_by_job[key.job][key.occurrence] = due
         for job in self._cluster.jobs.active_by_id.values():
             job.deferred_work_by_occurrence = work_by_job.get(job.id, {})
+            job.resumed_due_by_occurrence = due_by_job.get(job.id, {})
         for worker in self._cluster.fleet.worker_by_id.values():
             worker.update_deferred()
 
@@ -84,6 +101,9 @@
             rate = rate_by_pool.get(demand.pool)
             log_event(
                 "decision:defer" if is_deferred else "decision:undefer",
+                reason=deferral_reason(
+                    demand, rate, now, is_deferred=is_deferred, resumed=self._resumed
+                ).value,
                 job=demand.key.job,
                 occurrence=demand.key.occurrence,
                 queue=demand.queue,
--- a/coltsfoottray/scheduler/urgency.py
+++ b/coltsfoottray/scheduler/urgency.py
@@ -9,7 +9,8 @@
 is estimated from tasks that have run (scheduler/lengths.py).
 
 While not all can be on time, overload/order.py may defer jobs. These come between jobs
-on time and late ones, in the order that it states.
+on time and late ones, in the order that it states. Those that overload/last_chance.py
+resumes rank with the jobs on time.
 """
 
 from __future__ import annotations
@@ -27,6 +28,7 @@
     "is_half_elapsed",
     "objective",
     "urgency_key",
+    "useful_until",
 ]
 
 # A job counts as late only if even this fraction of its expected length would not end
@@ -51,6 +53,11 @@
     return job.start_of(occurrence) + _allowed_time(job, terms)
 
 
+def useful_until(job: LiveJob, occurrence: int, terms: QueueTerms) -> timedelta:
+    """Return until when the end of an occurrence is of use, by the steady clock."""
+    return job.start_of(occurrence) + USEFUL_FACTOR * _allowed_time(job, terms)
+
+
 def _allowed_time(job: LiveJob, terms: QueueTerms) -> timedelta:
     return timedelta(milliseconds=terms.objective_ms(job.critical_path_ms))
 
@@ -76,7 +83,8 @@
     if rank in (_DEFERRED, _LAST_CHANCE):
         work = job.deferred_work_by_occurrence[step.occurrence]
         return terms.priority, rank, timedelta(seconds=min(work, _MAX_WORK_S))
-    return terms.priority, rank, start + allowed
+    due = job.resumed_due_by_occurrence.get(step.occurrence, start + allowed)
+    return terms.priority, rank, due
 
 
 def _rank(step: LiveStep, elapsed: timedelta, allowed: timedelta) -> int:
@@ -85,6 +93,8 @@
     useful = USEFUL_FACTOR * allowed
     if elapsed > useful:
         return _USELESS
+    if step.occurrence in step.job.resumed_due_by_occurrence:
+        return _ON_TIME
     left_ms = step.job.critical_path_left_ms(step.occurrence)
     min_left = timedelta(milliseconds=left_ms * MIN_EXPECTED_FRACTION)
     if step.is_deferred:
--- a/standins/fluid_pool.py
+++ b/standins/fluid_pool.py
@@ -16,6 +16,7 @@
 from coltsfoottray.jobs.model import AcceptedJob, JobId, JobSpec, QueueTerms, StepSpec
 from coltsfoottray.overload.capacity import CapacityMeter, PoolUsage
 from coltsfoottray.overload.demand import JobDemand, JobKey, Pool, PoolKind
+from coltsfoottray.overload.last_chance import select_resumed
 from coltsfoottray.overload.order import JobOrder, select_deferred
 from coltsfoottray.scheduler.lengths import LengthEstimator
 from coltsfoottray.scheduler.live import LiveJob, LiveStep
@@ -23,6 +24,7 @@
     MIN_EXPECTED_FRACTION,
     due_time,
     urgency_key,
+    useful_until,
 )
 from coltsfoottray.types import Resources
 
@@ -130,6 +132,7 @@
             pool=POOL,
             priority=self.shape.terms.priority,
             due=due_time(self, 0, self.shape.terms),
+            useful_until=useful_until(self, 0, self.shape.terms),
             work_left=left,
             work_total=sum(works),
             path_left=timedelta(milliseconds=path_ms),
@@ -178,6 +181,7 @@
         self.live: list[FluidJob] = []
         self.ended: list[FluidJob] = []
         self.deferred: set[JobKey] = set()
+        self.resumed: dict[JobKey, timedelta] = {}
         self._order = order
         self._rate_at = rate_at
         self._has_meter = has_meter
@@ -231,8 +235,19 @@
     def _update_deferred(self, now: timedelta) -> None:
         rate_by_pool = self._meter.rate_by_pool() if self._has_meter else {}
         demands = [job.demand() for job in self.live]
+        self.resumed = select_resumed(
+            demands,
+            rate_by_pool,
+            now,
+            deferred_before=self.deferred,
+            resumed_before=self.resumed,
+        )
         deferred = select_deferred(
-            demands, rate_by_pool, now, deferred_before=self.deferred
+            demands,
+            rate_by_pool,
+            now,
+            deferred_before=self.deferred,
+            resumed=self.resumed,
         )
         for job, demand in zip(self.live, demands, strict=True):
             is_deferred = demand.key in deferred
@@ -240,6 +255,8 @@
             job.deferred_work_by_occurrence = (
                 {0: demand.work_left} if is_deferred else {}
             )
+            due = self.resumed.get(demand.key)
+            job.resumed_due_by_occurrence = {} if due is None else {0: due}
         self.deferred = deferred
 
     def _measure(self, rate: float, idle: float, now: timedelta) -> None:
--- a/tests/overload/order.feature
+++ b/tests/overload/order.feature
@@ -15,6 +15,60 @@
     Then by least cost it waits and starts before its last chance has passed
     And by least cost it ends while it is of use
 
+  Scenario Outline: The largest job of a queue under lasting overload
+    # Guards against a deferral without a bound: jobs on time fill the pool until the
+    # deferred job is of no use.
+    Given a pool of 100 processors
+    When 120 jobs of 8 s arrive within 80 s
+    And a job 6 times as large as these arrives after <arrival> s
+    Then by least cost it ends while it is of use
+    And by least cost at least <others> others are on time
+
+    Examples: At most a tenth fewer others than without a bound
+      | arrival | others |
+      | 16      | 99     |
+      | 32      | 99     |
+      | 48      | 99     |
+      | 64      | 99     |
+
+  Scenario: Several large jobs at their last chance
+    # Guards against resumed jobs that together make most others late, or that are
+    # resumed although their end is of no use.
+    Given a pool of 100 processors
+    When 120 jobs of 8 s arrive within 80 s
+    And 4 jobs 6 times as large as these arrive after 24 s
+    Then by least cost one of them at a time is resumed, until it ends
+    And by least cost none is resumed that can no longer be of use
+
+  Scenario: Equal jobs under lasting overload
+    # Guards against jobs of the usual size that are resumed, each of which makes
+    # another one late.
+    Given a pool of 100 processors
+    When 120 jobs of 8 s arrive within 80 s
+    Then by least cost some are deferred and none is resumed
+
+  Scenario: Jobs of two priorities at their last chance
+    # Guards against a job that cannot be of use in time because one of a lower priority,
+    # which gets nothing beside it, is resumed.
+    Given a pool of 100 processors
+    When a job of priority 2 is resumed
+    And a job of priority 0 is deferred until its last chance
+    Then both are resumed
+
+  Scenario: Jobs at their last chance while their pool has no processors
+    # Guards against a division by the rate of such a pool, which ends the scheduler.
+    Given a pool of 0 processors
+    When a job of priority 2 is resumed
+    And a job of priority 2 is deferred until its last chance
+    Then none is resumed
+
+  Scenario: A job at its last chance while another one is resumed
+    # Guards against jobs that take turns in being resumed, so that all become useless.
+    Given a pool of 100 processors
+    When a job of priority 2 is resumed
+    And a job of priority 2 is deferred until its last chance, which ends 2 s earlier
+    Then only the former is resumed
+
   Scenario: Two equal jobs of which one can be on time
     # Guards against jobs that take turns in being deferred, so that both end late.
     Given a pool of 6 processors
--- a/tests/steps/backlog_steps.py
+++ b/tests/steps/backlog_steps.py
@@ -177,6 +177,7 @@
         pool=Pool("svc", PoolKind(kind)),
         priority=context.holder.terms_by_queue[queue].priority,
         due=timedelta(hours=1),
+        useful_until=timedelta(hours=3),
         work_left=float(work),
         work_total=float(work),
         path_left=timedelta(0),
--- a/tests/steps/order_steps.py
+++ b/tests/steps/order_steps.py
@@ -8,9 +8,12 @@
 
 from behave import given, step, then, when
 
-from coltsfoottray.jobs.model import QueueTerms
+from coltsfoottray.jobs.model import JobId, QueueTerms
+from coltsfoottray.overload.demand import JobDemand, JobKey
+from coltsfoottray.overload.last_chance import select_resumed
 from coltsfoottray.overload.order import JobOrder, select_deferred
 from coltsfoottray.scheduler.lengths import LengthEstimator
+from coltsfoottray.scheduler.urgency import MIN_EXPECTED_FRACTION
 from standins.fluid_pool import PERIOD_S, POOL, FluidJob, FluidPool, JobShape
 
 _END_S = 300.0
@@ -93,6 +96,91 @@
     context.largest = _add(context, seconds, length_s, tasks=_TASKS * factor)
 
 
+@when("{count:d} jobs {factor:d} times as large as these arrive after {seconds:d} s")
+def add_large(context, count, factor, seconds):
+    length_s = 2 * context.group[0].task_s
+    context.large = {
+        _add(context, seconds, length_s, tasks=_TASKS * factor).name
+        for _ in range(count)
+    }
+
+
+def _demand_at_last_chance(name: str, priority: int, now: timedelta) -> JobDemand:
+    path = timedelta(seconds=8)
+    return JobDemand(
+        key=JobKey(job=JobId(name), occurrence=0),
+        queue=name,
+        pool=POOL,
+        priority=priority,
+        due=now,
+        useful_until=now + 2 * path,
+        work_left=100.0,
+        work_total=100.0,
+        path_left=path,
+    )
+
+
+@when("a job of priority {priority:d} is resumed")
+def resume(context, priority):
+    context.now = timedelta(seconds=20)
+    context.resumed = [_demand_at_last_chance("resumed", priority, context.now)]
+
+
+@when("a job of priority {priority:d} is deferred until its last chance")
+def defer(context, priority):
+    demand = _demand_at_last_chance("deferred", priority, context.now)
+    # Others of its queue are much smaller.
+    small = dataclasses.replace(
+        demand, key=JobKey(job=JobId("small"), occurrence=0), work_total=1.0
+    )
+    other = small.key._replace(job=JobId("other"))
+    context.deferred = [demand, small, dataclasses.replace(small, key=other)]
+
+
+@when(
+    "a job of priority {priority:d} is deferred until its last chance, which ends "
+    "{seconds:d} s earlier"
+)
+def defer_earlier(context, priority, seconds):
+    defer(context, priority)
+    context.deferred = [
+        dataclasses.replace(
+            each, useful_until=each.useful_until - timedelta(seconds=seconds)
+        )
+        for each in context.deferred
+    ]
+
+
+def _select_resumed(context) -> set[str]:
+    resumed = select_resumed(
+        context.resumed + context.deferred,
+        {POOL: context.rate_at(0.0)},
+        context.now,
+        deferred_before={demand.key for demand in context.deferred},
+        resumed_before={demand.key for demand in context.resumed},
+    )
+    return {key.job for key in resumed}
+
+
+@then("both are resumed")
+def check_both_resumed(context):
+    assert _select_resumed(context) == {"resumed", "deferred"}
+
+
+@then("none is resumed")
+def check_not_resumed(context):
+    assert not _select_resumed(context)
+
+
+@then("only the former is resumed")
+def check_stays_resumed(context):
+    assert _select_resumed(context) == {"resumed"}
+    former, context.resumed = context.resumed, []
+    context.deferred += former
+    # Without a resumed one, the one whose use ends first has its turn.
+    assert _select_resumed(context) == {"deferred"}
+
+
 @when("a job of {tasks:d} tasks arrives that declares {factor:d} times its length")
 def add_misdeclared(context, tasks, factor):
     _add(context, 0.0, 8.0, tasks=tasks, declared_factor=float(factor))
@@ -145,6 +233,12 @@
     assert job.end_s - job.shape.arrival_s <= job.shape.useful_s, job.end_s
 
 
+@then("by least cost at least {count:d} others are on time")
+def check_others(context, count):
+    on_time = _count_on_time(_play(context, JobOrder.LEAST_COST), context.group)
+    assert on_time >= count, on_time
+
+
 @step("by least cost {count:d} of them is on time")
 @step("by least cost the {count:d} jobs are on time")
 def check_on_time(context, count):
@@ -194,6 +288,41 @@
         pool.step()
 
 
+@then("by least cost one of them at a time is resumed, until it ends")
+def check_one_resumed(context):
+    resumed: list[JobId] = []
+    for pool in _run_until(context, JobOrder.LEAST_COST, _END_S):
+        assert len(pool.resumed) <= 1, pool.resumed
+        resumed += [key.job for key in pool.resumed if key.job not in resumed[-1:]]
+        ended = {job.id for job in pool.ended}
+        assert all(pool.resumed or job in ended for job in resumed[-1:]), resumed
+    assert set(resumed) <= context.large, resumed
+    assert len(resumed) == len(set(resumed)) > 0, resumed
+
+
+@then("by least cost some are deferred and none is resumed")
+def check_none_resumed(context):
+    deferred = 0
+    for pool in _run_until(context, JobOrder.LEAST_COST, _END_S):
+        deferred += len(pool.deferred)
+        assert not pool.resumed, pool.resumed
+    assert deferred
+
+
+@then("by least cost none is resumed that can no longer be of use")
+def check_resumed_useful(context):
+    waited_too_long = 0
+    for pool in _run_until(context, JobOrder.LEAST_COST, _END_S):
+        resumed = {key.job for key in pool.resumed}
+        for job in pool.live:
+            path_s = job.critical_path_left_ms(0) / 1000 * MIN_EXPECTED_FRACTION
+            ends_s = pool.now_s + path_s
+            if ends_s > job.shape.arrival_s + job.shape.useful_s + PERIOD_S:
+                waited_too_long += job.id in context.large
+                assert job.id not in resumed, job.id
+    assert waited_too_long
+
+
 def _former_key(job: FluidJob, now: timedelta):
     """Return the key that urgency_key had before jobs could be deferred."""
     elapsed = now - job.accepted_at
