The parts of the order by least cost are created in one place

Change: scheduler/least_cost creates them, and the writer renews the lease row while the state is loaded; the behaviour is the same.

--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -20,7 +20,7 @@
 from coltsfoottray.overload.order import JobOrder
 from coltsfoottray.peers import PeerClient
 from coltsfoottray.platform import Row, WatchedTable
-from coltsfoottray.scheduler.backlog_feed import NO_UPDATE, BacklogFeed, BacklogUpdate
+from coltsfoottray.scheduler.backlog_feed import NO_UPDATE, BacklogUpdate
 from coltsfoottray.scheduler.backlog_watch import BacklogWatch
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.deadlines import Deadlines
@@ -28,13 +28,13 @@
 from coltsfoottray.scheduler.grants import Grants, is_out_of_order
 from coltsfoottray.scheduler.inbox import Inbox
 from coltsfoottray.scheduler.learned_row import LearnedRow
-from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL, LeaseRow
+from coltsfoottray.scheduler.lease import LeaseRow
+from coltsfoottray.scheduler.least_cost import LeastCost
 from coltsfoottray.scheduler.live import MAX_RESTORED_AGE, LiveJob
 from coltsfoottray.scheduler.messages import Orders, Report, ReportReply
 from coltsfoottray.scheduler.order_sender import OrderSender
 from coltsfoottray.scheduler.orders import missing_orders
 from coltsfoottray.scheduler.overdue import OverdueMonitor
-from coltsfoottray.scheduler.overload import OverloadControl
 from coltsfoottray.scheduler.placed_run import PlacedRun
 from coltsfoottray.scheduler.planner import Planner
 from coltsfoottray.scheduler.pressure_feed import PressureFeed
@@ -81,25 +81,15 @@
         self._fleet = Fleet()
         self.cluster = ClusterState(holder=holder, fleet=self._fleet)
         self.planner = Planner(cluster=self.cluster, holder=holder)
-        self._overload: OverloadControl | None = None
-        self._deadlines: Deadlines | None = None
-        self.learned_row: LearnedRow | None = None
+        self._least_cost: LeastCost | None = None
         if job_order is JobOrder.LEAST_COST:
-            feed = BacklogFeed(
-                epoch=claim.lease.epoch,
+            self._least_cost = LeastCost.create(
+                claim=claim,
+                cluster=self.cluster,
                 holder=holder,
-                publish=backlog.publish,
-                metrics=metrics,
-            )
-            self._overload = OverloadControl(
-                cluster=self.cluster, backlog_feed=feed, metrics=metrics
-            )
-            self._deadlines = Deadlines(terms_of=self.cluster.terms_of, clock=clock)
-            self.learned_row = LearnedRow(
-                lengths=self.cluster.lengths,
-                meter=self._overload.meter,
+                backlog=backlog,
                 clock=clock,
-                now=claim.acquired_at,
+                metrics=metrics,
             )
         self._relocator = Relocator(cluster=self.cluster)
         self._round_metrics = RoundMetrics(
@@ -125,7 +115,7 @@
             side_rows=[
                 self._pressure_row,
                 self._attendant_rows,
-                *([self.learned_row] if self.learned_row is not None else []),
+                *([] if self.learned_row is None else [self.learned_row]),
             ],
             drops_records=drops_records,
             table=table,
@@ -138,13 +128,23 @@
             metrics=metrics,
         )
         self._order_sender = OrderSender(
-            fleet=self._fleet, peers=peers, deadlines=self._deadlines
+            fleet=self._fleet, peers=peers, deadlines=self.deadlines
         )
         self._inbox = Inbox()
         self._reported_by_worker: dict[str, trio.Event] = {}
         self._timer = RoundTimer(cluster=self.cluster, clock=clock)
         self._is_resigning = False
 
+    @property
+    def learned_row(self) -> LearnedRow | None:
+        """The row of what was learned, None unless the order is by least cost."""
+        return None if self._least_cost is None else self._least_cost.learned_row
+
+    @property
+    def deadlines(self) -> Deadlines | None:
+        """What attendants are told of deadlines, None unless by least cost."""
+        return None if self._least_cost is None else self._least_cost.deadlines
+
     @property
     def version(self) -> int:
         """The version of the lease row as last written."""
@@ -174,7 +174,7 @@
         self._timer.wake()
         orders = Orders(session=worker.session, life=report.life)
         if self.is_loaded and worker.session:
-            orders = missing_orders(worker, report, deadlines=self._deadlines)
+            orders = missing_orders(worker, report, deadlines=self.deadlines)
         update = self._pressure_feed.changes_for(
             worker.service_images, report.pressure_revision_by_service
         )
@@ -215,10 +215,10 @@
 
     def backlog_update(self, known_version: int | None) -> BacklogUpdate:
         """Return what an entry that knows a version of the backlog lacks."""
-        if self._overload is None:
+        if self._least_cost is None:
             return NO_UPDATE
         now = self._clock.elapsed()
-        return self._overload.backlog_feed.update_for(known_version, now)
+        return self._least_cost.control.backlog_feed.update_for(known_version, now)
 
     def jobs_ended_before(self, moment: timedelta) -> list[JobId]:
         """Return the jobs that ended before a given time and have no runs left.
@@ -253,24 +253,8 @@
     async def renew_until(
         self, loaded: trio.Event, progress: Callable[[], int]
     ) -> None:
-        """Renew the lease row until all is loaded, as long as that makes progress.
-
-        Other entries replace a holder that is stuck, but not one that is only slow:
-        the next one would have to read the same.
-
-        Raises
-        ------
-        LeaseLost
-            If another entry has taken the lease row over.
-        """
-        last = progress()
-        while True:
-            with trio.move_on_after(RENEWAL_INTERVAL.total_seconds() / 2):
-                await loaded.wait()
-                return
-            if progress() != last:
-                last = progress()
-                await self._writer.renew()
+        """Renew the lease row until all is loaded; see `StateWriter`."""
+        await self._writer.renew_until(loaded, progress)
 
     def load(self, stored: StoredState, cost: LoadCost) -> None:
         """Restore the state that earlier schedulers stored."""
@@ -403,6 +387,6 @@
         self._relocator.pack_services(now, is_wanted=self.planner.has_waiting_fillers)
         if self._timer.is_reconciling:
             return [], last_end_by_worker
-        if self._overload is not None:
-            self._overload.update(now)
+        if self._least_cost is not None:
+            self._least_cost.control.update(now)
         return self.planner.plan(moment), last_end_by_worker
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 import msgspec
+import trio
 from returns.result import Failure
 
 from coltsfoottray.clock import Clock
@@ -141,6 +142,28 @@
         """Renew the lease row."""
         await self._commit([], renews=True)
 
+    async def renew_until(
+        self, loaded: trio.Event, progress: Callable[[], int]
+    ) -> None:
+        """Renew the lease row until all is loaded, as long as that makes progress.
+
+        Other entries replace a holder that is stuck, but not one that is only slow:
+        the next one would have to read the same.
+
+        Raises
+        ------
+        LeaseLost
+            If another entry has taken the lease row over.
+        """
+        last = progress()
+        while True:
+            with trio.move_on_after(RENEWAL_INTERVAL.total_seconds() / 2):
+                await loaded.wait()
+                return
+            if progress() != last:
+                last = progress()
+                await self.renew()
+
     def mark_loaded(self) -> None:
         """Show in the lease row that the state is loaded, with the next commit."""
         self.lease = msgspec.structs.replace(
