--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -260,6 +260,11 @@
         )
 
 
+OptionalOverload = Annotated[
+    OverloadSettings, BeforeValidator(lambda value: {} if value is None else value)
+]
+
+
 class JobEntrySettings(JobDaemonSettings):
     """Settings of an entry that accepts jobs and may become the scheduler.
 
@@ -287,7 +292,7 @@
     keep_s: Seconds = 120.0
     grace_s: Seconds = 6.0
     region_by_data_centre: OptionalMapping = {}
-    overload: OverloadSettings = OverloadSettings()
+    overload: OptionalOverload = OverloadSettings()
 
 
 class JobAttendantSettings(JobDaemonSettings):
--- a/tests/settings/bad_input.feature
+++ b/tests/settings/bad_input.feature
@@ -37,3 +37,32 @@
       """
     When the file is checked
     Then it is refused with "10: timing.silence_s: " and "expected more than hold_s"
+
+  Scenario: A deployment has no settings for overload, or wrong ones
+    # Guards against entries that do not start where a template has nothing to fill in,
+    # and against a misspelt order that is taken for the default.
+    Given a settings file with these lines
+      """
+      role: job-entry
+      name: entry-1
+      data_centre: caerdydd
+      callers: 127.0.0.1:1
+      readiness: 127.0.0.1:2
+      peers: 127.0.0.1:3
+      table: 127.0.0.1:4
+      overload:
+      """
+    Then the file is accepted with jobs in the order "deadline"
+    Given a settings file with these lines
+      """
+      role: job-entry
+      name: entry-1
+      data_centre: caerdydd
+      callers: 127.0.0.1:1
+      readiness: 127.0.0.1:2
+      peers: 127.0.0.1:3
+      table: 127.0.0.1:4
+      overload: {"order": "least", "admission": "useful"}
+      """
+    When the file is checked
+    Then it is refused with "8: overload.order: " and "'deadline' or 'least-cost'"
--- a/tests/steps/input_steps.py
+++ b/tests/steps/input_steps.py
@@ -31,3 +31,9 @@
 @then('it is refused with "{start}" and "{rest}"')
 def check_error(context, start, rest):
     assert any(start in e and rest in e for e in context.errors), context.errors
+
+
+@then('the file is accepted with jobs in the order "{order}"')
+def check_order(context, order):
+    settings = load_settings(context.path).unwrap()
+    assert settings.overload.order.value == order, settings
