--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,4 @@
 	$(BIN)/python -m benchmarks.policies
 	$(BIN)/python -m benchmarks.outage
 	$(BIN)/python -m benchmarks.pressures
+	$(BIN)/python -m benchmarks.overload
