The soak plays every other seed with the decisions under overload

Cause: no real program had run with them. Change: entries of odd seeds have the section overload with both decisions on, and the queues of all an objective.

--- a/soak/session.py
+++ b/soak/session.py
@@ -26,6 +26,8 @@
 _STARTUP_TIMEOUT_S = 60.0
 _READY_TIMEOUT = timedelta(seconds=1)
 _POLL_INTERVAL_S = 0.05
+# The decisions under overload are on for every other seed.
+_OVERLOAD = {"order": "least-cost", "admission": "useful"}
 
 
 @dataclass(kw_only=True)
@@ -76,7 +78,12 @@
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{self.seed}-"))
         outcome = Outcome(seed=self.seed, folder=folder, plan=plan)
         async with trio.open_nursery() as nursery:
-            site = Site(nursery=nursery, folder=folder, planted=self.planted)
+            site = Site(
+                nursery=nursery,
+                folder=folder,
+                planted=self.planted,
+                overload=_OVERLOAD if self.seed % 2 else {},
+            )
             nursery.start_soon(self._measure_lag)
             try:
                 await site.start()
--- a/soak/site.py
+++ b/soak/site.py
@@ -81,11 +81,14 @@
         Where settings and logs are written.
     planted : str
         Name of a fault in the code of the programs; empty for none.
+    overload : dict
+        The section `overload` of the entries' settings.
     """
 
     nursery: trio.Nursery
     folder: Path
     planted: str = ""
+    overload: dict[str, str] = field(default_factory=dict)
     table: MetadataTableStandIn = field(default_factory=MetadataTableStandIn)
     advice: AdviceStandIn = field(default_factory=AdviceStandIn)
     observer: ExactObserver = field(
@@ -116,6 +119,7 @@
                 advice=str(self.address("store", _ADVICE)),
                 keep_s=_KEEP_S,
                 region_by_data_centre={_DATA_CENTRE: "cymru"},
+                overload=self.overload,
             )
         for name in WORKERS:
             heartbeats = str(self.address(name, _HEARTBEATS))
@@ -133,6 +137,8 @@
             "priority": 1 + version % 3,
             "maxAttempts": _MAX_ATTEMPTS,
             "timeoutMs": 3000,
+            "slowdownFactor": 2.0,
+            "targetLatencyMs": 500,
         }
         checked = {
             **plain,
