--- a/coltsfoottray/agent/pacing.py
+++ b/coltsfoottray/agent/pacing.py
@@ -121,8 +121,8 @@
             for image, pressure in light_by_image.items()
         )
         margin = self._learner.undisturbed_margin(observation)
-        self._light_percent(observation, light, margin)
-        is_protected = observation.service in self._protected_services
+        light_percent = affordable_percent(light, margin - _MIN_MARGIN)
+        is_protected = self._update_protection(observation, light_percent)
         return ServiceBudget(
             heavy_by_image=heavy_by_image,
             light_by_image=light_by_image,
@@ -197,7 +197,9 @@
             pressure * share_by_image[image]
             for image, pressure in light_by_image.items()
         )
-        light_percent = self._light_percent(observation, light, margin)
+        light_percent = affordable_percent(light, margin - _MIN_MARGIN)
+        if not self._update_protection(observation, light_percent):
+            light_percent = FULL_SPEED
         allowed = dict.fromkeys(light_by_image, light_percent)
         heavy = sum(
             pressure * share_by_image[image]
@@ -211,22 +213,22 @@
                 allowed[image] = min(percent, max(before // 2, MIN_PERCENT))
         return allowed
 
-    def _light_percent(
-        self, observation: Observation, light: float, margin: float
-    ) -> int:
-        """Return the speed limit in percent of light fillers for one service.
+    def _update_protection(self, observation: Observation, light_percent: int) -> bool:
+        """Return whether light fillers are slowed for a service.
 
-        Light fillers work at full speed until the service has exceeded its target:
-        predicted margins are too uncertain to slow fillers that appear harmless.
+        They work at full speed until it has exceeded its target: predicted margins are
+        too uncertain to slow fillers that appear harmless.
+
+        Parameters
+        ----------
+        light_percent : int
+            Speed limit in percent that its margin allows them.
         """
-        percent = affordable_percent(light, margin - _MIN_MARGIN)
         if observation.margin <= 1.0:
             self._protected_services.add(observation.service)
-        elif percent == FULL_SPEED:
+        elif light_percent == FULL_SPEED:
             self._protected_services.discard(observation.service)
-        return (
-            percent if observation.service in self._protected_services else FULL_SPEED
-        )
+        return observation.service in self._protected_services
 
 
 def is_significant_change(before: int, percent: int) -> bool:
--- a/coltsfoottray/overload/admission.py
+++ b/coltsfoottray/overload/admission.py
@@ -1,6 +1,6 @@
 """Acceptance or rejection of a job that is submitted while there is a backlog.
 
-Load pattern: a burst that takes longer to work off than its jobs are of use. Without
+Load pattern: a burst that takes longer to process than its jobs are of use. Without
 rejections, their callers wait for results that come too late, and learn of it last.
 """
 
--- a/coltsfoottray/overload/backlog.py
+++ b/coltsfoottray/overload/backlog.py
@@ -1,6 +1,6 @@
 """The work ahead of a job that is submitted now, by queue.
 
-Load pattern: a burst that takes longer to work off than its jobs are of use. Entries
+Load pattern: a burst that takes longer to process than its jobs are of use. Entries
 learn of it from the scheduler and can then reject jobs at once.
 """
 
--- a/coltsfoottray/overload/capacity.py
+++ b/coltsfoottray/overload/capacity.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -20,6 +20,8 @@
 # The usage of a filler is reported with a lag of up to a second and swings with the
 # load of the services beside it.
 _SMOOTHING_TIME = timedelta(seconds=2)
+# Workers that have been gone for this long do not come back with the same load.
+_RETENTION = timedelta(minutes=1)
 # Fillers slower than this fraction of what they request use all that they can get.
 _SATURATED_FRACTION = 0.8
 
@@ -56,6 +58,7 @@
 
     def __init__(self) -> None:
         self._rate_by_pool: dict[Pool, float] = {}
+        self._seen_at_by_pool: dict[Pool, timedelta] = {}
         self._updated_at: timedelta | None = None
 
     def update(self, usage_by_pool: dict[Pool, PoolUsage], now: timedelta) -> None:
@@ -63,6 +66,7 @@
         updated_at = now if self._updated_at is None else self._updated_at
         weight = 1.0 - math.exp(-((now - updated_at) / _SMOOTHING_TIME))
         self._updated_at = now
+        self._drop_old(usage_by_pool, now)
         for pool, usage in usage_by_pool.items():
             rate = usage.used if usage.is_saturated else usage.used + usage.idle
             if pool.kind is PoolKind.RESERVED:
@@ -73,6 +77,19 @@
             before = self._rate_by_pool.get(pool, usage.used + usage.idle)
             self._rate_by_pool[pool] = before + weight * (rate - before)
 
+    def _drop_old(self, present: Collection[Pool], now: timedelta) -> None:
+        """Drop the rates of pools whose workers have been gone for long.
+
+        A restored rate counts as seen at the first update.
+        """
+        for pool in [*self._rate_by_pool, *present]:
+            self._seen_at_by_pool.setdefault(pool, now)
+        self._seen_at_by_pool.update(dict.fromkeys(present, now))
+        for pool, seen_at in list(self._seen_at_by_pool.items()):
+            if now - seen_at > _RETENTION:
+                del self._seen_at_by_pool[pool]
+                self._rate_by_pool.pop(pool, None)
+
     def restore(self, rate_by_pool: Mapping[Pool, float]) -> None:
         """Continue from rates that were measured earlier."""
         self._rate_by_pool.update(rate_by_pool)
--- a/coltsfoottray/overload/demand.py
+++ b/coltsfoottray/overload/demand.py
@@ -55,7 +55,7 @@
     work_left, work_total : float
         Work at full speed in processor-seconds.
     path_left : timedelta
-        Expected length of the critical path through its unfinished steps.
+        Shortest likely length of the critical path through its unfinished steps.
     """
 
     key: JobKey
--- a/standins/fluid_pool.py
+++ b/standins/fluid_pool.py
@@ -13,7 +13,14 @@
 
 from coltsfoottray.clock import Moment
 from coltsfoottray.jobs.config import ConfigHolder
-from coltsfoottray.jobs.model import AcceptedJob, JobId, JobSpec, QueueTerms, StepSpec
+from coltsfoottray.jobs.model import (
+    USEFUL_FACTOR,
+    AcceptedJob,
+    JobId,
+    JobSpec,
+    QueueTerms,
+    StepSpec,
+)
 from coltsfoottray.overload.capacity import CapacityMeter, PoolUsage
 from coltsfoottray.overload.demand import JobDemand, JobKey, Pool, PoolKind
 from coltsfoottray.overload.last_chance import select_resumed
@@ -35,7 +42,6 @@
 POOL = Pool(service="batch", kind=PoolKind.SPARE)
 
 _MILLI = 1000.0
-_USEFUL_FACTOR = 3.0
 # Rounding errors leave a step with a little work.
 _MIN_WORK = 1e-6
 
@@ -76,7 +82,7 @@
     @property
     def useful_s(self) -> float:
         """How long it may take to be of use to its caller."""
-        return _USEFUL_FACTOR * self.allowed_s
+        return USEFUL_FACTOR * self.allowed_s
 
 
 class FluidJob(LiveJob):
--- a/tests/agent/pressures.feature
+++ b/tests/agent/pressures.feature
@@ -61,7 +61,7 @@
     And 1 fillers of "urgent" join them for 5 s
     And the fillers of "early" must end within 60 s
     And the fillers of "urgent" must end within 40 s
-    And 0 fillers of "urgent" join them for 30 s
+    And the worker runs for 30 s more
     Then in the last 29 s "early" ran at 5 percent or less while "urgent" was slowed
     And the service exceeded its target in at most 3 percent of its polls
 
@@ -75,7 +75,7 @@
     And the fillers of "late" must end within 20 s
     And the jobs of "late" fillers are late
     And the fillers of "urgent" must end within 60 s
-    And 0 fillers of "urgent" join them for 30 s
+    And the worker runs for 30 s more
     Then in the last 29 s "late" ran at 5 percent or less while "urgent" was slowed
 
   Scenario: A deferred filler runs beside one whose job can be on time
@@ -86,7 +86,7 @@
     When 1 fillers of "late" run there for 15 s
     And 1 fillers of "urgent" join them for 5 s
     And the fillers of "late" are deferred
-    And 0 fillers of "urgent" join them for 30 s
+    And the worker runs for 30 s more
     Then in the last 30 s "late" ran at 5 percent or less while "urgent" was slowed
     And no filler of "late" was stopped
     And the service exceeded its target in at most 3 percent of its polls
@@ -97,7 +97,7 @@
     And a filler image "light" that disturbs it lightly
     When 3 fillers of "light" run there for 5 s
     And the fillers of "light" are deferred
-    And 0 fillers of "light" join them for 10 s
+    And the worker runs for 10 s more
     Then fillers of "light" ran at full speed from 5 s on
 
   Scenario: A filler that requests no processors runs beside an overloaded service
@@ -107,5 +107,5 @@
     When 4 fillers of "heavy" run there for 5 s
     And a filler of "heavy" without processors joins them
     And the fillers of "heavy" must end within 60 s
-    And 0 fillers of "heavy" join them for 20 s
+    And the worker runs for 20 s more
     Then no filler of "heavy" without processors was slowed
--- a/tests/overload/capacity.feature
+++ b/tests/overload/capacity.feature
@@ -19,3 +19,11 @@
     Given a pool of 100 processors that falls to 50 after 10 s
     When 40 jobs of 4 to 12 s arrive within 4 s
     Then the measured rate is within 10% of the real one 5 s after that
+
+  Scenario: The workers of a pool are gone for good
+    # Guards against waits that are predicted by workers that no longer exist.
+    Given a meter with a restored rate of a pool
+    When it is updated for 50 s without that pool
+    Then the rate is still known
+    When it is updated for 20 s without that pool
+    Then the rate is no longer known
--- a/tests/steps/pressure_steps.py
+++ b/tests/steps/pressure_steps.py
@@ -67,6 +67,11 @@
         task = TaskRef(job=JobId("f" * 16), occurrence=0, step=0, index=number)
         ref = RunRef(task=task, run=1)
         context.fillers.append(FillerRun(ref=ref, image=image, share=_SHARE))
+    run_on(context, seconds)
+
+
+@step("the worker runs for {seconds:d} s more")
+def run_on(context, seconds):
     for _ in range(round(seconds / POLL_INTERVAL_S)):
         _poll(context)
 
