Steps of the pacer change fillers in one place, and one says what it checks

Cause: three steps had the same replacement of fillers, and "no filler was slowed" also accepts the minimum speed, which an overloaded service causes. Measured: tests/agent, 11 passed.

--- a/tests/agent/pressures.feature
+++ b/tests/agent/pressures.feature
@@ -108,4 +108,4 @@
     And a filler of "heavy" without processors joins them
     And the fillers of "heavy" must end within 60 s
     And the worker runs for 20 s more
-    Then no filler of "heavy" without processors was slowed
+    Then fillers of "heavy" without processors run at full or at minimum speed
--- a/tests/steps/pressure_steps.py
+++ b/tests/steps/pressure_steps.py
@@ -78,19 +78,12 @@
 
 @step('the fillers of "{image}" must end within {seconds:d} s')
 def set_end(context, image, seconds):
-    end_by = timedelta(seconds=seconds)
-    context.fillers = [
-        dataclasses.replace(each, end_by=end_by) if each.image == image else each
-        for each in context.fillers
-    ]
+    _change_fillers(context, image, end_by=timedelta(seconds=seconds))
 
 
 @step('the jobs of "{image}" fillers are late')
 def set_late(context, image):
-    context.fillers = [
-        dataclasses.replace(each, is_late=True) if each.image == image else each
-        for each in context.fillers
-    ]
+    _change_fillers(context, image, is_late=True)
 
 
 @step('a filler of "{image}" without processors joins them')
@@ -100,7 +93,7 @@
     context.fillers.append(FillerRun(ref=ref, image=image, share=0.0))
 
 
-@then('no filler of "{image}" without processors was slowed')
+@then('fillers of "{image}" without processors run at full or at minimum speed')
 def check_without_processors(context, image):
     idle = [each for each in context.fillers if each.image == image and not each.share]
     percents = {context.percent_by_ref[each.ref] for each in idle}
@@ -109,8 +102,12 @@
 
 @step('the fillers of "{image}" are deferred')
 def defer_fillers(context, image):
+    _change_fillers(context, image, is_deferred=True)
+
+
+def _change_fillers(context, image, **changes):
     context.fillers = [
-        dataclasses.replace(each, is_deferred=True) if each.image == image else each
+        dataclasses.replace(each, **changes) if each.image == image else each
         for each in context.fillers
     ]
 
