The deferred fillers of a worker are listed in one place

Cause: the orders and the update of a worker's usage had the same comprehension. Change: one method; the behaviour is the same.

--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -137,9 +137,7 @@
 
     def deferred_fillers(self) -> list[RunRef] | None:
         """Return the fillers that are deferred here, None before the first decision."""
-        if self._deferred is None:
-            return None
-        return [ref for ref, placed in self.held_by_ref.items() if placed.is_deferred]
+        return None if self._deferred is None else self._list_deferred()
 
     def share_of(self, processors: float) -> float:
         """Return `processors` as a fraction of the worker's capacity."""
@@ -280,15 +278,16 @@
 
     def update_deferred(self) -> None:
         """Update the usage by fillers after other jobs have been deferred."""
-        deferred = {
-            ref for ref, placed in self.held_by_ref.items() if placed.is_deferred
-        }
+        deferred = set(self._list_deferred())
         before, self._deferred = self._deferred, deferred
         if deferred == (before or set()):
             return
         self.has_new_deferred = True
         self._recompute_sums()
 
+    def _list_deferred(self) -> list[RunRef]:
+        return [ref for ref, placed in self.held_by_ref.items() if placed.is_deferred]
+
     def recompute_usage(self) -> None:
         """Recompute the sums after a report has updated the usage of runs."""
         self._recompute_sums()
