Review, case 3: silent connections to the workers end tasks that last

Cause: after a time-out the HTTP client closes one connection and goes on with the next idle one to the same address, of which it keeps up to 32. If all have gone silent, no poll of a worker succeeds until they are used up, and its lease lapses.

Change: this takes the place of the script for CONFIG, which shows the same fault of the client on the connections to the store: tasks that last are lost longer than the rule allows, which is graver than an outdated config.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Entries go on using silent connections to the store, one after the other."""
+"""Attendants go on using silent connections to their workers, one after the other."""
 
 from __future__ import annotations
 
@@ -10,23 +10,21 @@
 
 from coltsfoottray.types import Address
 from review.harness import HOLDS, IS_BROKEN, NOT_RUN, Case, ReviewSite, run_case
-from soak.site import ENTRIES, HOST, PATH, WORKERS
+from soak.site import PATH, PROCESSORS, WORKERS
+from standins.job_worker import JobWorkerStandIn
 
-_STORE_PORT, _PROXY_PORT = 7006, 7050
-_NEW_PATH = "/added/"
+_INSTANCE_PORT, _PROXY_PORT = 7005, 7051
 _CHUNK_BYTES = 65_536
-# As the sheets of the small sites give them.
-_STORE_ANSWER_S = 0.004
-_TRANSACTIONS_PER_S = 150.0
-_CONTACT_S = 3.0
-_CONFIG_APPLY_S = 2.0
-_MAX_EXTENSION_S = 5.0
-_USERS_PER_ENTRY = 30
 _SETTLING_S = 4.0
-_CONFIG_AFTER_S = 0.5
-_WATCH_S = 16.0
-_ASK_INTERVAL_S = 0.25
-_NOT_FOUND = 404
+# The widest step of the small sites has 36 tasks.
+_BATCHES, _BATCH_TASKS = 2, 36
+_MAX_BATCH_S = 10.0
+_WATCH_S = 40.0
+_POLL_INTERVAL_S = 0.1
+# A task that lasts has to run again 6 s after its last run, and counts as lost once it
+# has not for 3 s more.
+_RESTART_S = 6.0
+_IDLE_S = 3.0
 
 
 @dataclass(kw_only=True, eq=False)
@@ -36,25 +34,27 @@
 
 @dataclass(kw_only=True)
 class _Proxy:
-    """Passes the connections of one program on to the store."""
+    """Passes the connections to one worker on."""
 
-    store: Address
+    worker: Address
     connections: list[_Connection] = field(default_factory=list)
 
     async def handle(self, client: trio.SocketStream) -> None:
         connection = _Connection()
         self.connections.append(connection)
-        store = await trio.open_tcp_stream(self.store.host, self.store.port)
-        async with client, store, trio.open_nursery() as nursery:
-            nursery.start_soon(self._pass_on, connection, client, store, nursery)
-            nursery.start_soon(self._pass_on, connection, store, client, nursery)
-        self.connections.remove(connection)
+        try:
+            worker = await trio.open_tcp_stream(self.worker.host, self.worker.port)
+            async with client, worker, trio.open_nursery() as nursery:
+                nursery.start_soon(self._pass_on, connection, client, worker, nursery)
+                nursery.start_soon(self._pass_on, connection, worker, client, nursery)
+        finally:
+            self.connections.remove(connection)
 
     async def _pass_on(
         self,
         connection: _Connection,
         source: trio.SocketStream,
-        target: trio.abc.SendStream,
+        target: trio.SocketStream,
         nursery: trio.Nursery,
     ) -> None:
         """Pass bytes on; once the connection is silent, drop them."""
@@ -74,108 +74,95 @@
 
 
 class _Site(ReviewSite):
-    """A site whose programs reach the store through a proxy each."""
+    """A site whose attendants reach their workers through a proxy each."""
 
     def __post_init__(self) -> None:
         super().__post_init__()
         self.proxy_by_name: dict[str, _Proxy] = {}
 
-    async def start(self) -> None:
-        self.table.faults.delay_s = _STORE_ANSWER_S
-        self.table.transactions_per_s = _TRANSACTIONS_PER_S
-        for name in (*ENTRIES, *WORKERS):
-            proxy = _Proxy(store=self.address("store", _STORE_PORT))
-            self.proxy_by_name[name] = proxy
-            host = self.address(name, _PROXY_PORT).host
-            serve = partial(trio.serve_tcp, proxy.handle, _PROXY_PORT, host=host)
-            await self.nursery.start(serve)
-        await super().start()
-
-    def _start_program(self, name: str, **settings: object) -> None:
-        table = str(self.address(name, _PROXY_PORT))
-        super()._start_program(name, table=table, **settings)
-
-    def add_route(self) -> None:
-        """Write a config with one more route, as an operator does."""
-        config = self.table.value_of("op", "", "config")
-        assert isinstance(config, dict)
-        route = {**config["routes"][0], "name": "r-added", "pathPrefix": _NEW_PATH}
-        changed = {
-            **config,
-            "version": config["version"] + 1,
-            "routes": [*config["routes"], route],
-        }
-        self.table.put("op", "", "config", changed)
-
-
-async def _submit_at_once(case: Case) -> None:
-    job = {
-        "spec": '{"work_s":0.2,"share":0.1}',
-        "steps": [{"count": 1, "cpu": 100, "memoryLimitMb": 10, "estimateMs": 200}],
+    async def _start_worker(self, name: str) -> None:
+        proxy = _Proxy(worker=self.address(name, _INSTANCE_PORT))
+        self.proxy_by_name[name] = proxy
+        host = self.address(name, _PROXY_PORT).host
+        serve = partial(trio.serve_tcp, proxy.handle, _PROXY_PORT, host=host)
+        await self.nursery.start(serve)
+        await super()._start_worker(name)
+
+    async def open_worker(self, name: str) -> None:
+        """Accept connections; the worker reports the address of its proxy."""
+        await super().open_worker(name)
+        self.worker_by_name[name].address = self.address(name, _PROXY_PORT)
+
+
+def _make_job(*, count: int, cpu: int, spec: str, lasts: bool) -> dict[str, object]:
+    step = {"count": count, "cpu": cpu, "memoryLimitMb": 100, "longRunning": lasts}
+    return {"spec": spec, "steps": [step if lasts else {**step, "estimateMs": 500}]}
+
+
+def _running_lasting(case: Case, job: str) -> set[str]:
+    return {
+        task
+        for worker in case.site.worker_by_name.values()
+        for task in worker.run_by_task
+        if task.startswith(job)
     }
-    async with trio.open_nursery() as nursery:
-        for user in range(_USERS_PER_ENTRY):
-            for number, entry in enumerate(ENTRIES):
-                target = f"{PATH}{0x1000 + user * len(ENTRIES) + number:016x}"
-                nursery.start_soon(case.call, entry, "POST", target, job)
 
 
-@dataclass(kw_only=True)
-class _Watch:
-    """Asks an entry for the added route, and keeps the late refusals."""
+def _describe(workers: dict[str, JobWorkerStandIn]) -> str:
+    runs = {name: len(worker.run_by_task) for name, worker in workers.items()}
+    return f"runs on the workers of {PROCESSORS} processors, which are up: {runs}"
 
-    case: Case
-    entry: str
-    late_after_s: float
-    late_refusals_s: list[float] = field(default_factory=list)
-    served: int = 0
 
-    async def run(self, until_s: float) -> None:
-        while trio.current_time() < until_s:
-            sent_at = trio.current_time()
-            status, _ = await self.case.call(self.entry, "GET", _NEW_PATH)
-            self.served += status == 200
-            if status == _NOT_FOUND and sent_at > self.late_after_s:
-                self.late_refusals_s.append(sent_at)
-            await trio.sleep(_ASK_INTERVAL_S)
+async def _find_longest_gap(case: Case, tasks: set[str], job: str) -> float:
+    """Watch the tasks that last; return the longest time that one has not run."""
+    last_seen_s = dict.fromkeys(tasks, trio.current_time())
+    longest_s = 0.0
+    end_s = trio.current_time() + _WATCH_S
+    is_noted = False
+    while trio.current_time() < end_s:
+        now_s = trio.current_time()
+        for task in _running_lasting(case, job):
+            last_seen_s[task] = now_s
+        gap_s = max(now_s - seen_s for seen_s in last_seen_s.values())
+        longest_s = max(longest_s, gap_s)
+        if gap_s > _RESTART_S + _IDLE_S and not is_noted:
+            is_noted = True
+            workers = case.site.worker_by_name
+            case.record.add(f"judge  a task has not run for 9 s; {_describe(workers)}")
+        await trio.sleep(_POLL_INTERVAL_S)
+    return longest_s
 
 
 async def _play(case: Case) -> int:
     site = case.site
     assert isinstance(site, _Site)
     await trio.sleep(_SETTLING_S)
-    await _submit_at_once(case)
+    lasting = f"{1:016x}"
+    job = _make_job(
+        count=len(WORKERS), cpu=1000, spec='{"work_s":1,"lasts":true}', lasts=True
+    )
+    await case.call("entry-1", "POST", f"{PATH}{lasting}", job)
+    spec = '{"work_s":0.5,"share":0.2}'
+    job = _make_job(count=_BATCH_TASKS, cpu=200, spec=spec, lasts=False)
+    batches = [f"{PATH}{0x10 + number:016x}" for number in range(_BATCHES)]
+    async with trio.open_nursery() as nursery:
+        for batch in batches:
+            nursery.start_soon(case.call, "entry-1", "POST", batch, job)
+    with trio.move_on_after(_MAX_BATCH_S):
+        for batch in batches:
+            while await case.state("entry-2", batch) != "completed":
+                await trio.sleep(0.5)
     await trio.sleep(_SETTLING_S)
+    tasks = _running_lasting(case, lasting)
+    if len(tasks) != len(WORKERS):
+        case.record.add("judge  the site does not work before the disruption")
+        return NOT_RUN
     if case.has_trouble:
         count = {name: proxy.silence() for name, proxy in site.proxy_by_name.items()}
-        case.record.add(f"proxy  open connections to the store go silent: {count}")
-    silenced_at = trio.current_time()
-    await trio.sleep(_CONFIG_AFTER_S)
-    site.add_route()
-    confirmed_at = trio.current_time()
-    case.record.add(f"store  config with the route {HOST}{_NEW_PATH} is confirmed")
-    # Machines are in touch again `contactMs` after the silence began.
-    late_after_s = max(confirmed_at, silenced_at + _CONTACT_S) + _CONFIG_APPLY_S
-    watches = [
-        _Watch(case=case, entry=entry, late_after_s=late_after_s) for entry in ENTRIES
-    ]
-    async with trio.open_nursery() as nursery:
-        for watch in watches:
-            nursery.start_soon(watch.run, confirmed_at + _WATCH_S)
-    if not all(watch.served for watch in watches):
-        case.record.add("judge  an entry never served the added route")
-    late = [each for watch in watches for each in watch.late_refusals_s]
-    if not late:
-        case.record.add("judge  the rule holds: no late 404")
-        return HOLDS if all(watch.served for watch in watches) else NOT_RUN
-    very_late = [each for each in late if each > late_after_s + _MAX_EXTENSION_S]
-    case.record.add(
-        f"judge  CONFIG: {len(late)} requests were refused with 404 later than "
-        f"{_CONTACT_S:g} s + {_CONFIG_APPLY_S:g} s after the silence, "
-        f"{len(very_late)} of them later than {_MAX_EXTENSION_S:g} s more; the last "
-        f"{max(late) - confirmed_at:.1f} s after the confirmation"
-    )
-    return IS_BROKEN
+        case.record.add(f"proxy  open connections to the workers go silent: {count}")
+    longest_s = await _find_longest_gap(case, tasks, lasting)
+    case.record.add(f"judge  longest time that a lasting task did not run: {longest_s}")
+    return IS_BROKEN if longest_s > _RESTART_S + _IDLE_S else HOLDS
 
 
 if __name__ == "__main__":
