--- a/review/harness.py
+++ b/review/harness.py
@@ -16,7 +16,6 @@
 from datetime import timedelta
 from functools import partial
 from pathlib import Path
-from typing import Any
 
 import msgspec
 import trio
@@ -45,7 +44,6 @@
     "RecordingObserver",
     "ReviewSite",
     "run_case",
-    "use_kind",
 ]
 
 HOLDS, IS_BROKEN, NOT_RUN = 0, 1, 2
@@ -83,13 +81,12 @@
 
     Parameters
     ----------
-    started, ended_at_s : set, dict
-        Tasks that have been started, and when the last run of each ended.
+    started : set of str
+        Tasks that have been started.
     """
 
     record: Record
     started: set[str] = field(default_factory=set)
-    ended_at_s: dict[str, float] = field(default_factory=dict)
 
     def begin(
         self, task: str, run: int, worker: str, *, has_limit: bool = False
@@ -102,7 +99,6 @@
     def end(self, task: str) -> None:
         """Record the end of a run, for whatever reason."""
         self.record.add(f"run    {task} ends")
-        self.ended_at_s[task] = trio.current_time()
         super().end(task)
 
 
@@ -127,8 +123,6 @@
         method: str,
         target: str,
         body: object = None,
-        *,
-        is_recorded: bool = True,
     ) -> tuple[int, bytes]:
         """Call an entry over a connection of its own; status 0 means no answer."""
         request = HttpRequest(
@@ -138,8 +132,7 @@
             body=b"" if body is None else msgspec.json.encode(body),
         )
         status, answer = await self.send(self.site.address(entry, CALLERS), request)
-        if is_recorded:
-            self.record.add(f"caller {method} {target} at {entry}: {status} {answer!r}")
+        self.record.add(f"caller {method} {target} at {entry}: {status} {answer!r}")
         return status, answer
 
     async def state(self, entry: str, target: str) -> str:
@@ -212,7 +205,6 @@
             advice=self.advice,
             data_centre="caerdydd",
         )
-        self.prepare_worker(worker)
         self.worker_by_name[name] = worker
         self.observer.workers.append(worker)
         await self.open_worker(name)
@@ -222,38 +214,11 @@
         """Serve one more stand-in."""
         await self._serve(address, handler)
 
-    def prepare_worker(self, worker: JobWorkerStandIn) -> None:
-        """Change a worker before it starts; does nothing by default."""
-
 
 Play = Callable[[Case], Awaitable[int]]
-Prepare = Callable[[ReviewSite], Awaitable[None]]
-
-
-def use_kind(worker: JobWorkerStandIn, kind: str) -> None:
-    """Let a worker report a kind, its first label, instead of the stand-in's."""
-    send = worker._transport.send
-
-    async def send_with_kind(
-        address: Address, request: HttpRequest, **options: Any
-    ) -> Any:
-        body = msgspec.json.decode(request.body or b"{}")
-        if "labels" in body:
-            body["labels"] = [kind, *body["labels"][1:]]
-        changed = HttpRequest(
-            method=request.method,
-            target=request.target,
-            header_by_name=request.header_by_name,
-            body=msgspec.json.encode(body),
-        )
-        return await send(address, changed, **options)
-
-    worker._transport.send = send_with_kind  # type: ignore[method-assign]
 
 
-async def _run(
-    folder: Path, play: Play, prepare: Prepare | None, site_type: type[ReviewSite]
-) -> int:
+async def _run(folder: Path, play: Play, site_type: type[ReviewSite]) -> int:
     outcome = NOT_RUN
     record = Record(path=folder / "record.txt")
     observer = RecordingObserver(record=record, max_attempts=2)
@@ -267,8 +232,6 @@
         )
         try:
             with trio.move_on_after(_MAX_DURATION_S):
-                if prepare is not None:
-                    await prepare(site)
                 await site.start()
                 if await case.wait_until_ready():
                     outcome = await play(case)
@@ -285,7 +248,6 @@
     folder: Path,
     play: Play,
     *,
-    prepare: Prepare | None = None,
     site_type: type[ReviewSite] = ReviewSite,
 ) -> None:
     """Play a case and exit with 1 if the rule is broken, 0 if it holds, else 2."""
@@ -293,7 +255,7 @@
     signal.signal(signal.SIGINT, signal.default_int_handler)
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
-        outcome = trio.run(partial(_run, folder, play, prepare, site_type))
+        outcome = trio.run(partial(_run, folder, play, site_type))
     except (Exception, KeyboardInterrupt) as error:
         sys.stderr.write(f"the case could not run: {error!r}\n")
         outcome = NOT_RUN
