Tell timeouts on reused connections from those on new ones

Cause: a call to a peer that timed out was logged as TooSlowError.

Change: the HTTP client tells an observer of opened connections and of timeouts: whether the connection was new, for how long nothing had come, how many idle ones are left. Daemons of jobs count both and log `connection:timeout`; the error's text says the same. The connection has a module of its own.

--- a/coltsfoottray/daemons/job_common.py
+++ b/coltsfoottray/daemons/job_common.py
@@ -18,6 +18,7 @@
     TABLE,
     TRANSPORT,
 )
+from coltsfoottray.daemons.connections import ConnectionMonitor
 from coltsfoottray.daemons.listeners import ListenerFactory, SocketListeners
 from coltsfoottray.http import HttpClient, HttpRequest, HttpResponse, HttpTransport
 from coltsfoottray.jobs.members import (
@@ -65,9 +66,10 @@
         self.name = settings.name
         self.kernel.register(CLOCK, SuspendAwareClock())
         self.clock = self.kernel.find(CLOCK, Clock)
-        self.kernel.register(TRANSPORT, HttpClient())
-        self.transport = self.kernel.find(TRANSPORT, HttpTransport)
         self.metrics = Metrics()
+        connections = ConnectionMonitor(metrics=self.metrics)
+        self.kernel.register(TRANSPORT, HttpClient(observer=connections))
+        self.transport = self.kernel.find(TRANSPORT, HttpTransport)
         self._metrics_address = settings.metrics
         self.kernel.register(PEERS, HttpPeerClient(transport=self.transport))
         self.peers = self.kernel.find(PEERS, PeerClient)
--- a/coltsfoottray/http/__init__.py
+++ b/coltsfoottray/http/__init__.py
@@ -10,10 +10,13 @@
     HttpResponse,
     HttpTransport,
 )
+from coltsfoottray.http.connection import ConnectionObserver, ExchangeTimeout
 from coltsfoottray.http.problem import Outcome, Problem
 from coltsfoottray.http.server import HttpServer
 
 __all__ = [
+    "ConnectionObserver",
+    "ExchangeTimeout",
     "Handler",
     "Headers",
     "HttpClient",
--- a/coltsfoottray/http/client.py
+++ b/coltsfoottray/http/client.py
@@ -17,11 +17,15 @@
     OnResponseStart,
     decode_headers,
     encode_headers,
-    extend_deadline,
     read_body,
     read_event,
     send_all,
 )
+from coltsfoottray.http.connection import (
+    ClientConnection,
+    ConnectionObserver,
+    ExchangeTimeout,
+)
 from coltsfoottray.types import Address
 
 __all__ = ["HttpClient"]
@@ -32,45 +36,18 @@
 MAX_IDLE_PER_PEER = 32
 
 
-class _PooledConnection(trio.abc.ReceiveStream):
-    """An open connection with its h11 state and the response size received so far."""
-
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self.stream = stream
-        self.connection = h11.Connection(h11.CLIENT)
-        self.received_bytes = 0
-        self.cancel_scope = trio.CancelScope()
-
-    async def receive_some(self, max_bytes: int | None = None) -> bytes | bytearray:
-        data = await self.stream.receive_some(max_bytes)
-        self.received_bytes += len(data)
-        extend_deadline(self.cancel_scope)
-        return data
-
-    async def aclose(self) -> None:
-        await self.stream.aclose()
-
-    def is_closed_by_peer(self) -> bool:
-        """Return whether the peer has closed this idle connection.
-
-        An idle connection becomes readable only at end of file.
-        """
-        try:
-            self.stream.socket._sock.recv(1)  # type: ignore[attr-defined]
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
-
-
 class HttpClient(HttpTransport):
-    """Sends requests over keep-alive connections, one request at a time on each."""
+    """Sends requests over keep-alive connections, one request at a time on each.
 
-    def __init__(self) -> None:
-        self._idle_by_address: dict[Address, list[_PooledConnection]] = defaultdict(
-            list
-        )
+    Parameters
+    ----------
+    observer : ConnectionObserver, optional
+        Is told of connections that are opened, and of timeouts on them.
+    """
+
+    def __init__(self, *, observer: ConnectionObserver | None = None) -> None:
+        self._observer = observer
+        self._idle_by_address: dict[Address, list[ClientConnection]] = defaultdict(list)
 
     async def send(  # noqa: D102
         self,
@@ -95,6 +72,8 @@
             h11.ProtocolError,
         ) as error:
             detail = str(error) or type(error).__name__
+            if isinstance(error, trio.TooSlowError):
+                detail = str(self._record_timeout(address, pooled))
             raise CommunicationError(
                 step=step,
                 peer=str(address),
@@ -109,16 +88,16 @@
         """Close every idle connection."""
         for pool in self._idle_by_address.values():
             for pooled in pool:
-                pooled.stream.socket.close()
+                pooled.close()
         self._idle_by_address.clear()
 
-    async def _acquire(self, address: Address) -> _PooledConnection:
+    async def _acquire(self, address: Address) -> ClientConnection:
         idle = self._idle_by_address[address]
         while idle:
             pooled = idle.pop()
             if not pooled.is_closed_by_peer():
                 return pooled
-            pooled.stream.socket.close()
+            pooled.close()
         try:
             with trio.fail_after(CONNECT_TIMEOUT.total_seconds()):
                 stream = await trio.open_tcp_stream(address.host, address.port)
@@ -130,27 +109,39 @@
                 is_refused=_is_refused(error),
             ) from error
         assert isinstance(stream, trio.SocketStream)
-        return _PooledConnection(stream)
+        if self._observer is not None:
+            self._observer.record_opened(address)
+        return ClientConnection(stream)
 
-    def _release(self, address: Address, pooled: _PooledConnection) -> None:
+    def _release(self, address: Address, pooled: ClientConnection) -> None:
         """Put a connection back into the pool if its exchange is complete.
 
         It is closed otherwise, and if the pool is full.
         """
-        is_complete = (
-            pooled.connection.our_state is h11.DONE
-            and pooled.connection.their_state is h11.DONE
-        )
         idle = self._idle_by_address[address]
-        if is_complete and len(idle) < MAX_IDLE_PER_PEER:
-            pooled.connection.start_next_cycle()
+        if pooled.is_complete and len(idle) < MAX_IDLE_PER_PEER:
+            pooled.start_next_cycle()
             idle.append(pooled)
         else:
-            pooled.stream.socket.close()
+            pooled.close()
+
+    def _record_timeout(
+        self, address: Address, pooled: ClientConnection
+    ) -> ExchangeTimeout:
+        silent_s = trio.current_time() - pooled.received_at
+        timeout = ExchangeTimeout(
+            peer=address,
+            is_reused=pooled.is_reused,
+            silent_for=timedelta(seconds=silent_s),
+            idle_connections=len(self._idle_by_address[address]),
+        )
+        if self._observer is not None:
+            self._observer.record_timeout(timeout)
+        return timeout
 
 
 async def _send_request(
-    pooled: _PooledConnection, address: Address, request: HttpRequest
+    pooled: ClientConnection, address: Address, request: HttpRequest
 ) -> None:
     header_by_name = {"host": str(address), **request.header_by_name}
     head = h11.Request(
@@ -166,7 +157,7 @@
 
 
 async def _read_response(
-    pooled: _PooledConnection, on_response_start: OnResponseStart | None
+    pooled: ClientConnection, on_response_start: OnResponseStart | None
 ) -> HttpResponse:
     event = await read_event(pooled, pooled.connection)
     while isinstance(event, h11.InformationalResponse):
