Give the pool of connections a module, used by the network in memory too

Change: `http.pool` keeps the idle connections to one peer; the HTTP client and `MemoryFabric` both use it, with the same policy as before.

--- a/coltsfoottray/http/client.py
+++ b/coltsfoottray/http/client.py
@@ -26,14 +26,12 @@
     ConnectionObserver,
     ExchangeTimeout,
 )
+from coltsfoottray.http.pool import ConnectionPool
 from coltsfoottray.types import Address
 
 __all__ = ["HttpClient"]
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
-# A peer closes idle connections, so a larger pool would hold connections that are
-# closed before they are reused.
-MAX_IDLE_PER_PEER = 32
 
 
 class HttpClient(HttpTransport):
@@ -47,7 +45,9 @@
 
     def __init__(self, *, observer: ConnectionObserver | None = None) -> None:
         self._observer = observer
-        self._idle_by_address: dict[Address, list[ClientConnection]] = defaultdict(list)
+        self._pool_by_address: dict[Address, ConnectionPool[ClientConnection]] = (
+            defaultdict(ConnectionPool)
+        )
 
     async def send(  # noqa: D102
         self,
@@ -86,18 +86,14 @@
 
     def close(self) -> None:
         """Close every idle connection."""
-        for pool in self._idle_by_address.values():
-            for pooled in pool:
-                pooled.close()
-        self._idle_by_address.clear()
+        for pool in self._pool_by_address.values():
+            pool.close()
+        self._pool_by_address.clear()
 
     async def _acquire(self, address: Address) -> ClientConnection:
-        idle = self._idle_by_address[address]
-        while idle:
-            pooled = idle.pop()
-            if not pooled.is_closed_by_peer():
-                return pooled
-            pooled.close()
+        pooled = self._pool_by_address[address].take()
+        if pooled is not None:
+            return pooled
         try:
             with trio.fail_after(CONNECT_TIMEOUT.total_seconds()):
                 stream = await trio.open_tcp_stream(address.host, address.port)
@@ -114,14 +110,10 @@
         return ClientConnection(stream)
 
     def _release(self, address: Address, pooled: ClientConnection) -> None:
-        """Put a connection back into the pool if its exchange is complete.
-
-        It is closed otherwise, and if the pool is full.
-        """
-        idle = self._idle_by_address[address]
-        if pooled.is_complete and len(idle) < MAX_IDLE_PER_PEER:
-            pooled.start_next_cycle()
-            idle.append(pooled)
+        """Put a connection back into the pool if its exchange is complete."""
+        if pooled.is_complete:
+            pooled.connection.start_next_cycle()
+            self._pool_by_address[address].put(pooled)
         else:
             pooled.close()
 
@@ -133,7 +125,7 @@
             peer=address,
             is_reused=pooled.is_reused,
             silent_for=timedelta(seconds=silent_s),
-            idle_connections=len(self._idle_by_address[address]),
+            idle_connections=len(self._pool_by_address[address]),
         )
         if self._observer is not None:
             self._observer.record_timeout(timeout)
--- a/coltsfoottray/http/connection.py
+++ b/coltsfoottray/http/connection.py
@@ -10,22 +10,19 @@
 import trio
 
 from coltsfoottray.http.common import extend_deadline
+from coltsfoottray.http.pool import PooledConnection
 from coltsfoottray.types import Address
 
 __all__ = ["ClientConnection", "ConnectionObserver", "ExchangeTimeout"]
 
 
-class ClientConnection(trio.abc.ReceiveStream):
+class ClientConnection(PooledConnection, trio.abc.ReceiveStream):
     """An open connection with its h11 state.
 
     Attributes
     ----------
     received_bytes : int
         Size of the response received so far.
-    received_at : float
-        When the last byte arrived, or when the connection was opened; trio's clock.
-    is_reused : bool
-        Whether an earlier exchange on this connection is complete.
     """
 
     def __init__(self, stream: trio.SocketStream) -> None:
@@ -33,7 +30,6 @@
         self.connection = h11.Connection(h11.CLIENT)
         self.received_bytes = 0
         self.received_at = trio.current_time()
-        self.is_reused = False
         self.cancel_scope = trio.CancelScope()
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes | bytearray:
@@ -57,16 +53,8 @@
             and self.connection.their_state is h11.DONE
         )
 
-    def start_next_cycle(self) -> None:
-        """Prepare the connection for its next exchange."""
-        self.connection.start_next_cycle()
-        self.is_reused = True
-
-    def is_closed_by_peer(self) -> bool:
-        """Return whether the peer has closed this idle connection.
-
-        An idle connection becomes readable only at end of file.
-        """
+    def is_closed_by_peer(self) -> bool:  # noqa: D102
+        # An idle connection becomes readable only at end of file.
         try:
             self.stream.socket._sock.recv(1)  # type: ignore[attr-defined]
         except BlockingIOError:
@@ -75,8 +63,7 @@
             return True
         return True
 
-    def close(self) -> None:
-        """Close the connection at once."""
+    def close(self) -> None:  # noqa: D102
         self.stream.socket.close()
 
 
--- /dev/null
+++ b/coltsfoottray/http/pool.py
@@ -0,0 +1,71 @@
+"""Idle connections to one peer, kept for reuse."""
+
+from __future__ import annotations
+
+import abc
+from typing import Generic, TypeVar
+
+__all__ = ["ConnectionPool", "PooledConnection"]
+
+# A peer closes idle connections, so a larger pool would hold connections that are
+# closed before they are reused.
+MAX_IDLE_PER_PEER = 32
+
+
+class PooledConnection(abc.ABC):
+    """A connection that can be reused.
+
+    Attributes
+    ----------
+    received_at : float
+        When the last byte arrived, or when the connection was opened; trio's clock.
+    is_reused : bool
+        Whether an earlier exchange on this connection is complete.
+    """
+
+    received_at: float
+    is_reused: bool = False
+
+    @abc.abstractmethod
+    def is_closed_by_peer(self) -> bool:
+        """Return whether the peer has closed this idle connection."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close the connection at once."""
+
+
+ConnectionT = TypeVar("ConnectionT", bound=PooledConnection)
+
+
+class ConnectionPool(Generic[ConnectionT]):
+    """Idle connections to one peer; the most recently used one is taken first."""
+
+    def __init__(self) -> None:
+        self._idle: list[ConnectionT] = []
+
+    def __len__(self) -> int:
+        return len(self._idle)
+
+    def take(self) -> ConnectionT | None:
+        """Return a connection that the peer has not closed, None if there is none."""
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.is_closed_by_peer():
+                return connection
+            connection.close()
+        return None
+
+    def put(self, connection: ConnectionT) -> None:
+        """Add a connection after a complete exchange; close it if the pool is full."""
+        if len(self._idle) == MAX_IDLE_PER_PEER:
+            connection.close()
+            return
+        connection.is_reused = True
+        self._idle.append(connection)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -4,6 +4,7 @@
 
 import abc
 import itertools
+from collections import defaultdict
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
 from random import Random
@@ -23,10 +24,12 @@
     HttpTransport,
 )
 from coltsfoottray.http.common import DEFAULT_TIMEOUT, OnResponseStart
+from coltsfoottray.http.pool import ConnectionPool
 from coltsfoottray.http.problem import call_handler
 from coltsfoottray.kernel import Kernel, Listener
 from coltsfoottray.peers import Call, CallHandlers, PeerClient
 from coltsfoottray.types import Address
+from standins.connections import Direction, MemoryConnection
 from standins.links import AccessLink
 
 __all__ = ["Fabric", "LoopbackFabric", "MemoryFabric"]
@@ -135,8 +138,6 @@
         Faults by name of the process.
     cut : set of frozenset of str
         Pairs of processes whose messages are dropped.
-    silent : set of _Link
-        Connections on which nothing arrives and no error is reported.
     listener_by_address : dict
         Servers that accept messages.
     """
@@ -144,8 +145,10 @@
     def __init__(self) -> None:
         self.faults_by_process: dict[str, ProcessFaults] = {}
         self.cut: set[frozenset[str]] = set()
-        self.silent: set[_Link] = set()
-        self._link_by_ends: dict[tuple[str, Address], _Link] = {}
+        self._pool_by_ends: dict[
+            tuple[str, Address], ConnectionPool[MemoryConnection]
+        ] = defaultdict(ConnectionPool)
+        self._open: set[MemoryConnection] = set()
         self.listener_by_address: dict[Address, _MemoryListener] = {}
         self._ports = itertools.count(20_000)
 
@@ -156,7 +159,13 @@
         return kernel
 
     def register_parts(self, kernel: Kernel, process: str) -> None:
-        """Register everything that `process` needs except its peer client."""
+        """Register everything that `process` needs except its peer client.
+
+        A process that starts has no open connections.
+        """
+        for (sender, _), pool in self._pool_by_ends.items():
+            if sender == process:
+                pool.close()
         kernel.register(CLOCK, _PausableClock(self.faults(process)))
         kernel.register(TRANSPORT, self.transport(process))
         kernel.register(RANDOM, Random(process))
@@ -176,15 +185,28 @@
         """Return an address that has not been used before."""
         return Address(host="127.0.0.1", port=next(self._ports))
 
-    def silence_links(self, senders: str) -> None:
+    def silence_links(
+        self, senders: str, *, direction: Direction = Direction.BOTH
+    ) -> int:
         """Make open connections silent whose opener's name starts with `senders`.
 
         This models a device between the two ends that has lost the state of the
         connections: nothing arrives, and no error is reported. New connections work.
+
+        Parameters
+        ----------
+        direction : Direction
+            What is lost.
+
+        Returns
+        -------
+        int
+            The number of connections.
         """
-        for (sender, _), link in self._link_by_ends.items():
-            if sender.startswith(senders):
-                self.silent.add(link)
+        silenced = [each for each in self._open if each.sender.startswith(senders)]
+        for connection in silenced:
+            connection.silent = direction
+        return len(silenced)
 
     async def exchange(
         self,
@@ -196,27 +218,40 @@
     ) -> Any:
         """Send `message` to `address` over one connection and return the reply.
 
-        As in the real clients, a connection is reused until an exchange on it fails.
+        As in the real clients, a connection carries one exchange at a time, and is
+        reused until an exchange on it fails.
         """
-        link = self._link_by_ends.setdefault((sender, address), _Link())
+        pool = self._pool_by_ends[sender, address]
+        connection = pool.take()
+        if connection is None:
+            connection = MemoryConnection(
+                sender=sender,
+                address=address,
+                listener_by_address=self.listener_by_address,
+                open_connections=self._open,
+            )
+        is_complete = False
         try:
-            return await self._exchange_on(
-                link, sender, address, message, timeout, on_response_start
+            reply = await self._exchange_on(
+                connection, message, timeout, on_response_start
             )
-        except CommunicationError:
-            if self._link_by_ends.get((sender, address)) is link:
-                del self._link_by_ends[sender, address]
-            raise
+            connection.received_at = trio.current_time()
+            is_complete = True
+        finally:
+            if is_complete:
+                pool.put(connection)
+            else:
+                connection.close()
+        return reply
 
     async def _exchange_on(
         self,
-        link: _Link,
-        sender: str,
-        address: Address,
+        connection: MemoryConnection,
         message: Any,
         timeout: timedelta,
         on_response_start: OnResponseStart | None,
     ) -> Any:
+        sender, address = connection.sender, connection.address
         await self.faults(sender).running.wait()
         await trio.sleep(_LATENCY_S)
         listener = self.listener_by_address.get(address)
@@ -231,14 +266,14 @@
         is_complete = False
         with trio.move_on_after(timeout.total_seconds()) as limit:
             is_cut = frozenset((sender, listener.process)) in self.cut
-            if is_cut or link in self.silent:
+            if is_cut or connection.silent is Direction.BOTH:
                 await trio.sleep_forever()
             await self.faults(listener.process).link.receive_request(_size(message))
             if self.listener_by_address.get(address) is not listener:
                 raise _error(ExchangeStep.RECEIVE, address, "closed")
             listener.accept(message, pending)
             await pending.done.wait()
-            if link in self.silent:
+            if connection.silent:
                 await trio.sleep_forever()
             if on_response_start is not None and isinstance(
                 pending.reply, HttpResponse
@@ -249,7 +284,7 @@
             await self.faults(sender).running.wait()
         if pending.error is not None:
             raise _error(ExchangeStep.RECEIVE, address, pending.error)
-        if link in self.silent or not is_complete:
+        if connection.silent or not is_complete:
             raise _error(ExchangeStep.RECEIVE, address, "timeout")
         return pending.reply
 
@@ -260,10 +295,6 @@
     return len(message.body) if is_http else 0
 
 
-class _Link:
-    """An open connection; two are equal only if they are the same object."""
-
-
 @dataclass(kw_only=True)
 class _Pending:
     """An exchange that waits for its reply."""
