Do not try one silent connection after the other

Callers saw: tasks that last ended on workers that were up, and did not run for 12 to 16 s; with silent connections to the store a new route was refused with 404 for 8 to 13 s.

Cause: after a timeout the HTTP client closed the connection and took the next idle one. Where all had become silent (open ones carry nothing more, new ones work), each cost another timeout: 25 connections that a burst of starts had left took 21 s, while the lease of 6 s was not renewed, because a lease is renewed only for a worker that answers. The client can't tell a silent connection from a good one but by a timeout, and it drew no conclusion about the others from one.

Change: a timeout closes the idle connections to that peer which have carried nothing since the request was sent. The next request opens one. Those that have carried an answer since are kept, so a peer that is slow with one call costs nothing. No request is sent twice that wasn't before.

Why it works: what is silent can't carry an answer after the silence began, so the first request sent after it finds all silent connections to its peer; one sent before it finds at least its own.

--- a/coltsfoottray/daemons/connections.py
+++ b/coltsfoottray/daemons/connections.py
@@ -27,5 +27,6 @@
             peer=str(timeout.peer),
             connection=connection,
             silent_s=round(timeout.silent_for.total_seconds(), 3),
+            closed=timeout.closed_connections,
             idle=timeout.idle_connections,
         )
--- a/coltsfoottray/http/client.py
+++ b/coltsfoottray/http/client.py
@@ -59,6 +59,7 @@
     ) -> HttpResponse:
         pooled = await self._acquire(address)
         pooled.received_bytes = 0
+        sent_at = trio.current_time()
         step = ExchangeStep.SEND
         try:
             with trio.fail_after(timeout.total_seconds()) as pooled.cancel_scope:
@@ -73,7 +74,7 @@
         ) as error:
             detail = str(error) or type(error).__name__
             if isinstance(error, trio.TooSlowError):
-                detail = str(self._record_timeout(address, pooled))
+                detail = str(self._handle_timeout(address, pooled, sent_at))
             raise CommunicationError(
                 step=step,
                 peer=str(address),
@@ -117,15 +118,20 @@
         else:
             pooled.close()
 
-    def _record_timeout(
-        self, address: Address, pooled: ClientConnection
+    def _handle_timeout(
+        self, address: Address, pooled: ClientConnection, sent_at: float
     ) -> ExchangeTimeout:
-        silent_s = trio.current_time() - pooled.received_at
+        """Close what may be silent too, so that the next request does not try it."""
+        now = trio.current_time()
+        pool = self._pool_by_address[address]
+        closed = pool.close_suspects(sent_at=sent_at, now=now)
+        silent_s = now - pooled.received_at
         timeout = ExchangeTimeout(
             peer=address,
             is_reused=pooled.is_reused,
             silent_for=timedelta(seconds=silent_s),
-            idle_connections=len(self._pool_by_address[address]),
+            closed_connections=closed,
+            idle_connections=len(pool),
         )
         if self._observer is not None:
             self._observer.record_timeout(timeout)
--- a/coltsfoottray/http/connection.py
+++ b/coltsfoottray/http/connection.py
@@ -79,13 +79,16 @@
         alone may have stopped transmitting.
     silent_for : timedelta
         Time since the last byte from the peer on this connection.
+    closed_connections : int
+        Number of idle connections to the same peer that were closed as suspects.
     idle_connections : int
-        Number of idle connections to the same peer.
+        Number of idle connections to the same peer that are left.
     """
 
     peer: Address
     is_reused: bool
     silent_for: timedelta
+    closed_connections: int
     idle_connections: int
 
     def __str__(self) -> str:
@@ -93,7 +96,8 @@
         return (
             f"timeout on a {kind} connection, silent for "
             f"{self.silent_for.total_seconds():.3f} s, "
-            f"{self.idle_connections} idle ones left"
+            f"{self.closed_connections} idle ones closed, "
+            f"{self.idle_connections} left"
         )
 
 
--- a/coltsfoottray/http/pool.py
+++ b/coltsfoottray/http/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+from datetime import timedelta
 from typing import Generic, TypeVar
 
 __all__ = ["ConnectionPool", "PooledConnection"]
@@ -10,6 +11,8 @@
 # A peer closes idle connections, so a larger pool would hold connections that are
 # closed before they are reused.
 MAX_IDLE_PER_PEER = 32
+# A shorter wait for an answer says nothing about other connections.
+_MIN_SILENCE = timedelta(milliseconds=200)
 
 
 class PooledConnection(abc.ABC):
@@ -39,7 +42,12 @@
 
 
 class ConnectionPool(Generic[ConnectionT]):
-    """Idle connections to one peer; the most recently used one is taken first."""
+    """Idle connections to one peer; the most recently used one is taken first.
+
+    A connection can become silent: it carries nothing more, without an error, while new
+    ones work. Only a timeout shows it, and where one connection is silent, those that
+    have carried nothing since may be too. All times are those of trio's clock, in s.
+    """
 
     def __init__(self) -> None:
         self._idle: list[ConnectionT] = []
@@ -48,7 +56,7 @@
         return len(self._idle)
 
     def take(self) -> ConnectionT | None:
-        """Return a connection that the peer has not closed, None if there is none."""
+        """Return a connection that may work, None if there is none."""
         while self._idle:
             connection = self._idle.pop()
             if not connection.is_closed_by_peer():
@@ -56,6 +64,21 @@
             connection.close()
         return None
 
+    def close_suspects(self, *, sent_at: float, now: float) -> int:
+        """Close the connections that may be as silent as one that timed out.
+
+        Those that have carried something since the request was sent are kept: a peer
+        that answers on other connections is only slow, or has lost one answer.
+
+        Returns
+        -------
+        int
+            The number of connections closed.
+        """
+        if now - sent_at < _MIN_SILENCE.total_seconds():
+            return 0
+        return self._close_silent_since(sent_at)
+
     def put(self, connection: ConnectionT) -> None:
         """Add a connection after a complete exchange; close it if the pool is full."""
         if len(self._idle) == MAX_IDLE_PER_PEER:
@@ -69,3 +92,14 @@
         for connection in self._idle:
             connection.close()
         self._idle.clear()
+
+    def _close_silent_since(self, time: float) -> int:
+        kept: list[ConnectionT] = []
+        for connection in self._idle:
+            if connection.received_at > time:
+                kept.append(connection)
+            else:
+                connection.close()
+        closed = len(self._idle) - len(kept)
+        self._idle = kept
+        return closed
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -208,6 +208,27 @@
             connection.silent = direction
         return len(silenced)
 
+    def fill_pools(self, count: int) -> None:
+        """Leave `count` idle connections behind, as a burst does.
+
+        They connect each process to each peer that it has called before.
+        """
+        for (sender, address), pool in self._pool_by_ends.items():
+            while len(pool) < count:
+                pool.put(self._open_connection(sender, address))
+
+    def open_senders(self) -> list[str]:
+        """Return the opener of each open connection."""
+        return [connection.sender for connection in self._open]
+
+    def _open_connection(self, sender: str, address: Address) -> MemoryConnection:
+        return MemoryConnection(
+            sender=sender,
+            address=address,
+            listener_by_address=self.listener_by_address,
+            open_connections=self._open,
+        )
+
     async def exchange(
         self,
         sender: str,
@@ -224,12 +245,8 @@
         pool = self._pool_by_ends[sender, address]
         connection = pool.take()
         if connection is None:
-            connection = MemoryConnection(
-                sender=sender,
-                address=address,
-                listener_by_address=self.listener_by_address,
-                open_connections=self._open,
-            )
+            connection = self._open_connection(sender, address)
+        sent_at = trio.current_time()
         is_complete = False
         try:
             reply = await self._exchange_on(
@@ -237,6 +254,9 @@
             )
             connection.received_at = trio.current_time()
             is_complete = True
+        except _ExchangeTimeout:
+            pool.close_suspects(sent_at=sent_at, now=trio.current_time())
+            raise
         finally:
             if is_complete:
                 pool.put(connection)
@@ -285,7 +305,9 @@
         if pending.error is not None:
             raise _error(ExchangeStep.RECEIVE, address, pending.error)
         if connection.silent or not is_complete:
-            raise _error(ExchangeStep.RECEIVE, address, "timeout")
+            raise _ExchangeTimeout(
+                step=ExchangeStep.RECEIVE, peer=str(address), detail="timeout"
+            )
         return pending.reply
 
 
@@ -304,6 +326,10 @@
     error: str | None = None
 
 
+class _ExchangeTimeout(CommunicationError):
+    """Raised when no reply has arrived in time."""
+
+
 def _error(step: ExchangeStep, address: Address, detail: str) -> CommunicationError:
     return CommunicationError(step=step, peer=str(address), detail=detail)
 
--- /dev/null
+++ b/tests/http/silent_connections.feature
@@ -0,0 +1,19 @@
+Feature: The HTTP client finds out about connections that carry nothing more
+
+  Scenario Outline: All idle connections to a peer become silent
+    # Guards against one timeout for each connection that a burst has left behind.
+    Given a peer to which a burst has left <count> idle connections
+    When they become silent, and requests follow each other until one is answered
+    Then 1 request has timed out
+
+    Examples:
+      | count |
+      | 1     |
+      | 12    |
+      | 32    |
+
+  Scenario: A request is not answered while others are
+    # Guards against closing connections that have carried answers in the meantime.
+    Given a peer to which a burst has left 12 idle connections
+    When one request is left unanswered while 11 at a time are answered
+    Then 11 requests at a time open no connection
