--- a/Makefile
+++ b/Makefile
@@ -58,3 +58,4 @@
 	$(BIN)/python -m benchmarks.outage
 	$(BIN)/python -m benchmarks.pressures
 	$(BIN)/python -m benchmarks.overload
+	$(BIN)/python -m benchmarks.connections
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -4,7 +4,7 @@
 
 import abc
 import itertools
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
 from random import Random
@@ -140,6 +140,8 @@
         Pairs of processes whose messages are dropped.
     listener_by_address : dict
         Servers that accept messages.
+    opened : Counter
+        Number of connections opened, by opener and process at the other end.
     """
 
     def __init__(self) -> None:
@@ -149,6 +151,7 @@
             tuple[str, Address], ConnectionPool[MemoryConnection]
         ] = defaultdict(ConnectionPool)
         self._open: set[MemoryConnection] = set()
+        self.opened: Counter[tuple[str, str]] = Counter()
         self.listener_by_address: dict[Address, _MemoryListener] = {}
         self._ports = itertools.count(20_000)
 
@@ -222,6 +225,9 @@
         return [connection.sender for connection in self._open]
 
     def _open_connection(self, sender: str, address: Address) -> MemoryConnection:
+        listener = self.listener_by_address.get(address)
+        if listener is not None:
+            self.opened[sender, listener.process] += 1
         return MemoryConnection(
             sender=sender,
             address=address,
