Close connections that have carried nothing for 3 s

Idle connections that a burst had left stayed in the pool for good, up to 32 to each peer, also to peers that nobody calls again; each process believed in them however long they had carried nothing. After a silence of all connections, a process that calls several peers in turn (a search for the scheduler, relays of the store) still met a timeout at each.

--- a/coltsfoottray/http/client.py
+++ b/coltsfoottray/http/client.py
@@ -32,6 +32,7 @@
 __all__ = ["HttpClient"]
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
+_CLOSE_UNUSED_INTERVAL = timedelta(seconds=1)
 
 
 class HttpClient(HttpTransport):
@@ -48,6 +49,7 @@
         self._pool_by_address: dict[Address, ConnectionPool[ClientConnection]] = (
             defaultdict(ConnectionPool)
         )
+        self._close_unused_at = 0.0
 
     async def send(  # noqa: D102
         self,
@@ -92,7 +94,7 @@
         self._pool_by_address.clear()
 
     async def _acquire(self, address: Address) -> ClientConnection:
-        pooled = self._pool_by_address[address].take()
+        pooled = self._pool_by_address[address].take(now=trio.current_time())
         if pooled is not None:
             return pooled
         try:
@@ -112,12 +114,27 @@
 
     def _release(self, address: Address, pooled: ClientConnection) -> None:
         """Put a connection back into the pool if its exchange is complete."""
+        self._close_unused()
         if pooled.is_complete:
             pooled.connection.start_next_cycle()
             self._pool_by_address[address].put(pooled)
         else:
             pooled.close()
 
+    def _close_unused(self) -> None:
+        """Close connections to all peers that have not been used for long.
+
+        Otherwise those to peers that are never called again would stay open for good.
+        """
+        now = trio.current_time()
+        if now < self._close_unused_at:
+            return
+        self._close_unused_at = now + _CLOSE_UNUSED_INTERVAL.total_seconds()
+        for address, pool in list(self._pool_by_address.items()):
+            pool.close_unused(now=now)
+            if not pool:
+                del self._pool_by_address[address]
+
     def _handle_timeout(
         self, address: Address, pooled: ClientConnection, sent_at: float
     ) -> ExchangeTimeout:
--- a/coltsfoottray/http/pool.py
+++ b/coltsfoottray/http/pool.py
@@ -11,6 +11,10 @@
 # A peer closes idle connections, so a larger pool would hold connections that are
 # closed before they are reused.
 MAX_IDLE_PER_PEER = 32
+# Users grant 3 s after connections have become silent. A connection that has carried
+# nothing for as long is not trusted, so that this bounds the search for one that works
+# however many there are.
+_MAX_IDLE_TIME = timedelta(seconds=3)
 # A shorter wait for an answer says nothing about other connections.
 _MIN_SILENCE = timedelta(milliseconds=200)
 
@@ -55,8 +59,9 @@
     def __len__(self) -> int:
         return len(self._idle)
 
-    def take(self) -> ConnectionT | None:
+    def take(self, *, now: float) -> ConnectionT | None:
         """Return a connection that may work, None if there is none."""
+        self.close_unused(now=now)
         while self._idle:
             connection = self._idle.pop()
             if not connection.is_closed_by_peer():
@@ -64,6 +69,10 @@
             connection.close()
         return None
 
+    def close_unused(self, *, now: float) -> None:
+        """Close the connections that have carried nothing for long."""
+        self._close_silent_since(now - _MAX_IDLE_TIME.total_seconds())
+
     def close_suspects(self, *, sent_at: float, now: float) -> int:
         """Close the connections that may be as silent as one that timed out.
 
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -249,7 +249,7 @@
         reused until an exchange on it fails.
         """
         pool = self._pool_by_ends[sender, address]
-        connection = pool.take()
+        connection = pool.take(now=trio.current_time())
         if connection is None:
             connection = self._open_connection(sender, address)
         sent_at = trio.current_time()
--- a/tests/http/silent_connections.feature
+++ b/tests/http/silent_connections.feature
@@ -17,3 +17,9 @@
     Given a peer to which a burst has left 12 idle connections
     When one request is left unanswered while 11 at a time are answered
     Then 11 requests at a time open no connection
+
+  Scenario: Connections have not been used for long
+    # Guards against trusting connections that have carried nothing for seconds.
+    Given idle connections that carried something 3.5 s, 2.9 s and 0.1 s ago
+    When connections are taken from the pool until it is empty
+    Then those of 0.1 s and 2.9 s ago were taken, and the third one is closed
--- a/tests/steps/silent_connection_steps.py
+++ b/tests/steps/silent_connection_steps.py
@@ -10,6 +10,7 @@
 
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.http import HttpClient, HttpRequest
+from coltsfoottray.http.pool import ConnectionPool, PooledConnection
 from coltsfoottray.types import Address
 
 _TIMEOUT = timedelta(milliseconds=300)
@@ -22,6 +23,22 @@
 _PLAIN = HttpRequest(method="GET", target="/")
 
 
+_NOW_S = 100.0
+
+
+class _Connection(PooledConnection):
+    def __init__(self, age_s):
+        self.age_s = age_s
+        self.received_at = _NOW_S - age_s
+        self.is_closed = False
+
+    def is_closed_by_peer(self):
+        return False
+
+    def close(self):
+        self.is_closed = True
+
+
 class _Peer:
     """A server that answers held requests together, and can make connections silent."""
 
@@ -141,3 +158,27 @@
         context.opened,
         context.opened_before,
     )
+
+
+@given("idle connections that carried something {ages} s ago")
+def fill_pool(context, ages):
+    ages_s = [
+        float(age) for age in ages.replace(" s", "").replace(" and", ",").split(",")
+    ]
+    context.connections = [_Connection(age_s) for age_s in ages_s]
+    context.pool = ConnectionPool()
+    for connection in context.connections:
+        context.pool.put(connection)
+
+
+@when("connections are taken from the pool until it is empty")
+def take_all(context):
+    context.taken = []
+    while (connection := context.pool.take(now=_NOW_S)) is not None:
+        context.taken.append(connection.age_s)
+
+
+@then("those of {last:g} s and {first:g} s ago were taken, and the third one is closed")
+def check_taken(context, last, first):
+    assert context.taken == [last, first], context.taken
+    assert [each.is_closed for each in context.connections] == [True, False, False]
