Close the server's connections to clients that have become silent

A client whose connection has become silent never closes it. The server kept its descriptor and its task for good, and a response that could not leave counted as in flight, so that a drain waited for it as long as it was allowed to. Each silence left more of them.

Change: a connection on which no complete request arrives for two minutes, or no response can be sent for as long, is closed. A request that is being handled is not affected: held calls are answered within seconds, and the time of a caller's request is limited by its own deadline. Our own clients close idle connections after 3 s, so the limit concerns others and silent ones.

--- a/coltsfoottray/http/server.py
+++ b/coltsfoottray/http/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 import eliot
 import h11
 import trio
@@ -24,6 +26,8 @@
 
 _TOO_LARGE = 413
 _DRAIN_POLL_INTERVAL_S = 0.05
+# Longer than usual clients keep an idle connection, and than a large message takes.
+_IDLE_TIMEOUT = timedelta(minutes=2)
 
 
 class HttpServer(Listener):
@@ -75,24 +79,25 @@
     async def _serve_request(
         self, stream: trio.SocketStream, connection: h11.Connection
     ) -> bool:
-        """Serve one request and return whether the connection can serve another."""
-        event = await read_event(stream, connection)
-        if not isinstance(event, h11.Request):
+        """Serve one request and return whether the connection can serve another.
+
+        A client whose connection has become silent never closes it, and a response to
+        it may never leave. Without timeouts both would be kept for good.
+        """
+        request: HttpRequest | None = None
+        with trio.move_on_after(_IDLE_TIMEOUT.total_seconds()):
+            request = await _read_request(stream, connection)
+        if request is None:
             return False
-        body = await read_body(stream, connection)
-        request = HttpRequest(
-            method=event.method.decode("ascii"),
-            target=event.target.decode("ascii"),
-            header_by_name=decode_headers(event.headers),
-            body=body,
-        )
         self._in_flight += 1
         try:
             response = await self._handle_request(request)
-            await _send_response(stream, connection, response)
+            with trio.move_on_after(_IDLE_TIMEOUT.total_seconds()):
+                await _send_response(stream, connection, response)
+                return connection.our_state is h11.DONE
         finally:
             self._in_flight -= 1
-        return connection.our_state is h11.DONE
+        return False
 
     async def _handle_request(self, request: HttpRequest) -> HttpResponse:
         try:
@@ -105,6 +110,22 @@
             ).to_response()
 
 
+async def _read_request(
+    stream: trio.SocketStream, connection: h11.Connection
+) -> HttpRequest | None:
+    """Return the next request, None if the client has closed the connection."""
+    event = await read_event(stream, connection)
+    if not isinstance(event, h11.Request):
+        return None
+    body = await read_body(stream, connection)
+    return HttpRequest(
+        method=event.method.decode("ascii"),
+        target=event.target.decode("ascii"),
+        header_by_name=decode_headers(event.headers),
+        body=body,
+    )
+
+
 async def _send_response(
     stream: trio.SocketStream, connection: h11.Connection, response: HttpResponse
 ) -> None:
