A state machine in which connections become silent

Cause: the machines in properties/ silenced the links of entries in one of them, `configs`; none checked tasks that run.

Change: `silenced-jobs` adds to the faults of `jobs` silent connections, of some or all openers, with 1 to 32 idle ones to each peer, in both directions or of answers only. In calm times silence alone must end no run that lasts. A planted fault, timeouts that close no other connections, has to be found.

--- a/properties/__main__.py
+++ b/properties/__main__.py
@@ -18,6 +18,7 @@
 from properties.paced_jobs import PacedJobs
 from properties.refused_jobs import RefusedJobs
 from properties.replaced_jobs import ReplacedJobs
+from properties.silenced_jobs import SilencedJobs
 from properties.takeovers import Takeovers
 
 MACHINE_BY_NAME = {
@@ -27,6 +28,7 @@
     "failing-jobs": FailingJobs,
     "paced-jobs": PacedJobs,
     "replaced-jobs": ReplacedJobs,
+    "silenced-jobs": SilencedJobs,
     "configs": Configs,
     "keyed": KeyedRequests,
     "tasks": BatchTasks,
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -16,6 +16,7 @@
 from coltsfoottray.agent.lease import WorkerLease
 from coltsfoottray.agent.runs import Runs
 from coltsfoottray.claims import Claim, ClaimOutcome, ClaimResult, Claims
+from coltsfoottray.http.pool import ConnectionPool
 from coltsfoottray.jobs.api import JobAnswer, JobApi, Verdict
 from coltsfoottray.jobs.model import JobId, RunRef
 from coltsfoottray.leases import LeaseObserver
@@ -51,6 +52,7 @@
     "running_tasks_loaded_as_queued",
     "runs_given_up_early",
     "starts_without_judgement",
+    "timeouts_without_conclusions",
 ]
 
 
@@ -293,3 +295,15 @@
     """Apply the timeout for the start of a response to the whole response."""
     with mock.patch.object(links, "extend_deadline", lambda limit: None):
         yield
+
+
+@contextmanager
+def timeouts_without_conclusions() -> Iterator[None]:
+    """Let a timeout close no connections but the one on which it happened."""
+
+    def close_suspects(self: Any, *, sent_at: float, now: float) -> int:
+        del self, sent_at, now
+        return 0
+
+    with mock.patch.object(ConnectionPool, "close_suspects", close_suspects):
+        yield
--- a/tests/scheduler/fuzz.feature
+++ b/tests/scheduler/fuzz.feature
@@ -72,3 +72,11 @@
   Scenario: The oracle detects a lease that no process is left to know
     # Planted fault: an attendant counts only the leases that its predecessor issued.
     Then with the planted fault "leases taken unheard" the machine "replaced jobs" fails in runs of 2 steps
+
+  Scenario: No sequence of faults ends tasks because connections become silent
+    # The same faults while open connections carry nothing more and new ones work.
+    Then the machine "silenced jobs" finds nothing in 10 runs of 15 steps
+
+  Scenario: The oracle detects silent connections that are tried one after the other
+    # Planted fault: a timeout closes no other connections to the peer.
+    Then with the planted fault "timeouts without conclusions" the machine "silenced jobs" fails
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -18,6 +18,7 @@
     planted,
     refused_jobs,
     replaced_jobs,
+    silenced_jobs,
     takeovers,
 )
 
@@ -30,6 +31,7 @@
     "failing jobs": failing_jobs.FailingJobs,
     "paced jobs": paced_jobs.PacedJobs,
     "replaced jobs": replaced_jobs.ReplacedJobs,
+    "silenced jobs": silenced_jobs.SilencedJobs,
     "configs": configs.Configs,
     "list edits": list_edits.ListEdits,
     "takeovers": takeovers.Takeovers,
@@ -52,6 +54,7 @@
     "rejections made once": planted.rejections_made_once,
     "rejections forgotten with the lease": planted.rejections_forgotten_with_the_lease,
     "starts without judgement": planted.starts_without_judgement,
+    "timeouts without conclusions": planted.timeouts_without_conclusions,
 }
 
 # About one run in a hundred finds a planted fault; the first one ends the search.
