Connections become silent in the soak

Change: its programs reach the store and the workers through proxies in the soak's process. A new kind of fault makes the open connections of one program silent, in both directions or for answers only. A worker's proxy ends with the worker, so that its address still refuses connections. Connections between programs are not proxied: they announce the addresses at which they listen. The cases in review/ go on without proxies.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -10,6 +10,7 @@
 
 from soak.plan import Fault, FaultKind
 from soak.site import Site
+from standins.connections import Direction
 
 __all__ = ["Injector"]
 
@@ -55,6 +56,9 @@
             await self._inject_into_worker(fault)
         elif fault.kind.group == "store":
             await self._inject_into_store(fault)
+        elif fault.kind is FaultKind.CONNECTIONS_SILENT:
+            direction = list(Direction)[fault.count % len(Direction)]
+            self.site.silence(fault.target, direction)
         else:
             self.site.write_config()
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -35,6 +35,7 @@
     STORE_LATE_WRITES = "store-late-writes"
     STORE_DROPPED_HISTORY = "store-dropped-history"
     CONFIG_EDIT = "config-edit"
+    CONNECTIONS_SILENT = "connections-silent"
 
     @property
     def is_permanent(self) -> bool:
@@ -43,12 +44,12 @@
 
     @property
     def group(self) -> str:
-        """What it affects: program, worker, store or config."""
+        """What it affects: program, worker, store, config or connections."""
         return self.value.split("-")[0]
 
 
 # How often each kind is drawn, in the order of `FaultKind`.
-_WEIGHTS = (4, 4, 3, 1, 2, 1, 2, 2, 2, 1, 2, 1, 2, 1, 1, 1)
+_WEIGHTS = (4, 4, 3, 1, 2, 1, 2, 2, 2, 1, 2, 1, 2, 1, 1, 1, 4)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -100,7 +101,7 @@
 def _draw_target(
     random: Random, kind: FaultKind, entries: Sequence[str], workers: Sequence[str]
 ) -> str:
-    if kind.group == "program":
+    if kind.group in ("program", "connections"):
         return random.choice([*entries, *workers])
     return random.choice(workers) if kind.group == "worker" else kind.group
 
--- a/soak/session.py
+++ b/soak/session.py
@@ -83,6 +83,7 @@
                 folder=folder,
                 planted=self.planted,
                 overload=_OVERLOAD if self.seed % 2 else {},
+                has_proxies=True,
             )
             nursery.start_soon(self._measure_lag)
             try:
--- a/soak/site.py
+++ b/soak/site.py
@@ -4,6 +4,7 @@
 
 import itertools
 import os
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
@@ -14,7 +15,9 @@
 from coltsfoottray.http import Handler
 from coltsfoottray.types import Address
 from soak.programs import Program
+from soak.proxy import Proxy
 from standins.advice import AdviceStandIn
+from standins.connections import Direction
 from standins.fabric import LoopbackFabric
 from standins.job_worker import JobWorkerStandIn
 from standins.metadata_table import MetadataTableStandIn
@@ -47,6 +50,7 @@
 _PEERS, CALLERS, READINESS, _METRICS = 7000, 7001, 7002, 7003
 _HEARTBEATS, _INSTANCE = 7004, 7005
 _STORE, _ADVICE = 7006, 7007
+_STORE_PROXY, _INSTANCE_PROXY = 7008, 7009
 # Ended jobs are kept until the judgement.
 _KEEP_S = 600.0
 _MAX_ATTEMPTS = 2
@@ -83,12 +87,16 @@
         Name of a fault in the code of the programs; empty for none.
     overload : dict
         The section `overload` of the entries' settings.
+    has_proxies : bool
+        Whether the programs reach the store and the workers through proxies, whose
+        connections can be made silent.
     """
 
     nursery: trio.Nursery
     folder: Path
     planted: str = ""
     overload: dict[str, str] = field(default_factory=dict)
+    has_proxies: bool = False
     table: MetadataTableStandIn = field(default_factory=MetadataTableStandIn)
     advice: AdviceStandIn = field(default_factory=AdviceStandIn)
     observer: ExactObserver = field(
@@ -97,7 +105,9 @@
     fabric: LoopbackFabric = field(default_factory=LoopbackFabric)
     program_by_name: dict[str, Program] = field(default_factory=dict)
     worker_by_name: dict[str, JobWorkerStandIn] = field(default_factory=dict)
-    scope_by_worker: dict[str, trio.CancelScope] = field(default_factory=dict)
+    scopes_by_worker: dict[str, list[trio.CancelScope]] = field(default_factory=dict)
+    store_proxy_by_name: dict[str, Proxy] = field(default_factory=dict)
+    worker_proxy_by_name: dict[str, Proxy] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._versions = itertools.count(1)
@@ -110,6 +120,8 @@
         await self._serve(self.address("store", _STORE), self.table.handle)
         await self._serve(self.address("store", _ADVICE), self.advice.handle)
         self.write_config()
+        if self.has_proxies:
+            await self._start_store_proxies()
         for name in ENTRIES:
             self._start_program(
                 name,
@@ -156,17 +168,29 @@
 
     async def open_worker(self, name: str) -> None:
         """Accept connections to a worker, unless it accepts them already."""
-        if name in self.scope_by_worker:
+        if name in self.scopes_by_worker:
             return
-        scope = trio.CancelScope()
-        self.scope_by_worker[name] = scope
+        scopes = [trio.CancelScope(), trio.CancelScope()]
+        self.scopes_by_worker[name] = scopes
         worker = self.worker_by_name[name]
-        await self._serve(worker.address, worker.handle, scope)
+        instance = self.address(name, _INSTANCE)
+        await self._serve(instance, worker.handle, scopes[0])
+        if self.has_proxies:
+            # It ends with the worker, so that the address refuses connections then.
+            worker.address = self.address(name, _INSTANCE_PROXY)
+            proxy = Proxy(target=instance)
+            self.worker_proxy_by_name[name] = proxy
+            await self._serve_proxy(worker.address, proxy, scopes[1])
+
+    def silence(self, name: str, direction: Direction) -> None:
+        """Make the connections silent that a program has opened through proxies."""
+        self.store_proxy_by_name[name].silence(direction)
+        if name in self.worker_proxy_by_name:
+            self.worker_proxy_by_name[name].silence(direction)
 
     def close_worker(self, name: str) -> None:
         """Close the connections to a worker, as the end of its process does."""
-        scope = self.scope_by_worker.pop(name, None)
-        if scope is not None:
+        for scope in self.scopes_by_worker.pop(name, []):
             scope.cancel()
 
     def close(self) -> None:
@@ -191,12 +215,23 @@
         await self.open_worker(name)
         await self.nursery.start(worker.run)
 
+    async def _start_store_proxies(self) -> None:
+        for name in (*ENTRIES, *WORKERS):
+            proxy = Proxy(target=self.address("store", _STORE))
+            self.store_proxy_by_name[name] = proxy
+            await self._serve_proxy(self.address(name, _STORE_PROXY), proxy)
+
+    def _table(self, name: str) -> Address:
+        if self.has_proxies:
+            return self.address(name, _STORE_PROXY)
+        return self.address("store", _STORE)
+
     def _start_program(self, name: str, **settings: object) -> None:
         common = {
             "name": name,
             "data_centre": _DATA_CENTRE,
             "peers": str(self.address(name, _PEERS)),
-            "table": str(self.address("store", _STORE)),
+            "table": str(self._table(name)),
             "metrics": str(self.address(name, _METRICS)),
             "seeds": [str(self.address(entry, _PEERS)) for entry in ENTRIES],
         }
@@ -218,11 +253,21 @@
         scope: trio.CancelScope | None = None,
     ) -> None:
         listener = self.fabric.listeners("").http(address, handler)
+        await self._start(listener.run, scope)
 
+    async def _serve_proxy(
+        self, address: Address, proxy: Proxy, scope: trio.CancelScope | None = None
+    ) -> None:
+        serve = partial(trio.serve_tcp, proxy.handle, address.port, host=address.host)
+        await self._start(serve, scope)
+
+    async def _start(
+        self, serve: Callable[..., Awaitable[object]], scope: trio.CancelScope | None
+    ) -> None:
         async def run(
-            *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+            *, task_status: trio.TaskStatus[object] = trio.TASK_STATUS_IGNORED
         ) -> None:
             with scope or trio.CancelScope():
-                await listener.run(task_status=task_status)
+                await serve(task_status=task_status)
 
         await self.nursery.start(run)
