Suspect silent connections when callers give up before a timeout

Callers saw: nothing on the users' platform, where no caller of the HTTP client gives up earlier than the client. The attendants of batch tasks do: they end a renewal of the worker's lease after a third of it, 1 s, while the client waits up to 30 s. So no timeout was ever counted, and each renewal tried the next silent connection.

Change: an exchange that ends before anything has arrived closes suspects as a timeout does, if the caller has waited 200 ms. The network in memory does the same.

--- a/coltsfoottray/http/client.py
+++ b/coltsfoottray/http/client.py
@@ -84,7 +84,7 @@
                 received_bytes=pooled.received_bytes,
             ) from error
         finally:
-            self._release(address, pooled)
+            self._release(address, pooled, sent_at)
         return response
 
     def close(self) -> None:
@@ -112,14 +112,22 @@
             self._observer.record_opened(address)
         return ClientConnection(stream)
 
-    def _release(self, address: Address, pooled: ClientConnection) -> None:
-        """Put a connection back into the pool if its exchange is complete."""
+    def _release(
+        self, address: Address, pooled: ClientConnection, sent_at: float
+    ) -> None:
+        """Put a connection back into the pool if its exchange is complete.
+
+        A caller that gives up before anything has arrived shows as much as a timeout.
+        """
         self._close_unused()
+        pool = self._pool_by_address[address]
         if pooled.is_complete:
             pooled.connection.start_next_cycle()
-            self._pool_by_address[address].put(pooled)
-        else:
-            pooled.close()
+            pool.put(pooled)
+            return
+        pooled.close()
+        if pooled.received_at < sent_at:
+            pool.close_suspects(sent_at=sent_at, now=trio.current_time())
 
     def _close_unused(self) -> None:
         """Close connections to all peers that have not been used for long.
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -260,7 +260,7 @@
             )
             connection.received_at = trio.current_time()
             is_complete = True
-        except _ExchangeTimeout:
+        except (_ExchangeTimeout, trio.Cancelled):
             pool.close_suspects(sent_at=sent_at, now=trio.current_time())
             raise
         finally:
--- a/tests/http/silent_connections.feature
+++ b/tests/http/silent_connections.feature
@@ -12,6 +12,13 @@
       | 12    |
       | 32    |
 
+  Scenario: Callers give up before their requests time out
+    # Guards against silent connections that are never suspected, since no caller waits
+    # long enough.
+    Given a peer to which a burst has left 12 idle connections
+    When they become silent, and callers who wait for 300 ms follow each other
+    Then 1 request has timed out
+
   Scenario: A request is not answered while others are
     # Guards against closing connections that have carried answers in the meantime.
     Given a peer to which a burst has left 12 idle connections
--- a/tests/steps/silent_connection_steps.py
+++ b/tests/steps/silent_connection_steps.py
@@ -133,6 +133,20 @@
     _play(context, script)
 
 
+@when("they become silent, and callers who wait for {ms:d} ms follow each other")
+def silence_impatient(context, ms):
+    async def script(peer, client):
+        peer.silence()
+        context.timeouts = 0
+        for _ in range(_MAX_REQUESTS):
+            with trio.move_on_after(ms / 1000):
+                await client.send(peer.address, _PLAIN)
+                return
+            context.timeouts += 1
+
+    _play(context, script)
+
+
 @then("{count:d} request has timed out")
 def check_timeouts(context, count):
     assert context.timeouts == count, context.timeouts
