Let one timeout tell of the connections to all peers

A worker of batch tasks whose attendant had all its connections silent lost its lease of 3 s and its task was suspended: the renewal needs the worker and then the table, and waited at each.

Cause: the time until a process trusts nothing silent was bounded for each peer. Where a caller needs several peers in turn, the bounds add up.

Change: a timeout closes the suspects among the idle connections to all peers. What has carried something since the request was sent is kept, as before; anything else would be closed after 3 s.

--- a/coltsfoottray/http/client.py
+++ b/coltsfoottray/http/client.py
@@ -127,7 +127,7 @@
             return
         pooled.close()
         if pooled.received_at < sent_at:
-            pool.close_suspects(sent_at=sent_at, now=trio.current_time())
+            self._close_suspects(sent_at)
 
     def _close_unused(self) -> None:
         """Close connections to all peers that have not been used for long.
@@ -146,22 +146,30 @@
     def _handle_timeout(
         self, address: Address, pooled: ClientConnection, sent_at: float
     ) -> ExchangeTimeout:
-        """Close what may be silent too, so that the next request does not try it."""
-        now = trio.current_time()
-        pool = self._pool_by_address[address]
-        closed = pool.close_suspects(sent_at=sent_at, now=now)
-        silent_s = now - pooled.received_at
+        """Close what may be silent too, so that no later request tries it."""
+        closed = self._close_suspects(sent_at)
+        silent_s = trio.current_time() - pooled.received_at
         timeout = ExchangeTimeout(
             peer=address,
             is_reused=pooled.is_reused,
             silent_for=timedelta(seconds=silent_s),
             closed_connections=closed,
-            idle_connections=len(pool),
+            idle_connections=len(self._pool_by_address[address]),
         )
         if self._observer is not None:
             self._observer.record_timeout(timeout)
         return timeout
 
+    def _close_suspects(self, sent_at: float) -> int:
+        """Close what may be silent like the connection of a request sent at `sent_at`.
+
+        The connections to all peers can become silent together. A caller that needs
+        several peers in turn would otherwise wait for a timeout at each.
+        """
+        now = trio.current_time()
+        pools = self._pool_by_address.values()
+        return sum(each.close_suspects(sent_at=sent_at, now=now) for each in pools)
+
 
 async def _send_request(
     pooled: ClientConnection, address: Address, request: HttpRequest
--- a/coltsfoottray/http/connection.py
+++ b/coltsfoottray/http/connection.py
@@ -80,7 +80,7 @@
     silent_for : timedelta
         Time since the last byte from the peer on this connection.
     closed_connections : int
-        Number of idle connections to the same peer that were closed as suspects.
+        Number of idle connections, to any peer, that were closed as suspects.
     idle_connections : int
         Number of idle connections to the same peer that are left.
     """
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -261,7 +261,7 @@
             connection.received_at = trio.current_time()
             is_complete = True
         except (_ExchangeTimeout, trio.Cancelled):
-            pool.close_suspects(sent_at=sent_at, now=trio.current_time())
+            self._close_suspects(sender, sent_at)
             raise
         finally:
             if is_complete:
@@ -270,6 +270,12 @@
                 connection.close()
         return reply
 
+    def _close_suspects(self, sender: str, sent_at: float) -> None:
+        now = trio.current_time()
+        for (opener, _), pool in self._pool_by_ends.items():
+            if opener == sender:
+                pool.close_suspects(sent_at=sent_at, now=now)
+
     async def _exchange_on(
         self,
         connection: MemoryConnection,
--- a/tests/tasks/lost.feature
+++ b/tests/tasks/lost.feature
@@ -152,3 +152,15 @@
     And worker-01 reaches the table again
     And the task "b1" is finished within 60 s
     Then no worker was ever overcommitted, and nothing ran twice
+
+  Scenario: A worker's connections become silent
+    # Guards against a lease that lapses while one silent connection after the other is
+    # tried, or while a call waits on one.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 10 s
+    And the task "b1" runs for 2000 ms
+    And every process has 12 idle connections to each of its peers
+    And every connection that worker opened loses everything
+    Then the task "b1" keeps running for 6000 ms
+    And the task "b1" is finished
+    And "b1" was started 1 times
