Let no call to a worker of batch tasks wait for half a minute

Callers saw: the end of a task was told 30 s late when the connections of its attendant had become silent just before.

All calls to a worker's control interface had the client's default timeout of 30 s, and a checkpoint was taken between two reads of the worker's state.

Change: these calls time out after 2 s, as calls to the table do; a checkpoint keeps 30 s, since the worker answers once its object is written, and is taken beside the reads. A call that failed was already tried again in the next pass; starting, stopping and forgetting an attempt twice is harmless.

Measured: the new scenario of tests/tasks/lost fails before (the task is not finished within 5 s: 30.3 s after the silence) and passes; 41 scenarios of tests/tasks pass.

--- a/coltsfoottray/platform/http.py
+++ b/coltsfoottray/platform/http.py
@@ -28,6 +28,9 @@
 __all__ = ["HttpObjectStore", "HttpTable", "HttpWorkerControl"]
 
 TABLE_TIMEOUT = timedelta(seconds=2)
+_CONTROL_TIMEOUT = timedelta(seconds=2)
+# The worker answers once it has written its state to the object store.
+_CHECKPOINT_TIMEOUT = timedelta(seconds=30)
 _CONFLICT = 409
 
 
@@ -132,7 +135,7 @@
         self, *, task: TaskId, attempt: int, name: str
     ) -> None:
         target = f"{_attempt_path(task, attempt, 'checkpoint')}?name={quote(name)}"
-        await self._call("POST", target)
+        await self._call("POST", target, timeout=_CHECKPOINT_TIMEOUT)
 
     async def renew(self, *, holder: str, duration: timedelta) -> None:  # noqa: D102
         seconds = duration.total_seconds()
@@ -145,9 +148,16 @@
     async def forget(self, *, task: TaskId, attempt: int) -> None:  # noqa: D102
         await self._call("POST", _attempt_path(task, attempt, "forget"))
 
-    async def _call(self, method: str, target: str, body: bytes = b"") -> bytes:
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        *,
+        timeout: timedelta = _CONTROL_TIMEOUT,
+    ) -> bytes:
         request = HttpRequest(method=method, target=target, body=body)
-        response = await self._client.send(self._address, request)
+        response = await self._client.send(self._address, request, timeout=timeout)
         _expect_ok(response, self._address)
         return response.body
 
--- a/coltsfoottray/worker/attempts.py
+++ b/coltsfoottray/worker/attempts.py
@@ -82,9 +82,13 @@
         if self._lease.term != self._ledger_term or not self.is_ready:
             await self._rebuild()
         self._drop_stale_reservations()
-        await self._saver.take_checkpoints(self.ledger)
         return await self._update_reports()
 
+    async def take_checkpoints(self) -> None:
+        """Take the checkpoints that are due."""
+        if self.is_ready:
+            await self._saver.take_checkpoints(self.ledger)
+
     async def _rebuild(self) -> None:
         """Rebuild the ledger from the worker and the table.
 
--- a/coltsfoottray/worker/attendant.py
+++ b/coltsfoottray/worker/attendant.py
@@ -120,12 +120,21 @@
     async def run(  # noqa: D102
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        task_status.started()
+        async with trio.open_nursery() as nursery:
+            # A checkpoint takes as long as its object; ends must not wait for it.
+            nursery.start_soon(self._take_checkpoints)
+            task_status.started()
+            while True:
+                # Separate steps, because an end must be stored even if the worker no
+                # longer answers: otherwise its task is requeued at the lapse and runs
+                # again.
+                await self._run_step(self._attempts.store_results)
+                await self._run_step(self._update_attempts)
+                await self._clock.sleep(self._interval)
+
+    async def _take_checkpoints(self) -> None:
         while True:
-            # Separate steps, because an end must be stored even if the worker no longer
-            # answers: otherwise its task is requeued at the lapse and runs again.
-            await self._run_step(self._attempts.store_results)
-            await self._run_step(self._update_attempts)
+            await self._run_step(self._attempts.take_checkpoints)
             await self._clock.sleep(self._interval)
 
     async def wait_idle(self) -> None:
--- a/tests/tasks/lost.feature
+++ b/tests/tasks/lost.feature
@@ -164,3 +164,13 @@
     Then the task "b1" keeps running for 6000 ms
     And the task "b1" is finished
     And "b1" was started 1 times
+
+  Scenario: A worker's connections become silent before its task ends
+    # Guards against an end that is noticed after a timeout of half a minute.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 4 s
+    And the task "b1" runs for 2000 ms
+    And every process has 12 idle connections to each of its peers
+    And every connection that worker opened loses everything
+    And the task "b1" is finished within 5 s
+    Then "b1" was started 1 times
