--- a/coltsfoottray/http/pool.py
+++ b/coltsfoottray/http/pool.py
@@ -10,7 +10,7 @@
 
 # A peer closes idle connections, so a larger pool would hold connections that are
 # closed before they are reused.
-MAX_IDLE_PER_PEER = 32
+_MAX_IDLE_PER_PEER = 32
 # Users grant 3 s after connections have become silent. A connection that has carried
 # nothing for as long is not trusted, so that this bounds the search for one that works
 # however many there are.
@@ -90,7 +90,7 @@
 
     def put(self, connection: ConnectionT) -> None:
         """Add a connection after a complete exchange; close it if the pool is full."""
-        if len(self._idle) == MAX_IDLE_PER_PEER:
+        if len(self._idle) == _MAX_IDLE_PER_PEER:
             connection.close()
             return
         connection.is_reused = True
