Ignore heartbeats of services that no config names

Cause: an attendant took any readable report with a newer start time for the next incarnation of its worker; it did not know the config.

Change: the scheduler's reply names the services of the config. An attendant that knows them ignores reports of others, with `worker:unknown-service`. If it took one before it knew them, a report of a known service replaces that worker, whichever started first. A reply without names, from a scheduler without a config or of the version before, changes nothing.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -14,6 +14,7 @@
 from coltsfoottray.agent.pressure_exchange import PressureExchange
 from coltsfoottray.agent.reports import describe_runs, describe_worker
 from coltsfoottray.agent.runs import Runs
+from coltsfoottray.agent.services import KnownServices
 from coltsfoottray.agent.session import AttendantSession
 from coltsfoottray.agent.speeds import SpeedController
 from coltsfoottray.agent.supervision import RunSupervisor
@@ -75,6 +76,7 @@
         self._clock = clock
         self._metrics = metrics
         self._heartbeat: Heartbeat | None = None
+        self._services = KnownServices()
         self._runs = Runs()
         self._epoch = 0
         self._session = AttendantSession()
@@ -135,7 +137,12 @@
                 self.request_report()
             self._heartbeat = heartbeat
             return
-        if known is not None and heartbeat.born_ms <= known.born_ms:
+        if not self._services.may_use(heartbeat):
+            service = heartbeat.service
+            log_event("worker:unknown-service", life=heartbeat.life, service=service)
+            return
+        is_older = known is not None and heartbeat.born_ms <= known.born_ms
+        if known is not None and is_older and self._services.may_use(known):
             log_event("worker:old-heartbeat", life=heartbeat.life, current=known.life)
             return
         log_event("worker:new-life", life=heartbeat.life, before=known and known.life)
@@ -301,6 +308,7 @@
         self._epoch = reply.epoch
         self._lease.grant(sent_at + timedelta(milliseconds=reply.lease_ms))
         self._evacuations.apply(reply.evacuations, sent_at=sent_at)
+        self._services.update(reply.services)
         self._speeds.update_shared_pressures(reply.pressures)
         self._pressures.apply_reply(report, reply, is_new_epoch=is_new_epoch)
         for rejected in report.rejected:
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -78,6 +78,7 @@
         self.is_loaded = False
         self._clock = clock
         self._evacuations = evacuations
+        self._holder = holder
         self._fleet = Fleet()
         self.cluster = ClusterState(holder=holder, fleet=self._fleet)
         self.planner = Planner(cluster=self.cluster, holder=holder)
@@ -189,6 +190,7 @@
             orders=orders,
             pressures=update.pressures,
             pressure_revision_by_service=update.revision_by_service,
+            services=[service.name for service in self._holder.current.services],
         )
 
     async def wait_for_report(self, worker: str) -> None:
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -230,6 +230,8 @@
         as it has changed.
     pressure_revision_by_service : dict
         For each image of a service with changed pressures, their latest revision.
+    services : list of str
+        The services that the config names, empty while none is known.
     """
 
     scheduler: Address | None = None
@@ -241,6 +243,7 @@
     orders: Orders = Orders(session=0)
     pressures: list[Pressure] = msgspec.field(default_factory=list)
     pressure_revision_by_service: dict[str, int] = msgspec.field(default_factory=dict)
+    services: list[str] = msgspec.field(default_factory=list)
 
 
 class SchedulerAnnouncement(msgspec.Struct, frozen=True, kw_only=True):
--- a/standins/job_cell.py
+++ b/standins/job_cell.py
@@ -45,6 +45,8 @@
     ----------
     overload : OverloadSettings
         What the entries do while not all jobs can be on time.
+    service_names : list of str
+        The services that the next config names; with none, no heartbeat can be foreign.
     """
 
     fabric: MemoryFabric
@@ -64,6 +66,7 @@
     worker_by_name: dict[str, JobWorkerStandIn] = field(default_factory=dict)
     scope_by_name: dict[str, trio.CancelScope] = field(default_factory=dict)
     killed: set[str] = field(default_factory=set)
+    service_names: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self._table = self.fabric.free_address()
@@ -127,7 +130,12 @@
             for n in range(unused_routes)
         ]
         routes = [route, *unused]
-        config = {"version": next(self._versions), "routes": routes, "services": []}
+        services = [{"name": name} for name in self.service_names]
+        config = {
+            "version": next(self._versions),
+            "routes": routes,
+            "services": services,
+        }
         self.metadata_table.put("op", "", "config", config)
 
     def callers(self, entry: str) -> Address:
