Refuse heartbeats that name a port which does not exist

Cause: the address was checked for digits only, and no caller expects the OverflowError of a connect.

Change: such a report is refused as unreadable, naming the field.

Measured: the new scenario fails before and passes.

--- a/coltsfoottray/platform/instance.py
+++ b/coltsfoottray/platform/instance.py
@@ -37,6 +37,7 @@
 _REPLACED = 421
 _UNHEALTHY = (429, 503)
 _MAX_ENDS_PER_REPLY = 500
+_MAX_PORT = 65_535
 _REFUSAL_BY_REASON = {
     "fence": Refusal.FENCED,
     "old": Refusal.OLD,
@@ -208,7 +209,7 @@
     except msgspec.DecodeError as error:
         return Failure(str(error))
     host, _, port = heartbeat.address.rpartition(":")
-    if not host or not port.isdecimal():
+    if not host or not port.isdecimal() or not 0 < int(port) <= _MAX_PORT:
         return Failure(f"address: got {heartbeat.address!r}, expected IP:port")
     if heartbeat.state not in ("ready", "draining"):
         return Failure(f"state: got {heartbeat.state!r}, expected ready or draining")
--- a/tests/scheduler/foreign_reports.feature
+++ b/tests/scheduler/foreign_reports.feature
@@ -32,3 +32,8 @@
     And 2 s pass
     And worker-1's attendant gets the report of a worker of another service
     Then worker-1's attendant calls that worker
+
+  Scenario: A report names a port that does not exist
+    # Guards against an attendant that ends when it connects to it.
+    Then a report of the address "127.0.0.1:65536" is refused naming "address"
+    And a report of the address "127.0.0.1:0" is refused naming "address"
--- a/tests/steps/foreign_report_steps.py
+++ b/tests/steps/foreign_report_steps.py
@@ -6,8 +6,10 @@
 
 import msgspec
 from behave import given, step, then
+from returns.result import Failure
 
 from coltsfoottray.http import HttpRequest
+from coltsfoottray.platform.instance import parse_heartbeat
 
 _SERVICE, _OTHER_SERVICE = "svc", "other"
 _ID = "i-other"
@@ -70,3 +72,10 @@
 def check_taken(context, name):
     attendant = context.world.cell.attendant_by_name[name].attendant
     assert attendant._heartbeat.life == f"{_ID}/{_BORN_MS}", attendant._heartbeat
+
+
+@then('a report of the address "{address}" is refused naming "{field}"')
+def check_refused(context, address, field):
+    result = parse_heartbeat(_ID, _make_report(address))
+    assert isinstance(result, Failure), result
+    assert result.failure().startswith(field), result
