--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -217,7 +217,7 @@
         They connect each process to each peer that it has called before.
         """
         for (sender, address), pool in self._pool_by_ends.items():
-            while len(pool) < count:
+            for _ in range(count - len(pool)):
                 pool.put(self._open_connection(sender, address))
 
     def open_senders(self) -> list[str]:
