--- a/coltsfoottray/http/pool.py
+++ b/coltsfoottray/http/pool.py
@@ -11,8 +11,8 @@
 # A peer closes idle connections, so a larger pool would hold connections that are
 # closed before they are reused.
 _MAX_IDLE_PER_PEER = 32
-# Bursts of calls follow each other within seconds. What earlier ones have left only costs
-# descriptors.
+# Bursts of calls follow each other within seconds; what earlier ones have left only
+# costs descriptors.
 _MAX_IDLE_TIME = timedelta(seconds=10)
 # A shorter wait for an answer says nothing about other connections.
 _MIN_SILENCE = timedelta(milliseconds=200)
