Acknowledge no ends while a call has found another incarnation

Callers saw: TWICE is possible on the users' platform. A worker that restarts under its id within 0.3 s of the end of a task, and gets an order before its first heartbeat, had its first end discarded; the task that had ended ran again.

Cause: an end that is to be acknowledged is sent with each poll while the worker lists it and answers. The start that reaches the new incarnation first is answered by it, so the attendant knows, but a poll that was still to be sent carried the previous incarnation's cursor, and numbers of ends start anew. That polls after an unanswered one acknowledge nothing did not help: the start was answered.

Change: polls acknowledge ends only while the worker answers and no call has found another incarnation since.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -226,7 +226,7 @@
         incarnation acknowledges ends.
         """
         is_pending = any(e.number <= self._acknowledged for e in self._runs.ends)
-        return self._acknowledged if is_pending and self._liveness.is_answering else 0
+        return self._acknowledged if is_pending and self._liveness.is_certain else 0
 
     def _check_lapse(self) -> None:
         """Drop the runs of a worker that does not answer once they cannot run any more.
--- a/coltsfoottray/agent/liveness.py
+++ b/coltsfoottray/agent/liveness.py
@@ -33,6 +33,11 @@
         self.is_replaced = False
         self._leaving_since: timedelta | None = None
 
+    @property
+    def is_certain(self) -> bool:
+        """Whether it answers, and no call has found another incarnation since."""
+        return self.is_answering and not self.is_replaced
+
     def reset(self) -> None:
         """Start with a new incarnation, which has reported itself."""
         self.is_answering = True
--- a/tests/scheduler/one_run.feature
+++ b/tests/scheduler/one_run.feature
@@ -122,6 +122,26 @@
     Then the job "b" is "completed" within 10 s
     And no task ran twice at the same time or after its end
 
+  Scenario Outline: A worker's new incarnation ends a task just after the previous one
+    # Guards against the same, while an end of the previous one is to be acknowledged.
+    Given two entries and 1 workers for jobs
+    When the job "a" of 1 steps with 1 tasks of 1 s is submitted at entry-1
+    And <ms> ms pass
+    And worker-1's VM crashes and sends no heartbeats
+    And the job "b" of 1 steps with 1 tasks of 0 s is submitted at entry-1
+    And 2 s pass
+    And worker-1's VM sends heartbeats again
+    Then the job "b" is "completed" within 10 s
+    And no task ran twice at the same time or after its end
+
+    Examples:
+      | ms   |
+      | 1010 |
+      | 1070 |
+      | 1130 |
+      | 1190 |
+      | 1250 |
+
   Scenario: A worker that the scheduler lists as silent comes back
     # Guards against a worker that is back but idle until the next renewal.
     Given two entries and 1 workers for jobs
