Keep the idle connections of a process in one pool

Change: the pool is that of a process and keeps connections by peer; both use it as it is. The value that `silence_links` returned had no user.

--- a/coltsfoottray/http/client.py
+++ b/coltsfoottray/http/client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from datetime import timedelta
 
 import h11
@@ -32,7 +31,6 @@
 __all__ = ["HttpClient"]
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
-_CLOSE_UNUSED_INTERVAL = timedelta(seconds=1)
 
 
 class HttpClient(HttpTransport):
@@ -46,10 +44,7 @@
 
     def __init__(self, *, observer: ConnectionObserver | None = None) -> None:
         self._observer = observer
-        self._pool_by_address: dict[Address, ConnectionPool[ClientConnection]] = (
-            defaultdict(ConnectionPool)
-        )
-        self._close_unused_at = 0.0
+        self._pool: ConnectionPool[ClientConnection] = ConnectionPool()
 
     async def send(  # noqa: D102
         self,
@@ -89,12 +84,10 @@
 
     def close(self) -> None:
         """Close every idle connection."""
-        for pool in self._pool_by_address.values():
-            pool.close()
-        self._pool_by_address.clear()
+        self._pool.close()
 
     async def _acquire(self, address: Address) -> ClientConnection:
-        pooled = self._pool_by_address[address].take(now=trio.current_time())
+        pooled = self._pool.take(address, now=trio.current_time())
         if pooled is not None:
             return pooled
         try:
@@ -117,59 +110,33 @@
     ) -> None:
         """Put a connection back into the pool if its exchange is complete.
 
-        A caller that gives up before anything has arrived shows as much as a timeout.
+        An exchange that ends before anything has arrived, as its caller gives up, shows
+        as much as a timeout.
         """
-        self._close_unused()
-        pool = self._pool_by_address[address]
         if pooled.is_complete:
             pooled.connection.start_next_cycle()
-            pool.put(pooled)
+            self._pool.put(address, pooled)
             return
         pooled.close()
         if pooled.received_at < sent_at:
-            self._close_suspects(sent_at)
-
-    def _close_unused(self) -> None:
-        """Close connections to all peers that have not been used for long.
-
-        Otherwise those to peers that are never called again would stay open for good.
-        """
-        now = trio.current_time()
-        if now < self._close_unused_at:
-            return
-        self._close_unused_at = now + _CLOSE_UNUSED_INTERVAL.total_seconds()
-        for address, pool in list(self._pool_by_address.items()):
-            pool.close_unused(now=now)
-            if not pool:
-                del self._pool_by_address[address]
+            self._pool.close_suspects(sent_at=sent_at, now=trio.current_time())
 
     def _handle_timeout(
         self, address: Address, pooled: ClientConnection, sent_at: float
     ) -> ExchangeTimeout:
         """Close what may be silent too, so that no later request tries it."""
-        closed = self._close_suspects(sent_at)
-        silent_s = trio.current_time() - pooled.received_at
+        now = trio.current_time()
         timeout = ExchangeTimeout(
             peer=address,
             is_reused=pooled.is_reused,
-            silent_for=timedelta(seconds=silent_s),
-            closed_connections=closed,
-            idle_connections=len(self._pool_by_address[address]),
+            silent_for=timedelta(seconds=now - pooled.received_at),
+            closed_connections=self._pool.close_suspects(sent_at=sent_at, now=now),
+            idle_connections=self._pool.count(address),
         )
         if self._observer is not None:
             self._observer.record_timeout(timeout)
         return timeout
 
-    def _close_suspects(self, sent_at: float) -> int:
-        """Close what may be silent like the connection of a request sent at `sent_at`.
-
-        The connections to all peers can become silent together. A caller that needs
-        several peers in turn would otherwise wait for a timeout at each.
-        """
-        now = trio.current_time()
-        pools = self._pool_by_address.values()
-        return sum(each.close_suspects(sent_at=sent_at, now=now) for each in pools)
-
 
 async def _send_request(
     pooled: ClientConnection, address: Address, request: HttpRequest
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -147,9 +147,10 @@
     def __init__(self) -> None:
         self.faults_by_process: dict[str, ProcessFaults] = {}
         self.cut: set[frozenset[str]] = set()
-        self._pool_by_ends: dict[
-            tuple[str, Address], ConnectionPool[MemoryConnection]
-        ] = defaultdict(ConnectionPool)
+        self._pool_by_sender: dict[str, ConnectionPool[MemoryConnection]] = defaultdict(
+            ConnectionPool
+        )
+        self._ends: set[tuple[str, Address]] = set()
         self._open: set[MemoryConnection] = set()
         self.opened: Counter[tuple[str, str]] = Counter()
         self.listener_by_address: dict[Address, _MemoryListener] = {}
@@ -166,9 +167,7 @@
 
         A process that starts has no open connections.
         """
-        for (sender, _), pool in self._pool_by_ends.items():
-            if sender == process:
-                pool.close()
+        self._pool_by_sender[process].close()
         kernel.register(CLOCK, _PausableClock(self.faults(process)))
         kernel.register(TRANSPORT, self.transport(process))
         kernel.register(RANDOM, Random(process))
@@ -190,7 +189,7 @@
 
     def silence_links(
         self, senders: str, *, direction: Direction = Direction.BOTH
-    ) -> int:
+    ) -> None:
         """Make open connections silent whose opener's name starts with `senders`.
 
         This models a device between the two ends that has lost the state of the
@@ -200,25 +199,20 @@
         ----------
         direction : Direction
             What is lost.
-
-        Returns
-        -------
-        int
-            The number of connections.
         """
-        silenced = [each for each in self._open if each.sender.startswith(senders)]
-        for connection in silenced:
-            connection.silent = direction
-        return len(silenced)
+        for connection in self._open:
+            if connection.sender.startswith(senders):
+                connection.silent = direction
 
     def fill_pools(self, count: int) -> None:
         """Leave `count` idle connections behind, as a burst does.
 
         They connect each process to each peer that it has called before.
         """
-        for (sender, address), pool in self._pool_by_ends.items():
-            for _ in range(count - len(pool)):
-                pool.put(self._open_connection(sender, address))
+        for sender, address in self._ends:
+            pool = self._pool_by_sender[sender]
+            for _ in range(count - pool.count(address)):
+                pool.put(address, self._open_connection(sender, address))
 
     def open_senders(self) -> list[str]:
         """Return the opener of each open connection."""
@@ -248,8 +242,9 @@
         As in the real clients, a connection carries one exchange at a time, and is
         reused until an exchange on it fails.
         """
-        pool = self._pool_by_ends[sender, address]
-        connection = pool.take(now=trio.current_time())
+        self._ends.add((sender, address))
+        pool = self._pool_by_sender[sender]
+        connection = pool.take(address, now=trio.current_time())
         if connection is None:
             connection = self._open_connection(sender, address)
         sent_at = trio.current_time()
@@ -261,21 +256,15 @@
             connection.received_at = trio.current_time()
             is_complete = True
         except (_ExchangeTimeout, trio.Cancelled):
-            self._close_suspects(sender, sent_at)
+            pool.close_suspects(sent_at=sent_at, now=trio.current_time())
             raise
         finally:
             if is_complete:
-                pool.put(connection)
+                pool.put(address, connection)
             else:
                 connection.close()
         return reply
 
-    def _close_suspects(self, sender: str, sent_at: float) -> None:
-        now = trio.current_time()
-        for (opener, _), pool in self._pool_by_ends.items():
-            if opener == sender:
-                pool.close_suspects(sent_at=sent_at, now=now)
-
     async def _exchange_on(
         self,
         connection: MemoryConnection,
--- a/tests/steps/silent_connection_steps.py
+++ b/tests/steps/silent_connection_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from datetime import timedelta
 from functools import partial
 
@@ -21,8 +22,7 @@
 _HELD = HttpRequest(method="GET", target="/held")
 _UNANSWERED = HttpRequest(method="GET", target="/unanswered")
 _PLAIN = HttpRequest(method="GET", target="/")
-
-
+_ADDRESS = Address(host="127.0.0.1", port=1)
 _NOW_S = 100.0
 
 
@@ -176,19 +176,17 @@
 
 @given("idle connections that carried something {ages} s ago")
 def fill_pool(context, ages):
-    ages_s = [
-        float(age) for age in ages.replace(" s", "").replace(" and", ",").split(",")
-    ]
+    ages_s = map(float, re.findall(r"[\d.]+", ages))
     context.connections = [_Connection(age_s) for age_s in ages_s]
     context.pool = ConnectionPool()
     for connection in context.connections:
-        context.pool.put(connection)
+        context.pool.put(_ADDRESS, connection)
 
 
 @when("connections are taken from the pool until it is empty")
 def take_all(context):
     context.taken = []
-    while (connection := context.pool.take(now=_NOW_S)) is not None:
+    while (connection := context.pool.take(_ADDRESS, now=_NOW_S)) is not None:
         context.taken.append(connection.age_s)
 
 
