Decide in one place which heartbeat replaces a worker

Cause: the attendant checked twice whether a worker is known, once for the age of a heartbeat and once for the service of the worker it knows.

Change: `KnownServices.may_replace` decides; the attendant asks and logs.

--- a/coltsfoottray/agent/attendant.py
+++ b/coltsfoottray/agent/attendant.py
@@ -141,11 +141,11 @@
             service = heartbeat.service
             log_event("worker:unknown-service", life=heartbeat.life, service=service)
             return
-        is_older = known is not None and heartbeat.born_ms <= known.born_ms
-        if known is not None and is_older and self._services.may_use(known):
-            log_event("worker:old-heartbeat", life=heartbeat.life, current=known.life)
+        current = known and known.life
+        if not self._services.may_replace(known, heartbeat):
+            log_event("worker:old-heartbeat", life=heartbeat.life, current=current)
             return
-        log_event("worker:new-life", life=heartbeat.life, before=known and known.life)
+        log_event("worker:new-life", life=heartbeat.life, before=current)
         self._begin_incarnation(heartbeat)
 
     def handle_deregistration(self, life_id: str) -> None:
