One bound for the size of the rows beside those of jobs

Cause: the row of measured interference got a bound of its own, of 48,000 bytes for the same reason as that of learned lengths.

Change: both use `MAX_SIDE_ROW_BYTES`.

--- a/coltsfoottray/scheduler/learned_row.py
+++ b/coltsfoottray/scheduler/learned_row.py
@@ -18,16 +18,13 @@
 from coltsfoottray.overload.demand import Pool
 from coltsfoottray.platform import Put, Row
 from coltsfoottray.scheduler.lengths import LengthEstimator, LengthSums
-from coltsfoottray.scheduler.side_rows import SideRows
+from coltsfoottray.scheduler.side_rows import MAX_SIDE_ROW_BYTES, SideRows
 
 __all__ = ["LearnedRow"]
 
 _PERIOD = timedelta(seconds=4)
 # At 100 bytes per queue, the row stays below a third of the store's limit of 64 KiB.
 _MAX_QUEUES = 200
-# The store refuses a larger row however often it is sent, so fewer queues are stored
-# if their names are long.
-_MAX_BYTES = 48_000
 # Measured rates vary all the time; smaller changes alone are not worth a write.
 _MIN_RATE_CHANGE = 0.05
 _MILLI = 1000.0
@@ -147,7 +144,7 @@
     """Return the write, without the queues seen first if it would be too large."""
     put = Put.of(LEARNED_KEY, version, learned)
     queues = list(learned.sums_by_queue)
-    while len(bytes(put.value)) > _MAX_BYTES and queues:
+    while len(bytes(put.value)) > MAX_SIDE_ROW_BYTES and queues:
         queues = queues[(len(queues) + 1) // 2 :]
         kept = {queue: learned.sums_by_queue[queue] for queue in queues}
         fitting = msgspec.structs.replace(learned, sums_by_queue=kept)
--- a/coltsfoottray/scheduler/side_rows.py
+++ b/coltsfoottray/scheduler/side_rows.py
@@ -18,15 +18,16 @@
 from coltsfoottray.scheduler.fleet import Fleet
 from coltsfoottray.types import Address
 
-__all__ = ["AttendantRows", "PressureRow", "SideRows"]
+__all__ = ["MAX_SIDE_ROW_BYTES", "AttendantRows", "PressureRow", "SideRows"]
+
+# Three quarters of the store's limit of 64 KiB, which applies to the encoded value. The
+# store refuses a larger row however often it is sent, so less is stored if names are
+# long.
+MAX_SIDE_ROW_BYTES = 48_000
 
 # Interference between images is measured within seconds and changes little.
 _PRESSURES_PERIOD = timedelta(seconds=4)
 _MAX_PRESSURES = 400
-# Three quarters of the store's limit of 64 KiB, which applies to the encoded value. The
-# store refuses a larger row however often it is sent, so fewer pairs are stored if the
-# names of their images are long.
-_MAX_PRESSURES_BYTES = 48_000
 
 # All attendants of a fleet can start in the same instant; those that report within
 # this time are stored together.
@@ -96,7 +97,7 @@
     fitting: list[Pressure] = []
     for pressure in pressures:
         size_bytes += len(msgspec.json.encode(pressure)) + len(b",")
-        if size_bytes > _MAX_PRESSURES_BYTES:
+        if size_bytes > MAX_SIDE_ROW_BYTES:
             break
         fitting.append(pressure)
     return fitting
