Soak: a worker's server and its proxy end with one scope

Cause: a worker had a list of two scopes, as a scope is entered once, and listeners and proxies were started by two methods.

Change: servers that end together are started together, under one scope.

--- a/soak/site.py
+++ b/soak/site.py
@@ -4,7 +4,7 @@
 
 import itertools
 import os
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
@@ -54,6 +54,7 @@
 # Ended jobs are kept until the judgement.
 _KEEP_S = 600.0
 _MAX_ATTEMPTS = 2
+_Server = Callable[..., Awaitable[object]]
 _ADVICE_TERMS = {"decisionMs": 100, "periodMs": 20, "validityMs": 3000}
 
 
@@ -105,7 +106,7 @@
     fabric: LoopbackFabric = field(default_factory=LoopbackFabric)
     program_by_name: dict[str, Program] = field(default_factory=dict)
     worker_by_name: dict[str, JobWorkerStandIn] = field(default_factory=dict)
-    scopes_by_worker: dict[str, list[trio.CancelScope]] = field(default_factory=dict)
+    scope_by_worker: dict[str, trio.CancelScope] = field(default_factory=dict)
     store_proxy_by_name: dict[str, Proxy] = field(default_factory=dict)
     worker_proxy_by_name: dict[str, Proxy] = field(default_factory=dict)
 
@@ -168,19 +169,20 @@
 
     async def open_worker(self, name: str) -> None:
         """Accept connections to a worker, unless it accepts them already."""
-        if name in self.scopes_by_worker:
+        if name in self.scope_by_worker:
             return
-        scopes = [trio.CancelScope(), trio.CancelScope()]
-        self.scopes_by_worker[name] = scopes
+        scope = trio.CancelScope()
+        self.scope_by_worker[name] = scope
         worker = self.worker_by_name[name]
         instance = self.address(name, _INSTANCE)
-        await self._serve(instance, worker.handle, scopes[0])
+        servers = [self._server(instance, worker.handle)]
         if self.has_proxies:
             # It ends with the worker, so that the address refuses connections then.
             worker.address = self.address(name, _INSTANCE_PROXY)
             proxy = Proxy(target=instance)
             self.worker_proxy_by_name[name] = proxy
-            await self._serve_proxy(worker.address, proxy, scopes[1])
+            servers.append(self._proxy_server(worker.address, proxy))
+        await self._start(servers, scope)
 
     def silence(self, name: str, direction: Direction) -> None:
         """Make the connections silent that a program has opened through proxies."""
@@ -190,7 +192,8 @@
 
     def close_worker(self, name: str) -> None:
         """Close the connections to a worker, as the end of its process does."""
-        for scope in self.scopes_by_worker.pop(name, []):
+        scope = self.scope_by_worker.pop(name, None)
+        if scope is not None:
             scope.cancel()
 
     def close(self) -> None:
@@ -219,7 +222,8 @@
         for name in (*ENTRIES, *WORKERS):
             proxy = Proxy(target=self.address("store", _STORE))
             self.store_proxy_by_name[name] = proxy
-            await self._serve_proxy(self.address(name, _STORE_PROXY), proxy)
+            server = self._proxy_server(self.address(name, _STORE_PROXY), proxy)
+            await self._start([server])
 
     def _table(self, name: str) -> Address:
         if self.has_proxies:
@@ -246,28 +250,28 @@
         self.program_by_name[name] = program
         program.start()
 
-    async def _serve(
-        self,
-        address: Address,
-        handler: Handler,
-        scope: trio.CancelScope | None = None,
-    ) -> None:
-        listener = self.fabric.listeners("").http(address, handler)
-        await self._start(listener.run, scope)
+    async def _serve(self, address: Address, handler: Handler) -> None:
+        await self._start([self._server(address, handler)])
 
-    async def _serve_proxy(
-        self, address: Address, proxy: Proxy, scope: trio.CancelScope | None = None
-    ) -> None:
-        serve = partial(trio.serve_tcp, proxy.handle, address.port, host=address.host)
-        await self._start(serve, scope)
+    def _server(self, address: Address, handler: Handler) -> _Server:
+        return self.fabric.listeners("").http(address, handler).run
+
+    @staticmethod
+    def _proxy_server(address: Address, proxy: Proxy) -> _Server:
+        return partial(trio.serve_tcp, proxy.handle, address.port, host=address.host)
 
     async def _start(
-        self, serve: Callable[..., Awaitable[object]], scope: trio.CancelScope | None
+        self, servers: Sequence[_Server], scope: trio.CancelScope | None = None
     ) -> None:
+        """Start servers that end together, with `scope` or with the site."""
+
         async def run(
-            *, task_status: trio.TaskStatus[object] = trio.TASK_STATUS_IGNORED
+            *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
         ) -> None:
             with scope or trio.CancelScope():
-                await serve(task_status=task_status)
+                async with trio.open_nursery() as nursery:
+                    for server in servers:
+                        await nursery.start(server)
+                    task_status.started()
 
         await self.nursery.start(run)
