Try silent connections where calls wait in turn, and through relays

Cause: the scenarios covered the store, workers, entries and attendants, not the service of advice, which answers one call at a time, nor an entry that reads the store through another one.

Change: two outlines, with everything or answers only lost. They find no fault in the present code.

--- a/tests/scheduler/silent_connections.feature
+++ b/tests/scheduler/silent_connections.feature
@@ -58,6 +58,38 @@
       | anybody | everything |
       | anybody | answers    |
 
+  Scenario Outline: A step is placed that needs tickets
+    # Guards against a call that waits in turn at the service which decides on workers.
+    Given two entries and 3 workers for jobs
+    And the queue's policy allows all workers, with tickets for 20 s
+    When the job "a" of 4 tasks of 1 s that need tickets is submitted at entry-1
+    And 4 s pass
+    And every process has 32 idle connections to each of its peers
+    And every connection that entry opened loses <what>
+    And the job "b" of 4 tasks of 1 s that need tickets is submitted at entry-1
+    Then the job "b" is "completed" within 4 s
+    And no start was refused for lack of a ticket
+
+    Examples:
+      | what       |
+      | everything |
+      | answers    |
+
+  Scenario Outline: A config comes into force through another entry
+    # Guards against relays that are asked over silent connections.
+    Given two entries and 2 workers for jobs
+    And the scheduler is cut off from the store
+    When 3 s pass
+    And every process has 32 idle connections to each of its peers
+    And every connection that entry opened loses <what>
+    And 500 ms pass
+    Then a config that is written now is in force at both entries within 4500 ms
+
+    Examples:
+      | what       |
+      | everything |
+      | answers    |
+
   Scenario: Connections become silent again and again
     # Guards against a process that keeps what silent connections have left behind.
     Given two entries and 2 workers for jobs
