Log what a refused transaction and a refused peer call contained

Cause: a transaction that the store refuses for itself was logged as 'table service unavailable: status 400', ten times a second, and a report over the limit of a body as 'status 413'. Neither line told which row or message was at fault, so that 'one row grew too large', 'too many entries', 'the store refuses a row that is small' and 'the store is down' could not be told apart.

Change: table:refused names the status, the store's answer, the bytes and entries of the call and its largest rows; a refused peer call its name and bytes.

--- a/coltsfoottray/peers/http.py
+++ b/coltsfoottray/peers/http.py
@@ -37,7 +37,10 @@
         )
         response = await self._transport.send(address, message, timeout=timeout)
         if response.status != 200:
-            raise _decode_error(address, f"status {response.status}")
+            size = len(message.body)
+            raise _decode_error(
+                address, f"status {response.status} for {call.name} of {size} bytes"
+            )
         try:
             return msgspec.msgpack.decode(response.body, type=call.reply_type)
         except msgspec.DecodeError as error:
--- a/coltsfoottray/platform/metadata_table.py
+++ b/coltsfoottray/platform/metadata_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import base64
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from urllib.parse import urlencode
 
@@ -13,6 +13,7 @@
 from coltsfoottray.clock import Clock
 from coltsfoottray.errors import CommunicationError
 from coltsfoottray.http import HttpRequest, HttpResponse, HttpTransport
+from coltsfoottray.logs import log_event
 from coltsfoottray.metrics import Metrics
 from coltsfoottray.platform.common import (
     Changes,
@@ -45,6 +46,12 @@
 _PAGE_ROWS = 500
 _CONFLICT = 412
 _HISTORY_LOST = 410
+# The store answers these while it has no capacity; any other error status is about the
+# call itself.
+_BUSY = (429, 503)
+# How much of a refused call is logged.
+_MAX_LOGGED_ROWS = 5
+_MAX_LOGGED_BYTES = 200
 
 
 class _Ref(msgspec.Struct, omit_defaults=True):
@@ -152,6 +159,7 @@
                 body=msgspec.json.encode(body),
             ),
             history=self._history(f"transaction {conditions[0].key.split('/')[1]}"),
+            describe=lambda: _describe(transaction),
         )
         answer = _decode(response)
         if response.status == _CONFLICT:
@@ -225,8 +233,12 @@
         *,
         history: _CallHistory,
         held: timedelta = timedelta(0),
+        describe: Callable[[], dict[str, object]] = dict,
     ) -> HttpResponse:
-        """Send `request`, which the store may hold for `held` before it answers."""
+        """Send `request`, which the store may hold for `held` before it answers.
+
+        If the store refuses the call itself, what `describe` returns is logged.
+        """
         started = self._clock.elapsed()
         timeout = history.timeout()
         if held:
@@ -246,6 +258,15 @@
         self._count_call(request, str(response.status), len(response.body))
         if not held:
             self._metrics.time("table_call", latency, call=request.path[4:])
+        if response.status not in (200, _CONFLICT, _HISTORY_LOST, *_BUSY):
+            log_event(
+                "table:refused",
+                call=request.path[4:],
+                status=response.status,
+                answer=response.body[:_MAX_LOGGED_BYTES].decode(errors="replace"),
+                call_bytes=len(request.body),
+                **describe(),
+            )
         if response.status not in (200, _CONFLICT, _HISTORY_LOST):
             # The store returns an error status only before it writes anything.
             raise TableUnavailable(
@@ -259,6 +280,17 @@
         self._metrics.count("table_answer_bytes", size, call=call, outcome=outcome)
 
 
+def _describe(transaction: Transaction) -> dict[str, object]:
+    """Return what tells which limit a transaction may have exceeded."""
+    by_size = sorted(transaction.puts, key=lambda put: -len(bytes(put.value)))
+    return {
+        "entries": 2 * len(transaction.puts) + len(transaction.checks),
+        "largest": {
+            put.key: len(bytes(put.value)) for put in by_size[:_MAX_LOGGED_ROWS]
+        },
+    }
+
+
 def _split_key(key: str) -> tuple[str, str, str]:
     table, part, name = key.split("/", 2)
     return table, part, name
