Let a row that the store refuses for itself stop nothing else

A restart did not help.

Cause: one type of error, TableUnavailable, stood for 'not now' (429, 503, no answer) and for 'never' (400, 403, 413). The scheduler repeated a transaction that the store refuses for itself every 100 ms without an end: no renewal, no other job, no acknowledgement.

Evidence: a stand-in that refuses one row for good. On with the row of measured interference, of attendants, one job's record or its summary: no other job starts, the scheduler is replaced (epoch 2).

Change: TableRefused beside TableUnavailable. A refused batch is divided until the group at fault is alone (at most two calls a halving; a renewal goes first, so that the lease row is kept); it is left out and tried again alone after 1 s, doubling to 60 s. A side row is skipped. A job whose rows are refused is withheld: its new runs are given up before they are sent, nothing more of it starts, and its ends are not acknowledged, as the next scheduler could not know them; once the store takes its rows it goes on. A holder whose lease row is refused goes, and claims are paused for 1 to 30 s. One bound for the value of a row, 48,000 bytes, by the stricter reading of rowBytes (base64); the stand-in holds rows to it.

Why it works: what is refused shares no transaction with anything else any more, and nothing is repeated at a fixed rate.

--- a/coltsfoottray/claims/members.py
+++ b/coltsfoottray/claims/members.py
@@ -26,7 +26,7 @@
 from coltsfoottray.membership import EntryRecord
 from coltsfoottray.membership.entries import ENTRY_PREFIX
 from coltsfoottray.peers import CallHandlers, PeerClient
-from coltsfoottray.platform import Put, Row, TableService, TableUnavailable, Transaction
+from coltsfoottray.platform import Put, Row, TableError, TableService, Transaction
 from coltsfoottray.platform.common import ABSENT
 from coltsfoottray.types import Address, EntryId, Incarnation
 
@@ -113,7 +113,7 @@
                     await self._join()
                 else:
                     await self._refresh()
-            except TableUnavailable as error:
+            except TableError as error:
                 log_event("claims:members-unread", error=str(error))
             pause = self._interval if self.is_joined else _JOIN_RETRY_INTERVAL
             await self._clock.sleep(pause)
@@ -192,7 +192,7 @@
             return True
         try:
             row = await self._table.get(MEMBER_PREFIX + member.entry)
-        except TableUnavailable as error:
+        except TableError as error:
             log_event("claims:join-unchecked", entry=member.entry, error=str(error))
             return True
         return row is not None and row.decode(MemberRow) == member
--- a/coltsfoottray/claims/table.py
+++ b/coltsfoottray/claims/table.py
@@ -14,8 +14,8 @@
 from coltsfoottray.platform import (
     Check,
     Put,
+    TableError,
     TableService,
-    TableUnavailable,
     Transaction,
 )
 from coltsfoottray.platform.common import ABSENT
@@ -57,7 +57,7 @@
         with trio.move_on_after(_TABLE_TIMEOUT.total_seconds()):
             try:
                 return await self._write_row(key, claim, supersedes)
-            except TableUnavailable as error:
+            except TableError as error:
                 return ClaimResult.unknown(f"a member is unreachable, and {error}")
         return ClaimResult.unknown(
             "a member is unreachable, and the table does not answer"
--- a/coltsfoottray/daemons/job_attendant.py
+++ b/coltsfoottray/daemons/job_attendant.py
@@ -15,7 +15,7 @@
 from coltsfoottray.jobs.status import JobDaemonStatus
 from coltsfoottray.kernel import Kernel, ServiceName
 from coltsfoottray.logs import log_event
-from coltsfoottray.platform import TableUnavailable
+from coltsfoottray.platform import TableError
 from coltsfoottray.platform.heartbeats import HeartbeatHandler
 from coltsfoottray.platform.instance import InstanceLink
 from coltsfoottray.scheduler.lease import LeaseRow
@@ -102,7 +102,7 @@
         """Return the address of the scheduler according to the lease row."""
         try:
             row = await self.table.get(LEASE_KEY)
-        except TableUnavailable as error:
+        except TableError as error:
             log_event("table:unavailable", reason=str(error))
             return None
         return None if row is None else row.decode(LeaseRow).address
--- a/coltsfoottray/entry/batch.py
+++ b/coltsfoottray/entry/batch.py
@@ -11,7 +11,7 @@
 from coltsfoottray.explain import Journal, Verb
 from coltsfoottray.http import HttpRequest, HttpResponse, Outcome, Problem
 from coltsfoottray.lists import ListHolder
-from coltsfoottray.platform import TableUnavailable
+from coltsfoottray.platform import TableError
 from coltsfoottray.tasks import TaskRow, TaskSpec, TaskStore
 from coltsfoottray.tasks.owner import QueueOwner
 from coltsfoottray.types import CustomerId, Kind, Resources, TaskId
@@ -74,7 +74,7 @@
                 return await self._get_task(customer, segments[1])
             if request.method == "DELETE" and len(segments) == 2:
                 return await self._cancel(customer, segments[1])
-        except TableUnavailable as error:
+        except TableError as error:
             return to_table_problem_response(error)
         raise InputError(
             field="request",
--- a/coltsfoottray/entry/operators.py
+++ b/coltsfoottray/entry/operators.py
@@ -13,7 +13,7 @@
 from coltsfoottray.http import HttpRequest, HttpResponse, Outcome, Problem
 from coltsfoottray.lists import Edit, ListEditor, ListHolder
 from coltsfoottray.membership import EntryDirectory, Member, Registry
-from coltsfoottray.platform import TableUnavailable
+from coltsfoottray.platform import TableError
 from coltsfoottray.types import Address, DaemonId, Kind, ListVersion, Role
 
 __all__ = ["DaemonStatus", "EntryStatus", "OperatorApi"]
@@ -81,7 +81,7 @@
             return HttpResponse.of_json(self._journal.explain(subject))
         try:
             return await self._handle_lists(path, request)
-        except TableUnavailable as error:
+        except TableError as error:
             return to_table_problem_response(error)
 
     async def _handle_lists(self, path: str, request: HttpRequest) -> HttpResponse:
--- a/coltsfoottray/jobs/members.py
+++ b/coltsfoottray/jobs/members.py
@@ -22,7 +22,7 @@
 from coltsfoottray.platform import (
     Put,
     Row,
-    TableUnavailable,
+    TableError,
     Transaction,
     WatchedTable,
 )
@@ -136,7 +136,7 @@
         put = Put.of(member_key(self._member.name), self._version, self._member)
         try:
             outcome = await self._table.commit(Transaction(puts=[put]))
-        except TableUnavailable as error:
+        except TableError as error:
             log_event("members:unwritten", reason=str(error))
             return False
         if not isinstance(outcome, Failure):
@@ -178,7 +178,7 @@
         while True:
             try:
                 self._directory.update(await _read_members(self._table))
-            except TableUnavailable as error:
+            except TableError as error:
                 log_event("members:unread", reason=str(error))
             await self._sleep(_REFRESH_INTERVAL, _REFRESH_SPREAD)
 
@@ -191,7 +191,7 @@
 
     Raises
     ------
-    TableUnavailable
+    TableError
         If the table did not answer.
     """
     members = []
--- a/coltsfoottray/jobs/mirror.py
+++ b/coltsfoottray/jobs/mirror.py
@@ -13,7 +13,7 @@
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
 from coltsfoottray.metrics import Metrics
-from coltsfoottray.platform import HistoryLost, Row, TableUnavailable, WatchedTable
+from coltsfoottray.platform import HistoryLost, Row, TableError, WatchedTable
 
 __all__ = ["Mirror"]
 
@@ -111,7 +111,7 @@
                         await self._is_wanted.wait()
             except HistoryLost as error:
                 log_event("mirror:history-lost", group=self._group, reason=str(error))
-            except TableUnavailable as error:
+            except TableError as error:
                 self._record_failure(error)
                 await self._clock.sleep(_RETRY_INTERVAL)
 
@@ -172,7 +172,7 @@
     def _record_age(self) -> None:
         self._metrics.gauge("copy_age_seconds", self.age_s(), group=self._group)
 
-    def _record_failure(self, error: TableUnavailable) -> None:
+    def _record_failure(self, error: TableError) -> None:
         self._record_age()
         if self._failing_since is None:
             self._failing_since = self._clock.elapsed()
--- a/coltsfoottray/jobs/paging.py
+++ b/coltsfoottray/jobs/paging.py
@@ -12,7 +12,7 @@
 from datetime import timedelta
 
 from coltsfoottray.clock import Clock
-from coltsfoottray.platform import Row, Snapshot, TableUnavailable, WatchedTable
+from coltsfoottray.platform import Row, Snapshot, TableError, WatchedTable
 
 __all__ = ["PageSizer", "RowReader"]
 
@@ -72,7 +72,7 @@
         *,
         table: WatchedTable,
         clock: Clock,
-        on_failure: Callable[[TableUnavailable], None],
+        on_failure: Callable[[TableError], None],
     ) -> None:
         self._table = table
         self._clock = clock
@@ -96,7 +96,7 @@
                 page = await self._table.page(
                     prefix, first=first, limit=self._sizer.rows
                 )
-            except TableUnavailable as error:
+            except TableError as error:
                 self._sizer.record_failure()
                 self._on_failure(error)
                 await self._clock.sleep(_RETRY_INTERVAL)
--- a/coltsfoottray/jobs/record_rows.py
+++ b/coltsfoottray/jobs/record_rows.py
@@ -9,13 +9,12 @@
 import msgspec
 
 from coltsfoottray.jobs.records import JobRecord
+from coltsfoottray.platform import MAX_VALUE_BYTES
 
 __all__ = ["decode_record", "encode_record"]
 
-# A row holds up to 64 KiB.
-_MAX_ROW_BYTES = 60_000
 # Base64 takes 4 bytes for 3.
-_MAX_PART_BYTES = _MAX_ROW_BYTES * 3 // 4 - 100
+_MAX_PART_BYTES = MAX_VALUE_BYTES * 3 // 4 - 100
 _COMPRESSION_LEVEL = 1
 
 
@@ -33,7 +32,7 @@
 def encode_record(record: JobRecord) -> list[msgspec.Raw]:
     """Return the values of the rows that store a record, at least one."""
     encoded = msgspec.json.encode(record)
-    if len(encoded) <= _MAX_ROW_BYTES:
+    if len(encoded) <= MAX_VALUE_BYTES:
         return [msgspec.Raw(encoded)]
     packed = zlib.compress(encoded, _COMPRESSION_LEVEL)
     pieces = [
--- a/coltsfoottray/leases/entry.py
+++ b/coltsfoottray/leases/entry.py
@@ -15,7 +15,7 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.membership import EntryDirectory, EntryRecord
 from coltsfoottray.membership.entries import ENTRY_PREFIX
-from coltsfoottray.platform import Put, Row, TableService, TableUnavailable, Transaction
+from coltsfoottray.platform import Put, Row, TableError, TableService, Transaction
 from coltsfoottray.platform.common import ABSENT
 
 __all__ = ["EntryLease"]
@@ -66,7 +66,7 @@
         put = Put(key=key, version=self._version)
         try:
             await self._table.commit(Transaction(puts=[put]))
-        except TableUnavailable as error:
+        except TableError as error:
             log_event("lease:entry-left-to-lapse", error=str(error))
 
     async def _try_tick(self) -> None:
@@ -74,7 +74,7 @@
             await self._renew()
             rows = await self._table.scan(ENTRY_PREFIX)
             await self._remove_lapsed(rows)
-        except TableUnavailable as error:
+        except TableError as error:
             log_event("lease:entry-not-renewed", error=str(error))
 
     async def _renew(self) -> None:
--- a/coltsfoottray/leases/lost_workers.py
+++ b/coltsfoottray/leases/lost_workers.py
@@ -13,7 +13,7 @@
 from coltsfoottray.leases.observer import LeaseObserver
 from coltsfoottray.leases.worker import WORKER_PREFIX, LeaseState, WorkerLeaseRow
 from coltsfoottray.logs import log_event
-from coltsfoottray.platform import Put, Row, TableService, TableUnavailable, Transaction
+from coltsfoottray.platform import Put, Row, TableError, TableService, Transaction
 from coltsfoottray.types import AttendantId
 
 __all__ = ["LostWorkerDetector"]
@@ -49,7 +49,7 @@
         while True:
             try:
                 await self._tick()
-            except TableUnavailable as error:
+            except TableError as error:
                 log_event("lease:workers-unread", error=str(error))
             await self._clock.sleep(self._interval)
 
--- a/coltsfoottray/leases/partitions.py
+++ b/coltsfoottray/leases/partitions.py
@@ -14,7 +14,7 @@
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
 from coltsfoottray.membership import EntryDirectory, EntryRecord
-from coltsfoottray.platform import Put, Row, TableService, TableUnavailable, Transaction
+from coltsfoottray.platform import Put, Row, TableError, TableService, Transaction
 from coltsfoottray.platform.common import ABSENT
 from coltsfoottray.types import CustomerId, EntryId, Incarnation
 
@@ -114,7 +114,7 @@
                 await self._reconcile(
                     partition, row_by_key.get(partition_key(partition))
                 )
-        except TableUnavailable as error:
+        except TableError as error:
             log_event("lease:partitions-untended", error=str(error))
 
     async def _reconcile(self, partition: int, row: Row | None) -> None:
--- a/coltsfoottray/leases/worker.py
+++ b/coltsfoottray/leases/worker.py
@@ -15,8 +15,8 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.platform import (
     Put,
+    TableError,
     TableService,
-    TableUnavailable,
     Transaction,
     WorkerControl,
 )
@@ -135,7 +135,7 @@
         try:
             with trio.move_on_after((self._lease / 3).total_seconds()):
                 return await self._renew()
-        except TableUnavailable as error:
+        except TableError as error:
             log_event("lease:worker-not-renewed", error=str(error))
         except CommunicationError as error:
             log_event("lease:worker-unreachable", error=str(error))
--- a/coltsfoottray/lists/follower.py
+++ b/coltsfoottray/lists/follower.py
@@ -11,7 +11,7 @@
 from coltsfoottray.lists.editor import read_head
 from coltsfoottray.lists.holder import ListHolder
 from coltsfoottray.logs import log_event
-from coltsfoottray.platform import TableService, TableUnavailable
+from coltsfoottray.platform import TableError, TableService
 
 __all__ = ["ListFollower"]
 
@@ -49,7 +49,7 @@
         """Read the head once; in an outage of the table the lists stay as they are."""
         try:
             lists = await read_head(self._table)
-        except TableUnavailable as error:
+        except TableError as error:
             log_event("lists:poll-failed", error=str(error))
             return
         if self._holder.replace_if_newer(lists):
--- a/coltsfoottray/membership/entries.py
+++ b/coltsfoottray/membership/entries.py
@@ -11,7 +11,7 @@
 from coltsfoottray.clock import Clock
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
-from coltsfoottray.platform import TableService, TableUnavailable
+from coltsfoottray.platform import TableError, TableService
 from coltsfoottray.types import Address, DaemonId, EntryId, Incarnation
 
 __all__ = ["ENTRY_PREFIX", "EntryDirectory", "EntryRecord"]
@@ -73,7 +73,7 @@
         """Read the rows once; keep the known entries if the table is unavailable."""
         try:
             rows = await self._table.scan(ENTRY_PREFIX)
-        except TableUnavailable as error:
+        except TableError as error:
             log_event("membership:entries-unread", error=str(error))
             return
         self.replace_all([row.decode(EntryRecord) for row in rows])
--- a/coltsfoottray/platform/__init__.py
+++ b/coltsfoottray/platform/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from coltsfoottray.platform.common import (
+    MAX_VALUE_BYTES,
     Changes,
     Check,
     HistoryLost,
@@ -13,6 +14,8 @@
     RunningTask,
     Snapshot,
     TableConflict,
+    TableError,
+    TableRefused,
     TableService,
     TableUnavailable,
     TaskStart,
@@ -23,6 +26,7 @@
 )
 
 __all__ = [
+    "MAX_VALUE_BYTES",
     "Changes",
     "Check",
     "HistoryLost",
@@ -33,6 +37,8 @@
     "RunningTask",
     "Snapshot",
     "TableConflict",
+    "TableError",
+    "TableRefused",
     "TableService",
     "TableUnavailable",
     "TaskStart",
--- a/coltsfoottray/platform/common.py
+++ b/coltsfoottray/platform/common.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "ABSENT",
+    "MAX_VALUE_BYTES",
     "Changes",
     "Check",
     "HistoryLost",
@@ -25,6 +26,8 @@
     "RunningTask",
     "Snapshot",
     "TableConflict",
+    "TableError",
+    "TableRefused",
     "TableService",
     "TableUnavailable",
     "TaskStart",
@@ -32,6 +35,7 @@
     "WatchedTable",
     "WorkerControl",
     "WorkerDescription",
+    "error_of_status",
 ]
 
 T = TypeVar("T")
@@ -39,6 +43,10 @@
 # The version in a condition that requires the row to be absent.
 ABSENT = 0
 
+MAX_VALUE_BYTES = 48_000
+"""Largest value of a row that is written. The table's limit is 64 KiB in base64, which
+takes four bytes for three."""
+
 
 class Row(msgspec.Struct, frozen=True, kw_only=True):
     """A row; `version` increases with each write of the row and is never reused."""
@@ -94,8 +102,8 @@
 
 
 @dataclass(kw_only=True)
-class TableUnavailable(ColtsfoottrayError):
-    """The table service did not answer, or answered with an error.
+class TableError(ColtsfoottrayError):
+    """A call of the table service has failed.
 
     Parameters
     ----------
@@ -109,10 +117,39 @@
     detail: str
     is_unwritten: bool
 
+    def __str__(self) -> str:
+        return f"table service failed: {self.detail}"
+
+
+class TableUnavailable(TableError):
+    """The table service cannot execute calls now; the same call may succeed later."""
+
     def __str__(self) -> str:
         return f"table service unavailable: {self.detail}"
 
 
+class TableRefused(TableError):
+    """The table service refuses the call for itself, however often it is made."""
+
+    def __str__(self) -> str:
+        return f"table service refused the call: {self.detail}"
+
+
+# Statuses of the 400s that say nothing about the call itself: too slow, too many calls.
+_BUSY = (408, 429)
+
+
+def error_of_status(status: int) -> TableError:
+    """Return the error that an error status of the table stands for.
+
+    The table answers with one only before it writes anything.
+    """
+    detail = f"status {status}"
+    if 400 <= status < 500 and status not in _BUSY:
+        return TableRefused(detail=detail, is_unwritten=True)
+    return TableUnavailable(detail=detail, is_unwritten=True)
+
+
 class TableService(abc.ABC):
     """The platform's transactional table."""
 
@@ -127,11 +164,13 @@
         TableUnavailable
             If the table did not answer. The caller reads the rows to determine
             whether the write took effect.
+        TableRefused
+            If the table refuses the transaction for itself.
         """
 
     @abc.abstractmethod
     async def get(self, key: str) -> Row | None:
-        """Return the row or None, raising `TableUnavailable` without an answer."""
+        """Return the row or None, raising `TableError` without an answer."""
 
     @abc.abstractmethod
     async def scan(self, prefix: str) -> Sequence[Row]:
--- a/coltsfoottray/platform/http.py
+++ b/coltsfoottray/platform/http.py
@@ -22,6 +22,7 @@
     Transaction,
     WorkerControl,
     WorkerDescription,
+    error_of_status,
 )
 from coltsfoottray.types import Address, TaskId
 
@@ -77,9 +78,7 @@
             ) from error
         if response.status not in (200, _CONFLICT):
             # The service returns an error status only before it writes anything.
-            raise TableUnavailable(
-                detail=f"status {response.status}", is_unwritten=True
-            )
+            raise error_of_status(response.status)
         return response
 
 
--- a/coltsfoottray/platform/metadata_table.py
+++ b/coltsfoottray/platform/metadata_table.py
@@ -23,9 +23,11 @@
     Put,
     Row,
     TableConflict,
+    TableRefused,
     TableUnavailable,
     Transaction,
     WatchedTable,
+    error_of_status,
 )
 from coltsfoottray.types import Address
 
@@ -46,9 +48,6 @@
 _PAGE_ROWS = 500
 _CONFLICT = 412
 _HISTORY_LOST = 410
-# The store answers these while it has no capacity; any other error status is about the
-# call itself.
-_BUSY = (429, 503)
 # How much of a refused call is logged.
 _MAX_LOGGED_ROWS = 5
 _MAX_LOGGED_BYTES = 200
@@ -247,18 +246,21 @@
             response = await self._transport.send(
                 self._address, request, timeout=timeout
             )
-        except CommunicationError as error:
+        except CommunicationError as failure:
             history.record_failure()
-            self._count_call(request, error.step.value, error.received_bytes)
+            self._count_call(request, failure.step.value, failure.received_bytes)
             raise TableUnavailable(
-                detail=str(error), is_unwritten=error.is_unseen
-            ) from error
+                detail=str(failure), is_unwritten=failure.is_unseen
+            ) from failure
         latency = self._clock.elapsed() - started
         history.record_response(None if held else latency)
         self._count_call(request, str(response.status), len(response.body))
         if not held:
             self._metrics.time("table_call", latency, call=request.path[4:])
-        if response.status not in (200, _CONFLICT, _HISTORY_LOST, *_BUSY):
+        if response.status in (200, _CONFLICT, _HISTORY_LOST):
+            return response
+        error = error_of_status(response.status)
+        if isinstance(error, TableRefused):
             log_event(
                 "table:refused",
                 call=request.path[4:],
@@ -267,12 +269,7 @@
                 call_bytes=len(request.body),
                 **describe(),
             )
-        if response.status not in (200, _CONFLICT, _HISTORY_LOST):
-            # The store returns an error status only before it writes anything.
-            raise TableUnavailable(
-                detail=f"status {response.status}", is_unwritten=True
-            )
-        return response
+        raise error
 
     def _count_call(self, request: HttpRequest, outcome: str, size: int) -> None:
         call = request.path[4:]
--- a/coltsfoottray/platform/retry.py
+++ b/coltsfoottray/platform/retry.py
@@ -10,6 +10,8 @@
 from coltsfoottray.clock import Clock
 from coltsfoottray.platform.common import (
     TableConflict,
+    TableError,
+    TableRefused,
     TableService,
     TableUnavailable,
     Transaction,
@@ -37,6 +39,9 @@
         Only if the first attempt certainly wrote nothing. After an attempt with an
         unknown outcome, the function retries until the table is available again;
         callers that cannot wait use a cancel scope.
+    TableRefused
+        If the table refuses the transaction for itself. Unless `is_unwritten`, an
+        earlier attempt may still take effect.
     """
     is_uncertain = False
     while True:
@@ -48,6 +53,13 @@
             is_uncertain = True
             await clock.sleep(RETRY_DELAY)
             continue
+        except TableRefused as error:
+            if not is_uncertain:
+                raise
+            versions = await _written_versions(table, transaction, clock=clock)
+            if versions is not None:
+                return Success(versions)
+            raise TableRefused(detail=error.detail, is_unwritten=False) from error
         if isinstance(outcome, Failure) and is_uncertain:
             versions = await _written_versions(table, transaction, clock=clock)
             if versions is not None:
@@ -65,7 +77,7 @@
             try:
                 row = await table.get(put.key)
                 break
-            except TableUnavailable:
+            except TableError:
                 await clock.sleep(RETRY_DELAY)
         if put.is_deletion:
             if row is not None:
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -196,6 +196,11 @@
             if placed is not None and placed.life == report.life:
                 placed.settle()
 
+    def withdraw(self, placed: PlacedRun, now_ms: int) -> None:
+        """Give up a run that was placed and has never been sent to its worker."""
+        worker = self.fleet.worker_by_id[placed.worker]
+        self._outcomes.give_up(worker, placed.ref, "not stored", now_ms)
+
     def expire_leases(self, now: timedelta, now_ms: int) -> None:
         """Declare lost the runs of workers whose lease has certainly expired."""
         for worker in self.fleet.worker_by_id.values():
--- a/coltsfoottray/scheduler/learned_row.py
+++ b/coltsfoottray/scheduler/learned_row.py
@@ -16,9 +16,9 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.overload.capacity import CapacityMeter
 from coltsfoottray.overload.demand import Pool
-from coltsfoottray.platform import Put, Row
+from coltsfoottray.platform import MAX_VALUE_BYTES, Put, Row
 from coltsfoottray.scheduler.lengths import LengthEstimator, LengthSums
-from coltsfoottray.scheduler.side_rows import MAX_SIDE_ROW_BYTES, SideRows
+from coltsfoottray.scheduler.side_rows import SideRows
 
 __all__ = ["LearnedRow"]
 
@@ -106,6 +106,10 @@
     def mark_stored(self, version_by_key: Mapping[str, int]) -> None:  # noqa: D102
         self._version = version_by_key.get(LEARNED_KEY, self._version)
 
+    def mark_unstored(self, key: str) -> None:  # noqa: D102
+        if key == LEARNED_KEY:
+            self._stored = _Learned()
+
     def _age_s(self, learned: _Learned) -> float | None:
         """Return how long ago the row was written, None if that is not known."""
         age_ms = as_milliseconds(self._clock.now()) - learned.stored_ms
@@ -144,7 +148,7 @@
     """Return the write, without the queues seen first if it would be too large."""
     put = Put.of(LEARNED_KEY, version, learned)
     queues = list(learned.sums_by_queue)
-    while len(bytes(put.value)) > MAX_SIDE_ROW_BYTES and queues:
+    while len(bytes(put.value)) > MAX_VALUE_BYTES and queues:
         queues = queues[(len(queues) + 1) // 2 :]
         kept = {queue: learned.sums_by_queue[queue] for queue in queues}
         fitting = msgspec.structs.replace(learned, sums_by_queue=kept)
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -68,6 +68,9 @@
         self.has_newly_settled = False
         # Whether its first start is known and not stored yet.
         self.has_new_start = False
+        # The state in which the table refused to store it, None if it did not. Nothing
+        # of the job is started until it is stored.
+        self.withheld_in: JobState | None = None
         # Work left, in processor-seconds, by occurrence that is deferred so that other
         # jobs can be on time.
         self.deferred_work_by_occurrence: dict[int, float] = {}
@@ -204,9 +207,20 @@
         """Whether a new scheduler needs more than its summary."""
         return not self.record.state.is_final or not self.is_idle
 
+    @property
+    def is_withheld(self) -> bool:
+        """Whether the table has refused its latest changes."""
+        return self.withheld_in is not None
+
+    def withhold(self) -> None:
+        """Start nothing more until its changes are stored, which the table refuses."""
+        self.withheld_in = self.record.state
+        self.is_dirty = True
+
     def mark_stored(self, rows: JobRows, sent: timedelta) -> None:
         """Record that `rows` are up to date, by a write sent at `sent`."""
         self.rows = rows
+        self.withheld_in = None
         self.stored_at = sent
         self.is_dirty = False
         self.has_new_checkpoints = False
--- a/coltsfoottray/scheduler/planner.py
+++ b/coltsfoottray/scheduler/planner.py
@@ -65,7 +65,8 @@
         ready: list[LiveStep] = []
         for job in self._cluster.jobs.active_by_id.values():
             job.add_due_occurrences(moment)
-            ready += [step for step in job.steps() if step.can_start]
+            if not job.is_withheld:
+                ready += [step for step in job.steps() if step.can_start]
         for step in ready:
             step.advice_state.mark_ready(moment.elapsed)
         now = moment.elapsed
--- a/coltsfoottray/scheduler/restore.py
+++ b/coltsfoottray/scheduler/restore.py
@@ -29,7 +29,7 @@
 from coltsfoottray.jobs.records import JobRecord
 from coltsfoottray.jobs.view import JobsView
 from coltsfoottray.logs import log_event
-from coltsfoottray.platform import Row, TableUnavailable, WatchedTable
+from coltsfoottray.platform import Row, TableError, WatchedTable
 from coltsfoottray.scheduler.job_rows import JobRows
 
 __all__ = ["LoadCost", "StateReader", "StoredJob", "StoredState"]
@@ -174,7 +174,7 @@
         return stored
 
     @staticmethod
-    def _record_failure(error: TableUnavailable) -> None:
+    def _record_failure(error: TableError) -> None:
         log_event("scheduler:load-retried", reason=str(error))
 
 
--- a/coltsfoottray/scheduler/side_rows.py
+++ b/coltsfoottray/scheduler/side_rows.py
@@ -14,16 +14,11 @@
     PRESSURES_KEY,
     attendants_key,
 )
-from coltsfoottray.platform import Put, Row
+from coltsfoottray.platform import MAX_VALUE_BYTES, Put, Row
 from coltsfoottray.scheduler.fleet import Fleet
 from coltsfoottray.types import Address
 
-__all__ = ["MAX_SIDE_ROW_BYTES", "AttendantRows", "PressureRow", "SideRows"]
-
-# Three quarters of the store's limit of 64 KiB, which applies to the encoded value. The
-# store refuses a larger row however often it is sent, so less is stored if names are
-# long.
-MAX_SIDE_ROW_BYTES = 48_000
+__all__ = ["AttendantRows", "PressureRow", "SideRows"]
 
 # Interference between images is measured within seconds and changes little.
 _PRESSURES_PERIOD = timedelta(seconds=4)
@@ -56,6 +51,13 @@
     def mark_stored(self, version_by_key: Mapping[str, int]) -> None:
         """Record the versions of rows that have been written."""
 
+    @abc.abstractmethod
+    def mark_unstored(self, key: str) -> None:
+        """Record that a row that was due has not been written, if it is one of these.
+
+        It is due again with the next comparison.
+        """
+
 
 class PressureRow(SideRows):
     """The measured interference between images.
@@ -90,6 +92,10 @@
     def mark_stored(self, version_by_key: Mapping[str, int]) -> None:  # noqa: D102
         self._version = version_by_key.get(PRESSURES_KEY, self._version)
 
+    def mark_unstored(self, key: str) -> None:  # noqa: D102
+        if key == PRESSURES_KEY:
+            self._stored = []
+
 
 def _select_fitting(pressures: Sequence[Pressure]) -> list[Pressure]:
     """Return the first pressures that fit into the row."""
@@ -97,7 +103,7 @@
     fitting: list[Pressure] = []
     for pressure in pressures:
         size_bytes += len(msgspec.json.encode(pressure)) + len(b",")
-        if size_bytes > MAX_SIDE_ROW_BYTES:
+        if size_bytes > MAX_VALUE_BYTES:
             break
         fitting.append(pressure)
     return fitting
@@ -183,6 +189,9 @@
             if key in self._stored_by_key:
                 self._version_by_key[key] = version
 
+    def mark_unstored(self, key: str) -> None:  # noqa: D102
+        self._stored_by_key.pop(key, None)
+
     def _current_by_key(self, now: timedelta) -> dict[str, dict[str, _Attendant]]:
         """Return the attendants by the key of their row, and then by worker."""
         key_by_worker: dict[str, str] = {}
--- a/coltsfoottray/scheduler/takeover.py
+++ b/coltsfoottray/scheduler/takeover.py
@@ -15,10 +15,17 @@
 
 from returns.result import Failure
 
+from coltsfoottray.backoff import Backoff
 from coltsfoottray.clock import Clock
 from coltsfoottray.jobs.keys import LEASE_KEY
 from coltsfoottray.logs import log_event
-from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
+from coltsfoottray.platform import (
+    Put,
+    TableError,
+    TableRefused,
+    Transaction,
+    WatchedTable,
+)
 from coltsfoottray.scheduler.lease import (
     DRIFT_FACTOR,
     MAX_GRANT,
@@ -34,6 +41,9 @@
 
 # Random delay that keeps two entries that find the row free at once from both writing.
 _MAX_STAGGER_S = 0.05
+# How long this process claims nothing after the table has refused the row itself.
+_FIRST_REFUSAL_PAUSE = timedelta(seconds=1)
+_LONGEST_REFUSAL_PAUSE = timedelta(seconds=30)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -87,9 +97,15 @@
         self._watch = watch
         self._clock = clock
         self._random = random
+        self._refusals = Backoff(
+            first=_FIRST_REFUSAL_PAUSE, longest=_LONGEST_REFUSAL_PAUSE, random=random
+        )
+        self._paused_until = clock.elapsed()
 
     async def try_claim(self) -> Claim | None:
         """Take the row over if its holder is gone; return None if it is not."""
+        if self._clock.elapsed() < self._paused_until:
+            return None
         # Take over the version that was checked: another entry may write the row
         # during the check, and must then be checked in turn.
         row, version = self._watch.row, self._watch.version
@@ -123,11 +139,15 @@
         put = Put.of(LEASE_KEY, version, lease)
         try:
             outcome = await self._table.commit(Transaction(puts=[put]))
-        except TableUnavailable as error:
+        except TableError as error:
             # If the write succeeded after all, the row names this process as holder,
             # and the next check finds it abandoned.
             log_event("scheduler:claim-failed", reason=str(error))
+            if isinstance(error, TableRefused):
+                pause = self._refusals.next_delay()
+                self._paused_until = self._clock.elapsed() + pause
             return None
+        self._refusals.reset()
         if isinstance(outcome, Failure):
             for row in outcome.failure().rows:
                 self._watch.observe(row.decode(LeaseRow), row.version)
--- a/coltsfoottray/scheduler/transactions.py
+++ b/coltsfoottray/scheduler/transactions.py
@@ -49,6 +49,19 @@
     record_rows: int = 0
     is_start_only: bool = False
 
+    @property
+    def name(self) -> str:
+        """What identifies the group among those of other rounds."""
+        if self.job is None or self.is_start_only:
+            return self.puts[0].key
+        return self.job.id
+
+    @property
+    def is_unattributable(self) -> bool:
+        """Whether another scheduler would write the same."""
+        is_deletion = self.job is None and all(put.is_deletion for put in self.puts)
+        return self.is_start_only or is_deletion
+
     @property
     def entries(self) -> int:
         """Number of entries in a transaction."""
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -17,6 +17,7 @@
 from coltsfoottray.platform import (
     Check,
     Put,
+    TableRefused,
     TableUnavailable,
     Transaction,
     WatchedTable,
@@ -27,12 +28,12 @@
 from coltsfoottray.scheduler.job_rows import JobRows
 from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL
 from coltsfoottray.scheduler.live import LiveJob
+from coltsfoottray.scheduler.refusals import Refusals
 from coltsfoottray.scheduler.side_rows import SideRows
 from coltsfoottray.scheduler.takeover import Claim
 from coltsfoottray.scheduler.transactions import (
     MAX_ENTRIES,
     WriteGroup,
-    count_entries,
     split_groups,
 )
 
@@ -50,7 +51,7 @@
 
 
 class LeaseLost(ColtsfoottrayError):
-    """Another entry has taken the lease row over."""
+    """The lease row is another entry's, or cannot be renewed any more."""
 
 
 class StateWriter:
@@ -92,6 +93,7 @@
         self._clock = clock
         # Versions of the rows to delete with one of the next commits, by key.
         self._garbage: dict[str, int] = {}
+        self._refusals = Refusals(clock=clock)
         self._checkpoints_stored_at = claim.acquired_at
         self._side_rows = side_rows
 
@@ -109,13 +111,16 @@
     async def store(self, jobs: Collection[LiveJob]) -> None:
         """Store all changes, and renew the lease row if a renewal is due.
 
+        What the table refuses for itself is left out, and its job is withheld; all else
+        is stored.
+
         That a job has started only matters to callers who count jobs. It is stored with
         the next write, which the renewals bring within half a second.
 
         Raises
         ------
         LeaseLost
-            If another entry has taken the lease row over.
+            If another entry has taken the lease row over, or the table refuses it.
         """
         now = self._clock.elapsed()
         groups = [self._job_group(job) for job in self._jobs_to_store(jobs)]
@@ -125,22 +130,88 @@
             # After the jobs: what was learned from jobs that have ended may be stored
             # only once these are stored as ended.
             groups += self._side_groups(now, urgent=False)
-        for batch in split_groups(groups):
-            await self._commit(batch, renews=self._must_renew_with(batch))
-        if self._garbage or (not groups and self._is_renewal_due()):
-            await self._commit([], renews=True)
+        suspects = [group for group in groups if self._is_suspect(group)]
+        sound = [group for group in groups if not self._is_suspect(group)]
+        for batch in [*split_groups(sound), *([group] for group in suspects)]:
+            await self._store_batch([*batch, *self._garbage_groups(batch)])
+        if self._garbage:
+            await self._store_batch(self._garbage_groups([]))
+        if not groups and self._is_renewal_due():
+            await self.renew()
+
+    async def _store_batch(self, batch: Sequence[WriteGroup]) -> None:
+        """Store groups in one transaction, or in several if the table refuses it."""
+        renews = self._must_renew_with(batch)
+        try:
+            await self._commit(batch, renews=renews)
+            return
+        except TableRefused as error:
+            reason = str(error)
+        if renews:
+            # Tells whether the lease row is at fault, and keeps it while the search for
+            # the group at fault goes on.
+            await self.renew()
+        if len(batch) == 1:
+            self._leave_out(batch[0], reason)
+            return
+        middle = len(batch) // 2
+        await self._store_batch(batch[:middle])
+        await self._store_batch(batch[middle:])
+
+    def _leave_out(self, group: WriteGroup, reason: str) -> None:
+        """Leave a group out of the next transactions, as the table refuses it."""
+        pause = self._refusals.record(group.name)
+        job = None if group.is_start_only else group.job
+        log_event(
+            "scheduler:row-refused" if job is None else "decision:withhold",
+            write=group.name,
+            job=None if group.job is None else group.job.id,
+            reason=reason,
+            size_bytes=group.size_bytes,
+            entries=group.entries,
+            retry_s=pause.total_seconds(),
+        )
+        if job is not None:
+            job.withhold()
+        self._mark_unstored(group)
+
+    def _mark_unstored(self, group: WriteGroup) -> None:
+        for rows in self._side_rows:
+            for put in group.puts:
+                rows.mark_unstored(put.key)
+
+    def _is_suspect(self, group: WriteGroup) -> bool:
+        """Return whether a group was refused before, and is tried in its own write."""
+        return self._refusals.is_suspect(group.name)
 
     def _side_groups(self, now: timedelta, *, urgent: bool) -> list[WriteGroup]:
-        return [
+        groups = [
             WriteGroup(puts=[put])
             for rows in self._side_rows
             if rows.is_urgent is urgent
             for put in rows.due_puts(now)
         ]
+        due = []
+        for group in groups:
+            if self._refusals.is_left_out(group.name):
+                self._mark_unstored(group)
+            else:
+                due.append(group)
+        return due
 
     async def renew(self) -> None:
-        """Renew the lease row."""
-        await self._commit([], renews=True)
+        """Renew the lease row.
+
+        Raises
+        ------
+        LeaseLost
+            If another entry has taken the lease row over, or the table refuses it: a
+            holder that cannot renew it has to go.
+        """
+        try:
+            await self._commit([], renews=True)
+        except TableRefused as error:
+            raise LeaseLost(f"epoch {self.lease.epoch}: {error}") from error
 
     async def renew_until(
         self, loaded: trio.Event, progress: Callable[[], int]
@@ -174,7 +245,7 @@
     async def resign(self) -> None:
         """Release the lease row, so that another entry can take it over at once."""
         self.lease = msgspec.structs.replace(self.lease, is_resigned=True)
-        await self._commit([], renews=True)
+        await self.renew()
         log_event("scheduler:resigned", epoch=self.lease.epoch)
 
     def _jobs_to_store(self, jobs: Iterable[LiveJob]) -> list[LiveJob]:
@@ -189,6 +260,8 @@
         with_checkpoints: list[LiveJob] = []
         newly_settled: list[LiveJob] = []
         for job in jobs:
+            if self._is_left_out(job):
+                continue
             if job.is_dirty:
                 dirty.append(job)
             elif job.has_newly_settled:
@@ -205,12 +278,20 @@
             dirty += newly_settled[:_MAX_SETTLED_JOBS]
         return dirty
 
+    def _is_left_out(self, job: LiveJob) -> bool:
+        """Return whether a job's rows are not written now, as the table refused them.
+
+        The end of a job changes what is written of it.
+        """
+        return (
+            self._refusals.is_left_out(job.id) and job.withheld_in is job.record.state
+        )
+
     async def _commit(self, groups: Sequence[WriteGroup], *, renews: bool) -> None:
         sent = self._clock.elapsed()
         puts = [put for group in groups for put in group.puts]
         checks = [check for group in groups for check in group.checks]
         deleted = {put.key for put in puts if put.is_deletion}
-        puts += self._take_garbage(MAX_ENTRIES - count_entries(puts, checks))
         if renews:
             self.lease = msgspec.structs.replace(
                 self.lease,
@@ -222,10 +303,12 @@
         else:
             checks.append(Check(key=LEASE_KEY, version=self.version))
         self.writing_since = sent
-        versions = await self._commit_until_available(
-            Transaction(puts=puts, checks=checks)
-        )
-        self.writing_since = None
+        try:
+            versions = await self._commit_until_available(
+                Transaction(puts=puts, checks=checks)
+            )
+        finally:
+            self.writing_since = None
         self.confirmed_at = sent
         self.version = versions.get(LEASE_KEY, self.version)
         for rows in self._side_rows:
@@ -237,10 +320,14 @@
         for group in groups:
             _mark_stored(group, versions, deleted, sent)
 
-    def _take_garbage(self, free_entries: int) -> list[Put]:
-        """Return deletions that take at most `free_entries`, two each."""
+    def _garbage_groups(self, batch: Iterable[WriteGroup]) -> list[WriteGroup]:
+        """Return deletions that fit into a transaction beside a batch."""
+        free_entries = MAX_ENTRIES - sum(group.entries for group in batch)
         keys = list(self._garbage)[: max(free_entries, 0) // 2]
-        return [Put(key=key, version=self._garbage.pop(key)) for key in keys]
+        return [
+            WriteGroup(puts=[Put(key=key, version=self._garbage.pop(key))])
+            for key in keys
+        ]
 
     def _job_group(self, job: LiveJob) -> WriteGroup:
         """Return the writes that store a job.
@@ -261,17 +348,17 @@
             checks.append(Check(key=summary_key(job.id), version=ABSENT))
         return WriteGroup(puts=puts, checks=checks, job=job, record_rows=len(values))
 
-    @staticmethod
     def _start_groups(
-        jobs: Iterable[LiveJob], groups: Iterable[WriteGroup]
+        self, jobs: Iterable[LiveJob], groups: Iterable[WriteGroup]
     ) -> list[WriteGroup]:
         """Return the writes of first starts that no other write contains."""
         included = {group.job.id for group in groups if group.job is not None}
-        return [
+        starts = [
             WriteGroup(puts=[_summary_put(job)], job=job, is_start_only=True)
             for job in jobs
-            if job.has_new_start and job.id not in included
+            if job.has_new_start and job.id not in included and not job.is_withheld
         ]
+        return [each for each in starts if not self._refusals.is_left_out(each.name)]
 
     async def _commit_until_available(self, transaction: Transaction) -> dict[str, int]:
         while True:
@@ -297,7 +384,9 @@
         After a lost answer, a write counts as done if the rows are as written. What is
         stored of a first start would be the same from any scheduler.
         """
-        return self._is_renewal_due() or all(group.is_start_only for group in groups)
+        return self._is_renewal_due() or all(
+            group.is_unattributable for group in groups
+        )
 
     def _is_renewal_due(self) -> bool:
         is_old = self._clock.elapsed() - self.renewed_at >= RENEWAL_INTERVAL
--- a/coltsfoottray/tasks/owner.py
+++ b/coltsfoottray/tasks/owner.py
@@ -14,7 +14,7 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.membership import EntryDirectory, EntryRecord, Registry
 from coltsfoottray.peers import Call, CallHandlers, PeerClient
-from coltsfoottray.platform import TableUnavailable
+from coltsfoottray.platform import TableError
 from coltsfoottray.tasks.partition import OwnedPartition
 from coltsfoottray.tasks.placer import CALL_TIMEOUT, Placer
 from coltsfoottray.tasks.rows import StoredTask
@@ -129,7 +129,7 @@
             return TaskChangedReply()
         try:
             found = await self._store.find(change.customer, change.task)
-        except TableUnavailable as error:
+        except TableError as error:
             # The next reload finds the row.
             log_event("tasks:change-unread", task=change.task, error=str(error))
             return TaskChangedReply()
@@ -165,7 +165,7 @@
                         owned.load(await self._store.load(owned.index))
                         loaded_at = now
                     await self._process_tasks(owned)
-                except TableUnavailable as error:
+                except TableError as error:
                     log_event("tasks:table-down", error=str(error))
                 await self._wait_for_changes(owned)
 
@@ -189,7 +189,7 @@
                     await self._placer.place(owned, stored)
                 else:
                     await self._supervisor.supervise(owned, stored)
-            except TableUnavailable as error:
+            except TableError as error:
                 log_event("tasks:not-moved", task=task, error=str(error))
             finally:
                 owned.busy.discard(task)
--- a/coltsfoottray/tasks/placer.py
+++ b/coltsfoottray/tasks/placer.py
@@ -17,7 +17,7 @@
 from coltsfoottray.membership import Member
 from coltsfoottray.peers import PeerClient
 from coltsfoottray.placement import Placement, PlacementPolicy, WorkerView
-from coltsfoottray.platform import TableUnavailable
+from coltsfoottray.platform import TableError
 from coltsfoottray.tasks.partition import OwnedPartition
 from coltsfoottray.tasks.rows import StoredTask, TaskRow, TaskSpec
 from coltsfoottray.tasks.store import TaskStore
@@ -190,7 +190,7 @@
         )
         try:
             outcome = await self._store.update(stored, row, epoch=partition.epoch)
-        except TableUnavailable as error:
+        except TableError as error:
             self._record_wait(row.spec, f"not committed: {error}", [])
             return
         if isinstance(outcome, Failure):
--- a/coltsfoottray/tasks/store.py
+++ b/coltsfoottray/tasks/store.py
@@ -52,7 +52,7 @@
 
         Raises
         ------
-        TableUnavailable
+        TableError
             If the table does not answer; with `is_unwritten` the task was not
             accepted.
         """
--- a/coltsfoottray/worker/admission.py
+++ b/coltsfoottray/worker/admission.py
@@ -5,7 +5,7 @@
 from coltsfoottray.clock import Clock
 from coltsfoottray.leases import WorkerLease
 from coltsfoottray.logs import log_event
-from coltsfoottray.platform import TableUnavailable
+from coltsfoottray.platform import TableError
 from coltsfoottray.tasks import TaskStore
 from coltsfoottray.types import AttendantId, Incarnation, Resources, TaskId, TaskState
 from coltsfoottray.worker.attempts import AttemptTracker
@@ -67,7 +67,7 @@
             return None
         try:
             stored = await self._store.find(request.spec.customer, task)
-        except TableUnavailable as error:
+        except TableError as error:
             log_event("worker:start-unchecked", task=task, error=str(error))
             return Verdict.NO_LEASE
         is_here = (
--- a/coltsfoottray/worker/attendant.py
+++ b/coltsfoottray/worker/attendant.py
@@ -16,7 +16,7 @@
 from coltsfoottray.peers import CallHandlers
 from coltsfoottray.platform import (
     ObjectStore,
-    TableUnavailable,
+    TableError,
     TaskStart,
     WorkerControl,
 )
@@ -224,7 +224,7 @@
     async def _run_step(self, step: Callable[[], Awaitable[None]]) -> None:
         try:
             await step()
-        except (CommunicationError, TableUnavailable) as error:
+        except (CommunicationError, TableError) as error:
             log_event("worker:untended", error=str(error))
 
     async def _update_attempts(self) -> None:
--- a/standins/metadata_table.py
+++ b/standins/metadata_table.py
@@ -26,6 +26,10 @@
     part: str
     key: str
 
+    @property
+    def name(self) -> str:
+        return f"{self.table}/{self.part}/{self.key}"
+
 
 class _Condition(msgspec.Struct):
     table: str
@@ -80,6 +84,13 @@
         Number of transactions and reads by table.
     oversized : int
         Number of transactions refused for their entries, bytes or rows.
+    refused_keys : set of str
+        Rows `table/part/key` of which the store refuses each write for good, however
+        small; a key that ends with `*` stands for all that begin so.
+    undeletable_keys : set of str
+        Rows `table/part/key` of which the store refuses the deletion for good.
+    refused : int
+        Number of transactions refused for such a row.
     transactions_by_part, entries_by_part : Counter
         Number of transactions sent, and of their entries, by part.
     largest_transaction : int
@@ -103,6 +114,9 @@
     transactions_per_s: float | None = None
     calls_by_table: Counter[str] = field(default_factory=Counter)
     oversized: int = 0
+    refused_keys: set[str] = field(default_factory=set)
+    undeletable_keys: set[str] = field(default_factory=set)
+    refused: int = 0
     transactions_by_part: Counter[str] = field(default_factory=Counter)
     entries_by_part: Counter[str] = field(default_factory=Counter)
     largest_transaction: int = 0
@@ -165,13 +179,16 @@
 
     async def _transact(self, tx: _Tx, *, size_bytes: int) -> HttpResponse:
         items = [*tx.expectedRevision, *tx.upserts, *tx.remove]
-        row_bytes = max((len(row.value) * 3 // 4 for row in tx.upserts), default=0)
+        row_bytes = max((len(row.value) for row in tx.upserts), default=0)
         is_oversized = size_bytes > MAX_BYTES or row_bytes > MAX_ROW_BYTES
         if len(items) > MAX_ENTRIES or is_oversized:
             self.oversized += 1
             return HttpResponse(status=400)
         if len({item.part for item in items}) != 1:
             return HttpResponse(status=400)
+        if self._is_refused(tx):
+            self.refused += 1
+            return HttpResponse(status=400)
         self.transactions_by_part[items[0].part] += 1
         self.entries_by_part[items[0].part] += len(items)
         self.largest_transaction = max(self.largest_transaction, len(items))
@@ -187,6 +204,16 @@
         await self.faults.after_write()
         return response
 
+    def _is_refused(self, tx: _Tx) -> bool:
+        deleted = {item.ref.name for item in tx.remove}
+        written = deleted | {item.ref.name for item in tx.upserts}
+        is_refused = any(
+            name.startswith(key[:-1]) if key.endswith("*") else name == key
+            for key in self.refused_keys
+            for name in written
+        )
+        return is_refused or not deleted.isdisjoint(self.undeletable_keys)
+
     async def _wait_for_turn(self, part: str) -> bool:
         """Wait until the part executes a transaction; return False if it is busy."""
         now = trio.current_time()
--- a/tests/steps/job_steps.py
+++ b/tests/steps/job_steps.py
@@ -257,6 +257,7 @@
     )
     assert answer.status == 503, answer.status
     assert int(answer.header_by_name["retry-after"]) >= 1
+    context.answer = answer
     context.refused_after_s = context.world.now() - started_at
     assert context.refused_after_s < 0.5, f"after {context.refused_after_s} s"
 
--- /dev/null
+++ b/tests/steps/refused_row_steps.py
@@ -0,0 +1,110 @@
+"""Steps about writes that the store refuses for themselves."""
+
+from __future__ import annotations
+
+from behave import step, then, when
+
+from coltsfoottray.jobs.keys import accepted_key, cancel_key, record_key, summary_key
+from tests.support.job_world import job_id, make_steps
+from tests.support.log_lines import record_log_lines
+
+_KEY_BY_ROW = {
+    "record": record_key,
+    "summary": summary_key,
+    "acceptance": accepted_key,
+    "cancellation": cancel_key,
+}
+
+
+@step('the store refuses each write of "{row}" from now on')
+def refuse_row(context, row):
+    context.world.cell.metadata_table.refused_keys.add(row)
+
+
+@step('the store refuses each write of the {row} of the job "{label}"')
+def refuse_job_row(context, row, label):
+    context.messages = []
+    record_log_lines(context, context.messages.append)
+    refuse_row(context, _KEY_BY_ROW[row](job_id(label)))
+
+
+@step('the store refuses each deletion of the acceptance of the job "{label}"')
+def refuse_deletion(context, label):
+    table = context.world.cell.metadata_table
+    table.undeletable_keys.add(accepted_key(job_id(label)))
+
+
+@step("the store refuses nothing any more")
+def refuse_nothing(context):
+    context.world.cell.metadata_table.refused_keys.clear()
+
+
+@when("a worker and an entry restart")
+def restart_some(context):
+    world = context.world
+    workers = world.cell.worker_by_name.values()
+    idle = next(worker for worker in workers if not worker.run_by_task)
+
+    async def crash():
+        idle.crash()
+
+    world.run(crash)
+    entries = world.cell.entry_by_name
+    other = next(name for name in entries if name != world.cell.scheduler())
+    world.kill_daemon(other)
+    world.restart_daemon(other)
+    world.advance(4)
+
+
+@then("the scheduler has not been replaced")
+def check_same_scheduler(context):
+    row = context.world.cell.metadata_table.value_of("state", "scheduler", "lease")
+    assert row["epoch"] == 1, row
+
+
+@then("no entry takes itself for the scheduler")
+def check_no_scheduler(context):
+    entries = context.world.cell.entry_by_name
+    active = [name for name, entry in entries.items() if entry.scheduler.active]
+    assert not active, active
+
+
+@then('task {index:d} of the job "{label}" was started {count:d} times')
+def check_task_starts(context, index, label, count):
+    task = f"{job_id(label)}.0.0.{index}"
+    starts = [each for each in context.world.cell.observer.starts if each[0] == task]
+    assert len(starts) == count, starts
+
+
+@then("the store was asked at most {count:d} times for what it refuses")
+def check_refused_calls(context, count):
+    refused = context.world.cell.metadata_table.refused
+    assert 0 < refused <= count, refused
+
+
+@then('the log tells that the job "{label}" is withheld')
+def check_withheld_line(context, label):
+    lines = [
+        each
+        for each in context.messages
+        if each["message_type"] == "decision:withhold" and each["job"] == job_id(label)
+    ]
+    assert lines
+    assert "status 400" in lines[0]["reason"], lines[0]
+
+
+@then("the refusal names {seconds:d} s as the time to come back")
+def check_return_time(context, seconds):
+    assert context.answer.header_by_name["retry-after"] == str(seconds)
+
+
+@when("a job with a payload of {size:d} bytes is submitted at {entry}")
+def submit_large(context, size, entry):
+    body = {"spec": "x" * size, "steps": make_steps(1, 1, 1)}
+    context.answer = context.world.call("POST", entry, job_id("large"), body)
+
+
+@then('it is answered {status:d} with "{text}"')
+def check_answer_text(context, status, text):
+    assert context.answer.status == status, context.answer
+    assert text in context.answer.body.decode(), context.answer.body
