--- a/coltsfoottray/scheduler/sweep.py
+++ b/coltsfoottray/scheduler/sweep.py
@@ -15,7 +15,13 @@
 from coltsfoottray.jobs.mirror import Mirror
 from coltsfoottray.jobs.model import JobId
 from coltsfoottray.logs import log_event
-from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
+from coltsfoottray.platform import (
+    Put,
+    TableRefused,
+    TableUnavailable,
+    Transaction,
+    WatchedTable,
+)
 from coltsfoottray.scheduler.active import ActiveScheduler
 
 __all__ = ["run_sweep_loop"]
@@ -35,16 +41,22 @@
     retention: timedelta,
 ) -> None:
     """Delete jobs that ended more than `retention` ago, every few seconds."""
+    # Jobs whose deletion the table has refused; the next scheduler tries them again.
+    refused: set[JobId] = set()
     while True:
         await clock.sleep(_SWEEP_INTERVAL)
         oldest = clock.elapsed() - retention
-        for job in active.jobs_ended_before(oldest)[:_MAX_JOBS_PER_SWEEP]:
+        ended = [job for job in active.jobs_ended_before(oldest) if job not in refused]
+        for job in ended[:_MAX_JOBS_PER_SWEEP]:
             try:
                 if await _remove_acceptance(job, table, mirror):
                     active.forget(job)
             except TableUnavailable as error:
                 log_event("sweep:put-off", job=job, reason=str(error))
                 break
+            except TableRefused as error:
+                log_event("sweep:refused", job=job, reason=str(error))
+                refused.add(job)
 
 
 async def _remove_acceptance(job: JobId, table: WatchedTable, mirror: Mirror) -> bool:
--- a/tests/scheduler/refused_rows.feature
+++ b/tests/scheduler/refused_rows.feature
@@ -98,3 +98,15 @@
     When the store refuses nothing any more
     And the job "a" of 1 steps with 2 tasks of 1 s is submitted at entry-1
     Then the job "a" is "completed" within 40 s
+
+  Scenario: The store refuses to delete the rows of one job that ended
+    # Guards against a sweep that stops at the first row that cannot be deleted.
+    Given two entries and 2 workers for jobs
+    And the store refuses each deletion of the acceptance of the job "a"
+    When the job "a" of 1 steps with 1 tasks of 1 s is submitted at entry-1
+    And 2 s pass
+    And the job "b" of 1 steps with 1 tasks of 1 s is submitted at entry-1
+    And 60 s pass
+    Then the state of the job "b" at entry-2 is "410"
+    And the state of the job "a" at entry-2 is "completed"
+    And the store was asked at most 1 times for what it refuses
