Reject at once what the store refuses to accept, and jobs too large for a row

What callers saw: 305 ms of waiting and three or four calls of the store, then 503 with Retry-After 1, again and again, for a job or a cancellation that the store will never take. Cause: the write was repeated as if the store were unavailable. Change: one call, then 503 with Retry-After 30.

--- a/coltsfoottray/jobs/api.py
+++ b/coltsfoottray/jobs/api.py
@@ -16,6 +16,7 @@
 from returns.result import Failure
 
 from coltsfoottray.clock import Clock, as_milliseconds
+from coltsfoottray.errors import InputError
 from coltsfoottray.jobs.admission import JobAdmission
 from coltsfoottray.jobs.config import Queue
 from coltsfoottray.jobs.keys import accepted_key, cancel_key
@@ -26,7 +27,15 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.metrics import Metrics
 from coltsfoottray.overload.backlog import KnownBacklog
-from coltsfoottray.platform import Put, TableUnavailable, Transaction, WatchedTable
+from coltsfoottray.platform import (
+    MAX_VALUE_BYTES,
+    Put,
+    TableError,
+    TableRefused,
+    TableUnavailable,
+    Transaction,
+    WatchedTable,
+)
 from coltsfoottray.scheduler.service import Scheduler
 
 __all__ = ["JobAnswer", "JobApi", "Verdict"]
@@ -55,6 +64,8 @@
 # An outage lasts several seconds. A caller that retries after one second either
 # succeeds or is refused again without delay.
 _RETRY_AFTER = timedelta(seconds=1)
+# What the table refuses for itself it takes only after somebody has changed something.
+_RETRY_AFTER_REFUSAL = timedelta(seconds=30)
 
 
 class Verdict(enum.Enum):
@@ -84,6 +95,7 @@
 
 _DONE = JobAnswer(verdict=Verdict.DONE)
 _NOT_DONE = JobAnswer(verdict=Verdict.NOT_DONE, retry_after=_RETRY_AFTER)
+_REFUSED = JobAnswer(verdict=Verdict.NOT_DONE, retry_after=_RETRY_AFTER_REFUSAL)
 _UNKNOWN = JobAnswer(verdict=Verdict.UNKNOWN)
 _NO_JOB = JobAnswer(verdict=Verdict.NO_JOB)
 
@@ -124,7 +136,13 @@
     async def submit(
         self, queue: Queue, job_id: JobId, spec: JobSpec, *, deadline: timedelta
     ) -> JobAnswer:
-        """Accept a job; submitting it again has no further effect."""
+        """Accept a job; submitting it again has no further effect.
+
+        Raises
+        ------
+        InputError
+            If the job is too large to be stored; it never runs.
+        """
         started = self._clock.elapsed()
         if job_id in self._view.job_by_id:
             return _DONE
@@ -143,6 +161,12 @@
             accepted_ms=as_milliseconds(self._clock.now()),
         )
         put = Put.of(accepted_key(job_id), 0, job)
+        if await self._is_unstorable(put, job_id, deadline):
+            raise InputError(
+                field="body",
+                value=f"a job of {len(bytes(put.value))} bytes",
+                expected=f"at most {MAX_VALUE_BYTES} bytes as stored",
+            )
         answer = await self._write(Transaction(puts=[put]), deadline)
         answer = self._apply_earlier_outcome(job_id, answer)
         log_event(
@@ -186,6 +210,17 @@
             verdict=Verdict.NOT_DONE, retry_after=rejection.decision.retry_after
         )
 
+    async def _is_unstorable(
+        self, put: Put, job_id: JobId, deadline: timedelta
+    ) -> bool:
+        """Return whether a job is too large, and has certainly not been accepted.
+
+        An entry of an earlier version may have accepted a larger one.
+        """
+        if len(bytes(put.value)) <= MAX_VALUE_BYTES or job_id in self._uncertain_jobs:
+            return False
+        return await self._check_stored(job_id, deadline) is False
+
     async def _check_stored(self, job_id: JobId, deadline: timedelta) -> bool | None:
         """Return whether a job is stored, None if the table does not tell in time."""
         if self._mirror.failing_for() > _TABLE_DOWN_AFTER:
@@ -194,7 +229,7 @@
         with trio.move_on_after(time_left.total_seconds()):
             try:
                 return await self._exists(job_id)
-            except TableUnavailable as error:
+            except TableError as error:
                 log_event("jobs:check-failed", job=job_id, reason=str(error))
         return None
 
@@ -226,7 +261,7 @@
         try:
             if not await self._exists(job_id):
                 return _NO_JOB
-        except TableUnavailable as error:
+        except TableError as error:
             log_event("decision:cancel-refused", job=job_id, reason=str(error))
             return _NOT_DONE
         put = Put.of(cancel_key(job_id), 0, {"job": job_id})
@@ -242,7 +277,7 @@
         try:
             if not await self._exists(job_id):
                 return _NO_JOB
-        except TableUnavailable as error:
+        except TableError as error:
             log_event("decision:state-refused", job=job_id, reason=str(error))
             return _NOT_DONE
         state = self._view.state_of(job_id)
@@ -285,6 +320,9 @@
                     if isinstance(outcome, Failure):
                         log_event("jobs:already-stored", key=transaction.puts[0].key)
                     return _DONE
+                except TableRefused as error:
+                    log_event("jobs:write-refused", reason=str(error))
+                    return _UNKNOWN if is_uncertain else _REFUSED
                 except TableUnavailable as error:
                     is_uncertain = is_uncertain or not error.is_unwritten
                     is_in_flight = False
--- a/tests/scheduler/refused_rows.feature
+++ b/tests/scheduler/refused_rows.feature
@@ -110,3 +110,20 @@
     Then the state of the job "b" at entry-2 is "410"
     And the state of the job "a" at entry-2 is "completed"
     And the store was asked at most 1 times for what it refuses
+
+  Scenario: The store refuses the acceptance of a job
+    # Guards against a caller that is kept waiting for attempts known to be futile.
+    Given two entries and 2 workers for jobs
+    And the store refuses each write of the acceptance of the job "a"
+    Then the job "a" of 1 steps with 1 tasks of 1 s is refused at entry-1
+    And the refusal took less than 50 ms
+    And the refusal names 30 s as the time to come back
+    And the store was asked at most 1 times for what it refuses
+
+  Scenario: The store refuses a cancellation
+    # Guards against a caller that is kept waiting for attempts known to be futile.
+    Given two entries and 2 workers for jobs
+    And the store refuses each write of the cancellation of the job "a"
+    When the job "a" of 1 steps with 1 tasks of 30 s is submitted at entry-1
+    And the job "a" is cancelled at entry-2 with status 503
+    Then the store was asked at most 1 times for what it refuses
