--- a/tests/scheduler/refused_rows.feature
+++ b/tests/scheduler/refused_rows.feature
@@ -127,3 +127,10 @@
     When the job "a" of 1 steps with 1 tasks of 30 s is submitted at entry-1
     And the job "a" is cancelled at entry-2 with status 503
     Then the store was asked at most 1 times for what it refuses
+
+  Scenario: A job is too large to be stored
+    # Guards against a caller that sends a job for ever that can never be stored.
+    Given two entries and 2 workers for jobs
+    When a job with a payload of 60000 bytes is submitted at entry-1
+    Then it is answered 400 with "at most 48000 bytes as stored"
+    And the store has refused no transaction for its size
