Bound orders by bytes

What callers saw: tasks with large payloads that fit on one worker at once never started. Cause: all starts of a round for a worker, and all that its session lacks, are one message; past 8 MiB it is refused and repeated with each report. Change: starts are sent in parts of at most 200,000 bytes; a reply has one, and the reply to the next report the next one.

--- a/coltsfoottray/scheduler/order_sender.py
+++ b/coltsfoottray/scheduler/order_sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from datetime import timedelta
 
 import trio
@@ -12,7 +13,7 @@
 from coltsfoottray.scheduler.deadlines import Deadlines
 from coltsfoottray.scheduler.fleet import Fleet, Worker
 from coltsfoottray.scheduler.messages import ORDERS, Orders
-from coltsfoottray.scheduler.orders import make_orders
+from coltsfoottray.scheduler.orders import make_orders, split_starts
 from coltsfoottray.scheduler.placed_run import PlacedRun
 
 __all__ = ["OrderSender"]
@@ -68,19 +69,29 @@
             worker.has_new_deferred = False
             for run in stops:
                 run.is_stop_sent = True
-            orders = make_orders(
-                worker,
-                starts=starts,
-                stops=stops,
-                orphans=orphans,
-                deadlines=self._deadlines,
-            )
-            nursery.start_soon(self._push, worker, orders)
+            first, *others = split_starts(starts)
+            messages = [
+                make_orders(
+                    worker,
+                    starts=first,
+                    stops=stops,
+                    orphans=orphans,
+                    deadlines=self._deadlines,
+                ),
+                *(
+                    make_orders(
+                        worker, starts=part, stops=[], deadlines=self._deadlines
+                    )
+                    for part in others
+                ),
+            ]
+            nursery.start_soon(self._push, worker, messages)
 
-    async def _push(self, worker: Worker, orders: Orders) -> None:
+    async def _push(self, worker: Worker, messages: Sequence[Orders]) -> None:
         assert worker.address is not None
         try:
-            await self._peers.call(worker.address, ORDERS, orders, timeout=_TIMEOUT)
+            for orders in messages:
+                await self._peers.call(worker.address, ORDERS, orders, timeout=_TIMEOUT)
         except CommunicationError as error:
             # The reply to the attendant's next report repeats the orders.
             log_event("scheduler:push-failed", worker=worker.id, reason=str(error))
--- a/coltsfoottray/scheduler/orders.py
+++ b/coltsfoottray/scheduler/orders.py
@@ -10,7 +10,12 @@
 from coltsfoottray.scheduler.messages import Orders, Report, StartOrder
 from coltsfoottray.scheduler.placed_run import PlacedRun
 
-__all__ = ["make_orders", "make_start_order", "missing_orders"]
+__all__ = ["make_orders", "make_start_order", "missing_orders", "split_starts"]
+
+# A message with orders has 0.7 s to arrive. What does not fit is sent in another one.
+_MAX_STARTS_BYTES = 200_000
+# All of an order but its texts.
+_START_BYTES = 200
 
 
 def missing_orders(
@@ -37,19 +42,48 @@
         if each.is_released and (is_new or not each.is_rejected)
     ]
     orphans = [ref for ref in worker.demand_by_orphan if ref not in worker.held_by_ref]
+    starts = [
+        each
+        for each in held
+        if not each.is_stopping and (is_new or each.ref not in known)
+    ]
     return make_orders(
         worker,
         deadlines=deadlines,
-        starts=[
-            each
-            for each in held
-            if not each.is_stopping and (is_new or each.ref not in known)
-        ],
+        # The reply to the next report contains what the attendant still lacks.
+        starts=split_starts(starts)[0],
         stops=[each for each in held if each.is_stopping],
         orphans=orphans,
     )
 
 
+def split_starts(starts: Sequence[PlacedRun]) -> list[list[PlacedRun]]:
+    """Split starts, in order, into parts that each fit into one message.
+
+    Returns
+    -------
+    list of list of PlacedRun
+        At least one part.
+    """
+    parts: list[list[PlacedRun]] = [[]]
+    size_bytes = 0
+    for each in starts:
+        start_bytes = _size_of(each)
+        if parts[-1] and size_bytes + start_bytes > _MAX_STARTS_BYTES:
+            parts.append([])
+            size_bytes = 0
+        parts[-1].append(each)
+        size_bytes += start_bytes
+    return parts
+
+
+def _size_of(placed: PlacedRun) -> int:
+    """Return about how many bytes the order to start a run takes."""
+    checkpoint = placed.step.checkpoint_record(placed.ref.task.index).checkpoint
+    payload = placed.step.job.accepted.spec.payload
+    return _START_BYTES + len(payload.encode()) + len(checkpoint)
+
+
 def make_orders(
     worker: Worker,
     *,
