Read the rows by pages if there are more changes than an answer holds

What callers saw: an entry that was cut off while much was accepted did not know the jobs afterwards (nor their ends), until the store dropped the history. Cause: the changes since its version are one answer; past 8 MiB it cannot be received, and the same request was repeated every 200 ms. Change: such an answer counts as lost history, which the mirror reads by pages. Evidence: 'What the store has to tell is larger than a message': entry-2 knew 0 of 300 jobs 3 s after it was back, now all.

--- a/coltsfoottray/platform/metadata_table.py
+++ b/coltsfoottray/platform/metadata_table.py
@@ -205,11 +205,16 @@
             "waitMs": str(int(wait.total_seconds() * 1000)),
         }
         target = f"/v1/rows-feed?{urlencode(query)}"
-        response = await self._send(
-            HttpRequest(method="GET", target=target),
-            history=self._history(f"changes {group}"),
-            held=wait,
-        )
+        try:
+            response = await self._send(
+                HttpRequest(method="GET", target=target),
+                history=self._history(f"changes {group}"),
+                held=wait,
+            )
+        except TableUnavailable as error:
+            if _is_too_large(error.__cause__):
+                raise HistoryLost(f"{group}: too many changes after {after}") from error
+            raise
         if response.status == _HISTORY_LOST:
             raise HistoryLost(f"{group}: changes after {after} are no longer kept")
         answer = _decode(response)
@@ -277,6 +282,11 @@
         self._metrics.count("table_answer_bytes", size, call=call, outcome=outcome)
 
 
+def _is_too_large(cause: BaseException | None) -> bool:
+    """Return whether an answer was larger than can be received."""
+    return isinstance(cause, CommunicationError) and cause.is_too_large
+
+
 def _describe(transaction: Transaction) -> dict[str, object]:
     """Return what tells which limit a transaction may have exceeded."""
     by_size = sorted(transaction.puts, key=lambda put: -len(bytes(put.value)))
