Bound what an attendant remembers of images that have left

What operators would see: polls that take longer with each release of an image that ever ran on the worker, and reports that grow. Cause: the learner kept a state for each pair for good; an update of its filter takes the square of their number. Change: 64 images of services a worker and 64 of fillers for each; the oldest filler that is not there goes first. What is forgotten comes back from the scheduler.

--- a/coltsfoottray/agent/learning.py
+++ b/coltsfoottray/agent/learning.py
@@ -28,6 +28,7 @@
     ImagePair,
     Pressure,
 )
+from coltsfoottray.remembered import drop_oldest
 
 __all__ = ["Observation", "PressureLearner"]
 
@@ -59,6 +60,12 @@
 # is up to a second old, and the start takes some time.
 _START_TIMES_S = (0.5, 1.0, 1.5)
 
+# Each release of an image has a new name. What was learned of images that have left
+# would otherwise make each poll take longer for good.
+_MAX_SERVICE_IMAGES = 64
+_MAX_FILLER_IMAGES = 64
+_MAX_PAIRS = _MAX_SERVICE_IMAGES * _MAX_FILLER_IMAGES
+
 _FILLER = "filler:"
 _MARGIN = "margin:"
 _SLOPE = "slope:"
@@ -81,10 +88,12 @@
         """Update the pressures that all workers together have learned."""
         for each in pressures:
             if each.weight > 0:
+                self._shared_by_pair.pop(each.pair, None)
                 self._shared_by_pair[each.pair] = Estimate(
                     value=each.value,
                     spread=max(each.weight**-0.5, _MIN_SHARED_SPREAD),
                 )
+        drop_oldest(self._shared_by_pair, _MAX_PAIRS)
 
     def local_pressures(self) -> list[Pressure]:
         """Return the pressures learned here, less the weight of initial estimates."""
@@ -226,7 +235,7 @@
         measured = history.add(observation, now)
         if measured is None:
             return
-        model = self._model_by_image.setdefault(observation.image, MarginFilter())
+        model = self._model_of(observation.image)
         factors = self._factors(model, observation)
         expected = model.predict(factors)
         if measured.margin < _SATURATED_MARGIN and expected < _SATURATED_MARGIN:
@@ -239,6 +248,21 @@
                 model.mean[state] = min(max(value, 0.0), MAX_MARGIN)
         history.add_residual(measured.margin - model.predict(factors))
 
+    def _model_of(self, image: str) -> MarginFilter:
+        """Return the model of an image, the one used last at the end of all."""
+        model = self._model_by_image.pop(image, None) or MarginFilter()
+        self._model_by_image[image] = model
+        drop_oldest(self._model_by_image, _MAX_SERVICE_IMAGES)
+        return model
+
+    def _make_room(self, model: MarginFilter) -> None:
+        """Forget the oldest filler that is not there, if there are too many."""
+        fillers = [state for state in model.mean if state.startswith(_FILLER)]
+        present = self._usage.share_by_image
+        unused = [each for each in fillers if each.removeprefix(_FILLER) not in present]
+        if unused and len(fillers) >= _MAX_FILLER_IMAGES:
+            model.remove(unused[0])
+
     def _factors(
         self, model: MarginFilter, observation: Observation
     ) -> dict[str, float]:
@@ -250,6 +274,8 @@
                 pair = ImagePair(filler=filler, service=observation.image)
                 initial = self._initial_estimate(pair)
                 self._initial_weight_by_pair[pair] = initial.spread**-2
+                drop_oldest(self._initial_weight_by_pair, _MAX_PAIRS)
+                self._make_room(model)
                 model.add(state, initial.value, initial.spread)
             factors[state] = -share
         state = _MARGIN + observation.job
--- a/coltsfoottray/platform/common.py
+++ b/coltsfoottray/platform/common.py
@@ -209,7 +209,7 @@
 
 
 class HistoryLost(ColtsfoottrayError):
-    """The requested changes are no longer kept; the rows must be read again."""
+    """The changes are no longer kept, or too many; the rows must be read again."""
 
 
 class WatchedTable(TableService):
