Load without the rows that cannot be read; split the rows of attendants

What callers saw: after a row of the scheduler was replaced by another writer (or another version) by something that cannot be read, each entry that took over ended with an exception, one after the other; nothing was scheduled.

Cause: the rows of interference, of attendants and of records were decoded without an answer to a DecodeError; a packed record raised zlib.error, which nobody expects.

Change: an unreadable side row counts as empty and is written again. A job whose record cannot be read is withheld: its tasks may have run, so none starts; it can be cancelled, which deletes the rows. An unreadable lease row is logged and ends nobody.

--- a/coltsfoottray/daemons/job_attendant.py
+++ b/coltsfoottray/daemons/job_attendant.py
@@ -105,4 +105,5 @@
         except TableError as error:
             log_event("table:unavailable", reason=str(error))
             return None
-        return None if row is None else row.decode(LeaseRow).address
+        lease = None if row is None else row.try_decode(LeaseRow)
+        return None if lease is None else lease.address
--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -253,8 +253,9 @@
 
     def _apply_job_row(self, row: Row) -> None:
         if row.key == LEASE_KEY:
-            if not row.is_deleted:
-                self._lease_watch.observe(row.decode(LeaseRow), row.version)
+            lease = None if row.is_deleted else row.try_decode(LeaseRow)
+            if lease is not None:
+                self._lease_watch.observe(lease, row.version)
             return
         self.view.apply(row)
         if row.is_deleted or is_scheduler_key(row.key):
--- a/coltsfoottray/platform/common.py
+++ b/coltsfoottray/platform/common.py
@@ -12,6 +12,7 @@
 from returns.result import Result
 
 from coltsfoottray.errors import ColtsfoottrayError
+from coltsfoottray.logs import log_event
 from coltsfoottray.types import Resources, TaskId
 
 __all__ = [
@@ -60,6 +61,22 @@
         """Return the value decoded as `kind`."""
         return msgspec.json.decode(self.value, type=kind)
 
+    def try_decode(self, kind: type[T]) -> T | None:
+        """Return the value decoded as `kind`, or log that it is unreadable.
+
+        Another version, or another writer, may have written it.
+        """
+        try:
+            return self.decode(kind)
+        except msgspec.DecodeError as error:
+            log_event(
+                "table:row-unreadable",
+                key=self.key,
+                version=self.version,
+                reason=str(error),
+            )
+            return None
+
 
 class Check(msgspec.Struct, frozen=True, kw_only=True):
     """A condition: the row at `key` has `version`, or is absent if it is `ABSENT`."""
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -277,11 +277,14 @@
                 seen=now,
                 longest_age=MAX_RESTORED_AGE,
             )
-            self.cluster.restore(
-                job,
-                prior_leases=self._grants.prior_leases,
-                now=now.elapsed,
-            )
+            if stored_job.is_unreadable:
+                self.cluster.restore_unreadable(job)
+            else:
+                self.cluster.restore(
+                    job,
+                    prior_leases=self._grants.prior_leases,
+                    now=now.elapsed,
+                )
             if stored_job.is_cancelled:
                 self.cluster.cancel(stored_job.accepted.id, now.time_ms)
         self.is_loaded = True
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -77,6 +77,13 @@
                 )
                 self._restore_worker(task.worker, prior_leases).hold(placed)
 
+    def restore_unreadable(self, job: LiveJob) -> None:
+        """Add a job whose stored progress cannot be read; it can only be cancelled.
+
+        Its tasks may have run, so none of them may start.
+        """
+        self.jobs.by_id[job.id] = job
+
     def _restore_worker(
         self, name: str, prior_leases: Callable[[str], PriorLeases]
     ) -> Worker:
@@ -98,6 +105,7 @@
             return
         log_event("decision:cancel", job=job_id, state=job.record.state.value)
         self._outcomes.finish(job, JobState.CANCELLED, now_ms)
+        self.jobs.open_by_id[job.id] = job
 
     def apply_limits(self, now_ms: int) -> None:
         """Fail the jobs that exceed a limit of the current config."""
--- a/coltsfoottray/scheduler/restore.py
+++ b/coltsfoottray/scheduler/restore.py
@@ -8,9 +8,12 @@
 
 from __future__ import annotations
 
+import zlib
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
+import msgspec
+
 from coltsfoottray.clock import Clock
 from coltsfoottray.jobs.keys import (
     ATTENDANTS_PREFIX,
@@ -37,12 +40,19 @@
 
 @dataclass(kw_only=True)
 class StoredJob:
-    """A job as its rows store it."""
+    """A job as its rows store it.
+
+    Parameters
+    ----------
+    is_unreadable : bool
+        Whether its record cannot be read: what runs of it is not known.
+    """
 
     accepted: AcceptedJob
     record: JobRecord | None = None
     rows: JobRows = field(default_factory=JobRows)
     is_cancelled: bool = False
+    is_unreadable: bool = False
 
 
 @dataclass(kw_only=True)
@@ -181,7 +191,14 @@
 def _set_record(stored: StoredJob, rows: list[Row]) -> None:
     """Set the record of a job from its rows."""
     rows.sort(key=lambda row: record_part_of(row.key))
-    stored.record = decode_record([row.value for row in rows])
     stored.rows = replace(stored.rows, version=rows[0].version, record_rows=len(rows))
+    try:
+        stored.record = decode_record([row.value for row in rows])
+    except (msgspec.DecodeError, ValueError, zlib.error) as error:
+        stored.is_unreadable = True
+        log_event(
+            "decision:withhold", job=stored.accepted.id, reason=f"record: {error}"
+        )
+        return
     if stored.rows.summary is not None:
         stored.record.apply_summary(stored.rows.summary)
--- a/coltsfoottray/scheduler/side_rows.py
+++ b/coltsfoottray/scheduler/side_rows.py
@@ -36,6 +36,8 @@
 # An attendant that has been silent for this long has left with its VM, or finds the
 # next scheduler by itself.
 _ATTENDANT_RETENTION = timedelta(minutes=1)
+# Between a data centre's name and the number of a further row.
+_PART_MARK = "#"
 
 
 class SideRows(abc.ABC):
@@ -81,7 +83,7 @@
     def restore(self, row: Row) -> None:
         """Continue from the row that an earlier scheduler wrote."""
         self._version = row.version
-        self._stored = row.decode(list[Pressure])
+        self._stored = row.try_decode(list[Pressure]) or []
         self._table.restore([_with_short_names(each) for each in self._stored])
 
     def due_puts(self, now: timedelta) -> list[Put]:  # noqa: D102
@@ -131,9 +133,9 @@
 class AttendantRows(SideRows):
     """The addresses of all attendants and the settled incarnations of their workers.
 
-    There is one row per data centre. The next scheduler announces itself to the
-    attendants. It could not wait for their reports: a scheduler that is only cut off
-    from the table goes on answering these.
+    There is one row per data centre, or more if they do not fit into one. The next
+    scheduler announces itself to the attendants. It could not wait for their reports: a
+    scheduler that is only cut off from the table goes on answering these.
     """
 
     def __init__(self, *, fleet: Fleet, now: timedelta) -> None:
@@ -154,7 +156,8 @@
         """
         for row in rows:
             self._version_by_key[row.key] = row.version
-            self._stored_by_key[row.key] = row.decode(dict[str, _Attendant])
+            stored = row.try_decode(dict[str, _Attendant])
+            self._stored_by_key[row.key] = stored or {}
         self._restored_by_key = dict(self._stored_by_key)
         return {
             worker: Address(host=each.host, port=each.port)
@@ -202,7 +205,8 @@
         if now - self._restored_at < _ATTENDANT_RETENTION:
             for key, stored in self._restored_by_key.items():
                 attendants.update(stored)
-                key_by_worker.update(dict.fromkeys(stored, key))
+                first_key = key.split(_PART_MARK)[0]
+                key_by_worker.update(dict.fromkeys(stored, first_key))
         for worker in self._fleet.worker_by_id.values():
             is_recent = now - worker.last_heard < _ATTENDANT_RETENTION
             if worker.address is not None and worker.data_centre and is_recent:
@@ -215,4 +219,24 @@
         by_key: dict[str, dict[str, _Attendant]] = {}
         for name in sorted(attendants):
             by_key.setdefault(key_by_worker[name], {})[name] = attendants[name]
-        return by_key
+        return {
+            part_key: part
+            for key, whole in by_key.items()
+            for part_key, part in _split_row(key, whole).items()
+        }
+
+
+def _split_row(
+    key: str, whole: Mapping[str, _Attendant]
+) -> dict[str, dict[str, _Attendant]]:
+    """Return the rows that hold a data centre's attendants, by key."""
+    parts: list[dict[str, _Attendant]] = [{}]
+    size_bytes = 0
+    for worker, each in whole.items():
+        entry_bytes = len(msgspec.json.encode({worker: each}))
+        if parts[-1] and size_bytes + entry_bytes > MAX_VALUE_BYTES:
+            parts.append({})
+            size_bytes = 0
+        parts[-1][worker] = each
+        size_bytes += entry_bytes
+    return {f"{key}{_PART_MARK}{n}" if n else key: part for n, part in enumerate(parts)}
--- a/coltsfoottray/scheduler/takeover.py
+++ b/coltsfoottray/scheduler/takeover.py
@@ -150,7 +150,9 @@
         self._refusals.reset()
         if isinstance(outcome, Failure):
             for row in outcome.failure().rows:
-                self._watch.observe(row.decode(LeaseRow), row.version)
+                current = row.try_decode(LeaseRow)
+                if current is not None:
+                    self._watch.observe(current, row.version)
             return None
         new_version = outcome.unwrap()[LEASE_KEY]
         self._watch.observe(lease, new_version)
--- a/tests/scheduler/takeover.feature
+++ b/tests/scheduler/takeover.feature
@@ -95,3 +95,36 @@
     Then 0 tasks were started in total
     And the job "next" of 1 steps with 4 tasks of 1 s is submitted at entry-1
     And the job "next" is "completed" within 10 s
+
+  Scenario Outline: <row> cannot be read
+    # Guards against one row of another writer that ends each scheduler as it loads.
+    Given 6 entries and 2 workers for jobs
+    When the job "long" of 1 steps with 2 tasks of 20 s is submitted at entry-1
+    And 2 s pass
+    And another writer replaces <row> by what nobody can read
+    And the scheduling entry is killed
+    And the job "next" of 1 steps with 4 tasks of 1 s is submitted at the other entry
+    Then a task of "next" starts within 9 s
+    When 20 s pass
+    Then the other entries are still up
+    And no task ran twice at the same time or after its end
+
+    Examples:
+      | row                                    |
+      | the row of measured interference       |
+      | the row of attendants                  |
+      | the record of the job "long"           |
+      | the packed record of the job "long"    |
+
+  Scenario: A job whose record cannot be read is cancelled
+    # Guards against a job that nobody can end, and against rows that stay for ever.
+    Given 6 entries and 2 workers for jobs
+    When the job "long" of 1 steps with 2 tasks of 20 s is submitted at entry-1
+    And 2 s pass
+    And another writer replaces the record of the job "long" by what nobody can read
+    And the scheduling entry is killed
+    And 10 s pass
+    And the job "long" is cancelled at entry-2 with status 200
+    And 3 s pass
+    Then the job "long" is "cancelled" within 1 s
+    And no record of the job "long" is stored
--- a/tests/steps/takeover_steps.py
+++ b/tests/steps/takeover_steps.py
@@ -81,6 +81,32 @@
     context.world.spawn(wait)
 
 
+@when("another writer replaces {row} by what nobody can read")
+def replace_row(context, row):
+    table = context.world.cell.metadata_table
+    key, value = f"job.{job_id('long')}", "text"
+    if row == "the row of measured interference":
+        key = "pressures"
+    elif row == "the row of attendants":
+        key = "caerdydd"
+    elif row.startswith("the packed record"):
+        value = {"occurrences": "no base64", "parts": 1}
+    group = "attendants" if key == "caerdydd" else "progress"
+
+    async def write():
+        table.put(group, "scheduler", key, value)
+
+    context.world.run(write)
+
+
+@then("the other entries are still up")
+def check_entries(context):
+    cell = context.world.cell
+    for name in cell.entry_by_name:
+        if name not in cell.killed:
+            assert context.world.state_of(name, "long") != "0", name
+
+
 @step("all attendants freeze")
 def freeze_attendants(context):
     for name in context.world.cell.attendant_by_name:
