Bound the list of silent workers in the lease row

What operators would see: no entry can hold the lease row once thousands of workers are silent, as the row is refused: 960,564 bytes for 5,000 of them. Cause: the row lists every silent worker that holds runs. Change: 200 at most; for the others the next scheduler waits for the longest lease, as for workers that are not listed.

--- a/coltsfoottray/scheduler/grants.py
+++ b/coltsfoottray/scheduler/grants.py
@@ -25,6 +25,10 @@
 # a half report intervals of one second.
 _SILENT_AFTER = timedelta(seconds=2.5)
 
+# Longest list of silent workers in the lease row, which has to fit into a row of the
+# table with names of 200 bytes.
+_MAX_LISTED = 200
+
 # Smaller reductions of a lease are not logged, since every report brings one.
 _MIN_LOGGED_REDUCTION = timedelta(milliseconds=500)
 
@@ -215,6 +219,9 @@
             # dropped, the next scheduler would wait for the longest lease.
             end_by_id.update(self._listed_ends())
         silent = [each for each in end_by_id if not self._has_answered(each, now)]
+        # A worker that is not listed gets a lease again, and the next scheduler waits
+        # for the longest one.
+        silent = silent[:_MAX_LISTED]
         self._listed.update(silent)
         return {each: as_remaining_ms(end_by_id[each], now) for each in silent}
 
--- a/tests/scheduler/bounds.feature
+++ b/tests/scheduler/bounds.feature
@@ -9,6 +9,23 @@
     And the store has a row of attendants for each of 48 data centres
     And the store has refused no transaction for its size
 
+  Scenario: A data centre has more attendants than a row holds
+    # Guards against a successor that knows no attendant, as their row is refused.
+    Given two entries and 2 workers for jobs
+    When 400 attendants in each of 2 data centres report each second, for 6 s
+    Then the store has 2 rows of attendants for each of 2 data centres
+    And the store has refused no transaction for its size
+    When the scheduler is killed
+    And 5 s pass
+    Then the next scheduler knows the addresses of 802 attendants
+    When 400 attendants in each of 2 data centres report each second, for 6 s
+    Then the store has 2 rows of attendants for each of 2 data centres
+
+  Scenario: Thousands of workers are silent as the scheduler is replaced
+    # Guards against a lease row that the store refuses, so that nobody can hold it.
+    Given a lease row that lists 5000 workers as silent
+    Then the row that its next holder writes fits into a row of the store
+
   Scenario: A burst of jobs starts while jobs that ended are deleted
     # Guards against a scheduler that is stopped for ever by more than 100 entries.
     Given two entries and 40 workers for jobs
