Let one refused row not stop the marks of other lost workers

What callers saw: nothing yet, on the path of the product's own batch tasks: tasks on a lost worker would never run elsewhere once the store refused the lease row of another lost worker; entries would not learn of one another, nor own further partitions, after one refused row. Cause: a pass over rows ended at its first error, and began with the same row. Change: a refused row is logged and left; the pass goes on. All other loops that repeat a refused write there do so for that row alone and at an interval. Evidence: 'Two workers are lost, and the store refuses the row of the first' failed before (worker-02 still 'held' after 20 s).

--- a/coltsfoottray/leases/entry.py
+++ b/coltsfoottray/leases/entry.py
@@ -15,7 +15,14 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.membership import EntryDirectory, EntryRecord
 from coltsfoottray.membership.entries import ENTRY_PREFIX
-from coltsfoottray.platform import Put, Row, TableError, TableService, Transaction
+from coltsfoottray.platform import (
+    Put,
+    Row,
+    TableError,
+    TableRefused,
+    TableService,
+    Transaction,
+)
 from coltsfoottray.platform.common import ABSENT
 
 __all__ = ["EntryLease"]
@@ -92,14 +99,22 @@
         else:
             log_event("lease:entry-row-moved", expected_version=version)
 
+    async def _remove(self, key: str, put: Put) -> None:
+        try:
+            await self._table.commit(Transaction(puts=[put]))
+        except TableRefused as error:
+            # The others must not wait for this row.
+            log_event("lease:entry-undeleted", row=key, error=str(error))
+            return
+        log_event("lease:entry-lapsed", row=key)
+
     async def _remove_lapsed(self, rows: Sequence[Row]) -> None:
         lapsed = self._observer.observe(rows)
         own_key = ENTRY_PREFIX + self._describe().entry
         for row in lapsed:
             if row.key != own_key:
                 put = Put(key=row.key, version=row.version)
-                await self._table.commit(Transaction(puts=[put]))
-                log_event("lease:entry-lapsed", row=row.key)
+                await self._remove(row.key, put)
         lapsed_keys = {row.key for row in lapsed}
         live = [row for row in rows if row.key not in lapsed_keys]
         self._directory.replace_all([row.decode(EntryRecord) for row in live])
--- a/coltsfoottray/leases/lost_workers.py
+++ b/coltsfoottray/leases/lost_workers.py
@@ -13,7 +13,14 @@
 from coltsfoottray.leases.observer import LeaseObserver
 from coltsfoottray.leases.worker import WORKER_PREFIX, LeaseState, WorkerLeaseRow
 from coltsfoottray.logs import log_event
-from coltsfoottray.platform import Put, Row, TableError, TableService, Transaction
+from coltsfoottray.platform import (
+    Put,
+    Row,
+    TableError,
+    TableRefused,
+    TableService,
+    Transaction,
+)
 from coltsfoottray.types import AttendantId
 
 __all__ = ["LostWorkerDetector"]
@@ -73,6 +80,11 @@
     async def _mark_lost(self, row: Row, lease: WorkerLeaseRow) -> bool:
         lost = msgspec.structs.replace(lease, state=LeaseState.LOST)
         put = Put.of(row.key, row.version, lost)
-        outcome = await self._table.commit(Transaction(puts=[put]))
+        try:
+            outcome = await self._table.commit(Transaction(puts=[put]))
+        except TableRefused as error:
+            # The other workers must not wait for this row.
+            log_event("lease:worker-unmarked", worker=lease.worker, error=str(error))
+            return False
         log_event("lease:worker-lost", worker=lease.worker, term=lease.term)
         return isinstance(outcome, Success)
--- a/coltsfoottray/leases/partitions.py
+++ b/coltsfoottray/leases/partitions.py
@@ -14,7 +14,14 @@
 from coltsfoottray.kernel import Service
 from coltsfoottray.logs import log_event
 from coltsfoottray.membership import EntryDirectory, EntryRecord
-from coltsfoottray.platform import Put, Row, TableError, TableService, Transaction
+from coltsfoottray.platform import (
+    Put,
+    Row,
+    TableError,
+    TableRefused,
+    TableService,
+    Transaction,
+)
 from coltsfoottray.platform.common import ABSENT
 from coltsfoottray.types import CustomerId, EntryId, Incarnation
 
@@ -141,9 +148,14 @@
     async def _assign(self, partition: int, version: int, owner: EntryRecord) -> None:
         key = partition_key(partition)
         value = _PartitionRow(owner=owner.entry, incarnation=owner.incarnation)
-        outcome = await self._table.commit(
-            Transaction(puts=[Put.of(key, version, value)])
-        )
+        try:
+            outcome = await self._table.commit(
+                Transaction(puts=[Put.of(key, version, value)])
+            )
+        except TableRefused as error:
+            # The other partitions must not wait for this row.
+            log_event("lease:partition-refused", key=key, error=str(error))
+            return
         if isinstance(outcome, Success) and owner.incarnation == self._incarnation:
             self._record_ownership(partition, outcome.unwrap()[key])
 
--- a/standins/table.py
+++ b/standins/table.py
@@ -20,6 +20,8 @@
         self.faults = Faults()
         self.row_by_key: dict[str, Row] = {}
         self.object_by_name: dict[str, bytes] = {}
+        # Rows of which the store refuses each write for good.
+        self.refused_keys: set[str] = set()
         self.commits = 0
         self.rows_written = 0
         self.reads = 0
@@ -51,6 +53,8 @@
         return HttpResponse(status=404)
 
     def _commit(self, transaction: Transaction) -> HttpResponse:
+        if any(put.key in self.refused_keys for put in transaction.puts):
+            return HttpResponse(status=400)
         conditions: list[Check | Put] = [*transaction.checks, *transaction.puts]
         conflicts = [c.key for c in conditions if self._version(c.key) != c.version]
         if conflicts:
--- a/tests/steps/lost_steps.py
+++ b/tests/steps/lost_steps.py
@@ -7,6 +7,7 @@
 
 from coltsfoottray.http import HttpRequest, HttpResponse
 from coltsfoottray.leases import worker_key
+from coltsfoottray.leases.worker import LeaseState, WorkerLeaseRow
 from tests.support.job_world import make_steps
 
 
@@ -176,6 +177,23 @@
         context.world.kill(f"{name}/vm")
 
 
+@when("the store refuses each write of the lease row of {worker}")
+def refuse_lease_row(context, worker):
+    context.world.cell.table.refused_keys.add(worker_key(worker))
+
+
+@then("the lease row of {worker} says within {seconds:d} s that it is lost")
+def wait_for_mark(context, worker, seconds):
+    world = context.world
+    deadline = world.now() + seconds
+    while True:
+        row = world.cell.table.row_by_key[worker_key(worker)].decode(WorkerLeaseRow)
+        if row.state is LeaseState.LOST:
+            return
+        assert world.now() < deadline, row
+        world.advance(0.1)
+
+
 @when('the VM that runs "{task}" answers and refuses every renewal')
 def refuse_renewals(context, task):
     worker = _stand_in(context.world, task)
--- a/tests/tasks/lost.feature
+++ b/tests/tasks/lost.feature
@@ -174,3 +174,12 @@
     And every connection that worker opened loses everything
     And the task "b1" is finished within 5 s
     Then "b1" was started 1 times
+
+  Scenario: Two workers are lost, and the store refuses the row of the first
+    # Guards against lost workers that are never marked because of another one's row.
+    Given two entries and 2 workers in memory
+    When "arolwg" submits the task "b1" which runs for 10 s
+    And the task "b1" runs for 2000 ms
+    And the VMs of 2 workers are lost and their attendants keep running
+    And the store refuses each write of the lease row of worker-01
+    Then the lease row of worker-02 says within 20 s that it is lost
