A state machine in which the store refuses single rows

Adds to the faults of jobs: rows of jobs and of the scheduler that the store refuses for good. Refused rows alone replace no scheduler and delay no other job; once the store takes them, every accepted job ends.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 	$(BIN)/python -m properties failing-jobs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties replaced-jobs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties silenced-jobs $(RUNS) $(STEPS)
+	$(BIN)/python -m properties unstorable-jobs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties takeovers $(RUNS) $(STEPS)
 	$(BIN)/python -m properties configs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties keyed $(RUNS) $(STEPS)
--- a/properties/__main__.py
+++ b/properties/__main__.py
@@ -20,6 +20,7 @@
 from properties.replaced_jobs import ReplacedJobs
 from properties.silenced_jobs import SilencedJobs
 from properties.takeovers import Takeovers
+from properties.unstorable_jobs import UnstorableJobs
 
 MACHINE_BY_NAME = {
     "jobs": Jobs,
@@ -29,6 +30,7 @@
     "paced-jobs": PacedJobs,
     "replaced-jobs": ReplacedJobs,
     "silenced-jobs": SilencedJobs,
+    "unstorable-jobs": UnstorableJobs,
     "configs": Configs,
     "keyed": KeyedRequests,
     "tasks": BatchTasks,
--- a/properties/permanent_faults.py
+++ b/properties/permanent_faults.py
@@ -106,6 +106,7 @@
         cell = self._world.cell
         self.heal_links(set(self._world.fabric.cut))
         cell.metadata_table.faults.is_down = False
+        cell.metadata_table.refused_keys.clear()
         for process in list(self._world.fabric.faults_by_process):
             if not self.is_stopped(process):
                 self._world.resume(process)
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -22,6 +22,7 @@
 from coltsfoottray.leases import LeaseObserver
 from coltsfoottray.lists import Edit, ListEditor, apply_change
 from coltsfoottray.lists.editor import read_head
+from coltsfoottray.platform import TableUnavailable, metadata_table
 from coltsfoottray.scheduler.active import ActiveScheduler
 from coltsfoottray.scheduler.fleet import Worker
 from coltsfoottray.scheduler.grants import Grants
@@ -46,6 +47,7 @@
     "ledger_without_bounds",
     "orders_lacked_and_not_asked_for",
     "refusals_without_proof",
+    "refused_writes_repeated",
     "rejections_accepted_in_any_session",
     "rejections_forgotten_with_the_lease",
     "rejections_made_once",
@@ -307,3 +309,14 @@
 
     with mock.patch.object(ConnectionPool, "close_suspects", close_suspects):
         yield
+
+
+@contextmanager
+def refused_writes_repeated() -> Iterator[None]:
+    """Take a write that the table refuses for one that it cannot execute now."""
+
+    def make_error(status: int) -> TableUnavailable:
+        return TableUnavailable(detail=f"status {status}", is_unwritten=True)
+
+    with mock.patch.object(metadata_table, "error_of_status", make_error):
+        yield
--- a/tests/scheduler/fuzz.feature
+++ b/tests/scheduler/fuzz.feature
@@ -80,3 +80,11 @@
   Scenario: The oracle detects silent connections that are tried one after the other
     # Planted fault: a timeout closes no other connections to the peer.
     Then with the planted fault "timeouts without conclusions" the machine "silenced jobs" fails
+
+  Scenario: No sequence of faults lets one refused row stop other jobs
+    # The same faults while the store refuses rows of jobs and of the scheduler for good.
+    Then the machine "unstorable jobs" finds nothing in 15 runs of 12 steps
+
+  Scenario: The oracle detects refused writes that are repeated for good
+    # Planted fault: a refused write counts as one that the store cannot execute now.
+    Then with the planted fault "refused writes repeated" the machine "unstorable jobs" fails in runs of 5 steps
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -20,6 +20,7 @@
     replaced_jobs,
     silenced_jobs,
     takeovers,
+    unstorable_jobs,
 )
 
 MACHINE_BY_NAME = {
@@ -32,6 +33,7 @@
     "paced jobs": paced_jobs.PacedJobs,
     "replaced jobs": replaced_jobs.ReplacedJobs,
     "silenced jobs": silenced_jobs.SilencedJobs,
+    "unstorable jobs": unstorable_jobs.UnstorableJobs,
     "configs": configs.Configs,
     "list edits": list_edits.ListEdits,
     "takeovers": takeovers.Takeovers,
@@ -54,6 +56,7 @@
     "rejections made once": planted.rejections_made_once,
     "rejections forgotten with the lease": planted.rejections_forgotten_with_the_lease,
     "starts without judgement": planted.starts_without_judgement,
+    "refused writes repeated": planted.refused_writes_repeated,
     "timeouts without conclusions": planted.timeouts_without_conclusions,
 }
 
