--- a/soak/injector.py
+++ b/soak/injector.py
@@ -15,6 +15,14 @@
 __all__ = ["Injector"]
 
 _SLOW_STORE_S = 0.4
+# What the store refuses; the ids of a caller's jobs begin with the caller's number.
+_REFUSED_ROWS = (
+    "progress/scheduler/job.0000*",
+    "state/scheduler/job.0001*",
+    "attendants/scheduler/*",
+    "progress/scheduler/pressures",
+    "members//*",
+)
 
 
 @dataclass(kw_only=True)
@@ -40,6 +48,7 @@
         site.table.faults.delay_s = 0.0
         site.table.faults.lost_answers = 0
         site.table.late_writes = 0
+        site.table.refused_keys.clear()
         for program in site.program_by_name.values():
             await program.recover()
         for name, worker in site.worker_by_name.items():
@@ -110,6 +119,11 @@
             table.faults.lost_answers += fault.count
         elif fault.kind is FaultKind.STORE_LATE_WRITES:
             table.late_writes += fault.count
+        elif fault.kind is FaultKind.STORE_REFUSED_ROWS:
+            rows = _REFUSED_ROWS[fault.count % len(_REFUSED_ROWS)]
+            table.refused_keys.add(rows)
+            if await self._hold(fault.target, f"refuses {rows}", fault.duration_s):
+                table.refused_keys.discard(rows)
         elif fault.kind is FaultKind.STORE_DOWN:
             table.faults.is_down = True
             if await self._hold(fault.target, "down", fault.duration_s):
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -36,6 +36,7 @@
     STORE_DROPPED_HISTORY = "store-dropped-history"
     CONFIG_EDIT = "config-edit"
     CONNECTIONS_SILENT = "connections-silent"
+    STORE_REFUSED_ROWS = "store-refused-rows"
 
     @property
     def is_permanent(self) -> bool:
@@ -49,7 +50,7 @@
 
 
 # How often each kind is drawn, in the order of `FaultKind`.
-_WEIGHTS = (4, 4, 3, 1, 2, 1, 2, 2, 2, 1, 2, 1, 2, 1, 1, 1, 4)
+_WEIGHTS = (4, 4, 3, 1, 2, 1, 2, 2, 2, 1, 2, 1, 2, 1, 1, 1, 4, 3)
 
 
 @dataclass(frozen=True, kw_only=True)
