Tell of withheld jobs: log, explain, a gauge

Cause: that a job waits because the store refuses its rows was told once, and runs that were given up before they were sent stayed open in the losses. Change: decision:withdraw for each such run, decision:stored-again when the store takes the rows, the gauge jobs_withheld; losses count the attempt as rejected.

--- a/coltsfoottray/explain/history.py
+++ b/coltsfoottray/explain/history.py
@@ -134,6 +134,7 @@
             "decision:ends": self._handle_ends,
             "decision:runs-lost": self._handle_runs_lost,
             "decision:start-rejected": self._handle_rejection,
+            "decision:withdraw": self._handle_rejection,
             "decision:completed": self._handle_job_end,
             "decision:failed": self._handle_job_end,
             "decision:cancel": self._handle_cancel,
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -328,8 +328,14 @@
                 self._limit_to_stored(last_end_by_worker, reports)
                 self._stop_invalid(placed)
                 self._order_sender.send(placed, last_end_by_worker, nursery)
+                jobs = self.cluster.jobs
                 self._round_metrics.record(
-                    started_at, placed, active_jobs=len(self.cluster.jobs.active_by_id)
+                    started_at,
+                    placed,
+                    active_jobs=len(jobs.active_by_id),
+                    withheld_jobs=sum(
+                        job.is_withheld for job in jobs.open_by_id.values()
+                    ),
                 )
             monitors.cancel_scope.cancel()
         await self._writer.resign()
--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -207,6 +207,7 @@
     def withdraw(self, placed: PlacedRun, now_ms: int) -> None:
         """Give up a run that was placed and has never been sent to its worker."""
         worker = self.fleet.worker_by_id[placed.worker]
+        log_event("decision:withdraw", run=str(placed.ref), worker=worker.id)
         self._outcomes.give_up(worker, placed.ref, "not stored", now_ms)
 
     def expire_leases(self, now: timedelta, now_ms: int) -> None:
--- a/coltsfoottray/scheduler/round_metrics.py
+++ b/coltsfoottray/scheduler/round_metrics.py
@@ -25,7 +25,12 @@
         self._metrics = metrics
 
     def record(
-        self, started_at: timedelta, placed: list[PlacedRun], *, active_jobs: int
+        self,
+        started_at: timedelta,
+        placed: list[PlacedRun],
+        *,
+        active_jobs: int,
+        withheld_jobs: int,
     ) -> None:
         """Record a round that has been stored.
 
@@ -35,11 +40,14 @@
             When the round began.
         active_jobs : int
             Number of jobs that have not ended.
+        withheld_jobs : int
+            Number of jobs whose latest changes the table refuses.
         """
         self._metrics.time("scheduler_round", self._clock.elapsed() - started_at)
         self._record_waits(placed)
         self._metrics.count("runs_placed", len(placed))
         self._metrics.gauge("jobs_active", active_jobs)
+        self._metrics.gauge("jobs_withheld", withheld_jobs)
         workers = self._fleet.worker_by_id.values()
         self._metrics.gauge("workers_reachable", sum(w.is_reachable for w in workers))
         self._metrics.gauge("runs_held", sum(len(w.held_by_ref) for w in workers))
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -424,6 +424,8 @@
     if group.is_start_only:
         job.mark_start_stored(summary_version)
         return
+    if job.is_withheld:
+        log_event("decision:stored-again", job=job.id)
     key = record_key(job.id)
     version = 0 if key in deleted else versions.get(key, job.rows.version)
     rows = JobRows(
--- a/tests/scheduler/refused_rows.feature
+++ b/tests/scheduler/refused_rows.feature
@@ -36,8 +36,11 @@
     And the workers hold no run
     When 40 s pass
     Then the store was asked at most 16 times for what it refuses
+    And the log tells at most 16 times that tasks of the job "bad" are placed
+    And the log tells of each that it is withdrawn
     When the store refuses nothing any more
     Then the job "bad" is "completed" within 70 s
+    And the log tells that the job "bad" is stored again
     And 11 tasks were started, each once
 
   Scenario: The store begins to refuse the record of a job that runs
--- a/tests/steps/refused_row_steps.py
+++ b/tests/steps/refused_row_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from behave import step, then, when
 
 from coltsfoottray.jobs.keys import accepted_key, cancel_key, record_key, summary_key
@@ -93,6 +95,39 @@
     assert "status 400" in lines[0]["reason"], lines[0]
 
 
+@then(
+    'the log tells at most {count:d} times that tasks of the job "{label}" are placed'
+)
+def check_placements(context, count, label):
+    context.placed = [
+        f"{each['step']}.{text.partition('@')[0]}"
+        for each in context.messages
+        if each["message_type"] == "decision:place"
+        and each["step"].startswith(job_id(label))
+        for text in each["workers"]
+    ]
+    rounds = Counter(context.placed)
+    assert 0 < max(rounds.values()) <= count, rounds
+
+
+@then("the log tells of each that it is withdrawn")
+def check_withdrawals(context):
+    withdrawn = [
+        each["run"].partition("#")[0]
+        for each in context.messages
+        if each["message_type"] == "decision:withdraw"
+    ]
+    assert Counter(withdrawn) == Counter(context.placed), (withdrawn, context.placed)
+
+
+@then('the log tells that the job "{label}" is stored again')
+def check_stored_line(context, label):
+    assert any(
+        each["message_type"] == "decision:stored-again" and each["job"] == job_id(label)
+        for each in context.messages
+    )
+
+
 @then("the refusal names {seconds:d} s as the time to come back")
 def check_return_time(context, seconds):
     assert context.answer.header_by_name["retry-after"] == str(seconds)
