Reject jobs of more tasks than can be stored, and hold back occurrences

What callers saw: one job of 10^9 tasks, or one that was due 10^8 times by now, was answered 200, and the scheduler then built its tasks until it ran out of memory; each successor did the same. Cause: the number of tasks that exist at a time was the caller's; an occurrence was added for each due time, however many were unfinished. Change: at most 20,000 tasks of a job at a time, a thousand times the widest step of the deployments; a job with more a time is answered 400 with the number and the limit, and further occurrences wait until an earlier one has ended.

--- a/coltsfoottray/jobs/model.py
+++ b/coltsfoottray/jobs/model.py
@@ -11,6 +11,7 @@
 from coltsfoottray.types import Resources
 
 __all__ = [
+    "MAX_TASKS",
     "USEFUL_FACTOR",
     "AcceptedJob",
     "AdviceTerms",
@@ -25,6 +26,10 @@
 
 JobId = NewType("JobId", str)
 
+MAX_TASKS = 20_000
+"""Largest number of tasks of a job that exist at a time. The progress of all of them
+is stored in one transaction, and every scheduler holds it in memory."""
+
 USEFUL_FACTOR = 3.0
 """A job that takes more than this times its objective is worthless to its caller, by
 the users' own measure of late work."""
@@ -141,6 +146,11 @@
     steps: list[StepSpec]
     repetition: Repetition | None = None
 
+    @property
+    def tasks(self) -> int:
+        """Number of tasks of one occurrence."""
+        return sum(step.count for step in self.steps)
+
 
 class AdviceTerms(msgspec.Struct, frozen=True, kw_only=True):
     """How an external service advises on a queue's steps.
--- a/coltsfoottray/platform/ingress.py
+++ b/coltsfoottray/platform/ingress.py
@@ -13,7 +13,13 @@
 from coltsfoottray.http import HttpRequest, HttpResponse
 from coltsfoottray.jobs.api import JobAnswer, JobApi, Verdict
 from coltsfoottray.jobs.config import ConfigHolder, Queue
-from coltsfoottray.jobs.model import JobId, JobSpec, Repetition, StepSpec
+from coltsfoottray.jobs.model import (
+    MAX_TASKS,
+    JobId,
+    JobSpec,
+    Repetition,
+    StepSpec,
+)
 from coltsfoottray.types import Resources
 
 __all__ = ["JobIngress"]
@@ -143,11 +149,18 @@
             first_ms=wire.firstRunMs,
             interval_ms=wire.intervalMs,
         )
-    return JobSpec(
+    spec = JobSpec(
         payload=wire.spec,
         steps=[_as_step(step) for step in wire.steps],
         repetition=repetition,
     )
+    if spec.tasks > MAX_TASKS:
+        raise InputError(
+            field="steps",
+            value=f"{spec.tasks} tasks",
+            expected=f"at most {MAX_TASKS} tasks",
+        )
+    return spec
 
 
 def _as_step(step: _Step) -> StepSpec:
--- a/coltsfoottray/scheduler/live.py
+++ b/coltsfoottray/scheduler/live.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from coltsfoottray.clock import Moment
-from coltsfoottray.jobs.model import AcceptedJob, JobId, TaskRef
+from coltsfoottray.jobs.model import MAX_TASKS, AcceptedJob, JobId, TaskRef
 from coltsfoottray.jobs.records import (
     JobRecord,
     JobState,
@@ -109,13 +109,23 @@
 
     @property
     def next_due_ms(self) -> int | None:
-        """When the next occurrence is due, None if all have been."""
+        """When the next occurrence is due, None if all have been.
+
+        None also while it would have too many tasks at a time: the next one waits until
+        an earlier one has ended.
+        """
         number = len(self.record.occurrences)
         if number >= self.times or self.record.state.is_final:
             return None
+        if number and not self._has_room_for_occurrence():
+            return None
         repetition = self.accepted.spec.repetition
         return 0 if repetition is None else repetition.due_ms(number)
 
+    def _has_room_for_occurrence(self) -> bool:
+        unfinished = sum(bool(steps) for steps in self.steps_by_occurrence)
+        return (unfinished + 1) * self.accepted.spec.tasks <= MAX_TASKS
+
     def start_of(self, occurrence: int) -> timedelta:
         """Return when an occurrence should have started, by the steady clock."""
         if self.accepted.spec.repetition is None:
--- a/tests/jobs/callers.feature
+++ b/tests/jobs/callers.feature
@@ -46,6 +46,21 @@
     And 1 s pass
     Then a job whose step comes after itself is rejected naming "steps[0].after"
 
+  Scenario: A job has more tasks than can be stored
+    # Guards against a scheduler that runs out of memory, and each successor with it.
+    Given two entries and 2 workers for jobs
+    When a job of 1000000000 tasks is submitted at entry-1
+    Then it is answered 400 with "steps: got '1000000000 tasks', expected at most 20000 tasks"
+
+  Scenario: A job is due more often at once than can be stored
+    # Guards against a scheduler that adds occurrences for ever and does nothing else.
+    Given two entries and 2 workers for jobs
+    When a job of 30 tasks that was due 100000000 times by now is submitted at entry-1
+    And the job "a" of 1 steps with 2 tasks of 1 s is submitted at entry-1
+    Then the job "a" is "completed" within 30 s
+    And the scheduler has not been replaced
+    And the store has refused no transaction for its size
+
   Scenario: Tasks of a service are restarted however they end
     # Guards against a service that is not restarted after its worker crashed.
     Given two entries and 2 workers for jobs
--- a/tests/steps/refused_row_steps.py
+++ b/tests/steps/refused_row_steps.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 
+import msgspec
 from behave import step, then, when
 
 from coltsfoottray.jobs.keys import accepted_key, cancel_key, record_key, summary_key
@@ -143,3 +144,22 @@
 def check_answer_text(context, status, text):
     assert context.answer.status == status, context.answer
     assert text in context.answer.body.decode(), context.answer.body
+
+
+@when("a job of {count:d} tasks is submitted at {entry}")
+def submit_wide(context, count, entry):
+    body = {"spec": "{}", "steps": make_steps(1, count, 1)}
+    context.answer = context.world.call("POST", entry, job_id("wide"), body)
+
+
+@when(
+    "a job of {count:d} tasks that was due {times:d} times by now is submitted at "
+    "{entry}"
+)
+def submit_overdue(context, count, times, entry):
+    steps = make_steps(1, count, 1, cpu=10)
+    spec = msgspec.json.encode({"work_s": 1, "share": 0.01}).decode()
+    repetition = {"repetitions": times, "firstRunMs": 1, "intervalMs": 1}
+    body = {"spec": spec, "steps": steps, **repetition}
+    answer = context.world.call("POST", entry, job_id("due"), body)
+    assert answer.status == 200, answer
