Let the largest job that is accepted fit into one transaction

Cause: the record of 20,000 tasks that all run, each on another incarnation and with a checkpoint, takes 1,132,972 bytes as stored (measured); the limit of a transaction is 1 MB. Change: 10,000 tasks of a job at a time; their record takes less than 700,000 bytes, the bound of a batch.

--- a/coltsfoottray/jobs/model.py
+++ b/coltsfoottray/jobs/model.py
@@ -26,7 +26,7 @@
 
 JobId = NewType("JobId", str)
 
-MAX_TASKS = 20_000
+MAX_TASKS = 10_000
 """Largest number of tasks of a job that exist at a time. The progress of all of them
 is stored in one transaction, and every scheduler holds it in memory."""
 
--- a/tests/jobs/callers.feature
+++ b/tests/jobs/callers.feature
@@ -50,7 +50,7 @@
     # Guards against a scheduler that runs out of memory, and each successor with it.
     Given two entries and 2 workers for jobs
     When a job of 1000000000 tasks is submitted at entry-1
-    Then it is answered 400 with "steps: got '1000000000 tasks', expected at most 20000 tasks"
+    Then it is answered 400 with "steps: got '1000000000 tasks', expected at most 10000 tasks"
 
   Scenario: A job is due more often at once than can be stored
     # Guards against a scheduler that adds occurrences for ever and does nothing else.
--- a/tests/jobs/records.feature
+++ b/tests/jobs/records.feature
@@ -29,3 +29,9 @@
     When the record is encoded
     Then it cannot be decoded without its last row
     And an entry of an earlier version cannot read its first row
+
+  Scenario: The record of the largest job fits into one transaction
+    # Guards against a job that is accepted and can never be stored.
+    Given a record of the largest job, all of whose tasks run and have failed before
+    When the record is encoded
+    Then its rows take at most 98 entries and 700000 bytes of a transaction
--- a/tests/steps/record_steps.py
+++ b/tests/steps/record_steps.py
@@ -11,8 +11,12 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from coltsfoottray.jobs.keys import record_key
+from coltsfoottray.jobs.model import MAX_TASKS, JobId
 from coltsfoottray.jobs.record_rows import decode_record, encode_record
 from coltsfoottray.jobs.records import JobRecord, TaskPhase, TaskRecord
+from coltsfoottray.platform import Put
+from coltsfoottray.scheduler.transactions import WriteGroup
 
 _RUNS = st.lists(st.integers(min_value=1, max_value=6))
 
@@ -66,6 +70,37 @@
     context.record = JobRecord(occurrences=[[records]])
 
 
+@given("a record of the largest job, all of whose tasks run and have failed before")
+def make_largest_record(context):
+    random = Random(1)
+    records = [
+        TaskRecord(
+            phase=TaskPhase.ASSIGNED,
+            run=random.randrange(1, 50),
+            failures=2,
+            worker=f"side-caerdydd-{number % 200}",
+            life=f"i-{random.randbytes(4).hex()}/17{random.randrange(10**11)}",
+            checkpoint=random.randbytes(8).hex(),
+            failed_run=3,
+            failed_runs=[1, 3],
+            is_settled=True,
+        )
+        for number in range(MAX_TASKS)
+    ]
+    context.record = JobRecord(occurrences=[[records]])
+
+
+@then("its rows take at most {entries:d} entries and {size:d} bytes of a transaction")
+def check_group(context, entries, size):
+    puts = [
+        Put(key=record_key(JobId("a" * 16), part), version=1, value=row)
+        for part, row in enumerate(context.rows)
+    ]
+    group = WriteGroup(puts=puts)
+    assert group.entries <= entries, group.entries
+    assert group.size_bytes <= size, group.size_bytes
+
+
 @when("the record is encoded")
 def encode(context):
     context.rows = encode_record(context.record)
