--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -44,6 +44,7 @@
 from coltsfoottray.scheduler.round_timer import RoundTimer
 from coltsfoottray.scheduler.side_rows import AttendantRows, PressureRow
 from coltsfoottray.scheduler.takeover import Claim
+from coltsfoottray.scheduler.withheld import limit_to_stored, withdraw_unstored
 from coltsfoottray.scheduler.writer import StateWriter
 from coltsfoottray.types import Address
 
@@ -324,8 +325,9 @@
                 placed, last_end_by_worker = self._decide()
                 await self._writer.store(self.cluster.jobs.open_by_id.values())
                 self.cluster.jobs.close_ended()
-                placed = self._withdraw_unstored(placed)
-                self._limit_to_stored(last_end_by_worker, reports)
+                now_ms = Moment.read(self._clock).time_ms
+                placed = withdraw_unstored(placed, self.cluster, now_ms)
+                limit_to_stored(last_end_by_worker, reports, self.cluster.jobs)
                 self._stop_invalid(placed)
                 self._order_sender.send(placed, last_end_by_worker, nursery)
                 jobs = self.cluster.jobs
@@ -340,28 +342,6 @@
             monitors.cancel_scope.cancel()
         await self._writer.resign()
 
-    def _withdraw_unstored(self, placed: list[PlacedRun]) -> list[PlacedRun]:
-        """Give up the new runs of jobs that could not be stored; return the others."""
-        now_ms = Moment.read(self._clock).time_ms
-        for run in placed:
-            if run.step.job.is_withheld:
-                self.cluster.withdraw(run, now_ms)
-        return [run for run in placed if not run.step.job.is_withheld]
-
-    def _limit_to_stored(
-        self, last_end_by_worker: dict[str, int], reports: Iterable[Report]
-    ) -> None:
-        """Acknowledge no end of a job that could not be stored, and none after it.
-
-        Otherwise the next scheduler would know of no end, and run the task again.
-        """
-        for report in reports:
-            for end in report.ends:
-                job = self.cluster.jobs.by_id.get(end.ref.task.job)
-                if job is not None and job.is_withheld:
-                    last = last_end_by_worker[report.worker]
-                    last_end_by_worker[report.worker] = min(last, end.number - 1)
-
     def _stop_invalid(self, placed: list[PlacedRun]) -> None:
         """Stop runs that are not sent yet and that must not start any more.
 
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Container, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from datetime import timedelta
 
 import msgspec
@@ -12,7 +12,6 @@
 from coltsfoottray.clock import Clock
 from coltsfoottray.errors import ColtsfoottrayError
 from coltsfoottray.jobs.keys import LEASE_KEY, record_key, summary_key
-from coltsfoottray.jobs.record_rows import encode_record
 from coltsfoottray.logs import log_event
 from coltsfoottray.platform import (
     Check,
@@ -22,10 +21,13 @@
     Transaction,
     WatchedTable,
 )
-from coltsfoottray.platform.common import ABSENT
 from coltsfoottray.platform.retry import commit_with_retry
 from coltsfoottray.scheduler.grants import Grants
-from coltsfoottray.scheduler.job_rows import JobRows
+from coltsfoottray.scheduler.job_writes import (
+    make_job_group,
+    make_start_group,
+    mark_stored,
+)
 from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL
 from coltsfoottray.scheduler.live import LiveJob
 from coltsfoottray.scheduler.refusals import Refusals
@@ -123,7 +125,11 @@
             If another entry has taken the lease row over, or the table refuses it.
         """
         now = self._clock.elapsed()
-        groups = [self._job_group(job) for job in self._jobs_to_store(jobs)]
+        drops_records = self._drops_records()
+        groups = [
+            make_job_group(job, drops_records=drops_records)
+            for job in self._jobs_to_store(jobs)
+        ]
         groups += self._side_groups(now, urgent=True)
         if groups or self._is_renewal_due():
             groups += self._start_groups(jobs, groups)
@@ -318,7 +324,7 @@
             self._must_renew = False
             self._grants.unlist(self.lease.silent_ms)
         for group in groups:
-            _mark_stored(group, versions, deleted, sent)
+            mark_stored(group, versions, deleted, sent)
 
     def _garbage_groups(self, batch: Iterable[WriteGroup]) -> list[WriteGroup]:
         """Return deletions that fit into a transaction beside a batch."""
@@ -329,32 +335,13 @@
             for key in keys
         ]
 
-    def _job_group(self, job: LiveJob) -> WriteGroup:
-        """Return the writes that store a job.
-
-        The summary that callers ask for has a row of its own, which changes once or
-        twice per job. All entries follow these rows. If they followed the records, each
-        change of a task would send them all tasks of the job, which is too much for an
-        entry's link of 5 Mbit/s.
-        """
-        values = []
-        checks = []
-        if job.needs_record or not self._drops_records():
-            values = encode_record(job.record)
-        puts = _record_puts(job, values)
-        if job.has_new_summary:
-            puts.append(_summary_put(job))
-        elif job.needs_summary_check:
-            checks.append(Check(key=summary_key(job.id), version=ABSENT))
-        return WriteGroup(puts=puts, checks=checks, job=job, record_rows=len(values))
-
     def _start_groups(
         self, jobs: Iterable[LiveJob], groups: Iterable[WriteGroup]
     ) -> list[WriteGroup]:
         """Return the writes of first starts that no other write contains."""
         included = {group.job.id for group in groups if group.job is not None}
         starts = [
-            WriteGroup(puts=[_summary_put(job)], job=job, is_start_only=True)
+            make_start_group(job)
             for job in jobs
             if job.has_new_start and job.id not in included and not job.is_withheld
         ]
@@ -391,47 +378,3 @@
     def _is_renewal_due(self) -> bool:
         is_old = self._clock.elapsed() - self.renewed_at >= RENEWAL_INTERVAL
         return is_old or self._must_renew or self._grants.has_recovered_worker()
-
-
-def _record_puts(job: LiveJob, values: Sequence[msgspec.Raw]) -> list[Put]:
-    """Return the writes that replace the rows of a job's record by `values`."""
-    puts = []
-    for part in range(max(len(values), job.rows.record_rows)):
-        key = record_key(job.id, part)
-        version = job.rows.version if part < job.rows.record_rows else ABSENT
-        if part < len(values):
-            puts.append(Put(key=key, version=version, value=values[part]))
-        else:
-            puts.append(Put(key=key, version=version))
-    return puts
-
-
-def _summary_put(job: LiveJob) -> Put:
-    return Put.of(summary_key(job.id), job.rows.summary_version, job.record.summary)
-
-
-def _mark_stored(
-    group: WriteGroup,
-    versions: Mapping[str, int],
-    deleted: Container[str],
-    sent: timedelta,
-) -> None:
-    """Record in a group's job that its rows are stored."""
-    job = group.job
-    if job is None:
-        return
-    summary_version = versions.get(summary_key(job.id), job.rows.summary_version)
-    if group.is_start_only:
-        job.mark_start_stored(summary_version)
-        return
-    if job.is_withheld:
-        log_event("decision:stored-again", job=job.id)
-    key = record_key(job.id)
-    version = 0 if key in deleted else versions.get(key, job.rows.version)
-    rows = JobRows(
-        version=version,
-        record_rows=group.record_rows,
-        summary=job.record.summary,
-        summary_version=summary_version,
-    )
-    job.mark_stored(rows, sent)
