--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -373,6 +373,8 @@
         self.bound_address = fabric.free_address() if address.port == 0 else address
         self._fabric = fabric
         self._serve = serve
+        # By how much each answer is late.
+        self.delay_s = 0.0
         self._nursery: trio.Nursery | None = None
         self._open: list[_Pending] = []
 
@@ -412,7 +414,7 @@
         self._open.append(pending)
         try:
             reply = await self._serve(message)
-            await trio.sleep(_LATENCY_S)
+            await trio.sleep(_LATENCY_S + self.delay_s)
             await faults.running.wait()
         except CommunicationError as error:
             self._open.remove(pending)
