Bound the checkpoints that workers list

What callers saw: nothing yet; with checkpoints of 200,000 characters a report of 30 runs had 3,001,555 bytes (measured), each second, and their job's record could not be stored. Cause: a checkpoint was taken at any length from the worker, and sent on. Change: one of over 1,000 characters counts as none (the platform's have 16), so that the next run starts from an earlier one. Evidence: 'Workers save checkpoints of any length' failed before.

--- a/coltsfoottray/platform/instance.py
+++ b/coltsfoottray/platform/instance.py
@@ -38,6 +38,9 @@
 _UNHEALTHY = (429, 503)
 _MAX_ENDS_PER_REPLY = 500
 _MAX_PORT = 65_535
+# The workers' checkpoints have 16 characters. A longer one would make reports and the
+# records of jobs too large; without it the next run starts from an earlier one.
+_MAX_CHECKPOINT_LENGTH = 1000
 _REFUSAL_BY_REASON = {
     "fence": Refusal.FENCED,
     "old": Refusal.OLD,
@@ -266,7 +269,7 @@
         task, run, checkpoint, percent, *rest = row
         return RunStatus(
             ref=_as_ref(str(task), run),
-            checkpoint=str(checkpoint),
+            checkpoint=_as_checkpoint(checkpoint),
             percent=_as_float(percent),
             figure=_as_float(rest[0]) if rest else 0.0,
         )
@@ -281,12 +284,18 @@
             number=int(_as_float(number)),
             ref=_as_ref(str(task), run),
             kind=_END_KIND_BY_VALUE[str(kind)],
-            checkpoint=str(checkpoint),
+            checkpoint=_as_checkpoint(checkpoint),
         )
     except (ValueError, TypeError, KeyError) as error:
         raise _failed(heartbeat, f"row {row!r}: {error}") from error
 
 
+def _as_checkpoint(value: object) -> str:
+    """Return a checkpoint, empty for none or one that is too long."""
+    text = str(value)
+    return text if len(text) <= _MAX_CHECKPOINT_LENGTH else ""
+
+
 def _as_ref(task: str, run: object) -> RunRef:
     job, occurrence, step, index = task.split(".")
     ref = TaskRef(
--- a/standins/job_run.py
+++ b/standins/job_run.py
@@ -24,6 +24,8 @@
         Share of its full speed at which it works.
     stops_at_s : float, optional
         When it ends, once it has been told to stop.
+    checkpoint_length : int
+        Least length of its checkpoints in characters.
     """
 
     task: str
@@ -36,6 +38,7 @@
     done_s: float = 0.0
     percent: int = 100
     stops_at_s: float | None = None
+    checkpoint_length: int = 0
 
     @property
     def figure(self) -> float:
@@ -46,7 +49,7 @@
     def checkpoint(self) -> str:
         """The checkpoint that a later run can resume from, empty for none."""
         has_one = self.saves_checkpoints and self.done_s >= 1
-        return str(int(self.done_s)) if has_one else ""
+        return str(int(self.done_s)).zfill(self.checkpoint_length) if has_one else ""
 
     @property
     def progress_percent(self) -> float:
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -250,6 +250,7 @@
             latency_ms=spec.get("latency_ms", 0.0),
             share=spec.get("share", 1.0),
             done_s=float(body.get("checkpoint") or 0),
+            checkpoint_length=spec.get("checkpoint_length", 0),
         )
         has_limit = may_be_prevented and not spec.get("lasts")
         self._observer.begin(task, number, self.name, has_limit=has_limit)
--- a/tests/scheduler/large_messages.feature
+++ b/tests/scheduler/large_messages.feature
@@ -44,3 +44,14 @@
     And entry-2 reaches the store and entry-1 again
     And 3 s pass
     Then entry-2 knows 300 jobs
+
+  Scenario: Workers save checkpoints of any length
+    # Guards against reports and records that grow with what a worker lists.
+    Given two entries and 2 workers for jobs
+    When the job "a" of 30 tasks of 4 s with checkpoints of 200000 characters is submitted
+    And the job "b" of 1 steps with 2 tasks of 1 s is submitted at entry-1
+    Then the job "b" is "completed" within 5 s
+    And the job "a" is "completed" within 20 s
+    And 32 tasks were started, each once
+    And no report, reply or order was larger than 300000 bytes
+    And the store has refused no transaction for its size
--- a/tests/steps/large_message_steps.py
+++ b/tests/steps/large_message_steps.py
@@ -146,6 +146,26 @@
     context.world.restart_daemon(name)
 
 
+@when(
+    'the job "{label}" of {tasks:d} tasks of {seconds:d} s with checkpoints of '
+    "{length:d} characters is submitted"
+)
+def submit_long_checkpoints(context, label, tasks, seconds, length):
+    spec = {
+        "work_s": seconds,
+        "saves": True,
+        "share": 0.1,
+        "checkpoint_length": length,
+    }
+    shape = {
+        "count": tasks,
+        "cpu": 100,
+        "estimateMs": seconds * 1000,
+        "checkpointing": True,
+    }
+    _submit(context, label, spec, shape)
+
+
 @step("{name} is cut off from the store and from {other}")
 def cut_off(context, name, other):
     context.cut_links = {frozenset((name, "store")), frozenset((name, other))}
