Write what was refused once together with the rest again

Cause: what the store has refused once was stored in a transaction of its own for good; after a store that refused many rows for a while, each change of each such job was a transaction. Change: a write counts as sound once it was not refused for four pauses.

--- a/coltsfoottray/scheduler/refusals.py
+++ b/coltsfoottray/scheduler/refusals.py
@@ -17,7 +17,7 @@
 
 _FIRST_PAUSE = timedelta(seconds=1)
 _LONGEST_PAUSE = timedelta(minutes=1)
-# A write that was accepted for this many pauses starts again from the first one.
+# A write that was not refused for this many pauses counts as sound again.
 _PAUSES_UNTIL_FORGOTTEN = 4
 _MAX_REMEMBERED = 10_000
 
@@ -27,6 +27,10 @@
     pause: timedelta
     retry_at: timedelta
 
+    @property
+    def forgotten_at(self) -> timedelta:
+        return self.retry_at + self.pause * _PAUSES_UNTIL_FORGOTTEN
+
 
 class Refusals:
     """Tells which writes to leave out for now.
@@ -43,15 +47,16 @@
         now = self._clock.elapsed()
         pause = _FIRST_PAUSE
         last = self._refusal_by_name.pop(name, None)
-        if last and now < last.retry_at + last.pause * _PAUSES_UNTIL_FORGOTTEN:
+        if last is not None and now < last.forgotten_at:
             pause = min(last.pause * 2, _LONGEST_PAUSE)
         self._refusal_by_name[name] = _Refusal(pause=pause, retry_at=now + pause)
         drop_oldest(self._refusal_by_name, _MAX_REMEMBERED)
         return pause
 
     def is_suspect(self, name: str) -> bool:
-        """Return whether a write has been refused before."""
-        return name in self._refusal_by_name
+        """Return whether a write has been refused lately."""
+        last = self._refusal_by_name.get(name)
+        return last is not None and self._clock.elapsed() < last.forgotten_at
 
     def is_left_out(self, name: str) -> bool:
         """Return whether a write is left out, as its pause is not over."""
--- a/tests/scheduler/refused_rows.feature
+++ b/tests/scheduler/refused_rows.feature
@@ -69,6 +69,19 @@
     Then the job "bad" is "completed" within 70 s
     And no task ran twice at the same time or after its end
 
+  Scenario: The store takes the rows of many withheld jobs again
+    # Guards against jobs that are stored one by one for good.
+    Given two entries and 40 workers for jobs
+    And the store refuses each write of "progress/scheduler/job.*" from now on
+    When 60 jobs of 2 small tasks of 60 s are submitted at once
+    And 2 s pass
+    And the store refuses nothing any more
+    And 50 s pass
+    Then 120 tasks were started, each once
+    When the store's transactions are counted for 20 s
+    Then all jobs of the burst are completed within 1 s
+    And the store has executed at most 70 transactions of the scheduler
+
   Scenario: A withheld job is cancelled
     # Guards against a job that nobody can end because its record is refused.
     Given two entries and 2 workers for jobs
--- a/tests/steps/refused_row_steps.py
+++ b/tests/steps/refused_row_steps.py
@@ -163,3 +163,16 @@
     body = {"spec": spec, "steps": steps, **repetition}
     answer = context.world.call("POST", entry, job_id("due"), body)
     assert answer.status == 200, answer
+
+
+@when("the store's transactions are counted for {seconds:d} s")
+def count_transactions(context, seconds):
+    table = context.world.cell.metadata_table
+    before = table.transactions_by_part["scheduler"]
+    context.world.advance(seconds)
+    context.transactions = table.transactions_by_part["scheduler"] - before
+
+
+@then("the store has executed at most {count:d} transactions of the scheduler")
+def check_transactions(context, count):
+    assert context.transactions <= count, context.transactions
