--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,5 +3,7 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 export PYTHONPATH="target/deps:."
+# Without the disruption if it is 0.
+export TROUBLE="${TROUBLE:-1}"
 python3 -c "import review.deployment" || exit 2
 exec python3 "$folder/play.py"
