--- a/tests/runner/jobs.py
+++ b/tests/runner/jobs.py
@@ -7,12 +7,16 @@
 from datetime import timedelta
 from enum import Enum
 
-__all__ = ["TIME_LIMIT", "Job", "JobKind", "Result", "Verdict"]
+__all__ = ["ALL_SLOTS", "TIME_LIMIT", "Job", "JobKind", "Result", "Verdict"]
 
 # Reached only by what hangs, also on a machine that is busy.
 TIME_LIMIT = timedelta(minutes=20)
 
 
+# More than any pool has: the job runs alone.
+ALL_SLOTS = 1 << 16
+
+
 class Verdict(Enum):
     """How a job ended."""
 
--- a/tests/runner/order.py
+++ b/tests/runner/order.py
@@ -21,9 +21,9 @@
 
 
 def order_jobs(jobs: Sequence[Job], longest: Sequence[str]) -> list[Job]:
-    """Return commands and what starts real programs, then the longest, then the rest.
+    """Return what runs alone, what starts real programs, the longest, then the rest.
 
-    What starts real programs takes several slots, which are free only at the start.
+    What takes several slots, or all of them, is started while they are free.
     """
     rank_by_name = {name: rank for rank, name in enumerate(longest)}
     return sorted(jobs, key=lambda job: _rank(job, rank_by_name))
@@ -31,7 +31,7 @@
 
 def _rank(job: Job, rank_by_name: dict[str, int]) -> tuple[int, int]:
     if job.slots > 1:
-        return (0, 0)
+        return (0, -job.slots)
     if job.kind is JobKind.COMMAND:
         return (1, 0)
     if job.name in rank_by_name:
--- a/tests/runner/suite.py
+++ b/tests/runner/suite.py
@@ -19,7 +19,7 @@
     parse_features,
 )
 
-from tests.runner.jobs import Job, JobKind, Verdict
+from tests.runner.jobs import ALL_SLOTS, Job, JobKind, Verdict
 
 __all__ = ["Suite", "read_names"]
 
@@ -27,6 +27,8 @@
 # they need them.
 _REAL_PROGRAMS_FOLDER = "processes"
 _REAL_PROGRAMS_SLOTS = 2
+# Scenarios in folders of this name measure what a process holds beside a crowd.
+_CROWDS_FOLDER = "clients"
 _FORMAT = "plain"
 _OPTIONS = ("--no-capture", "--no-summary", "--no-skipped")
 
@@ -39,6 +41,13 @@
     }
 
 
+def _count_slots(folder: str) -> int:
+    """Return how many slots the scenarios in a folder take."""
+    if folder == _CROWDS_FOLDER:
+        return ALL_SLOTS
+    return _REAL_PROGRAMS_SLOTS if folder == _REAL_PROGRAMS_FOLDER else 1
+
+
 class Suite:
     """Steps and scenarios, loaded once; each scenario then runs in a fork.
 
@@ -78,13 +87,12 @@
 
     def _make_job(self, scenario: Scenario) -> Job:
         path = Path(scenario.filename)
-        starts_programs = path.parent.name == _REAL_PROGRAMS_FOLDER
         return Job(
             kind=JobKind.SCENARIO,
             name=scenario.name,
             place=f"{path}:{scenario.line}",
             run=partial(self._run, str(path), scenario.line),
-            slots=_REAL_PROGRAMS_SLOTS if starts_programs else 1,
+            slots=_count_slots(path.parent.name),
         )
 
     def _run(self, path: str, line: int) -> Verdict:
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import subprocess
 import sys
@@ -9,7 +10,7 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -20,6 +21,13 @@
 # Reached only if a process hangs; no test asserts how long anything takes.
 TIMEOUT_S = 60.0
 _POLL_INTERVAL_S = 0.05
+_FIRST_PORT, _LAST_PORT = 10_000, 32_000
+_PORTS_EACH = 50
+
+
+def _first_port() -> int:
+    span = _LAST_PORT - _FIRST_PORT - _PORTS_EACH
+    return _FIRST_PORT + os.getpid() * _PORTS_EACH % span
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -37,6 +45,10 @@
     process_by_name: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     port_by_name: dict[str, int] = field(default_factory=dict)
     folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp()))
+    # Others that run at the same time begin elsewhere.
+    ports: Iterator[int] = field(
+        default_factory=lambda: iter(range(_first_port(), _LAST_PORT))
+    )
 
     def start_stand_in(self, kind: str, name: str) -> None:
         """Start a stand-in of `kind` as `name`."""
@@ -110,11 +122,17 @@
             time.sleep(_POLL_INTERVAL_S)
 
     def _reserve_port(self, name: str) -> int:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = int(probe.getsockname()[1])
-        self.port_by_name[name] = port
-        return port
+        """Return a port that the system does not choose for a client."""
+        for port in self.ports:
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind(("127.0.0.1", port))
+                except OSError:
+                    continue
+            self.port_by_name[name] = port
+            return port
+        raise AssertionError("no free port is left")
 
     def _start(self, name: str, arguments: list[str]) -> None:
         errors = (self.folder / f"{name.replace('/', '-')}.err").open("wb")
