Bound the bodies that a process takes, one by one and together

Callers saw: nothing any more. 60 clients that announced bodies of 8 MB and withheld the last byte ended an entry of 160 to 300 MB by its memory; at readiness, metrics, peers and heartbeats the same. Announced 4 GB were refused only after 8 MiB each had been kept.

Cause: 8 MiB a body at each port, whatever it needs, and no bound of the sum; an announced length was not looked at. In the list of parts that a body was collected in, a byte in a chunk of its own took 50.

An announced length is refused at the head, another body at the byte that passes the limit, and its memory goes at once. Answers are refused at their head too. What is refused for want of room is answered 504 and not 503, which would promise that no earlier attempt runs either.

--- a/coltsfoottray/daemons/common.py
+++ b/coltsfoottray/daemons/common.py
@@ -9,6 +9,7 @@
 import trio
 
 from coltsfoottray.clock import Clock, TrioClock
+from coltsfoottray.daemons.intake import IntakeMonitor, PortPlan
 from coltsfoottray.daemons.listeners import ListenerFactory, SocketListeners
 from coltsfoottray.http import Handler, HttpClient, HttpTransport
 from coltsfoottray.kernel import Kernel, Listener, ServiceName
@@ -121,7 +122,13 @@
     def register_servers(self, handler: Handler) -> None:
         """Register the HTTP and peer servers, after all handlers have been added."""
         factory = self.kernel.find(LISTENERS, ListenerFactory)
-        http = factory.http(self.settings.http, handler)
+        plan = PortPlan(settings=self.settings.limits)
+        http = factory.http(
+            self.settings.http,
+            handler,
+            limits=plan.calls(),
+            observer=IntakeMonitor(port="http"),
+        )
         self.kernel.register(HTTP_SERVER, http)
         peers = factory.peers(self.settings.peers, self.handlers)
         self.kernel.register(PEER_SERVER, peers)
--- a/coltsfoottray/daemons/entry.py
+++ b/coltsfoottray/daemons/entry.py
@@ -8,6 +8,7 @@
 
 from coltsfoottray.claims import ClaimMembers, ClaimMemory, Claims, MemberRow
 from coltsfoottray.daemons.common import HTTP_SERVER, LISTENERS, Daemon
+from coltsfoottray.daemons.intake import IntakeMonitor, PortPlan
 from coltsfoottray.daemons.listeners import ListenerFactory
 from coltsfoottray.entry import BatchApi, CallerApi, EntryApi, OperatorApi
 from coltsfoottray.entry.metrics import LatencyMetrics
@@ -196,7 +197,12 @@
         self.claims.add_handlers(handlers)
         factory = self.kernel.find(LISTENERS, ListenerFactory)
         handler = HttpPeerHandler(handlers=handlers)
-        server = factory.http(self.entry_settings.claims, handler.handle)
+        server = factory.http(
+            self.entry_settings.claims,
+            handler.handle,
+            limits=PortPlan(settings=self.settings.limits).calls(),
+            observer=IntakeMonitor(port="claims"),
+        )
         self.kernel.register(CLAIM_SERVER, server)
 
     def _member_row(self) -> MemberRow:
--- a/coltsfoottray/daemons/job_attendant.py
+++ b/coltsfoottray/daemons/job_attendant.py
@@ -72,7 +72,12 @@
         self.handlers.add(SCHEDULER_ANNOUNCEMENT, reporter.handle_announcement)
         self.register_peer_server()
         handler = HeartbeatHandler(attendant=self.attendant)
-        server = self.listeners.http(settings.heartbeats, handler.handle)
+        server = self.make_server(
+            "heartbeats",
+            settings.heartbeats,
+            handler.handle,
+            self.ports.heartbeats(),
+        )
         self.kernel.register(_HEARTBEATS, server)
         self.kernel.register(_ATTENDANT, self.attendant)
         self.kernel.register(_REPORTER, reporter)
--- a/coltsfoottray/daemons/job_common.py
+++ b/coltsfoottray/daemons/job_common.py
@@ -19,8 +19,16 @@
     TRANSPORT,
 )
 from coltsfoottray.daemons.connections import ConnectionMonitor
+from coltsfoottray.daemons.intake import IntakeMonitor, PortPlan
 from coltsfoottray.daemons.listeners import ListenerFactory, SocketListeners
-from coltsfoottray.http import HttpClient, HttpRequest, HttpResponse, HttpTransport
+from coltsfoottray.http import (
+    Handler,
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    HttpTransport,
+)
+from coltsfoottray.intake import PortLimits
 from coltsfoottray.jobs.members import (
     DirectoryRefresh,
     MemberDirectory,
@@ -29,7 +37,7 @@
 )
 from coltsfoottray.jobs.records import STATE_FORMAT
 from coltsfoottray.jobs.status import JobDaemonStatus
-from coltsfoottray.kernel import Kernel, ServiceName
+from coltsfoottray.kernel import Kernel, Listener, ServiceName
 from coltsfoottray.logs import log_event
 from coltsfoottray.membership import make_incarnation
 from coltsfoottray.metrics import Metrics
@@ -100,6 +108,7 @@
         self.kernel.register(LISTENERS, SocketListeners())
         self.listeners = self.kernel.find(LISTENERS, ListenerFactory)
         self.handlers = CallHandlers()
+        self.ports = PortPlan(settings=settings.limits)
         self.incarnation = make_incarnation(self.clock)
         self.address = settings.peers
 
@@ -123,13 +132,27 @@
     def register_peer_server(self) -> None:
         """Register the server of peer calls, after all handlers have been added."""
         handler = HttpPeerHandler(handlers=self.handlers)
-        server = self.listeners.http(self.address, handler.handle)
+        server = self.make_server(
+            "peers", self.address, handler.handle, self.ports.peers()
+        )
         self.kernel.register(PEER_SERVER, server)
 
+    def make_server(
+        self, port: str, address: Address, handler: Handler, limits: PortLimits
+    ) -> Listener:
+        """Return an HTTP server; `port` is its name for operators."""
+        observer = IntakeMonitor(port=port, metrics=self.metrics)
+        return self.listeners.http(address, handler, limits=limits, observer=observer)
+
     def register_metrics(self) -> None:
         """Register the metrics server if the settings give its address."""
         if self._metrics_address is not None:
-            server = self.listeners.http(self._metrics_address, self._handle_operator)
+            server = self.make_server(
+                "metrics",
+                self._metrics_address,
+                self._handle_operator,
+                self.ports.queries(),
+            )
             self.kernel.register(_METRICS_SERVER, server)
 
     async def _handle_operator(self, request: HttpRequest) -> HttpResponse:
--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -180,9 +180,16 @@
     ) -> None:
         self.kernel.register(_BACKGROUND, self._background_tasks)
         self.register_peer_server()
-        callers = self.listeners.http(settings.callers, ingress.handle)
+        callers = self.make_server(
+            "callers", settings.callers, ingress.handle, self.ports.callers()
+        )
         self.kernel.register(HTTP_SERVER, callers)
-        readiness = self.listeners.http(settings.readiness, self._handle_readiness)
+        readiness = self.make_server(
+            "readiness",
+            settings.readiness,
+            self._handle_readiness,
+            self.ports.queries(),
+        )
         self.kernel.register(_READINESS, readiness)
         self.kernel.register(_CONFIG_MIRROR, self._config_mirror)
         self.kernel.register(_JOBS_MIRROR, self._jobs_mirror)
--- a/coltsfoottray/daemons/listeners.py
+++ b/coltsfoottray/daemons/listeners.py
@@ -5,6 +5,7 @@
 import abc
 
 from coltsfoottray.http import Handler, HttpServer
+from coltsfoottray.intake import IntakeObserver, PortLimits
 from coltsfoottray.kernel import Listener
 from coltsfoottray.peers import CallHandlers
 from coltsfoottray.peers.grpc import GrpcPeerServer
@@ -17,8 +18,15 @@
     """Creates the HTTP and peer servers of a daemon."""
 
     @abc.abstractmethod
-    def http(self, address: Address, handler: Handler) -> Listener:
-        """Return an HTTP server on `address`."""
+    def http(
+        self,
+        address: Address,
+        handler: Handler,
+        *,
+        limits: PortLimits | None = None,
+        observer: IntakeObserver | None = None,
+    ) -> Listener:
+        """Return an HTTP server on `address`; see `HttpServer`."""
 
     @abc.abstractmethod
     def peers(self, address: Address, handlers: CallHandlers) -> Listener:
@@ -28,8 +36,17 @@
 class SocketListeners(ListenerFactory):
     """Creates servers on TCP sockets."""
 
-    def http(self, address: Address, handler: Handler) -> Listener:  # noqa: D102
-        return HttpServer(address=address, handler=handler)
+    def http(  # noqa: D102
+        self,
+        address: Address,
+        handler: Handler,
+        *,
+        limits: PortLimits | None = None,
+        observer: IntakeObserver | None = None,
+    ) -> Listener:
+        return HttpServer(
+            address=address, handler=handler, limits=limits, observer=observer
+        )
 
     def peers(self, address: Address, handlers: CallHandlers) -> Listener:  # noqa: D102
         return GrpcPeerServer(address=address, handlers=handlers)
--- a/coltsfoottray/http/client.py
+++ b/coltsfoottray/http/client.py
@@ -15,6 +15,7 @@
     HttpResponse,
     HttpTransport,
     OnResponseStart,
+    announced_size,
     decode_headers,
     encode_headers,
     read_body,
@@ -63,7 +64,7 @@
             with trio.fail_after(timeout.total_seconds()) as pooled.cancel_scope:
                 await _send_request(pooled, address, request)
                 step = ExchangeStep.RECEIVE
-                response = await _read_response(pooled, on_response_start)
+                response = await _read_response(pooled, request, on_response_start)
         except (
             trio.TooSlowError,
             trio.BrokenResourceError,
@@ -157,7 +158,9 @@
 
 
 async def _read_response(
-    pooled: ClientConnection, on_response_start: OnResponseStart | None
+    pooled: ClientConnection,
+    request: HttpRequest,
+    on_response_start: OnResponseStart | None,
 ) -> HttpResponse:
     event = await read_event(pooled, pooled.connection)
     while isinstance(event, h11.InformationalResponse):
@@ -166,7 +169,9 @@
         raise h11.RemoteProtocolError(f"connection ended before a response: {event!r}")
     if on_response_start is not None:
         on_response_start(event.status_code)
-    body = await read_body(pooled, pooled.connection)
+    # The answer to a HEAD announces a body that does not come.
+    announced = None if request.method == "HEAD" else announced_size(event.headers)
+    body = await read_body(pooled, pooled.connection, announced=announced)
     return HttpResponse(
         status=event.status_code,
         header_by_name=decode_headers(event.headers),
--- a/coltsfoottray/http/common.py
+++ b/coltsfoottray/http/common.py
@@ -26,6 +26,7 @@
     "HttpResponse",
     "HttpTransport",
     "OnResponseStart",
+    "announced_size",
     "extend_deadline",
     "read_event",
     "send_all",
@@ -174,9 +175,14 @@
 
 
 async def read_body(
-    stream: trio.abc.ReceiveStream, connection: h11.Connection
+    stream: trio.abc.ReceiveStream, connection: h11.Connection, *, announced: int | None
 ) -> bytes:
-    """Return the complete body.
+    """Return the complete body of an answer.
+
+    Parameters
+    ----------
+    announced : int, optional
+        Its length in bytes, if its head tells it.
 
     Raises
     ------
@@ -185,22 +191,34 @@
         so that a truncated body is never returned as complete, or if the body is
         larger than `MAX_BODY_BYTES`.
     """
-    chunks: list[bytes] = []
-    size = 0
+    if announced is not None and announced > MAX_BODY_BYTES:
+        raise _too_large()
+    body = bytearray()
     while True:
         event = await read_event(stream, connection)
-        if isinstance(event, h11.Data):
-            size += len(event.data)
-            if size > MAX_BODY_BYTES:
-                raise h11.RemoteProtocolError(
-                    f"body is larger than {MAX_BODY_BYTES} bytes",
-                    error_status_hint=TOO_LARGE,
-                )
-            chunks.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            return b"".join(chunks)
-        else:
+        if isinstance(event, h11.EndOfMessage):
+            return bytes(body)
+        if not isinstance(event, h11.Data):
             raise h11.RemoteProtocolError(f"unexpected {event!r} in the body")
+        if len(body) + len(event.data) > MAX_BODY_BYTES:
+            # Whoever handles the error keeps this frame, and would keep the body.
+            body.clear()
+            raise _too_large()
+        body += event.data
+
+
+def _too_large() -> h11.RemoteProtocolError:
+    return h11.RemoteProtocolError(
+        f"body is larger than {MAX_BODY_BYTES} bytes", error_status_hint=TOO_LARGE
+    )
+
+
+def announced_size(headers: h11._headers.Headers) -> int | None:
+    """Return the length in bytes that a head announces, None if it does not."""
+    for name, value in headers:
+        if name == b"content-length":
+            return int(value)
+    return None
 
 
 def decode_headers(headers: h11._headers.Headers) -> dict[str, str]:
--- a/coltsfoottray/http/problem.py
+++ b/coltsfoottray/http/problem.py
@@ -11,8 +11,11 @@
 
 from coltsfoottray.errors import InputError
 from coltsfoottray.http.common import Handler, HttpRequest, HttpResponse
+from coltsfoottray.intake import RefusalReason, RequestRefused
 
-__all__ = ["Outcome", "Problem", "call_handler"]
+__all__ = ["Outcome", "Problem", "call_handler", "to_problem"]
+
+_RETRY_AFTER = timedelta(seconds=1)
 
 
 class Outcome(enum.Enum):
@@ -20,6 +23,7 @@
 
     INVALID = "invalid"
     TOO_LARGE = "too-large"
+    HEAD_TOO_LARGE = "head-too-large"
     FORBIDDEN = "forbidden"
     NOT_RUN = "refused-not-run"
     UNKNOWN = "outcome-unknown"
@@ -31,6 +35,7 @@
 _STATUS_BY_OUTCOME = {
     Outcome.INVALID: 400,
     Outcome.TOO_LARGE: 413,
+    Outcome.HEAD_TOO_LARGE: 431,
     Outcome.FORBIDDEN: 403,
     Outcome.NOT_RUN: 503,
     Outcome.UNKNOWN: 504,
@@ -76,6 +81,27 @@
         return HttpResponse(status=status, header_by_name=header_by_name, body=body)
 
 
+_OUTCOME_BY_REASON = {
+    RefusalReason.BODY_TOO_LARGE: Outcome.TOO_LARGE,
+    RefusalReason.HEAD_TOO_LARGE: Outcome.HEAD_TOO_LARGE,
+    RefusalReason.MALFORMED: Outcome.INVALID,
+}
+
+
+def to_problem(refused: RequestRefused) -> Problem:
+    """Return the answer to a request that was not taken in.
+
+    Where the same request may be taken in later, an earlier attempt at it may have run,
+    here or elsewhere. The answer therefore does not say that it never runs.
+    """
+    if refused.reason.is_final:
+        outcome = _OUTCOME_BY_REASON[refused.reason]
+        return Problem(outcome=outcome, detail=refused.detail)
+    return Problem(
+        outcome=Outcome.UNKNOWN, detail=refused.detail, retry_after=_RETRY_AFTER
+    )
+
+
 async def call_handler(handler: Handler, request: HttpRequest) -> HttpResponse:
     """Return the handler's response, or status 400 if it raises an `InputError`."""
     try:
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -25,6 +25,7 @@
     "JobAttendantSettings",
     "JobDaemonSettings",
     "JobEntrySettings",
+    "LimitSettings",
     "LogSettings",
     "OverloadSettings",
     "TimingSettings",
@@ -58,6 +59,13 @@
     Field(gt=0),
     BeforeValidator(lambda value: DEFAULT_EVACUATION_MS if value is None else value),
 ]
+# The smallest machine of the users' deployments.
+DEFAULT_MEMORY_MB = 128.0
+OptionalMemory = Annotated[
+    float,
+    Field(gt=0),
+    BeforeValidator(lambda value: DEFAULT_MEMORY_MB if value is None else value),
+]
 OptionalMapping = Annotated[
     dict[str, str], BeforeValidator(lambda value: {} if value is None else value)
 ]
@@ -139,6 +147,39 @@
     file: str | None = None
 
 
+class LimitSettings(_Model):
+    """What a process takes from its clients; docs/design/clients.md explains each.
+
+    Parameters
+    ----------
+    memory_mb : float
+        Memory of the process in MB. Shares of it bound open connections, and the sum
+        of the bodies that arrive or are handled.
+    descriptors : int, optional
+        File descriptors that the platform gives the process. Those that the system
+        allows bound it in any case.
+    connections : int
+        Most connections at one port.
+    job_kb, heartbeat_kb, peer_kb, call_kb : float
+        Largest body in KiB of a caller's job, a worker's heartbeat, a call of another
+        daemon, and any other call that has a body.
+    head_kb : float
+        Largest head of a request in KiB.
+    request_s : float
+        Time in s for a whole request to arrive, and for its answer to leave.
+    """
+
+    memory_mb: OptionalMemory = DEFAULT_MEMORY_MB
+    descriptors: int | None = Field(default=None, gt=0)
+    connections: int = Field(default=1024, ge=4)
+    job_kb: float = Field(default=512.0, gt=0)
+    heartbeat_kb: float = Field(default=4096.0, gt=0)
+    peer_kb: float = Field(default=2048.0, gt=0)
+    call_kb: float = Field(default=8192.0, gt=0)
+    head_kb: float = Field(default=16.0, gt=0)
+    request_s: Seconds = 120.0
+
+
 class DaemonSettings(_Model):
     """Settings that all daemons have in common.
 
@@ -159,6 +200,7 @@
     seeds: list[AddressField] = []
     timing: TimingSettings = TimingSettings()
     log: LogSettings = LogSettings()
+    limits: LimitSettings = LimitSettings()
 
 
 class EntrySettings(DaemonSettings):
@@ -228,6 +270,7 @@
     metrics: OptionalAddress = None
     seeds: list[AddressField] = []
     log: LogSettings = LogSettings()
+    limits: LimitSettings = LimitSettings()
 
 
 class OverloadSettings(_Model):
--- /dev/null
+++ b/tests/clients/ports.feature
@@ -0,0 +1,26 @@
+Feature: Clients outside the limits end no process at any of its ports
+
+  Scenario Outline: Large bodies are announced and not ended at an entry
+    # Guards against a limit at one port that leaves the others.
+    Given an entry process with 300 descriptors
+    When 60 clients announce a body of 8 MB at "<port>" and withhold its last byte
+    Then a request at "<port>" is answered, and the process is within 160 MB
+    And a request at "callers" is answered, and the process is within 160 MB
+
+    Examples:
+      | port      |
+      | readiness |
+      | metrics   |
+      | peers     |
+
+  Scenario Outline: Large bodies are announced and not ended at an attendant
+    # Guards against a limit at one port that leaves the others.
+    Given an attendant process with 300 descriptors
+    When 60 clients announce a body of 8 MB at "<port>" and withhold its last byte
+    Then a request at "<port>" is answered, and the process is within 128 MB
+
+    Examples:
+      | port       |
+      | heartbeats |
+      | peers      |
+      | metrics    |
