Bound the open connections, and let those give way that are waited for longest

Callers saw: no answer, for as long as 500 clients kept connections open that sent nothing, or half a head, to an entry with 300 descriptors. The log got tracebacks outside its structure and limits (355 KB in 60 s).

Cause: connections were accepted until there was no descriptor, also none for the store, readiness and the metrics; then each accept failed, and the others stayed for two minutes.

Change: each port has a number of connections, by its share of the descriptors and of the memory. At the bound the connection is closed whose client has been waited for longest, to send or to receive; a request that is being handled does not give way. If the process has no descriptor all the same, accept does the same and says so in a metric. Who connects and sends a request at once is therefore served, however many stay; and the rest of the descriptors is the process's own.

--- a/coltsfoottray/http/server.py
+++ b/coltsfoottray/http/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 
 import trio
@@ -10,8 +11,11 @@
 from coltsfoottray.http.session import Port, Session
 from coltsfoottray.intake import (
     ByteAccount,
+    ConnectionTable,
     IntakeObserver,
+    OpenConnection,
     PortLimits,
+    RefusalReason,
     SilentObserver,
 )
 from coltsfoottray.kernel import Listener
@@ -23,6 +27,8 @@
 # What the kernel receives for a connection that is not read counts as memory. The
 # kernel doubles this for its own overhead.
 _RECEIVE_BUFFER_BYTES = 64 * 1024
+_NO_CAPACITY = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+_NO_CAPACITY_PAUSE_S = 0.05
 
 
 class HttpServer(Listener):
@@ -56,6 +62,7 @@
             handler=handler,
             limits=limits,
             observer=observer or SilentObserver(),
+            connections=ConnectionTable(limit=limits.connections),
             account=ByteAccount(capacity=limits.held_bytes, now=trio.current_time),
         )
         self.bound_address = address
@@ -73,23 +80,57 @@
         )
         port = listeners[0].socket.getsockname()[1]
         self.bound_address = Address(host=self._address.host, port=port)
-        for listener in listeners:
-            # Accepted connections inherit it.
-            listener.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
-            )
-        task_status.started()
-        await trio.serve_listeners(self._serve, listeners)
+        async with trio.open_nursery() as nursery:
+            for listener in listeners:
+                # Accepted connections inherit it.
+                listener.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+                )
+                nursery.start_soon(self._accept, listener, nursery)
+            task_status.started()
 
     async def stop(self) -> None:
         """Wait until all requests in flight have been answered completely."""
         while self.in_flight:
             await trio.sleep(_DRAIN_POLL_INTERVAL_S)
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
-        session = Session(stream=stream, displace=stream.socket.close, port=self._port)
+    async def _accept(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        async with listener:
+            while True:
+                try:
+                    stream = await listener.accept()
+                except OSError as error:
+                    if error.errno not in _NO_CAPACITY:
+                        raise
+                    await self._make_capacity()
+                    continue
+                self._admit(stream, nursery)
+
+    async def _make_capacity(self) -> None:
+        """Close a connection that waits, since the process can open no other."""
+        self._port.observer.record_refused(RefusalReason.NO_DESCRIPTOR)
+        self._port.connections.displace_longest()
+        await trio.sleep(_NO_CAPACITY_PAUSE_S)
+
+    def _admit(self, stream: trio.SocketStream, nursery: trio.Nursery) -> None:
+        connection = OpenConnection(close=stream.socket.close)
+        if self._port.connections.add(connection):
+            nursery.start_soon(self._serve, stream, connection)
+            return
+        connection.close()
+        self._port.observer.record_refused(RefusalReason.NO_CONNECTION)
+
+    async def _serve(
+        self, stream: trio.SocketStream, connection: OpenConnection
+    ) -> None:
+        session = Session(stream=stream, connection=connection, port=self._port)
         try:
             async with stream:
                 await session.run()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
+            if connection.is_displaced:
+                self._port.observer.record_refused(RefusalReason.DISPLACED)
+        finally:
+            self._port.connections.remove(connection)
--- a/coltsfoottray/http/session.py
+++ b/coltsfoottray/http/session.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
@@ -22,7 +22,9 @@
 from coltsfoottray.http.refusal import as_refused, send_refusal
 from coltsfoottray.intake import (
     ByteAccount,
+    ConnectionTable,
     IntakeObserver,
+    OpenConnection,
     PortLimits,
     RefusalReason,
     RequestRefused,
@@ -44,6 +46,7 @@
     handler: Handler
     limits: PortLimits
     observer: IntakeObserver
+    connections: ConnectionTable
     account: ByteAccount
     in_flight: int = 0
 
@@ -65,14 +68,15 @@
     """Serves the requests of one connection, until it ends or one is refused."""
 
     def __init__(
-        self, *, stream: trio.SocketStream, displace: Callable[[], None], port: Port
+        self, *, stream: trio.SocketStream, connection: OpenConnection, port: Port
     ) -> None:
         self._stream = stream
+        self._connection = connection
         self._port = port
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=port.limits.head_bytes
         )
-        self._holding = port.account.open(displace)
+        self._holding = port.account.open(connection.displace)
         self._reader = RequestReader(
             stream=stream,
             connection=self._protocol,
@@ -95,6 +99,7 @@
         finally:
             self._port.account.close(self._holding)
         self._port.observer.record_refused(refused.reason)
+        self._port.connections.wait_for(self._connection)
         await send_refusal(self._stream, self._protocol, refused)
 
     async def _serve_requests(self) -> None:
@@ -112,7 +117,9 @@
         if request is None:
             return False
         with self._port.handling():
+            self._port.connections.work_for(self._connection)
             response = await self._handle(request)
+            self._port.connections.wait_for(self._connection)
             with trio.move_on_after(self._request_time_s):
                 await self._send(response)
                 return self._protocol.our_state is h11.DONE
--- a/coltsfoottray/intake/__init__.py
+++ b/coltsfoottray/intake/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from coltsfoottray.intake.account import ByteAccount, Holding
+from coltsfoottray.intake.connections import ConnectionTable, OpenConnection
 from coltsfoottray.intake.limits import MachineLimits, PortLimits
 from coltsfoottray.intake.refusals import (
     IntakeObserver,
@@ -13,9 +14,11 @@
 
 __all__ = [
     "ByteAccount",
+    "ConnectionTable",
     "Holding",
     "IntakeObserver",
     "MachineLimits",
+    "OpenConnection",
     "PortLimits",
     "RefusalReason",
     "RequestRefused",
--- a/coltsfoottray/intake/refusals.py
+++ b/coltsfoottray/intake/refusals.py
@@ -20,8 +20,11 @@
     TOO_SLOW = "too-slow"
     NO_MEMORY = "no-memory"
     BUSY = "busy"
+    NO_CONNECTION = "no-connection"
+    """The port has as many connections as it may, and all are at work."""
     DISPLACED = "displaced"
     """Others need the place of a client that has long been waited for."""
+    NO_DESCRIPTOR = "no-descriptor"
 
     @property
     def is_final(self) -> bool:
--- a/tests/http/limits.feature
+++ b/tests/http/limits.feature
@@ -28,6 +28,18 @@
       | a body in chunks of one byte   |
       | a head of 18 lines             |
 
+  Scenario: More clients connect than may
+    # Guards against clients that send nothing and keep the others out.
+    Given a port that takes 5 connections
+    When 8 clients connect, and the last one sends a request
+    Then it is answered, and 3 of the others are closed
+
+  Scenario: All connections are at work
+    # Guards against closing a connection whose request is being handled.
+    Given a port that takes 5 connections
+    When 5 clients wait for an answer, and another one connects
+    Then it is closed, and the 5 are answered
+
   Scenario: More requests come than may be handled
     # Guards against handlers that take all that the process needs for itself.
     Given a port that handles 5 requests at a time
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -117,6 +117,12 @@
     )
 
 
+@given("a port that takes {count:d} connections")
+def limit_connections(context, count):
+    context.is_slow = False
+    context.limits = PortLimits(connections=count)
+
+
 @given("a port that handles {count:d} requests at a time")
 def limit_handlers(context, count):
     context.is_slow = True
@@ -167,3 +173,49 @@
     assert context.last.split()[1] == b"504", context.last
     assert b"retry-after: 1" in context.last.lower(), context.last
     assert set(context.statuses) == {200}, context.statuses
+
+
+async def _is_closed(client):
+    with trio.move_on_after(0.2):
+        return not await _read_all(client)
+    return False
+
+
+@when("{count:d} clients connect, and the last one sends a request")
+def connect_many(context, count):
+    async def script(server):
+        clients = [await _connect(server) for _ in range(count)]
+        await clients[-1].send_all(_ORDINARY)
+        context.status = await _read_status(clients[-1])
+        context.closed = [await _is_closed(client) for client in clients[:-1]]
+
+    _play(context, script)
+
+
+@then("it is answered, and {count:d} of the others are closed")
+def check_displaced(context, count):
+    assert context.status == 200, context.status
+    kept = len(context.closed) - count
+    assert context.closed == [True] * count + [False] * kept, context.closed
+
+
+@when("{count:d} clients wait for an answer, and another one connects")
+def connect_beside(context, count):
+    context.is_slow = True
+
+    async def script(server):
+        clients = [await _connect(server) for _ in range(count)]
+        for client in clients:
+            await client.send_all(_ORDINARY)
+        await _wait_until_seen(context, count)
+        context.is_last_closed = not await _read_all(await _connect(server))
+        context.release.set()
+        context.statuses = [await _read_status(client) for client in clients]
+
+    _play(context, script)
+
+
+@then("it is closed, and the {count:d} are answered")
+def check_kept(context, count):
+    assert context.is_last_closed
+    assert context.statuses == [200] * count, context.statuses
