Handle what is dear to decode in turns, and count steps before they are built

Callers saw: no answer for 9 to 10 s while 200 clients sent jobs of 15,000 empty steps, 45 KB each, all of which were refused; and the end of the process if the jobs had 9,000 (27 KB), or one had 2.6 million, or another daemon's port was sent a job of two million steps or a report of a million runs.

Cause: a step of 3 bytes, in msgpack of 1, becomes hundreds of bytes and takes as long to build as KiB of text to read; it was built before its job was counted, all requests that had arrived were decoded in one go, and jobs of under 10,000 steps were held together, decoded, while the store was asked.

Change: steps are counted before they are built. A body of more than 128 objects or 512 KiB is handled in its turn: one at a time in a process, from its decoding to its answer, and others get as long after it as it took. At most a third of the handlers wait for that, for 1 s; others are told to come back. Calls of daemons have limits of their own: 4 KiB, 160 KiB for the one that holds a job, whose steps are counted undecoded, 2 MiB for the rest. The collector does not look at the wire's steps, which hold no cycle.

--- a/coltsfoottray/daemons/intake.py
+++ b/coltsfoottray/daemons/intake.py
@@ -12,10 +12,12 @@
     MachineLimits,
     PortLimits,
     RefusalReason,
+    Turns,
 )
 from coltsfoottray.intake.limits import KIB
 from coltsfoottray.logs import log_event
 from coltsfoottray.metrics import Metrics
+from coltsfoottray.peers import CallHandlers
 from coltsfoottray.settings import LimitSettings
 
 __all__ = ["IntakeMonitor", "PortPlan"]
@@ -37,6 +39,10 @@
             request_time=timedelta(seconds=settings.request_s),
         )
 
+    def turns(self) -> Turns:
+        """Return the turns of the process; most handlers are left to others."""
+        return Turns(max_waiting=max(1, self.calls().handlers // 3))
+
     def callers(self) -> PortLimits:
         """Return the limits of a port at which callers submit jobs."""
         return self._machine.large_port(_as_bytes(self._settings.job_kb))
@@ -45,9 +51,15 @@
         """Return the limits of a port for workers' heartbeats."""
         return self._machine.large_port(_as_bytes(self._settings.heartbeat_kb))
 
-    def peers(self) -> PortLimits:
+    def peers(self, handlers: CallHandlers) -> PortLimits:
         """Return the limits of a port for the calls of other daemons."""
-        return self._machine.large_port(_as_bytes(self._settings.peer_kb))
+        largest = _as_bytes(self._settings.peer_kb)
+        by_path = {
+            call.path: min(call.max_request_bytes, largest)
+            for call in handlers.handler_by_call
+            if call.max_request_bytes is not None
+        }
+        return self._machine.large_port(largest, by_path)
 
     def calls(self) -> PortLimits:
         """Return the limits of any other port that takes bodies."""
--- a/coltsfoottray/daemons/job_attendant.py
+++ b/coltsfoottray/daemons/job_attendant.py
@@ -71,7 +71,7 @@
         self.handlers.add(ORDERS, self.attendant.handle_orders)
         self.handlers.add(SCHEDULER_ANNOUNCEMENT, reporter.handle_announcement)
         self.register_peer_server()
-        handler = HeartbeatHandler(attendant=self.attendant)
+        handler = HeartbeatHandler(attendant=self.attendant, turns=self.turns)
         server = self.make_server(
             "heartbeats",
             settings.heartbeats,
--- a/coltsfoottray/daemons/job_common.py
+++ b/coltsfoottray/daemons/job_common.py
@@ -109,6 +109,7 @@
         self.listeners = self.kernel.find(LISTENERS, ListenerFactory)
         self.handlers = CallHandlers()
         self.ports = PortPlan(settings=settings.limits)
+        self.turns = self.ports.turns()
         self.incarnation = make_incarnation(self.clock)
         self.address = settings.peers
 
@@ -131,9 +132,9 @@
 
     def register_peer_server(self) -> None:
         """Register the server of peer calls, after all handlers have been added."""
-        handler = HttpPeerHandler(handlers=self.handlers)
+        handler = HttpPeerHandler(handlers=self.handlers, turns=self.turns)
         server = self.make_server(
-            "peers", self.address, handler.handle, self.ports.peers()
+            "peers", self.address, handler.handle, self.ports.peers(self.handlers)
         )
         self.kernel.register(PEER_SERVER, server)
 
--- a/coltsfoottray/daemons/job_entry.py
+++ b/coltsfoottray/daemons/job_entry.py
@@ -156,7 +156,10 @@
             admission=self._make_admission(settings),
         )
         ingress = JobIngress(
-            holder=self.holder, job_api=job_api, spawn=self._background_tasks.spawn
+            holder=self.holder,
+            job_api=job_api,
+            spawn=self._background_tasks.spawn,
+            turns=self.turns,
         )
         self._register_services(settings, ingress)
 
--- a/coltsfoottray/http/problem.py
+++ b/coltsfoottray/http/problem.py
@@ -11,7 +11,7 @@
 
 from coltsfoottray.errors import InputError
 from coltsfoottray.http.common import Handler, HttpRequest, HttpResponse
-from coltsfoottray.intake import RefusalReason, RequestRefused
+from coltsfoottray.intake import IntakeObserver, RefusalReason, RequestRefused
 
 __all__ = ["Outcome", "Problem", "call_handler", "to_problem"]
 
@@ -102,9 +102,18 @@
     )
 
 
-async def call_handler(handler: Handler, request: HttpRequest) -> HttpResponse:
-    """Return the handler's response, or status 400 if it raises an `InputError`."""
+async def call_handler(
+    handler: Handler, request: HttpRequest, observer: IntakeObserver | None = None
+) -> HttpResponse:
+    """Return the handler's response, or that to an error which it raises.
+
+    That is status 400 for an `InputError`. Of a `RequestRefused`, `observer` is told.
+    """
     try:
         return await handler(request)
     except InputError as error:
         return Problem(outcome=Outcome.INVALID, detail=str(error)).to_response()
+    except RequestRefused as refused:
+        if observer is not None:
+            observer.record_refused(refused.reason)
+        return to_problem(refused).to_response()
--- a/coltsfoottray/http/session.py
+++ b/coltsfoottray/http/session.py
@@ -139,7 +139,7 @@
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         try:
-            return await call_handler(self._port.handler, request)
+            return await call_handler(self._port.handler, request, self._port.observer)
         except Exception:
             # An error in one handler must not close the other connections.
             eliot.write_traceback()
--- a/coltsfoottray/intake/__init__.py
+++ b/coltsfoottray/intake/__init__.py
@@ -11,6 +11,7 @@
     RequestRefused,
     SilentObserver,
 )
+from coltsfoottray.intake.turns import Turns
 
 __all__ = [
     "ByteAccount",
@@ -23,4 +24,5 @@
     "RefusalReason",
     "RequestRefused",
     "SilentObserver",
+    "Turns",
 ]
--- a/coltsfoottray/peers/common.py
+++ b/coltsfoottray/peers/common.py
@@ -20,11 +20,22 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Call(Generic[Request, Reply]):
-    """The name of a call with the types of its request and reply."""
+    """The name of a call with the types of its request and reply.
+
+    Parameters
+    ----------
+    max_request_bytes : int, optional
+        Largest request; None for that of the port.
+    check_request : callable, optional
+        Raises `MalformedData` for a request that would be too dear to decode. Called
+        only for large ones.
+    """
 
     name: str
     request_type: type[Request]
     reply_type: type[Reply]
+    max_request_bytes: int | None = None
+    check_request: Callable[[bytes], None] | None = None
 
     @property
     def path(self) -> str:
--- a/coltsfoottray/peers/http.py
+++ b/coltsfoottray/peers/http.py
@@ -13,6 +13,8 @@
 from coltsfoottray.decoding import MalformedData, decode_msgpack
 from coltsfoottray.errors import CommunicationError, ExchangeStep, InputError
 from coltsfoottray.http import HttpRequest, HttpResponse, HttpTransport
+from coltsfoottray.intake import Turns
+from coltsfoottray.intake.turns import is_heavy, weigh_msgpack
 from coltsfoottray.peers.common import Call, CallHandlers, PeerClient, Reply, Request
 from coltsfoottray.types import Address
 
@@ -49,23 +51,36 @@
 
 
 class HttpPeerHandler:
-    """Handles the calls that `HttpPeerClient` makes."""
+    """Handles the calls that `HttpPeerClient` makes.
 
-    def __init__(self, *, handlers: CallHandlers) -> None:
+    Parameters
+    ----------
+    turns : Turns, optional
+        In which large calls are decoded; by default those of this handler.
+    """
+
+    def __init__(self, *, handlers: CallHandlers, turns: Turns | None = None) -> None:
         self._handlers = handlers
+        self._turns = turns or Turns()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle one call; return status 404 if it has no handler."""
         for call, handler in self._handlers.handler_by_call.items():
             if call.path == request.path:
-                message = _decode(request, call)
+                weight = weigh_msgpack(request.body)
+                async with self._turns.turn(weight):
+                    message = _decode(request, call, is_large=is_heavy(weight))
                 reply = await handler(message)
                 return HttpResponse(status=200, body=msgspec.msgpack.encode(reply))
         return HttpResponse(status=404)
 
 
-def _decode(request: HttpRequest, call: Call[Request, Reply]) -> Request:
+def _decode(
+    request: HttpRequest, call: Call[Request, Reply], *, is_large: bool
+) -> Request:
     try:
+        if is_large and call.check_request is not None:
+            call.check_request(request.body)
         return decode_msgpack(request.body, call.request_type)
     except MalformedData as error:
         raise InputError(
--- a/coltsfoottray/platform/heartbeats.py
+++ b/coltsfoottray/platform/heartbeats.py
@@ -8,6 +8,8 @@
 
 from coltsfoottray.agent.attendant import TaskAttendant
 from coltsfoottray.http import HttpRequest, HttpResponse
+from coltsfoottray.intake import Turns
+from coltsfoottray.intake.turns import weigh_json
 from coltsfoottray.logs import log_event
 from coltsfoottray.platform.instance import parse_heartbeat
 
@@ -17,10 +19,17 @@
 
 
 class HeartbeatHandler:
-    """Passes heartbeats and deregistrations on to the attendant."""
+    """Passes heartbeats and deregistrations on to the attendant.
 
-    def __init__(self, *, attendant: TaskAttendant) -> None:
+    Parameters
+    ----------
+    turns : Turns, optional
+        In which large heartbeats are decoded; by default those of this handler.
+    """
+
+    def __init__(self, *, attendant: TaskAttendant, turns: Turns | None = None) -> None:
         self._attendant = attendant
+        self._turns = turns or Turns()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to one heartbeat or deregistration."""
@@ -31,7 +40,8 @@
         if action == "deregister":
             self._attendant.handle_deregistration(instance)
             return HttpResponse.of_json({})
-        heartbeat = parse_heartbeat(instance, request.body)
+        async with self._turns.turn(weigh_json(request.body)):
+            heartbeat = parse_heartbeat(instance, request.body)
         if isinstance(heartbeat, Failure):
             log_event(
                 "worker:heartbeat-unreadable",
--- a/coltsfoottray/platform/ingress.py
+++ b/coltsfoottray/platform/ingress.py
@@ -13,6 +13,8 @@
 from coltsfoottray.clock import as_duration
 from coltsfoottray.errors import InputError
 from coltsfoottray.http import HttpRequest, HttpResponse
+from coltsfoottray.intake import Turns
+from coltsfoottray.intake.turns import weigh_json
 from coltsfoottray.jobs.api import JobAnswer, JobApi, Verdict
 from coltsfoottray.jobs.config import ConfigHolder, Queue
 from coltsfoottray.jobs.model import (
@@ -43,7 +45,7 @@
 _Amount = Annotated[float, msgspec.Meta(ge=0)]
 
 
-class _Step(msgspec.Struct):
+class _Step(msgspec.Struct, gc=False):
     count: _Count = 1
     cpu: _Amount = 0.0  # millicores
     memoryLimitMb: _Amount = 0.0  # noqa: N815  reserved for each task
@@ -81,6 +83,8 @@
     ----------
     spawn : callable
         Starts an async function in the background.
+    turns : Turns, optional
+        In which large jobs are decoded; by default those of this handler.
     """
 
     def __init__(
@@ -89,10 +93,12 @@
         holder: ConfigHolder,
         job_api: JobApi,
         spawn: Callable[[Callable[[], Awaitable[None]]], None],
+        turns: Turns | None = None,
     ) -> None:
         self._holder = holder
         self._job_api = job_api
         self._spawn = spawn
+        self._turns = turns or Turns()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to one request."""
@@ -114,8 +120,12 @@
     ) -> HttpResponse:
         deadline = _deadline(request, queue)
         if request.method == "POST":
-            spec = _parse_job(request)
-            answer = await self._job_api.submit(queue, job_id, spec, deadline=deadline)
+            # Until the answer: a large job is held as long as the store takes.
+            async with self._turns.turn(weigh_json(request.body)):
+                spec = _parse_job(request)
+                answer = await self._job_api.submit(
+                    queue, job_id, spec, deadline=deadline
+                )
             if answer.verdict is Verdict.DONE:
                 self._spawn(lambda: self._job_api.notify_scheduler(job_id))
             return _as_response(answer)
@@ -137,6 +147,14 @@
 
 def _parse_job(request: HttpRequest) -> JobSpec:
     wire = request.decode(_Job)
+    # Counted first: to build a step takes many times as long as to read it.
+    tasks = sum(max(1, step.count) for step in wire.steps)
+    if tasks > MAX_TASKS:
+        raise InputError(
+            field="steps",
+            value=f"{tasks} tasks",
+            expected=f"at most {MAX_TASKS} tasks",
+        )
     for number, step in enumerate(wire.steps):
         if step.count < 1:
             raise InputError(
@@ -156,18 +174,11 @@
             first_ms=wire.firstRunMs,
             interval_ms=wire.intervalMs,
         )
-    spec = JobSpec(
+    return JobSpec(
         payload=wire.spec,
         steps=[_as_step(step) for step in wire.steps],
         repetition=repetition,
     )
-    if spec.tasks > MAX_TASKS:
-        raise InputError(
-            field="steps",
-            value=f"{spec.tasks} tasks",
-            expected=f"at most {MAX_TASKS} tasks",
-        )
-    return spec
 
 
 def _as_step(step: _Step) -> StepSpec:
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -6,8 +6,9 @@
 
 from coltsfoottray.agent.pressure import Pressure, ServiceMargin
 from coltsfoottray.agent.worker import EndKind, Refusal, RunEnd, RunStatus
+from coltsfoottray.decoding import MalformedData, decode_msgpack
 from coltsfoottray.jobs.evacuations import EvacuationNotice
-from coltsfoottray.jobs.model import AcceptedJob, JobId, RunRef
+from coltsfoottray.jobs.model import MAX_TASKS, AcceptedJob, JobId, RunRef
 from coltsfoottray.jobs.records import JobState
 from coltsfoottray.overload.backlog import Backlog
 from coltsfoottray.peers import Call
@@ -39,6 +40,13 @@
 ]
 
 
+# Ids and addresses.
+_SMALL_REQUEST_BYTES = 4096
+# One job, of which the store takes 48,000 bytes as JSON; numbers take up to three times
+# as much in msgpack.
+_NOTIFICATION_BYTES = 160 * 1024
+
+
 class StartOrder(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """An order to start a run on a worker.
 
@@ -267,6 +275,36 @@
     backlog_version: int | None = None
 
 
+class _StepsOutline(msgspec.Struct):
+    """The steps of a job, not decoded."""
+
+    steps: list[msgspec.Raw]
+
+
+class _JobOutline(msgspec.Struct):
+    spec: _StepsOutline
+
+
+class _NotificationOutline(msgspec.Struct):
+    accepted: list[_JobOutline] = msgspec.field(default_factory=list)
+
+
+def _check_notification(body: bytes) -> None:
+    """Count the steps of the jobs in a notification.
+
+    An empty step is one byte, and takes hundreds once it is decoded.
+
+    Raises
+    ------
+    MalformedData
+        If there are more than any job has.
+    """
+    outline = decode_msgpack(body, _NotificationOutline)
+    steps = sum(len(job.spec.steps) for job in outline.accepted)
+    if steps > MAX_TASKS:
+        raise MalformedData(detail=f"got {steps} steps, expected at most {MAX_TASKS}")
+
+
 class Acknowledged(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Acknowledges a call.
 
@@ -331,11 +369,28 @@
 
 REPORT = Call(name="Report", request_type=Report, reply_type=ReportReply)
 SCHEDULER_ANNOUNCEMENT = Call(
-    name="Hello", request_type=SchedulerAnnouncement, reply_type=Acknowledged
+    name="Hello",
+    request_type=SchedulerAnnouncement,
+    reply_type=Acknowledged,
+    max_request_bytes=_SMALL_REQUEST_BYTES,
 )
 ORDERS = Call(name="Orders", request_type=Orders, reply_type=Acknowledged)
 JOB_NOTIFICATION = Call(
-    name="Tell", request_type=JobNotification, reply_type=Acknowledged
+    name="Tell",
+    request_type=JobNotification,
+    reply_type=Acknowledged,
+    max_request_bytes=_NOTIFICATION_BYTES,
+    check_request=_check_notification,
+)
+STATE = Call(
+    name="State",
+    request_type=StateQuery,
+    reply_type=StateReply,
+    max_request_bytes=_SMALL_REQUEST_BYTES,
+)
+PING = Call(
+    name="Ping",
+    request_type=Ping,
+    reply_type=PingReply,
+    max_request_bytes=_SMALL_REQUEST_BYTES,
 )
-STATE = Call(name="State", request_type=StateQuery, reply_type=StateReply)
-PING = Call(name="Ping", request_type=Ping, reply_type=PingReply)
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -458,7 +458,7 @@
         observer: IntakeObserver | None = None,
     ) -> Listener:
         async def serve(request: HttpRequest) -> HttpResponse:
-            return await call_handler(handler, request)
+            return await call_handler(handler, request, observer)
 
         return _MemoryListener(self._fabric, self._process, address, serve, limits)
 
--- a/tests/clients/callers.feature
+++ b/tests/clients/callers.feature
@@ -18,6 +18,21 @@
     When 60 clients announce a body of 4000 MB at "callers" and send 9 MB
     Then a request at "callers" is answered, and the process is within 160 MB
 
+  Scenario: A body holds more steps than any job
+    # Guards against building each of millions of steps before they are counted.
+    When 1 client sends a job of 2600000 empty steps at "callers"
+    Then a request at "callers" is answered, and the process is within 160 MB
+
+  Scenario: Many bodies hold more steps than any job
+    # Guards against a process that is busy with refusing, and against its memory.
+    When 200 clients send a job of 15000 empty steps at "callers"
+    Then a request at "callers" is answered, and the process is within 160 MB
+
+  Scenario: Many bodies hold nearly as many steps as any job may
+    # Guards against decoded jobs that are held together until they are refused.
+    When 200 clients send a job of 9000 empty steps at "callers"
+    Then a request at "callers" is answered, and the process is within 160 MB
+
   Scenario: Many bodies as large as any that is accepted come at once
     # Guards against a limit of each body that is none for their sum.
     When 250 clients announce a body of 0.25 MB at "callers" and withhold its last byte
--- a/tests/clients/ports.feature
+++ b/tests/clients/ports.feature
@@ -24,3 +24,15 @@
       | heartbeats |
       | peers      |
       | metrics    |
+
+  Scenario: A call of a peer holds more steps than any job
+    # Guards against building what a byte each stands for before it is counted.
+    Given an entry process with 300 descriptors
+    When 1 client tells at "peers" of a job of 2000000 empty steps
+    Then a request at "callers" is answered, and the process is within 160 MB
+
+  Scenario: A call of a peer holds more runs than any worker
+    # Guards against a message whose elements take many times their bytes.
+    Given an entry process with 300 descriptors
+    When 1 client reports 1000000 runs at "peers"
+    Then a request at "callers" is answered, and the process is within 160 MB
