Bound what the gRPC port receives, and its connections

Callers saw: the end of an entry of the product's own (role entry) after 500 connections that sent nothing, with 300 descriptors: it ended by itself. And the end by memory: one call with a message of 200 MB took 513 MB, 40 calls of 4 MB without their last byte 264 MB.

Cause: grpclib receives a message of whatever length its prefix announces, and gives the client a window of 4 MiB for each connection; asyncio accepts without a bound, and the error at the first accept without a descriptor ends the loop, and with it the process.

Change: the prefix is read and checked, and its length charged to an account, before any of the message is received; a message has 120 s. Windows are 64 KiB. Connections are entered into the same table as those of the HTTP ports. What is refused is answered RESOURCE_EXHAUSTED.

--- a/coltsfoottray/daemons/common.py
+++ b/coltsfoottray/daemons/common.py
@@ -130,5 +130,10 @@
             observer=IntakeMonitor(port="http"),
         )
         self.kernel.register(HTTP_SERVER, http)
-        peers = factory.peers(self.settings.peers, self.handlers)
+        peers = factory.peers(
+            self.settings.peers,
+            self.handlers,
+            limits=plan.calls(),
+            observer=IntakeMonitor(port="peers"),
+        )
         self.kernel.register(PEER_SERVER, peers)
--- a/coltsfoottray/daemons/listeners.py
+++ b/coltsfoottray/daemons/listeners.py
@@ -29,7 +29,14 @@
         """Return an HTTP server on `address`; see `HttpServer`."""
 
     @abc.abstractmethod
-    def peers(self, address: Address, handlers: CallHandlers) -> Listener:
+    def peers(
+        self,
+        address: Address,
+        handlers: CallHandlers,
+        *,
+        limits: PortLimits | None = None,
+        observer: IntakeObserver | None = None,
+    ) -> Listener:
         """Return a server of peer calls on `address`."""
 
 
@@ -48,5 +55,14 @@
             address=address, handler=handler, limits=limits, observer=observer
         )
 
-    def peers(self, address: Address, handlers: CallHandlers) -> Listener:  # noqa: D102
-        return GrpcPeerServer(address=address, handlers=handlers)
+    def peers(  # noqa: D102
+        self,
+        address: Address,
+        handlers: CallHandlers,
+        *,
+        limits: PortLimits | None = None,
+        observer: IntakeObserver | None = None,
+    ) -> Listener:
+        return GrpcPeerServer(
+            address=address, handlers=handlers, limits=limits, observer=observer
+        )
--- a/coltsfoottray/peers/grpc.py
+++ b/coltsfoottray/peers/grpc.py
@@ -13,12 +13,14 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError, StreamTerminatedError
-from grpclib.server import Server, Stream
+from grpclib.server import Stream
 
 from coltsfoottray.decoding import decode_msgpack
 from coltsfoottray.errors import CommunicationError, ExchangeStep
+from coltsfoottray.intake import IntakeObserver, PortLimits, SilentObserver
 from coltsfoottray.kernel import Listener, Service
 from coltsfoottray.peers.common import Call, CallHandlers, PeerClient, Reply, Request
+from coltsfoottray.peers.grpc_intake import GrpcIntake, LimitedServer
 from coltsfoottray.types import Address
 
 __all__ = ["GrpcPeerClient", "GrpcPeerServer"]
@@ -41,13 +43,14 @@
 class _Servable:
     """Adapts `CallHandlers` to the interface that grpclib expects of a service."""
 
-    def __init__(self, handlers: CallHandlers) -> None:
+    def __init__(self, handlers: CallHandlers, intake: GrpcIntake) -> None:
         self._handlers = handlers
+        self._intake = intake
 
     def __mapping__(self) -> dict[str, Handler]:
         return {
             call.path: Handler(
-                _make_stream_handler(handler),
+                _make_stream_handler(handler, self._intake),
                 Cardinality.UNARY_UNARY,
                 call.request_type,
                 call.reply_type,
@@ -57,13 +60,14 @@
 
 
 def _make_stream_handler(
-    handler: Callable[[Any], Awaitable[Any]],
+    handler: Callable[[Any], Awaitable[Any]], intake: GrpcIntake
 ) -> Callable[[Stream[Any, Any]], Awaitable[None]]:
     """Return a grpclib handler that runs `handler` under trio."""
     run_under_trio = trio_asyncio.trio_as_aio(handler)
 
     async def serve(stream: Stream[Any, Any]) -> None:
-        request = await stream.recv_message()
+        async with intake.receive(stream) as data:
+            request = _MsgpackCodec().decode(data, stream._recv_type)
         await stream.send_message(await run_under_trio(request))
 
     return serve
@@ -74,18 +78,39 @@
 
     With port 0 the system selects a free port; `bound_address` holds the actual
     address.
+
+    Parameters
+    ----------
+    limits : PortLimits, optional
+        What it takes from its clients.
+    observer : IntakeObserver, optional
+        Is told of clients that are turned away.
     """
 
-    def __init__(self, *, address: Address, handlers: CallHandlers) -> None:
+    def __init__(
+        self,
+        *,
+        address: Address,
+        handlers: CallHandlers,
+        limits: PortLimits | None = None,
+        observer: IntakeObserver | None = None,
+    ) -> None:
         self._address = address
         self._handlers = handlers
+        self._intake = GrpcIntake(
+            limits=limits or PortLimits(), observer=observer or SilentObserver()
+        )
         self.bound_address = address
 
     async def run(  # noqa: D102
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         async with trio_asyncio.open_loop():
-            server = Server([_Servable(self._handlers)], codec=_MsgpackCodec())
+            server = LimitedServer(
+                [_Servable(self._handlers, self._intake)],
+                codec=_MsgpackCodec(),
+                intake=self._intake,
+            )
             start = trio_asyncio.aio_as_trio(server.start)
             await start(self._address.host, self._address.port)
             sockets = server._server.sockets  # type: ignore[union-attr]
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -462,7 +462,14 @@
 
         return _MemoryListener(self._fabric, self._process, address, serve, limits)
 
-    def peers(self, address: Address, handlers: CallHandlers) -> Listener:
+    def peers(
+        self,
+        address: Address,
+        handlers: CallHandlers,
+        *,
+        limits: PortLimits | None = None,
+        observer: IntakeObserver | None = None,
+    ) -> Listener:
         async def serve(message: tuple[Call[Any, Any], Any]) -> Any:
             call, request = message
             return await handlers.handler_by_call[call](request)
