Bound the answers of workers, and count their rows before they are decoded

Callers saw: nothing yet; found by asking what else is input. A worker, or who answers in its stead, could end its attendant with one answer of 8 MB.

Cause: each answer could have 8 MiB, and a row of 2 bytes becomes a list of some 60.

Change: a request names the largest answer that its sender takes: 64 KiB to an order, 4 MiB for the lists of a worker's runs, 1 MiB for advice, 8 MiB else. Rows are counted before they are decoded: at most 50,000.

--- a/coltsfoottray/http/client.py
+++ b/coltsfoottray/http/client.py
@@ -171,7 +171,12 @@
         on_response_start(event.status_code)
     # The answer to a HEAD announces a body that does not come.
     announced = None if request.method == "HEAD" else announced_size(event.headers)
-    body = await read_body(pooled, pooled.connection, announced=announced)
+    body = await read_body(
+        pooled,
+        pooled.connection,
+        announced=announced,
+        limit=request.max_answer_bytes,
+    )
     return HttpResponse(
         status=event.status_code,
         header_by_name=decode_headers(event.headers),
--- a/coltsfoottray/http/common.py
+++ b/coltsfoottray/http/common.py
@@ -47,12 +47,19 @@
 
 @dataclass(frozen=True, kw_only=True)
 class HttpRequest:
-    """A complete request; header names are in lower case."""
+    """A complete request; header names are in lower case.
+
+    Parameters
+    ----------
+    max_answer_bytes : int
+        Largest body of an answer that its sender takes.
+    """
 
     method: str
     target: str
     header_by_name: Headers = field(default_factory=dict)
     body: bytes = b""
+    max_answer_bytes: int = MAX_BODY_BYTES
 
     @property
     def path(self) -> str:
@@ -175,7 +182,11 @@
 
 
 async def read_body(
-    stream: trio.abc.ReceiveStream, connection: h11.Connection, *, announced: int | None
+    stream: trio.abc.ReceiveStream,
+    connection: h11.Connection,
+    *,
+    announced: int | None,
+    limit: int,
 ) -> bytes:
     """Return the complete body of an answer.
 
@@ -183,16 +194,18 @@
     ----------
     announced : int, optional
         Its length in bytes, if its head tells it.
+    limit : int
+        Largest length in bytes.
 
     Raises
     ------
     h11.RemoteProtocolError
         If the peer closes the connection before the announced length is received,
         so that a truncated body is never returned as complete, or if the body is
-        larger than `MAX_BODY_BYTES`.
+        larger than `limit`.
     """
-    if announced is not None and announced > MAX_BODY_BYTES:
-        raise _too_large()
+    if announced is not None and announced > limit:
+        raise _too_large(limit)
     body = bytearray()
     while True:
         event = await read_event(stream, connection)
@@ -200,16 +213,16 @@
             return bytes(body)
         if not isinstance(event, h11.Data):
             raise h11.RemoteProtocolError(f"unexpected {event!r} in the body")
-        if len(body) + len(event.data) > MAX_BODY_BYTES:
+        if len(body) + len(event.data) > limit:
             # Whoever handles the error keeps this frame, and would keep the body.
             body.clear()
-            raise _too_large()
+            raise _too_large(limit)
         body += event.data
 
 
-def _too_large() -> h11.RemoteProtocolError:
+def _too_large(limit: int) -> h11.RemoteProtocolError:
     return h11.RemoteProtocolError(
-        f"body is larger than {MAX_BODY_BYTES} bytes", error_status_hint=TOO_LARGE
+        f"body is larger than {limit} bytes", error_status_hint=TOO_LARGE
     )
 
 
--- a/coltsfoottray/platform/advice.py
+++ b/coltsfoottray/platform/advice.py
@@ -21,6 +21,10 @@
 _SLACK = timedelta(seconds=1)
 
 
+# Of up to 100 workers, each with a ticket.
+_MAX_ANSWER_BYTES = 1024 * 1024
+
+
 class _Answer(msgspec.Struct):
     # Each row holds a worker's id and its ticket.
     allowed: list[list[str]] = msgspec.field(default_factory=list)
@@ -49,6 +53,7 @@
             target="/v1/advise",
             header_by_name={"content-type": "application/json"},
             body=msgspec.json.encode(body),
+            max_answer_bytes=_MAX_ANSWER_BYTES,
         )
         expected = as_duration(terms.decision_ms + terms.per_worker_ms * len(lives))
         response = await self._transport.send(
--- a/coltsfoottray/platform/instance.py
+++ b/coltsfoottray/platform/instance.py
@@ -38,6 +38,11 @@
 _MILLICORES_PER_CORE = 1000.0
 _REPLACED = 421
 _UNHEALTHY = (429, 503)
+# Largest answers in bytes: to an order, and with the lists of runs.
+_MAX_ORDER_ANSWER = 64 * 1024
+_MAX_LISTS_ANSWER = 4 * 1024 * 1024
+# Many times as many rows as runs that a worker has room for, and ends in a reply.
+_MAX_ROWS = 50_000
 _MAX_ENDS_PER_REPLY = 500
 _FULL_PERCENT = 100.0
 # A latency of eleven days in ms, a million processors in thousandths of one.
@@ -123,9 +128,16 @@
         }
         if lease_end_ms:
             body["untilMs"] = lease_end_ms
-        response = await self._post(heartbeat, "/v1/hold", body, ORDER_TIMEOUT + wait)
+        response = await self._post(
+            heartbeat,
+            "/v1/hold",
+            body,
+            ORDER_TIMEOUT + wait,
+            max_answer_bytes=_MAX_LISTS_ANSWER,
+        )
         if response.status != 200:
             raise _failed(heartbeat, f"status {response.status}")
+        _check_rows(heartbeat, response.body)
         lists = _decode(heartbeat, response, _RunLists)
         return PollReply(
             clock=ClockReading(
@@ -202,7 +214,13 @@
             )
 
     async def _post(
-        self, heartbeat: Heartbeat, path: str, body: object, timeout: timedelta
+        self,
+        heartbeat: Heartbeat,
+        path: str,
+        body: object,
+        timeout: timedelta,
+        *,
+        max_answer_bytes: int = _MAX_ORDER_ANSWER,
     ) -> HttpResponse:
         request = HttpRequest(
             method="POST",
@@ -212,6 +230,7 @@
                 "expect-instance": heartbeat.life.split("/")[0],
             },
             body=msgspec.json.encode(body),
+            max_answer_bytes=max_answer_bytes,
         )
         response = await self._transport.send(
             heartbeat.address, request, timeout=timeout
@@ -294,6 +313,13 @@
     )
 
 
+def _check_rows(heartbeat: Heartbeat, body: bytes) -> None:
+    """Count what takes many times its bytes once it is decoded."""
+    rows = body.count(b"[") + body.count(b"{")
+    if rows > _MAX_ROWS:
+        raise _failed(heartbeat, f"got {rows} rows, expected at most {_MAX_ROWS}")
+
+
 def _as_status(heartbeat: Heartbeat, row: Sequence[object]) -> RunStatus:
     try:
         task, run, checkpoint, percent, *rest = row
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -311,7 +311,7 @@
             else:
                 listener.accept(message, pending)
             await pending.done.wait()
-            if self._record_size(message, pending.reply) > MAX_BODY_BYTES:
+            if self._record_size(message, pending.reply) > _max_answer(message):
                 raise CommunicationError(
                     step=ExchangeStep.RECEIVE,
                     peer=str(address),
@@ -350,6 +350,12 @@
     return len(message.body) if is_http else 0
 
 
+def _max_answer(message: Any) -> int:
+    """Return the size in bytes of the largest reply to a message."""
+    is_http = isinstance(message, HttpRequest)
+    return message.max_answer_bytes if is_http else MAX_BODY_BYTES
+
+
 @dataclass(kw_only=True)
 class _Pending:
     """An exchange that waits for its reply."""
