Soak: crowds of clients outside the limits

Afterwards the program must live (as always) and must not have held more than 160 MB, the smallest machine of an entry.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from soak.crowds import send_crowd
 from soak.foreign import send_report, store_row
 from soak.plan import Fault, FaultKind
 from soak.site import Site
@@ -81,6 +82,10 @@
         elif fault.kind is FaultKind.PROGRAM_GONE:
             program.is_gone = True
             await program.kill(0.0)
+        elif fault.kind is FaultKind.PROGRAM_CROWD:
+            address, path = self.site.way_in(fault.target, fault.count)
+            await send_crowd(address, path, fault.count, fault.duration_s)
+            program.check_memory()
         else:
             await program.pause(fault.duration_s)
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -39,6 +39,7 @@
     STORE_REFUSED_ROWS = "store-refused-rows"
     STORE_FOREIGN_ROW = "store-foreign-row"
     WORKER_FOREIGN_REPORT = "worker-foreign-report"
+    PROGRAM_CROWD = "program-crowd"
 
     @property
     def is_permanent(self) -> bool:
@@ -52,7 +53,7 @@
 
 
 # How often each kind is drawn, in the order of `FaultKind`.
-_WEIGHTS = (4, 4, 3, 1, 2, 1, 2, 2, 2, 1, 2, 1, 2, 2, 1, 1, 4, 3, 3, 3)
+_WEIGHTS = (4, 4, 3, 1, 2, 1, 2, 2, 2, 1, 2, 1, 2, 2, 1, 1, 4, 3, 3, 3, 4)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -17,6 +17,8 @@
 _POLL_INTERVAL_S = 0.02
 # Longer than a graceful shutdown takes; the users' platform kills a process after it.
 _GRACE_S = 10.0
+# The smallest machine of an entry in the users' deployments.
+_MAX_MEMORY_MB = 160.0
 # A signal that arrives before the process handles it ends it with minus its number.
 _USUAL_STATUSES = (0, -signal.SIGKILL, -signal.SIGTERM)
 
@@ -95,6 +97,16 @@
         await trio.sleep(duration_s)
         self.resume()
 
+    def check_memory(self) -> None:
+        """Record a violation if the process has held more than its machine has."""
+        if self._process is None or not self._is_running():
+            return
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        peak = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+        memory_mb = int(peak.split()[1]) * 1024 / 1e6
+        if memory_mb > _MAX_MEMORY_MB:
+            self.violations.append(f"{self.name} has held {memory_mb:.0f} MB")
+
     def resume(self) -> None:
         """Let a paused process continue."""
         self._send(signal.SIGCONT)
--- a/soak/site.py
+++ b/soak/site.py
@@ -143,6 +143,18 @@
         """Return where a worker's attendant takes heartbeats."""
         return self.address(worker, _HEARTBEATS)
 
+    def way_in(self, name: str, number: int) -> tuple[Address, str]:
+        """Return an address at which a program takes messages, and a path there."""
+        ports = (
+            (_PEERS, "/coltsfoottray.Peers/Report"),
+            (_METRICS, "/status"),
+            (CALLERS, f"{PATH}00000000000000ff")
+            if name in ENTRIES
+            else (_HEARTBEATS, "/v1/instances/i-9/heartbeat"),
+        )
+        port, path = ports[number % len(ports)]
+        return self.address(name, port), path
+
     def write_config(self) -> None:
         """Write a new version of the config, as an operator does."""
         version = next(self._versions)
