Settings: an empty section of limits is the default

Cause: a template leaves values empty that a deployment does not name, and `limits:` with nothing under it was refused, so that the daemon would not start. Found by writing the test of the section, which had none.

Change: as for the section of overload. Bad values are named with their line.

--- a/coltsfoottray/peers/http.py
+++ b/coltsfoottray/peers/http.py
@@ -68,6 +68,7 @@
         for call, handler in self._handlers.handler_by_call.items():
             if call.path == request.path:
                 weight = weigh_msgpack(request.body)
+                # Not until it is answered: a relayed call waits for the store.
                 async with self._turns.turn(weight):
                     message = _decode(request, call, is_large=is_heavy(weight))
                 reply = await handler(message)
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -180,6 +180,11 @@
     request_s: Seconds = 120.0
 
 
+OptionalLimits = Annotated[
+    LimitSettings, BeforeValidator(lambda value: {} if value is None else value)
+]
+
+
 class DaemonSettings(_Model):
     """Settings that all daemons have in common.
 
@@ -200,7 +205,7 @@
     seeds: list[AddressField] = []
     timing: TimingSettings = TimingSettings()
     log: LogSettings = LogSettings()
-    limits: LimitSettings = LimitSettings()
+    limits: OptionalLimits = LimitSettings()
 
 
 class EntrySettings(DaemonSettings):
@@ -270,7 +275,7 @@
     metrics: OptionalAddress = None
     seeds: list[AddressField] = []
     log: LogSettings = LogSettings()
-    limits: LimitSettings = LimitSettings()
+    limits: OptionalLimits = LimitSettings()
 
 
 class OverloadSettings(_Model):
--- a/tests/settings/bad_input.feature
+++ b/tests/settings/bad_input.feature
@@ -66,3 +66,37 @@
       """
     When the file is checked
     Then it is refused with "8: overload.order: " and "'deadline' or 'least-cost'"
+
+  Scenario: A deployment names no limits of its machines, or wrong ones
+    # Guards against daemons that do not start where a template has nothing to fill in,
+    # and against limits that no request could meet.
+    Given a settings file with these lines
+      """
+      role: job-attendant
+      name: side-1
+      data_centre: caerdydd
+      heartbeats: 127.0.0.1:1
+      peers: 127.0.0.1:3
+      table: 127.0.0.1:4
+      limits:
+        memory_mb:
+        descriptors:
+      """
+    Then the file is accepted with 128 MB
+    Given a settings file with these lines
+      """
+      role: job-attendant
+      name: side-1
+      data_centre: caerdydd
+      heartbeats: 127.0.0.1:1
+      peers: 127.0.0.1:3
+      table: 127.0.0.1:4
+      limits:
+        memory_mb: -1
+        descriptors: 0
+        job_mb: 3
+      """
+    When the file is checked
+    Then it is refused with "8: limits.memory_mb: " and "greater than 0"
+    And it is refused with "9: limits.descriptors: " and "greater than 0"
+    And it is refused with "10: limits.job_mb: unknown key" and "did you mean 'job_kb'?"
--- a/tests/steps/input_steps.py
+++ b/tests/steps/input_steps.py
@@ -23,6 +23,12 @@
     context.errors = [str(e) for e in load_settings(context.path).failure()]
 
 
+@then("the file is accepted with {size:g} MB")
+def check_memory(context, size):
+    settings = load_settings(context.path).unwrap()
+    assert settings.limits.memory_mb == size, settings.limits
+
+
 @when("the trace is loaded")
 def check_trace(context):
     context.errors = [str(e) for e in load_trace(context.path).failure()]
