Bound what the scheduler keeps of reports of workers that hold nothing

Callers saw: the end of the entry that schedules, after some fifteen messages inside every limit: reports of made-up workers that list 30,000 runs each. Found by asking what stays behind a message.

Cause: whoever reaches the peers' port can report as any worker, and a worker that was reported once is kept with all that it lists, some 4 KB and 300 bytes a run.

Change: beyond 10,000 workers no new one is taken; of workers that hold no run, 50,000 listed runs in all and 20,000 characters of labels each. A worker that holds runs is always heard, and nothing is refused before the records are loaded, when it is not known yet which runs are expected where. The turns of calls end with their decoding, as before.

Ruled out: to forget the worker that was heard of longest ago. Its session and its leases are what tells an order of an earlier scheduler from a valid one, and nothing here shows that they may go. So a crowd that has reported first keeps new workers out until the next take-over: open.

--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -41,6 +41,7 @@
 from coltsfoottray.scheduler.planner import Planner
 from coltsfoottray.scheduler.pressure_feed import PressureFeed
 from coltsfoottray.scheduler.relocation import Relocator
+from coltsfoottray.scheduler.report_limits import check_report
 from coltsfoottray.scheduler.restore import LoadCost, StoredState
 from coltsfoottray.scheduler.round_metrics import RoundMetrics
 from coltsfoottray.scheduler.round_timer import RoundTimer
@@ -162,7 +163,16 @@
     # Queries and notifications. None of them changes the cluster state.
 
     def handle_report(self, report: Report) -> ReportReply:
-        """Queue a report for the next round; reply with a lease and missing orders."""
+        """Queue a report for the next round; reply with a lease and missing orders.
+
+        Raises
+        ------
+        RequestRefused
+            If there is no room for what would be kept of it.
+        """
+        if self.is_loaded:
+            # Until then it is not known which runs are expected where.
+            check_report(report, self._fleet, self._inbox.reports)
         worker = self._fleet.get_or_add(
             report.worker, report.address, self._grants.prior_leases(report.worker)
         )
--- a/tests/clients/ports.feature
+++ b/tests/clients/ports.feature
@@ -31,6 +31,12 @@
     When 1 client tells at "peers" of a job of 2000000 empty steps
     Then a request at "callers" is answered, and the process is within 160 MB
 
+  Scenario: Workers that nobody knows report runs that nobody ordered
+    # Guards against keeping, for good, whatever is reported.
+    Given an entry process with 300 descriptors
+    When 20 workers that nobody knows report 30000 runs each at "peers"
+    Then a request at "callers" is answered, and the process is within 160 MB
+
   Scenario: A call of a peer holds more runs than any worker
     # Guards against a message whose elements take many times their bytes.
     Given an entry process with 300 descriptors
--- a/tests/steps/crowd_steps.py
+++ b/tests/steps/crowd_steps.py
@@ -45,7 +45,13 @@
 
 
 def _play(context, port, payload, count, *, reads=True):
-    crowd = Crowd(clients=[Client(payload=payload, reads=reads) for _ in range(count)])
+    _play_clients(
+        context, port, [Client(payload=payload, reads=reads) for _ in range(count)]
+    )
+
+
+def _play_clients(context, port, clients):
+    crowd = Crowd(clients=clients)
     context.closers.append(crowd.close)
     measured = context.processes.measured()
     for _ in crowd.play(context.processes.port_by_name[port]):
@@ -117,6 +123,34 @@
     _send_body(context, count, port, REPORT.path, msgspec.msgpack.encode(report))
 
 
+@when('{count:d} workers that nobody knows report {runs:d} runs each at "{port}"')
+def report_unknown(context, count, runs, port):
+    clients = []
+    for number in range(count):
+        listed = [
+            {
+                "ref": [[f"{run:016x}", 0, 0, number], 1],
+                "checkpoint": "",
+                "percent": 1.0,
+            }
+            for run in range(runs)
+        ]
+        report = {
+            "worker": f"worker-{number}",
+            "incarnation": "1",
+            "address": {"host": "127.0.0.1", "port": 9},
+            "data_centre": "caerdydd",
+            "life": f"i-{number}/7",
+            "service": "svc",
+            "number": 1,
+            "running": listed,
+        }
+        body = msgspec.msgpack.encode(report)
+        head = _head(REPORT.path, f"Content-Length: {len(body)}")
+        clients.append(Client(payload=Payload(head=head + body)))
+    _play_clients(context, port, clients)
+
+
 @when(
     '{count:d} clients send {requests:d} requests each at "{port}" and read no answer'
 )
