Turns: a report with many loads is no heavy call

Cause, found while reading the diff: a byte 0x80 was counted as an object without fields in every call, but numbers hold such bytes too. A report of 600 runs weighed 304 (by that count 291), over the 128 beyond which a call waits for its turn; one of 200 runs 102.

Change: only calls that say how their objects are counted are weighed by it.

--- a/coltsfoottray/intake/turns.py
+++ b/coltsfoottray/intake/turns.py
@@ -27,9 +27,16 @@
     return body.count(b"{") + len(body) // _BYTES_PER_OBJECT
 
 
-def weigh_msgpack(body: bytes) -> int:
-    """Return how dear msgpack is to decode, as a number of objects."""
-    return body.count(_EMPTY_MSGPACK_MAP) + len(body) // _BYTES_PER_OBJECT
+def weigh_msgpack(body: bytes, *, has_defaults: bool) -> int:
+    """Return how dear msgpack is to decode, as a number of objects.
+
+    Parameters
+    ----------
+    has_defaults : bool
+        Whether it may hold objects without any field, which take one byte each.
+    """
+    empty = body.count(_EMPTY_MSGPACK_MAP) if has_defaults else 0
+    return empty + len(body) // _BYTES_PER_OBJECT
 
 
 def is_heavy(weight: int) -> bool:
--- a/coltsfoottray/peers/http.py
+++ b/coltsfoottray/peers/http.py
@@ -67,7 +67,9 @@
         """Handle one call; return status 404 if it has no handler."""
         for call, handler in self._handlers.handler_by_call.items():
             if call.path == request.path:
-                weight = weigh_msgpack(request.body)
+                weight = weigh_msgpack(
+                    request.body, has_defaults=call.check_request is not None
+                )
                 # Not until it is answered: a relayed call waits for the store.
                 async with self._turns.turn(weight):
                     message = _decode(request, call, is_large=is_heavy(weight))
