Decode the labels of a heartbeat only if no more than a worker has

Found by looking for the dearest input that is still allowed at each port: 4 MB of labels took an attendant to 123 MB, of 128.

--- a/coltsfoottray/platform/instance.py
+++ b/coltsfoottray/platform/instance.py
@@ -87,13 +87,18 @@
     state: Literal["ready", "draining"]
     coldRemainingMs: _Amount  # noqa: N815
     capacity: _Capacity
-    labels: Annotated[list[_Text], msgspec.Meta(max_length=100)]
+    labels: msgspec.Raw
     clockMs: _Count  # noqa: N815
     sequence: _Count
     born: Annotated[int, msgspec.Meta(ge=1, le=1 << 53)]
     remainingMs: _Amount = 0.0  # noqa: N815
 
 
+# Decoded only if they are no more bytes than so many labels in escapes.
+_Labels = Annotated[list[_Text], msgspec.Meta(max_length=100)]
+_MAX_LABELS_BYTES = 200_000
+
+
 class _RunLists(msgspec.Struct):
     clockMs: _Count  # noqa: N815
     born: _Count = 0
@@ -249,6 +254,7 @@
     """
     try:
         heartbeat = decode_json(body, _HeartbeatBody)
+        labels = _decode_labels(heartbeat.labels)
     except MalformedData as error:
         return Failure(str(error))
     address = _parse_address(heartbeat.address)
@@ -262,9 +268,9 @@
             address=address,
             data_centre=heartbeat.zone,
             capacity=_as_resources(heartbeat.capacity),
-            labels=heartbeat.labels,
+            labels=labels,
             # The first label is the worker's kind, the second its rack.
-            rack=heartbeat.labels[1] if len(heartbeat.labels) > 1 else "",
+            rack=labels[1] if len(labels) > 1 else "",
             is_draining=heartbeat.state == "draining",
             remaining=as_duration(heartbeat.remainingMs),
             sequence=heartbeat.sequence,
@@ -272,6 +278,18 @@
     )
 
 
+def _decode_labels(raw: msgspec.Raw) -> list[str]:
+    size = len(bytes(raw))
+    if size > _MAX_LABELS_BYTES:
+        raise MalformedData(
+            detail=f"labels: got {size} bytes, expected at most {_MAX_LABELS_BYTES}"
+        )
+    try:
+        return decode_json(raw, _Labels)
+    except MalformedData as error:
+        raise MalformedData(detail=f"labels: {error}") from error
+
+
 def _parse_address(text: str) -> Address | None:
     """Return the address that `text` states, None if nobody can be called there."""
     host, _, port = text.rpartition(":")
--- a/tests/platform/dense_answers.feature
+++ b/tests/platform/dense_answers.feature
@@ -11,6 +11,11 @@
       | 1300000 empty rows             |
       | a row of 800000 texts in lists |
 
+  Scenario: A heartbeat holds more labels than any worker
+    # Guards against building labels that are then found to be too many.
+    When a heartbeat with 800000 labels is read
+    Then it is refused, and has taken less than 16 MB
+
   Scenario: A worker answers with many runs
     # Guards against a bound that a worker inside the pages meets.
     Given a worker that answers a poll with 5000 runs
--- a/tests/steps/dense_answer_steps.py
+++ b/tests/steps/dense_answer_steps.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 from behave import given, then, when
+from returns.result import Failure
 
 from coltsfoottray.clock import TrioClock
 from coltsfoottray.errors import CommunicationError
@@ -81,3 +82,18 @@
 @then("it has {count:d} runs")
 def check_runs(context, count):
     assert len(context.reply.running) == count
+
+
+@when("a heartbeat with {count:d} labels is read")
+def read_heartbeat(context, count):
+    body = msgspec.json.encode(make_heartbeat(labels=["ab"] * count))
+    tracemalloc.start()
+    context.result = parse_heartbeat("i-1", body)
+    _, context.peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+
+
+@then("it is refused, and has taken less than {size:d} MB")
+def check_heartbeat(context, size):
+    assert isinstance(context.result, Failure), context.result
+    assert context.peak_bytes < size * _MB, context.peak_bytes
