Bound gRPC calls by what becomes of them, 2 MiB in place of 8

Callers saw: an entry of the product's own that takes 197 MB (of the 128 that DEVELOPERS.md gives a daemon) for one call of 7 MB. Found by looking for the dearest input that is still allowed at each port.

Change: gRPC has the limit of calls between daemons, 2 MiB. A batch task is passed on in such a call, so that the port that takes tasks refuses one of over 512 KiB (numbers take up to three times as much in msgpack as in JSON).

--- a/coltsfoottray/daemons/common.py
+++ b/coltsfoottray/daemons/common.py
@@ -133,7 +133,7 @@
         peers = factory.peers(
             self.settings.peers,
             self.handlers,
-            limits=plan.calls(),
+            limits=plan.peers(self.handlers),
             observer=IntakeMonitor(port="peers"),
         )
         self.kernel.register(PEER_SERVER, peers)
--- a/coltsfoottray/daemons/intake.py
+++ b/coltsfoottray/daemons/intake.py
@@ -22,6 +22,7 @@
 
 __all__ = ["IntakeMonitor", "PortPlan"]
 
+_TASKS_PATH = "/tasks"
 # A crowd must not become a load of the log.
 _LOG_INTERVAL = timedelta(seconds=5)
 
@@ -62,8 +63,14 @@
         return self._machine.large_port(largest, by_path)
 
     def calls(self) -> PortLimits:
-        """Return the limits of any other port that takes bodies."""
-        return self._machine.large_port(_as_bytes(self._settings.call_kb))
+        """Return the limits of any other port that takes bodies.
+
+        A batch task is passed on in a call of a daemon, which must have room for it.
+        """
+        return self._machine.large_port(
+            _as_bytes(self._settings.call_kb),
+            {_TASKS_PATH: _as_bytes(self._settings.job_kb)},
+        )
 
     def queries(self) -> PortLimits:
         """Return the limits of a port whose requests have no body."""
--- a/coltsfoottray/settings/models.py
+++ b/coltsfoottray/settings/models.py
@@ -161,8 +161,8 @@
     connections : int
         Most connections at one port.
     job_kb, heartbeat_kb, peer_kb, call_kb : float
-        Largest body in KiB of a caller's job, a worker's heartbeat, a call of another
-        daemon, and any other call that has a body.
+        Largest body in KiB of a caller's job or batch task, a worker's heartbeat, a
+        call of another daemon, and any other call that has a body.
     head_kb : float
         Largest head of a request in KiB.
     request_s : float
--- a/tests/steps/grpc_crowd_steps.py
+++ b/tests/steps/grpc_crowd_steps.py
@@ -39,12 +39,17 @@
 
 
 def _play(context, client_count, announced, fill_bytes):
-    crowd = Crowd(
-        clients=[
+    _play_clients(
+        context,
+        [
             GrpcClient(announced=announced, fill_bytes=fill_bytes)
             for _ in range(client_count)
-        ]
+        ],
     )
+
+
+def _play_clients(context, clients):
+    crowd = Crowd(clients=clients)
     context.closers.append(crowd.close)
     measured = context.processes.measured()
     for _ in crowd.play(context.processes.port_by_name[_PORT]):
@@ -65,6 +70,30 @@
     _play(context, count, int(size * _MB), int(size * _MB) - 1)
 
 
+@when("{count:d} client announces {kinds:d} kinds of requests over gRPC")
+def announce_kinds(context, count, kinds):
+    nobody = {"host": "127.0.0.1", "port": 9}
+    announcement = {
+        "daemon": "x",
+        "role": "upstream",
+        "incarnation": "1",
+        "data_centre": "caerdydd",
+        "rack": "r1",
+        "http": nobody,
+        "peers": nobody,
+        "load": {
+            "slots": 1,
+            "connections": 1,
+            "service_s_by_kind": {f"{number:x}": 1 for number in range(kinds)},
+        },
+    }
+    request = {"announcement": announcement, "lists_version": 0, "hold_s": 0.1}
+    body = msgspec.msgpack.encode(request)
+    _play_clients(
+        context, [GrpcClient(announced=len(body), rest=body) for _ in range(count)]
+    )
+
+
 @then("a call over gRPC is answered, and the process is within {bound:d} MB")
 def check_sound(context, bound):
     processes = context.processes
--- a/tests/support/grpc_clients.py
+++ b/tests/support/grpc_clients.py
@@ -38,6 +38,8 @@
     ----------
     message : bytes
         The message, as far as it is sent before `fill_bytes` of filler.
+    rest : bytes
+        The rest of the message, which is sent as flow control allows.
     announced : int
         Length of the message by its prefix.
     """
@@ -45,6 +47,7 @@
     payload: Payload = field(default_factory=lambda: Payload(head=b""))
     announced: int
     message: bytes = b""
+    rest: bytes = b""
     fill_bytes: int = 0
     path: str = CALL_PATH
     status: str | None = None
@@ -79,17 +82,26 @@
         return True
 
     def _fill(self) -> None:
-        """Send as much filler as flow control allows, a frame at a time."""
-        if not self.fill_bytes or self.outgoing:
+        """Send what flow control allows of the rest of the message, then filler."""
+        if self.outgoing or not (self.rest or self.fill_bytes):
             return
         try:
             window = self.protocol.local_flow_control_window(1)
-            size = min(window, self.fill_bytes, len(_FRAME))
-            if size > 0:
-                self.protocol.send_data(1, _FRAME[:size])
-                self.fill_bytes -= size
+            size = min(window, len(_FRAME))
+            frame = self.rest[:size] or _FRAME[: min(size, self.fill_bytes)]
+            if frame:
+                self._send_frame(frame)
         except h2.exceptions.ProtocolError:
-            self.fill_bytes = 0
+            self.rest, self.fill_bytes = b"", 0
+
+    def _send_frame(self, frame: bytes) -> None:
+        self.protocol.send_data(1, frame)
+        if not self.rest:
+            self.fill_bytes -= len(frame)
+            return
+        self.rest = self.rest[len(frame) :]
+        if not self.rest:
+            self.protocol.end_stream(1)
 
     def _receive(self) -> bool:
         data = self.socket.recv(_READ_BYTES)
