Send a complete response in one place

Cause, found by reading the change again: the session and the refusal each wrote head, body and end of a response. And the docstring of TOO_LARGE named a limit that is one of several since.

Change: send_response, beside send_all; the refusal gives it the header that ends the connection. Behaviour is the same.

Measured: tests/http 27 of 27.

--- a/coltsfoottray/http/common.py
+++ b/coltsfoottray/http/common.py
@@ -30,12 +30,13 @@
     "extend_deadline",
     "read_event",
     "send_all",
+    "send_response",
 ]
 
 # Bodies are buffered, so that a truncated one is never passed on as complete.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 TOO_LARGE = 413
-"""Status that says that a body is larger than `MAX_BODY_BYTES`."""
+"""Status that says that a body is larger than is taken."""
 _READ_BYTES = 64 * 1024
 DEFAULT_TIMEOUT = timedelta(seconds=30)
 # Longer than the retransmission of a lost packet takes.
@@ -181,6 +182,19 @@
     await stream.send_all(b"".join(chunks))
 
 
+async def send_response(
+    stream: trio.abc.Stream, connection: h11.Connection, response: HttpResponse
+) -> None:
+    """Send a complete response."""
+    head = h11.Response(
+        status_code=response.status,
+        headers=encode_headers(response.header_by_name, response.body),
+    )
+    await send_all(
+        stream, connection, [head, h11.Data(data=response.body), h11.EndOfMessage()]
+    )
+
+
 async def read_body(
     stream: trio.abc.ReceiveStream,
     connection: h11.Connection,
--- a/coltsfoottray/http/refusal.py
+++ b/coltsfoottray/http/refusal.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 
 import h11
 import trio
 
-from coltsfoottray.http.common import HttpResponse, encode_headers, send_all
+from coltsfoottray.http.common import send_response
 from coltsfoottray.http.problem import to_problem
 from coltsfoottray.intake import RefusalReason, RequestRefused
 
@@ -34,9 +35,13 @@
     """Answer a request that was refused, as far as its client receives it."""
     if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
+    response = to_problem(refused).to_response()
+    header_by_name = {**response.header_by_name, "connection": "close"}
+    last = replace(response, header_by_name=header_by_name)
     with trio.move_on_after(_REFUSAL_TIME.total_seconds()):
         try:
-            await _send_last(stream, connection, to_problem(refused).to_response())
+            await send_response(stream, connection, last)
+            await stream.send_eof()
             await _discard(stream)
         except (
             trio.BrokenResourceError,
@@ -46,19 +51,6 @@
             return
 
 
-async def _send_last(
-    stream: trio.SocketStream, connection: h11.Connection, response: HttpResponse
-) -> None:
-    headers = encode_headers(response.header_by_name, response.body)
-    head = h11.Response(
-        status_code=response.status, headers=[*headers, ("connection", "close")]
-    )
-    await send_all(
-        stream, connection, [head, h11.Data(data=response.body), h11.EndOfMessage()]
-    )
-    await stream.send_eof()
-
-
 async def _discard(stream: trio.SocketStream) -> None:
     discarded = 0
     while discarded < _MAX_DISCARDED_BYTES:
--- a/coltsfoottray/http/session.py
+++ b/coltsfoottray/http/session.py
@@ -14,8 +14,7 @@
     Handler,
     HttpRequest,
     HttpResponse,
-    encode_headers,
-    send_all,
+    send_response,
 )
 from coltsfoottray.http.incoming import RequestReader
 from coltsfoottray.http.problem import Outcome, Problem, call_handler
@@ -121,7 +120,7 @@
             response = await self._handle(request)
             self._port.connections.wait_for(self._connection)
             with trio.move_on_after(self._request_time_s):
-                await self._send(response)
+                await send_response(self._stream, self._protocol, response)
                 return self._protocol.our_state is h11.DONE
         return False
 
@@ -147,17 +146,6 @@
                 outcome=Outcome.UNKNOWN, detail="internal error; see the log"
             ).to_response()
 
-    async def _send(self, response: HttpResponse) -> None:
-        head = h11.Response(
-            status_code=response.status,
-            headers=encode_headers(response.header_by_name, response.body),
-        )
-        await send_all(
-            self._stream,
-            self._protocol,
-            [head, h11.Data(data=response.body), h11.EndOfMessage()],
-        )
-
     @property
     def _request_time_s(self) -> float:
         return self._port.limits.request_time.total_seconds()
