--- a/review/lasting_jobs.py
+++ b/review/lasting_jobs.py
@@ -50,6 +50,7 @@
     """Records when the runs of each task began and ended."""
 
     record: list[str] = field(default_factory=list)
+    unheard: set[str] = field(default_factory=set)
     began: dict[str, list[float]] = field(default_factory=dict)
     ended: dict[str, list[float]] = field(default_factory=dict)
     last_start_s: dict[str, float] = field(default_factory=dict)
@@ -82,8 +83,11 @@
 async def call(
     site: Site, client: HttpClient, method: str, job: str, body: bytes = b""
 ) -> int:
-    """Send a caller's request to one entry after the other; return the status."""
-    for entry in ENTRIES[::-1]:
+    """Send a caller's request to one entry after the other; return the status.
+
+    An entry that has not answered is not tried again.
+    """
+    for entry in [each for each in ENTRIES if each not in site.observer.unheard]:
         request = HttpRequest(
             method=method,
             target=f"{PATH}{job}",
@@ -94,7 +98,9 @@
             answer = await client.send(
                 site.address(entry, CALLERS), request, timeout=timedelta(seconds=4)
             )
-        except CommunicationError:
+        except CommunicationError as error:
+            site.observer.note(f"caller  {method} {job} at {entry}: {error}")
+            site.observer.unheard.add(entry)
             continue
         site.observer.note(
             f"caller  {method} {job} at {entry}: {answer.status} {answer.body[:60]!r}"
