--- a/review/lasting_jobs.py
+++ b/review/lasting_jobs.py
@@ -35,7 +35,7 @@
 LOST_WORKER = WORKERS[0]
 JOBS = 24
 JOB_INTERVAL_S = 0.25
-# After the first jobs, the machines are lost this long after a start on the worker.
+# After the first jobs, the loss is this long after a start on the worker.
 LOST_AFTER_START_S = 0.1
 MIN_JOBS_BEFORE = 12
 # A task that lasts may be without a run for 6 s; then 3 s without one break the rule.
@@ -150,8 +150,16 @@
 Loss = Callable[[Site], Awaitable[None]]
 
 
-async def play(lose: Loss, case: Path) -> int:
-    """Play a case in its folder; return the exit status."""
+async def play(
+    lose: Loss, case: Path, after_start_s: float = LOST_AFTER_START_S
+) -> int:
+    """Play a case in its folder; return the exit status.
+
+    Parameters
+    ----------
+    after_start_s : float
+        How long after a start on the worker the loss happens.
+    """
     # All programs are ended also if the script is.
     signal.signal(signal.SIGINT, signal.default_int_handler)
     signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
@@ -165,7 +173,8 @@
             if not await wait_until_ready(site, client):
                 print("the entries did not become ready")
                 return 2
-            return await run_case(site, client, lose if trouble else None)
+            chosen = lose if trouble else None
+            return await run_case(site, client, chosen, after_start_s)
         finally:
             site.close()
             text = "\n".join(site.observer.record) + "\n"
@@ -173,7 +182,9 @@
             nursery.cancel_scope.cancel()
 
 
-async def run_case(site: Site, client: HttpClient, lose: Loss | None) -> int:
+async def run_case(
+    site: Site, client: HttpClient, lose: Loss | None, after_start_s: float
+) -> int:
     """Hand in the jobs, let the loss happen if there is one, and watch."""
     spec = msgspec.json.encode({"work_s": 1, "lasts": True, "share": 0.2}).decode()
     step = {"count": 1, "cpu": 200, "memoryLimitMb": 100, "longRunning": True}
@@ -190,7 +201,7 @@
             since = site.observer.now() - site.observer.last_start_s.get(
                 LOST_WORKER, -9.0
             )
-            is_just_started = LOST_AFTER_START_S <= since < LOST_AFTER_START_S + 0.1
+            is_just_started = after_start_s <= since < after_start_s + 0.1
             is_due = number >= MIN_JOBS_BEFORE and is_just_started
             if lose is not None and not has_lost and is_due:
                 has_lost = True
