Log leases that a holder grants without a confirmed write

The logs could not tell which of two things had happened: a holder that lived and went on granting leases, or a successor that knew of fewer leases than there were. The holder logged nothing while it granted without a confirmed write, the successor not how old the last renewal was, and a worker that this scheduler had never heard counted as silent for 112,643 s.

The holder now logs scheduler:grants-unconfirmed once for each stretch without a confirmed write, scheduler:claimed says row_age_s, and the reason of a lost run says that its attendant was not heard by this scheduler.

--- a/coltsfoottray/scheduler/cluster_state.py
+++ b/coltsfoottray/scheduler/cluster_state.py
@@ -221,8 +221,7 @@
             lost = worker.runs_ended_before(now)
             if not lost and not is_over:
                 continue
-            silent_s = (now - worker.last_heard).total_seconds()
-            why = f"lease expired; attendant silent for {silent_s:.1f} s"
+            why = f"lease expired; attendant {worker.describe_silence(now)}"
             self._fence_lost_runs(worker, lost, now_ms, why=why)
             if is_over:
                 self._set_orphans(worker, [])
--- a/coltsfoottray/scheduler/fleet.py
+++ b/coltsfoottray/scheduler/fleet.py
@@ -141,6 +141,12 @@
         """Return `processors` as a fraction of the worker's capacity."""
         return self.usage.share_of(processors)
 
+    def describe_silence(self, now: timedelta) -> str:
+        """Return for how long its attendant has not reported, for log lines."""
+        if self.last_heard == _NEVER:
+            return "not heard by this scheduler"
+        return f"silent for {(now - self.last_heard).total_seconds():.1f} s"
+
     @property
     def has_unconfirmed_runs(self) -> bool:
         """Whether it is still unknown what became of the runs that it holds."""
--- a/coltsfoottray/scheduler/grants.py
+++ b/coltsfoottray/scheduler/grants.py
@@ -32,6 +32,9 @@
 # Smaller reductions of a lease are not logged, since every report brings one.
 _MIN_LOGGED_REDUCTION = timedelta(milliseconds=500)
 
+# A write is confirmed at least every half second; later ones are logged.
+_UNCONFIRMED_AFTER = timedelta(seconds=1.5)
+
 # Far more sessions than one scheduler can grant, so that every fencing token of a
 # later epoch exceeds all those of an earlier one.
 _SESSIONS_PER_EPOCH = 1_000_000
@@ -72,6 +75,7 @@
         self._settled_life_by_worker: Mapping[str, str] = {}
         self._is_withholding = False
         self._suspended: set[str] = set()
+        self._has_logged_unconfirmed = False
 
     def renew(self, worker: Worker, report: Report, confirmed_at: timedelta) -> int:
         """Return the worker's new lease, 0 unless the report shows it alive.
@@ -142,9 +146,22 @@
         is_barred = worker.id in self._listed or worker.id in self._suspended
         if granted <= timedelta(0) or is_barred or self._is_withholding:
             return 0
+        self._log_unconfirmed(now - confirmed_at, reach=granted)
         worker.leases.end = max(worker.leases.end, now + granted * DRIFT_FACTOR)
         return math.floor(granted.total_seconds() * 1000)
 
+    def _log_unconfirmed(self, age: timedelta, *, reach: timedelta) -> None:
+        """Log the first lease that is granted while no write is confirmed."""
+        is_unconfirmed = age > _UNCONFIRMED_AFTER
+        if is_unconfirmed and not self._has_logged_unconfirmed:
+            log_event(
+                "scheduler:grants-unconfirmed",
+                epoch=self._epoch,
+                confirmed_s_ago=round(age.total_seconds(), 3),
+                lease_s=round(reach.total_seconds(), 3),
+            )
+        self._has_logged_unconfirmed = is_unconfirmed
+
     def is_pending(self, worker: Worker, confirmed_at: timedelta) -> bool:
         """Return whether only the listing as silent keeps a worker from a lease."""
         return (
--- a/coltsfoottray/scheduler/takeover.py
+++ b/coltsfoottray/scheduler/takeover.py
@@ -164,6 +164,7 @@
             epoch=lease.epoch,
             name=self._name,
             why=status.value,
+            row_age_s=round((sent - self._watch.changed_at).total_seconds(), 3),
             leases_left_s=round((grants_end - sent).total_seconds(), 3),
             failed_takeovers=lease.failed_takeovers,
         )
