Count leases from what holder and standbys have told each other

Cause: a refused connection counted as the end of the holder's process, and its leases as over 6.5 s later. The holder lived, could not renew, and granted on to the attendants beside it. Ruled out: a successor that knows fewer runs than there are (scheduler:loaded lists them), a lease prolonged by the attendant (the grants are in the holder's log).

Change: neither side draws anything from a connection. Entries that may take over send back the clock reading of the last answer that they got from the holder. A lease ends at the latest 6.4 s after the last renewal or the oldest such reading. Each of them knows later moments for both, whatever has become of the holder. The row lists those that count; any other entry waits for the longest lease.

Why it works: the holder counts from when it sent an answer, once the standby has shown that it got it; the standby from when it got its last one, which is never earlier.

--- a/coltsfoottray/daemons/job_attendant.py
+++ b/coltsfoottray/daemons/job_attendant.py
@@ -18,7 +18,7 @@
 from coltsfoottray.platform import TableError
 from coltsfoottray.platform.heartbeats import HeartbeatHandler
 from coltsfoottray.platform.instance import InstanceLink
-from coltsfoottray.scheduler.lease import LeaseRow
+from coltsfoottray.scheduler.lease_row import LeaseRow
 from coltsfoottray.scheduler.messages import ORDERS, SCHEDULER_ANNOUNCEMENT
 from coltsfoottray.settings import JobAttendantSettings
 from coltsfoottray.types import Address, Role
--- a/coltsfoottray/scheduler/active.py
+++ b/coltsfoottray/scheduler/active.py
@@ -27,16 +27,18 @@
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.deadlines import Deadlines
 from coltsfoottray.scheduler.fleet import Fleet
+from coltsfoottray.scheduler.grant_limit import GrantLimit
 from coltsfoottray.scheduler.grants import Grants, is_out_of_order
 from coltsfoottray.scheduler.inbox import Inbox
 from coltsfoottray.scheduler.learned_row import LearnedRow
-from coltsfoottray.scheduler.lease import LeaseRow
+from coltsfoottray.scheduler.lease_row import LeaseRow
 from coltsfoottray.scheduler.least_cost import LeastCost
 from coltsfoottray.scheduler.loading import load_jobs
 from coltsfoottray.scheduler.messages import Orders, Report, ReportReply
 from coltsfoottray.scheduler.order_sender import OrderSender
 from coltsfoottray.scheduler.orders import missing_orders
 from coltsfoottray.scheduler.overdue import OverdueMonitor
+from coltsfoottray.scheduler.ping import Ping
 from coltsfoottray.scheduler.placed_run import PlacedRun
 from coltsfoottray.scheduler.planner import Planner
 from coltsfoottray.scheduler.pressure_feed import PressureFeed
@@ -102,6 +104,11 @@
         )
         self._grants = Grants(
             epoch=claim.lease.epoch,
+            limit=GrantLimit(
+                incarnation=claim.lease.incarnation,
+                acquired_at=claim.acquired_at,
+                clock=clock,
+            ),
             prior_end=claim.grants_end,
             silent_until=claim.silent_until,
             fleet=self._fleet,
@@ -228,6 +235,10 @@
         job = self.cluster.jobs.by_id.get(job_id)
         return None if job is None else job.rows.state
 
+    def record_ping(self, ping: Ping) -> None:
+        """Record what a standby's ping tells about the answers that it got."""
+        self._grants.limit.record_ping(ping)
+
     def backlog_update(self, known_version: int | None) -> BacklogUpdate:
         """Return what an entry that knows a version of the backlog lacks."""
         if self._least_cost is None:
--- a/coltsfoottray/scheduler/backlog_watch.py
+++ b/coltsfoottray/scheduler/backlog_watch.py
@@ -6,7 +6,8 @@
 from coltsfoottray.logs import log_event
 from coltsfoottray.metrics import Metrics
 from coltsfoottray.overload.backlog import Backlog, KnownBacklog
-from coltsfoottray.scheduler.messages import Acknowledged, PingReply
+from coltsfoottray.scheduler.messages import Acknowledged
+from coltsfoottray.scheduler.ping import PingReply
 
 __all__ = ["BacklogWatch"]
 
--- a/coltsfoottray/scheduler/grants.py
+++ b/coltsfoottray/scheduler/grants.py
@@ -10,12 +10,8 @@
 from coltsfoottray.clock import Clock, as_duration
 from coltsfoottray.logs import log_event
 from coltsfoottray.scheduler.fleet import Fleet, Worker
-from coltsfoottray.scheduler.lease import (
-    DRIFT_FACTOR,
-    MAX_GRANT,
-    MAX_LEASE_AFTER_WRITE,
-    as_remaining_ms,
-)
+from coltsfoottray.scheduler.grant_limit import GrantLimit
+from coltsfoottray.scheduler.lease_row import DRIFT_FACTOR, as_remaining_ms
 from coltsfoottray.scheduler.messages import Report
 from coltsfoottray.scheduler.worker_leases import PriorLeases
 
@@ -47,6 +43,8 @@
     ----------
     epoch : int
         Epoch of the lease row.
+    limit : GrantLimit
+        Until when the leases may last that this scheduler grants.
     prior_end : timedelta
         When all leases of earlier schedulers are certain to have expired.
     silent_until : mapping
@@ -58,12 +56,14 @@
         self,
         *,
         epoch: int,
+        limit: GrantLimit,
         prior_end: timedelta,
         silent_until: Mapping[str, timedelta],
         fleet: Fleet,
         clock: Clock,
     ) -> None:
         self._epoch = epoch
+        self.limit = limit
         self._prior_end = prior_end
         self._silent_until = silent_until
         self._is_loading = True
@@ -142,7 +142,7 @@
             Length of the lease in milliseconds, 0 if none can be granted.
         """
         now = self._clock.elapsed()
-        granted = min(now + MAX_GRANT, confirmed_at + MAX_LEASE_AFTER_WRITE) - now
+        granted = self.limit.end(confirmed_at) - now
         is_barred = worker.id in self._listed or worker.id in self._suspended
         if granted <= timedelta(0) or is_barred or self._is_withholding:
             return 0
@@ -164,9 +164,8 @@
 
     def is_pending(self, worker: Worker, confirmed_at: timedelta) -> bool:
         """Return whether only the listing as silent keeps a worker from a lease."""
-        return (
-            worker.id in self._listed
-            and self._clock.elapsed() < confirmed_at + MAX_LEASE_AFTER_WRITE
+        return worker.id in self._listed and self._clock.elapsed() < self.limit.end(
+            confirmed_at
         )
 
     def _shorten_lease(self, worker: Worker, remaining: timedelta) -> None:
--- a/coltsfoottray/scheduler/messages.py
+++ b/coltsfoottray/scheduler/messages.py
@@ -17,7 +17,6 @@
 __all__ = [
     "JOB_NOTIFICATION",
     "ORDERS",
-    "PING",
     "REPORT",
     "SCHEDULER_ANNOUNCEMENT",
     "STATE",
@@ -25,8 +24,6 @@
     "EndKind",
     "JobNotification",
     "Orders",
-    "Ping",
-    "PingReply",
     "Refusal",
     "RejectedStart",
     "Report",
@@ -333,40 +330,6 @@
     state: JobState | None = None
 
 
-class Ping(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """Asks for the incarnation of the process at an address.
-
-    Parameters
-    ----------
-    backlog_version : int, optional
-        Version of the latest backlog that the sender knows, 0 for none; None from a
-        sender that uses no backlog, as one of an earlier version.
-    """
-
-    backlog_version: int | None = None
-
-
-class PingReply(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """The replying process.
-
-    Parameters
-    ----------
-    incarnation : str
-        Its incarnation.
-    epoch : int
-        Its epoch as the scheduler, 0 if it is not the scheduler.
-    backlog : Backlog, optional
-        The scheduler's backlog, if it is newer than the one that the sender knows.
-    backlog_version : int
-        Version of the scheduler's backlog, if the sender knows it already; else 0.
-    """
-
-    incarnation: str
-    epoch: int = 0
-    backlog: Backlog | None = None
-    backlog_version: int = 0
-
-
 REPORT = Call(name="Report", request_type=Report, reply_type=ReportReply)
 SCHEDULER_ANNOUNCEMENT = Call(
     name="Hello",
@@ -388,9 +351,3 @@
     reply_type=StateReply,
     max_request_bytes=_SMALL_REQUEST_BYTES,
 )
-PING = Call(
-    name="Ping",
-    request_type=Ping,
-    reply_type=PingReply,
-    max_request_bytes=_SMALL_REQUEST_BYTES,
-)
--- a/coltsfoottray/scheduler/round_timer.py
+++ b/coltsfoottray/scheduler/round_timer.py
@@ -8,7 +8,7 @@
 
 from coltsfoottray.clock import Clock, as_duration, as_milliseconds
 from coltsfoottray.scheduler.cluster_state import ClusterState
-from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL
+from coltsfoottray.scheduler.lease_row import RENEWAL_INTERVAL
 
 __all__ = ["RoundTimer"]
 
--- a/coltsfoottray/scheduler/service.py
+++ b/coltsfoottray/scheduler/service.py
@@ -30,19 +30,17 @@
 from coltsfoottray.scheduler.lease import LeaseWatch
 from coltsfoottray.scheduler.messages import (
     JOB_NOTIFICATION,
-    PING,
     REPORT,
     STATE,
     Acknowledged,
     JobNotification,
-    Ping,
-    PingReply,
     Report,
     ReportReply,
     SchedulerAnnouncement,
     StateQuery,
     StateReply,
 )
+from coltsfoottray.scheduler.ping import PING, Ping, PingReply
 from coltsfoottray.scheduler.restore import StateReader
 from coltsfoottray.scheduler.sweep import run_sweep_loop
 from coltsfoottray.scheduler.takeover import Claim, LeaseClaimer
@@ -297,10 +295,12 @@
             return PingReply(incarnation=self._incarnation)
         # Nothing else would notice that the rounds here are held up.
         self._backlog.check()
+        self.active.record_ping(ping)
         update = self.active.backlog_update(ping.backlog_version)
         return PingReply(
             incarnation=self._incarnation,
             epoch=self.active.lease.epoch,
+            clock_ms=int(self._clock.elapsed().total_seconds() * 1000),
             backlog=update.backlog,
             backlog_version=update.version,
         )
--- a/coltsfoottray/scheduler/takeover.py
+++ b/coltsfoottray/scheduler/takeover.py
@@ -26,13 +26,12 @@
     Transaction,
     WatchedTable,
 )
-from coltsfoottray.scheduler.lease import (
+from coltsfoottray.scheduler.lease import HolderStatus, LeaseWatch
+from coltsfoottray.scheduler.lease_row import (
     DRIFT_FACTOR,
     MAX_GRANT,
     MAX_LEASE_AFTER_WRITE,
-    HolderStatus,
     LeaseRow,
-    LeaseWatch,
     as_remaining_ms,
 )
 from coltsfoottray.types import Address
@@ -125,6 +124,7 @@
         epoch: int,
     ) -> Claim | None:
         sent = self._clock.elapsed()
+        row_age = sent - self._watch.changed_at
         silent_until = self._silent_until(previous)
         grants_end = self._grants_end(previous, sent)
         lease = LeaseRow(
@@ -140,6 +140,7 @@
             },
             max_grant_ms=as_remaining_ms(MAX_GRANT, timedelta(0)),
             prior_left_ms=as_remaining_ms(grants_end, sent),
+            standbys=[],
         )
         put = Put.of(LEASE_KEY, version, lease)
         try:
@@ -164,7 +165,7 @@
             epoch=lease.epoch,
             name=self._name,
             why=status.value,
-            row_age_s=round((sent - self._watch.changed_at).total_seconds(), 3),
+            row_age_s=round(row_age.total_seconds(), 3),
             leases_left_s=round((grants_end - sent).total_seconds(), 3),
             failed_takeovers=lease.failed_takeovers,
         )
--- a/coltsfoottray/scheduler/writer.py
+++ b/coltsfoottray/scheduler/writer.py
@@ -29,7 +29,7 @@
     make_start_group,
     mark_stored,
 )
-from coltsfoottray.scheduler.lease import RENEWAL_INTERVAL
+from coltsfoottray.scheduler.lease_row import RENEWAL_INTERVAL
 from coltsfoottray.scheduler.live import LiveJob
 from coltsfoottray.scheduler.refusals import Refusals
 from coltsfoottray.scheduler.side_rows import SideRows
@@ -309,6 +309,7 @@
                 renewals=self.lease.renewals + 1,
                 silent_ms=self._grants.list_silent(),
                 prior_left_ms=self._grants.prior_left_ms(),
+                standbys=self._grants.limit.list_standbys(),
             )
             puts.append(Put.of(LEASE_KEY, self.version, self.lease))
         else:
@@ -328,6 +329,7 @@
             self.renewed_at = sent
             self._must_renew = False
             self._grants.unlist(self.lease.silent_ms)
+            self._grants.limit.record_renewal(sent)
         for group in groups:
             mark_stored(group, versions, deleted, sent)
 
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -26,7 +26,7 @@
 from coltsfoottray.scheduler.active import ActiveScheduler
 from coltsfoottray.scheduler.fleet import Worker
 from coltsfoottray.scheduler.grants import Grants
-from coltsfoottray.scheduler.lease import MAX_GRANT, LeaseRow
+from coltsfoottray.scheduler.lease_row import MAX_GRANT, LeaseRow
 from coltsfoottray.scheduler.messages import Orders, Report, ReportReply
 from coltsfoottray.tasks import StoredTask, TaskStore
 from coltsfoottray.types import ListVersion, TaskState
--- a/tests/steps/decoded_steps.py
+++ b/tests/steps/decoded_steps.py
@@ -55,9 +55,10 @@
 from coltsfoottray.scheduler.cluster_state import ClusterState
 from coltsfoottray.scheduler.fleet import Fleet
 from coltsfoottray.scheduler.learned_row import LearnedRow
-from coltsfoottray.scheduler.lease import LeaseRow
+from coltsfoottray.scheduler.lease_row import LeaseRow
 from coltsfoottray.scheduler.lengths import LengthEstimator
-from coltsfoottray.scheduler.messages import PING, REPORT, Acknowledged, Report
+from coltsfoottray.scheduler.messages import REPORT, Acknowledged, Report
+from coltsfoottray.scheduler.ping import PING
 from coltsfoottray.scheduler.planner import Planner
 from coltsfoottray.scheduler.side_rows import AttendantRows, PressureRow
 from coltsfoottray.types import Address
