Take only a VM's word that no process listens for a refused connection

What a network says counted as what a worker's VM says: a connection that was reset or aborted as it was opened counted as refused, and a worker that had announced its end (perhaps by a late message of an earlier incarnation) was then taken for ended, its runs given up while they could run on.

Change: is_refused holds for ECONNREFUSED only. A worker that leaves and is reset in this way waits for its lease, as one that does not answer.

--- a/coltsfoottray/http/client.py
+++ b/coltsfoottray/http/client.py
@@ -185,8 +185,11 @@
 
 
 def _is_refused(error: Exception) -> bool:
-    """Return whether the peer refused the connection, as opposed to a timeout."""
+    """Return whether the peer's VM says that no process listens.
+
+    A reset or a timeout does not say so.
+    """
     causes: list[BaseException | None] = [error.__cause__]
     if isinstance(error.__cause__, BaseExceptionGroup):
         causes = list(error.__cause__.exceptions)
-    return any(isinstance(cause, ConnectionError) for cause in causes)
+    return any(isinstance(cause, ConnectionRefusedError) for cause in causes)
