A standby that may have taken over tells the holder of no later answer

It goes on checking the former holder, whose leases reach farther with each answer that is sent back, while the stored row says how long they lasted as it was written. The next entry, if the former holder has not heard it, reckons with that row and would start tasks twice.

Change: from the moment before it writes the row until it sees the row change, a standby sends back the reading that it had. While the store is out this costs nothing: the first such write comes 3 s after the last renewal, and leases end 9 s after it anyway.

--- a/coltsfoottray/scheduler/grant_limit.py
+++ b/coltsfoottray/scheduler/grant_limit.py
@@ -131,6 +131,7 @@
         self._heard_at = started_at
         self._answered_by = ""
         self._reading_ms = 0
+        self._is_claiming = False
         self._ended_incarnation = ""
         self._ended_at = started_at
 
@@ -146,9 +147,23 @@
     def record_answer(self, reply: PingReply, at: timedelta) -> None:
         """Record an answer that came at a given time."""
         self._heard_at = at
+        if self._is_claiming:
+            return
         self._answered_by = reply.incarnation if reply.clock_ms else ""
         self._reading_ms = reply.clock_ms
 
+    def record_claim(self) -> None:
+        """Record that this process is about to take the row over, if it still can.
+
+        That may succeed unheard, with a row that says how long leases can last that the
+        holder has granted. It must not learn of later answers from this process.
+        """
+        self._is_claiming = True
+
+    def record_change(self) -> None:
+        """Record that the row has changed: no earlier write takes it over any more."""
+        self._is_claiming = False
+
     def record_end(self, incarnation: str, at: timedelta) -> None:
         """Record that a process has ended by then, as another one is in its place."""
         if self._ended_incarnation != incarnation:
--- a/coltsfoottray/scheduler/lease.py
+++ b/coltsfoottray/scheduler/lease.py
@@ -122,6 +122,7 @@
         self.row = row
         self.version = version
         self.changed_at = self._clock.elapsed()
+        self._contact.record_change()
 
     @property
     def next_epoch(self) -> int:
@@ -185,6 +186,10 @@
         is_stale = self._row_age() > _STALE_AFTER * row.patience
         return HolderStatus.STALE if is_stale else HolderStatus.HELD
 
+    def record_claim(self) -> None:
+        """Record that this process is about to take the row over."""
+        self._contact.record_claim()
+
     def grants_end(self, row: LeaseRow) -> timedelta:
         """Return when the leases of a holder and of earlier ones have expired."""
         return self._contact.grants_end(row, self.changed_at)
--- a/coltsfoottray/scheduler/takeover.py
+++ b/coltsfoottray/scheduler/takeover.py
@@ -123,6 +123,7 @@
         status: HolderStatus,
         epoch: int,
     ) -> Claim | None:
+        self._watch.record_claim()
         sent = self._clock.elapsed()
         row_age = sent - self._watch.changed_at
         silent_until = self._silent_until(previous)
--- a/tests/scheduler/live_holders.feature
+++ b/tests/scheduler/live_holders.feature
@@ -98,3 +98,14 @@
       | the entry "one" | an answer that was sent 3 s ago    | 4.4   |
       | the entry "one" | an answer that will be sent in 1 s | 4.4   |
       | the entry "one" | an answer of another incarnation   | 4.4   |
+
+  Scenario: The write that takes the row over is not answered
+    # Guards against a holder that is told of answers which the row of its successor,
+    # stored unheard, does not reckon with.
+    Given an entry that got an answer with the clock reading 1000
+    When it begins to take the row over
+    And it gets an answer with the clock reading 2000
+    Then its next ping sends back the reading 1000
+    When the row has changed
+    And it gets an answer with the clock reading 3000
+    Then its next ping sends back the reading 3000
--- a/tests/steps/live_holder_steps.py
+++ b/tests/steps/live_holder_steps.py
@@ -7,8 +7,8 @@
 from behave import given, step, then, when
 
 from coltsfoottray.clock import TrioClock
-from coltsfoottray.scheduler.grant_limit import GrantLimit
-from coltsfoottray.scheduler.ping import Ping
+from coltsfoottray.scheduler.grant_limit import GrantLimit, HolderContact
+from coltsfoottray.scheduler.ping import Ping, PingReply
 from tests.steps.job_fault_steps import wait_for_takeover
 
 _HOLDER = "incarnation of the holder"
@@ -152,3 +152,30 @@
     left = context.limit.end(_STORED_AT) - context.clock.time
     granted = max(left, timedelta(0)).total_seconds()
     assert abs(granted - seconds) < 0.001, granted
+
+
+@given("an entry that got an answer with the clock reading {reading:d}")
+def make_contact(context, reading):
+    context.contact = HolderContact(name="one", started_at=_STORED_AT)
+    get_answer(context, reading)
+
+
+@step("it gets an answer with the clock reading {reading:d}")
+def get_answer(context, reading):
+    reply = PingReply(incarnation=_HOLDER, clock_ms=reading)
+    context.contact.record_answer(reply, _STORED_AT)
+
+
+@when("it begins to take the row over")
+def begin_claim(context):
+    context.contact.record_claim()
+
+
+@when("the row has changed")
+def change_row(context):
+    context.contact.record_change()
+
+
+@then("its next ping sends back the reading {reading:d}")
+def check_reading(context, reading):
+    assert context.contact.make_ping(None).heard_ms == reading
