State machine and soak part processes that live, beside outages

Change: the machine parted-jobs parts the scheduler (refused, reset or silent) from all but one or two attendants, while the store is down and one of these is cut off, each from a moment of its own, beside the faults of jobs; the fabric resets connections, too. The soak has the fault program-parted: a program that lives is parted from others and from the store; programs read from a file whom they do not reach. The planted fault, leases that count from the last write only, has the oracle see what the machine is for.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 	$(BIN)/python -m properties evacuated-jobs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties refused-jobs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties paced-jobs $(RUNS) $(STEPS)
+	$(BIN)/python -m properties parted-jobs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties failing-jobs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties replaced-jobs $(RUNS) $(STEPS)
 	$(BIN)/python -m properties silenced-jobs $(RUNS) $(STEPS)
--- a/properties/__main__.py
+++ b/properties/__main__.py
@@ -16,6 +16,7 @@
 from properties.keyed_requests import KeyedRequests
 from properties.list_edits import ListEdits
 from properties.paced_jobs import PacedJobs
+from properties.parted_jobs import PartedJobs
 from properties.refused_jobs import RefusedJobs
 from properties.replaced_jobs import ReplacedJobs
 from properties.silenced_jobs import SilencedJobs
@@ -28,6 +29,7 @@
     "refused-jobs": RefusedJobs,
     "failing-jobs": FailingJobs,
     "paced-jobs": PacedJobs,
+    "parted-jobs": PartedJobs,
     "replaced-jobs": ReplacedJobs,
     "silenced-jobs": SilencedJobs,
     "unstorable-jobs": UnstorableJobs,
--- a/properties/permanent_faults.py
+++ b/properties/permanent_faults.py
@@ -105,6 +105,8 @@
         """Recover from every fault that is not permanent."""
         cell = self._world.cell
         self.heal_links(set(self._world.fabric.cut))
+        self._world.fabric.refusing.clear()
+        self._world.fabric.resetting.clear()
         cell.metadata_table.faults.is_down = False
         cell.metadata_table.refused_keys.clear()
         for process in list(self._world.fabric.faults_by_process):
--- a/properties/planted.py
+++ b/properties/planted.py
@@ -25,8 +25,13 @@
 from coltsfoottray.platform import TableUnavailable, metadata_table
 from coltsfoottray.scheduler.active import ActiveScheduler
 from coltsfoottray.scheduler.fleet import Worker
+from coltsfoottray.scheduler.grant_limit import GrantLimit
 from coltsfoottray.scheduler.grants import Grants
-from coltsfoottray.scheduler.lease_row import MAX_GRANT, LeaseRow
+from coltsfoottray.scheduler.lease_row import (
+    MAX_GRANT,
+    MAX_LEASE_AFTER_WRITE,
+    LeaseRow,
+)
 from coltsfoottray.scheduler.messages import Orders, Report, ReportReply
 from coltsfoottray.tasks import StoredTask, TaskStore
 from coltsfoottray.types import ListVersion, TaskState
@@ -41,6 +46,7 @@
     "earlier_calls_not_fenced_off",
     "edits_without_versions",
     "holders_silent_while_they_load",
+    "leases_beyond_what_standbys_heard",
     "leases_lapsed_without_waiting",
     "leases_renewed_out_of_reach",
     "leases_taken_unheard",
@@ -147,6 +153,18 @@
         yield
 
 
+@contextmanager
+def leases_beyond_what_standbys_heard() -> Iterator[None]:
+    """Let a holder grant leases whatever the entries know that may take over."""
+
+    def end(self: GrantLimit, confirmed_at: timedelta) -> timedelta:
+        now = self._clock.elapsed()
+        return min(now + MAX_GRANT, confirmed_at + MAX_LEASE_AFTER_WRITE)
+
+    with mock.patch.object(GrantLimit, "end", end):
+        yield
+
+
 @contextmanager
 def runs_given_up_early() -> Iterator[None]:
     """Let the scheduler give up a silent worker's runs before its lease has ended."""
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -10,6 +10,7 @@
 
 from soak.crowds import send_crowd
 from soak.foreign import send_report, store_row
+from soak.partings import Partings
 from soak.plan import Fault, FaultKind
 from soak.site import Site
 from standins.connections import Direction
@@ -32,8 +33,12 @@
     """Injects faults, which may overlap, also on the same target."""
 
     site: Site
+    partings: Partings = field(init=False)
     count_by_state: Counter[tuple[str, str]] = field(default_factory=Counter)
 
+    def __post_init__(self) -> None:
+        self.partings = Partings(site=self.site)
+
     async def play(self, plan: Sequence[Fault]) -> None:
         """Inject each fault at its time, counted from now."""
         start = trio.current_time()
@@ -51,6 +56,7 @@
         site.table.faults.lost_answers = 0
         site.table.late_writes = 0
         site.table.refused_keys.clear()
+        self.partings.heal()
         for program in site.program_by_name.values():
             await program.recover()
         for name, worker in site.worker_by_name.items():
@@ -82,6 +88,10 @@
         elif fault.kind is FaultKind.PROGRAM_GONE:
             program.is_gone = True
             await program.kill(0.0)
+        elif fault.kind is FaultKind.PROGRAM_PARTED:
+            pairs = self.partings.begin(fault)
+            await trio.sleep(fault.duration_s)
+            self.partings.end(pairs)
         elif fault.kind is FaultKind.PROGRAM_CROWD:
             address, path = self.site.way_in(fault.target, fault.count)
             await send_crowd(address, path, fault.count, fault.duration_s)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -40,6 +40,7 @@
     STORE_FOREIGN_ROW = "store-foreign-row"
     WORKER_FOREIGN_REPORT = "worker-foreign-report"
     PROGRAM_CROWD = "program-crowd"
+    PROGRAM_PARTED = "program-parted"
 
     @property
     def is_permanent(self) -> bool:
@@ -53,7 +54,7 @@
 
 
 # How often each kind is drawn, in the order of `FaultKind`.
-_WEIGHTS = (4, 4, 3, 1, 2, 1, 2, 2, 2, 1, 2, 1, 2, 2, 1, 1, 4, 3, 3, 3, 4)
+_WEIGHTS = (4, 4, 3, 1, 2, 1, 2, 2, 2, 1, 2, 1, 2, 2, 1, 1, 4, 3, 3, 3, 4, 6)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/soak/site.py
+++ b/soak/site.py
@@ -14,6 +14,7 @@
 
 from coltsfoottray.http import Handler
 from coltsfoottray.types import Address
+from soak.parted import write_partings
 from soak.programs import Program
 from soak.proxy import Proxy
 from standins.advice import AdviceStandIn
@@ -43,7 +44,6 @@
 ENTRIES = ("entry-1", "entry-2", "entry-3")
 WORKERS = ("worker-1", "worker-2", "worker-3")
 
-_MODULE = ["coltsfoottray.cli.run"]
 _DATA_CENTRE = "caerdydd"
 # Ports below the range from which the system chooses those of clients. Each program
 # has its own address, because all use the same port for peers.
@@ -241,7 +241,12 @@
             server = self._proxy_server(self.address(name, _STORE_PROXY), proxy)
             await self._start([server])
 
-    def _table(self, name: str) -> Address:
+    def partings_file(self, name: str) -> Path:
+        """Return the file that says which others a program does not reach."""
+        return self.folder / f"{name}.partings"
+
+    def store_address(self, name: str) -> Address:
+        """Return the address at which a program reaches the store."""
         if self.has_proxies:
             return self.address(name, _STORE_PROXY)
         return self.address("store", _STORE)
@@ -251,16 +256,18 @@
             "name": name,
             "data_centre": _DATA_CENTRE,
             "peers": str(self.address(name, _PEERS)),
-            "table": str(self._table(name)),
+            "table": str(self.store_address(name)),
             "metrics": str(self.address(name, _METRICS)),
             "seeds": [str(self.address(entry, _PEERS)) for entry in ENTRIES],
         }
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump({**common, **settings}))
-        module = ["soak.planted", self.planted]
+        partings = self.partings_file(name)
+        write_partings(partings, {})
+        planted = [self.planted] if self.planted else []
         program = Program(
             name=name,
-            arguments=[*(module if self.planted else _MODULE), str(path)],
+            arguments=["soak.parted", str(partings), *planted, str(path)],
             log=self.folder / f"{name}.log",
         )
         self.program_by_name[name] = program
--- a/standins/connections.py
+++ b/standins/connections.py
@@ -10,7 +10,7 @@
 from coltsfoottray.http.pool import PooledConnection
 from coltsfoottray.types import Address
 
-__all__ = ["Direction", "MemoryConnection"]
+__all__ = ["Direction", "MemoryConnection", "Parting"]
 
 
 class Direction(enum.Enum):
@@ -21,6 +21,14 @@
     """Requests arrive and are carried out; only their answers are lost."""
 
 
+class Parting(enum.StrEnum):
+    """What becomes of connections between processes that live and are parted."""
+
+    REFUSED = "refused"
+    RESET = "reset"
+    SILENT = "silent"
+
+
 class MemoryConnection(PooledConnection):
     """An open connection from a process to the listener at an address.
 
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -146,6 +146,8 @@
         Pairs of processes whose messages are dropped.
     refusing : set of frozenset of str
         Pairs of processes that live and refuse connections to one another.
+    resetting : set of frozenset of str
+        Pairs of processes that live and whose connections are reset as they are used.
     listener_by_address : dict
         Servers that accept messages.
     opened : Counter
@@ -158,6 +160,7 @@
         self.faults_by_process: dict[str, ProcessFaults] = {}
         self.cut: set[frozenset[str]] = set()
         self.refusing: set[frozenset[str]] = set()
+        self.resetting: set[frozenset[str]] = set()
         self._pool_by_sender: dict[str, ConnectionPool[MemoryConnection]] = defaultdict(
             ConnectionPool
         )
@@ -295,6 +298,8 @@
                 detail="no listener at this address",
                 is_refused=True,
             )
+        if frozenset((sender, listener.process)) in self.resetting:
+            raise _error(ExchangeStep.RECEIVE, address, "connection reset by peer")
         pending = _Pending()
         is_complete = False
         with trio.move_on_after(timeout.total_seconds()) as limit:
--- a/tests/scheduler/fuzz.feature
+++ b/tests/scheduler/fuzz.feature
@@ -88,3 +88,11 @@
   Scenario: The oracle detects refused writes that are repeated for good
     # Planted fault: a refused write counts as one that the store cannot execute now.
     Then with the planted fault "refused writes repeated" the machine "unstorable jobs" fails in runs of 5 steps
+
+  Scenario: No sequence of faults lets processes that live take one another for ended
+    # The same faults while processes refuse, reset and do not answer one another.
+    Then the machine "parted jobs" finds nothing in 20 runs of 4 steps
+
+  Scenario: The oracle detects leases that a successor does not reckon with
+    # Planted fault: a holder counts its leases from its last write only.
+    Then with the planted fault "leases beyond what standbys heard" the machine "parted jobs" fails in runs of 1 steps
