--- a/properties/parted_jobs.py
+++ b/properties/parted_jobs.py
@@ -72,7 +72,7 @@
         isolated = reached[0]
         steps = [
             (parted_at_ms, lambda: self._part(scheduler, unreached, parting)),
-            (down_at_ms, lambda: self.store(down_for_ms > 0)),
+            (down_at_ms, lambda: self.store(True)),
             (down_at_ms + down_for_ms, lambda: self.store(False)),
             (isolated_at_ms, lambda: self._part(isolated, entries, Parting.SILENT)),
             (healed_at_ms, self._rejoin),
